--- /dev/null
+++ b/components/board/src/lib.rs
@@ -0,0 +1,20 @@
+//! The blackboard: immutable snapshots that one controller each writes and everyone reads.
+
+mod section;
+mod sections;
+
+pub use section::Section;
+pub use sections::{Agent, ConfigSnapshot, Fleet, Membership, Queue};
+
+/// All sections of one process.
+#[derive(Debug, Default)]
+pub struct Board {
+    /// Agents and endpoints; written by the membership controller.
+    pub membership: Section<Membership>,
+    /// The configuration in force; written by the configuration controller.
+    pub config: Section<ConfigSnapshot>,
+    /// Workers, free capacity and gangs; written by the placement controller.
+    pub fleet: Section<Fleet>,
+    /// Jobs that wait; written by the placement controller.
+    pub queue: Section<Queue>,
+}
--- /dev/null
+++ b/components/board/src/sections.rs
@@ -0,0 +1,77 @@
+//! The contents of the sections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use model::{
+    Active, AgentId, Announced, Document, Draining, Endpoint, EndpointId, Epoch, Gang, GangId, Job,
+    JobId, Placed, Planned, Queued, Resources, Revision, Running, SectionName, Serving, Worker,
+    WorkerId,
+};
+
+/// An agent that announced itself.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    /// The id of the agent.
+    pub id: AgentId,
+    /// Its address for calls.
+    pub addr: SocketAddr,
+    /// The workers it stands for.
+    pub workers: Vec<Worker>,
+    /// When it was last heard.
+    pub heard: Instant,
+    /// The configuration revision it has in force.
+    pub config_revision: Revision,
+}
+
+/// Agents and endpoints by state.
+#[derive(Debug, Clone, Default)]
+pub struct Membership {
+    /// The epoch of the owner that reports this membership.
+    pub epoch: Epoch,
+    /// The agents.
+    pub agents: IndexMap<AgentId, Arc<Agent>>,
+    /// Endpoints that have not sent a heartbeat yet.
+    pub announced: IndexMap<EndpointId, Arc<Endpoint<Announced>>>,
+    /// Endpoints that take requests.
+    pub serving: IndexMap<EndpointId, Arc<Endpoint<Serving>>>,
+    /// Endpoints that leave.
+    pub draining: IndexMap<EndpointId, Arc<Endpoint<Draining>>>,
+}
+
+/// The configuration document with the revision of each section.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigSnapshot {
+    /// The highest revision applied.
+    pub revision: Revision,
+    /// The revision of each section.
+    pub sections: IndexMap<SectionName, Revision>,
+    /// The document.
+    pub document: Document,
+}
+
+/// Workers, free capacity and gangs of a cell.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    /// The workers, sorted by place.
+    pub workers: Arc<IndexMap<WorkerId, Worker>>,
+    /// Free resources, by worker index.
+    pub free: Vec<Resources>,
+    /// Gangs under reservation.
+    pub planned: IndexMap<GangId, Arc<Gang<Planned>>>,
+    /// Gangs that run.
+    pub running: IndexMap<GangId, Arc<Gang<Running>>>,
+}
+
+/// Jobs of a cell by state.
+#[derive(Debug, Clone, Default)]
+pub struct Queue {
+    /// Jobs that wait for capacity, oldest first.
+    pub queued: IndexMap<JobId, Arc<Job<Queued>>>,
+    /// Jobs whose gang is under reservation.
+    pub placed: IndexMap<JobId, Arc<Job<Placed>>>,
+    /// Jobs whose gang runs.
+    pub active: IndexMap<JobId, Arc<Job<Active>>>,
+}
--- /dev/null
+++ b/components/errors/src/lib.rs
@@ -0,0 +1,167 @@
+//! The error type of limpethook and the verdict that each error carries.
+
+use std::fmt;
+use std::time::Duration;
+
+use error_stack::Report;
+use serde::{Deserialize, Serialize};
+
+/// A result whose error says whether the request may have run.
+pub type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// Says whether a request may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// The request did not run and never will under this attempt.
+    NotRun,
+    /// The request may have run; only an idempotent request may be tried again.
+    MayHaveRun,
+    /// The request ran to its end.
+    Ran,
+}
+
+impl Verdict {
+    /// Returns the name used in logs and error bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::MayHaveRun => "may_have_run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Classifies an error independently of its verdict.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request is malformed.
+    InvalidRequest,
+    /// The token is missing or wrong.
+    Unauthenticated,
+    /// The named object does not exist or belongs to another client account.
+    NotFound,
+    /// A compare-and-swap or an idempotency key met another value.
+    Conflict,
+    /// The body or the answer exceeds its limit.
+    TooLarge,
+    /// No set of workers can ever hold the shape.
+    Infeasible,
+    /// A queue, a budget or a slot limit is exhausted.
+    Overloaded,
+    /// The receiver is shutting down.
+    Draining,
+    /// A peer or an outside system cannot be reached.
+    Unavailable,
+    /// The sender's epoch is older than the highest epoch seen.
+    StaleEpoch,
+    /// The deadline passed.
+    Timeout,
+    /// The caller cancelled the request.
+    Cancelled,
+    /// The work was stopped to reclaim capacity or after the loss of a gang member.
+    Stopped,
+    /// The endpoint or a worker reported a failure.
+    Failed,
+    /// An answer failed its integrity check.
+    Corrupt,
+    /// A fault in limpethook itself.
+    Internal,
+}
+
+impl ErrorKind {
+    /// Returns the name used in logs and error bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InvalidRequest => "invalid_request",
+            Self::Unauthenticated => "unauthenticated",
+            Self::NotFound => "not_found",
+            Self::Conflict => "conflict",
+            Self::TooLarge => "too_large",
+            Self::Infeasible => "infeasible",
+            Self::Overloaded => "overloaded",
+            Self::Draining => "draining",
+            Self::Unavailable => "unavailable",
+            Self::StaleEpoch => "stale_epoch",
+            Self::Timeout => "timeout",
+            Self::Cancelled => "cancelled",
+            Self::Stopped => "stopped",
+            Self::Failed => "failed",
+            Self::Corrupt => "corrupt",
+            Self::Internal => "internal",
+        }
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// An error with its verdict, as it travels between processes and to callers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// The class of the error.
+    pub kind: ErrorKind,
+    /// A message for people.
+    pub message: Box<str>,
+    /// The earliest time after which another try makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Creates an error for a request that did not run.
+    pub fn not_run(kind: ErrorKind, message: impl Into<Box<str>>) -> Self {
+        Self::new(Verdict::NotRun, kind, message)
+    }
+
+    /// Creates an error for a request that may have run.
+    pub fn may_have_run(kind: ErrorKind, message: impl Into<Box<str>>) -> Self {
+        Self::new(Verdict::MayHaveRun, kind, message)
+    }
+
+    /// Creates an error for a request that ran and failed.
+    pub fn ran(kind: ErrorKind, message: impl Into<Box<str>>) -> Self {
+        Self::new(Verdict::Ran, kind, message)
+    }
+
+    /// Creates an error from its parts.
+    pub fn new(verdict: Verdict, kind: ErrorKind, message: impl Into<Box<str>>) -> Self {
+        Self {
+            verdict,
+            kind,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Adds the time after which the caller may try again.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Wraps the error in a report.
+    pub fn report(self) -> Report<Self> {
+        Report::new(self)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}, {})", self.message, self.kind, self.verdict)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/components/model/src/job.rs
@@ -0,0 +1,129 @@
+//! The life cycle of a job: queued, placed, active, finished.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use errors::Error;
+
+use crate::ids::{Attempt, GangId, JobId};
+use crate::request::Request;
+
+/// A request with a shape in one state of its life cycle.
+#[derive(Debug, Clone)]
+pub struct Job<S> {
+    /// The request that the job carries out.
+    pub request: Arc<Request>,
+    /// The current try, from 1.
+    pub attempt: Attempt,
+    /// When the owner accepted the job.
+    pub accepted: Instant,
+    /// What is known in this state.
+    pub state: S,
+}
+
+/// The job waits for capacity.
+#[derive(Debug, Clone)]
+pub struct Queued {
+    /// When the job entered the queue for this attempt.
+    pub since: Instant,
+}
+
+/// A gang is being reserved for the job.
+#[derive(Debug, Clone)]
+pub struct Placed {
+    /// The gang under reservation.
+    pub gang: GangId,
+    /// When the job entered the queue for this attempt.
+    pub queued_since: Instant,
+}
+
+/// The gang of the job runs.
+#[derive(Debug, Clone)]
+pub struct Active {
+    /// The running gang.
+    pub gang: GangId,
+    /// When the gang started.
+    pub since: Instant,
+}
+
+/// The job ended.
+#[derive(Debug, Clone)]
+pub struct Finished {
+    /// How it ended.
+    pub outcome: JobOutcome,
+    /// When it ended.
+    pub at: Instant,
+}
+
+/// The one outcome of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobOutcome {
+    /// The whole answer was delivered.
+    Answered,
+    /// The job was refused or failed, with the verdict in the error.
+    Refused(Error),
+}
+
+impl<S> Job<S> {
+    /// Returns the id of the job.
+    pub fn id(&self) -> JobId {
+        self.request.id
+    }
+
+    fn with<T>(self, state: T) -> Job<T> {
+        Job {
+            request: self.request,
+            attempt: self.attempt,
+            accepted: self.accepted,
+            state,
+        }
+    }
+
+    /// Ends the job in any state.
+    pub fn finish(self, outcome: JobOutcome, at: Instant) -> Job<Finished> {
+        self.with(Finished { outcome, at })
+    }
+}
+
+impl Job<Queued> {
+    /// Accepts a request as a job.
+    pub fn accept(request: Arc<Request>, now: Instant) -> Self {
+        Self {
+            request,
+            attempt: 1,
+            accepted: now,
+            state: Queued { since: now },
+        }
+    }
+
+    /// Records that a gang was planned for the job.
+    pub fn place(self, gang: GangId) -> Job<Placed> {
+        let queued_since = self.state.since;
+        self.with(Placed { gang, queued_since })
+    }
+}
+
+impl Job<Placed> {
+    /// Records that the gang started.
+    pub fn start(self, now: Instant) -> Job<Active> {
+        let gang = self.state.gang;
+        self.with(Active { gang, since: now })
+    }
+
+    /// Returns the job to the queue after a refused reservation, with its original place in the queue.
+    pub fn requeue(self) -> Job<Queued> {
+        let since = self.state.queued_since;
+        let mut job = self.with(Queued { since });
+        job.attempt += 1;
+        job
+    }
+}
+
+impl Job<Active> {
+    /// Returns a stopped or failed job to the queue for its next attempt.
+    pub fn requeue(self, now: Instant) -> Job<Queued> {
+        let mut job = self.with(Queued { since: now });
+        job.attempt += 1;
+        job
+    }
+}
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,28 @@
+//! Domain types of limpethook: ids, places, resources, shapes, requests and life cycles.
+
+mod document;
+mod endpoint;
+mod gang;
+pub mod ids;
+mod job;
+mod lease;
+mod place;
+mod request;
+mod resources;
+mod shape;
+mod worker;
+
+pub use document::{Account, AccountLimits, Document, Policy, SectionName, Service};
+pub use endpoint::{Announced, Draining, Endpoint, Serving};
+pub use gang::{Armed, Gang, Member, Planned, Reserved, Running, gang_id};
+pub use ids::{
+    AccountId, AgentId, Attempt, CellId, DataCentreId, EndpointId, EntryId, Epoch, GangId, JobId,
+    RackId, RegionId, RequestId, Revision, ServiceId, WorkerId,
+};
+pub use job::{Active, Finished, Job, JobOutcome, Placed, Queued};
+pub use lease::{Held, Lapsed, Lease};
+pub use place::Place;
+pub use request::Request;
+pub use resources::Resources;
+pub use shape::{Adjacency, Shape};
+pub use worker::Worker;
--- /dev/null
+++ b/components/placement/src/actions.rs
@@ -0,0 +1,47 @@
+//! What the cell owner must do.
+
+use std::sync::Arc;
+
+use errors::Error;
+use model::{Gang, GangId, JobId, Planned, Running};
+
+/// An action that follows from a decision.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Reserve every member and the endpoint slot of a gang.
+    Reserve(Arc<Gang<Planned>>),
+    /// Let a reserved gang run and tell the waiting entry.
+    Start(Arc<Gang<Running>>),
+    /// Give back the reservations of a gang that never ran.
+    Release(Arc<Gang<Planned>>),
+    /// Stop a running gang; its members then report that it ended.
+    Stop {
+        /// The gang.
+        gang: Arc<Gang<Running>>,
+        /// Why it is stopped.
+        reason: StopReason,
+    },
+    /// Tell the entry that the job is refused.
+    Refuse {
+        /// The job.
+        job: JobId,
+        /// The refusal with its verdict.
+        error: Error,
+    },
+    /// Give back the accelerators of a gang that ended.
+    Free {
+        /// The gang.
+        gang: GangId,
+    },
+}
+
+/// Why a running gang is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// The caller cancelled the job.
+    Cancelled,
+    /// A client account claims its guarantee.
+    Reclaimed,
+    /// A member was lost.
+    MemberLost,
+}
--- /dev/null
+++ b/components/placement/src/events.rs
@@ -0,0 +1,57 @@
+//! What happened, as the cell owner reports it.
+
+use std::sync::Arc;
+
+use errors::Error;
+use model::{AgentId, Epoch, GangId, JobId, Request};
+
+/// An event that may change the fleet or the queue.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// An entry or the job store submitted a request with a shape.
+    Submitted(Arc<Request>),
+    /// The caller cancelled a job.
+    Cancelled(JobId),
+    /// Every member of a gang is reserved.
+    Reserved {
+        /// The gang.
+        gang: GangId,
+        /// The epoch of the reservation.
+        epoch: Epoch,
+    },
+    /// An agent refused a reservation; nothing of the gang runs.
+    ReservationRefused {
+        /// The gang.
+        gang: GangId,
+        /// The agent that refused.
+        agent: AgentId,
+        /// Why it refused.
+        error: Error,
+    },
+    /// A running gang ended.
+    Ended {
+        /// The gang.
+        gang: GangId,
+        /// How it ended.
+        end: GangEnd,
+    },
+    /// The membership section changed.
+    MembershipChanged,
+    /// The configuration section changed.
+    ConfigChanged,
+    /// Time passed.
+    Tick,
+}
+
+/// How a running gang ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GangEnd {
+    /// The endpoint answered.
+    Answered,
+    /// The job failed, with the verdict in the error.
+    Failed(Error),
+    /// The owner stopped the gang to reclaim its capacity.
+    Stopped,
+    /// A member was lost.
+    MemberLost,
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs, metrics and spans.
+
+mod logs;
+mod spans;
+
+pub use logs::{init_logs, level_from_name};
+pub use spans::{TraceParent, flush_spans, init_spans, parse_traceparent};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of limpethook.
+
+fn main() {}
