--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -4,7 +4,9 @@
 mod sections;
 
 pub use section::Section;
-pub use sections::{Agent, ConfigSnapshot, Fleet, Membership, Queue};
+pub use sections::{
+    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
+};
 
 /// All sections of one process.
 #[derive(Debug, Default)]
@@ -17,4 +19,8 @@
     pub fleet: Section<Fleet>,
     /// Jobs that wait; written by the placement controller.
     pub queue: Section<Queue>,
+    /// Run times and attained service; written by the history controller.
+    pub history: Section<History>,
+    /// Quarantined workers and condemned jobs; written by the blame controller.
+    pub blame: Section<Blame>,
 }
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{
-    Active, AgentId, Announced, Document, Draining, Endpoint, EndpointId, Epoch, Gang, GangId, Job,
-    JobId, Placed, Planned, Queued, Resources, Revision, Running, SectionName, Serving, Worker,
-    WorkerId,
+    AccountId, Active, AgentId, Announced, Document, Draining, Endpoint, EndpointId, Epoch, Gang,
+    GangId, Job, JobId, Placed, Planned, Queued, Resources, Revision, Running, SectionName,
+    ServiceId, Serving, Worker, WorkerId,
 };
 
 /// An agent that announced itself.
@@ -75,3 +75,43 @@
     /// Jobs whose gang runs.
     pub active: IndexMap<JobId, Arc<Job<Active>>>,
 }
+
+/// What past runs of one client account and service tell.
+#[derive(Debug, Clone, Default)]
+pub struct Estimate {
+    /// Number of runs that were observed.
+    pub runs: u32,
+    /// Mean run time.
+    pub mean: Duration,
+    /// Run time that nine of ten runs stay under.
+    pub p90: Duration,
+}
+
+/// Run times and attained service, learned from runs.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// Estimates by client account and service.
+    pub estimates: IndexMap<(AccountId, ServiceId), Estimate>,
+    /// Accelerator seconds that each client account used, with old use decayed.
+    pub attained: IndexMap<AccountId, f64>,
+}
+
+/// A worker that takes only probes.
+#[derive(Debug, Clone)]
+pub struct Quarantine {
+    /// When the quarantine began.
+    pub since: Instant,
+    /// When the next probe may run.
+    pub next_probe: Instant,
+}
+
+/// Which workers and jobs are held responsible for failures.
+#[derive(Debug, Clone, Default)]
+pub struct Blame {
+    /// Workers that fail the tasks of several jobs.
+    pub quarantined: IndexMap<WorkerId, Quarantine>,
+    /// Workers on which a task ended well since they joined.
+    pub proven: IndexSet<WorkerId>,
+    /// Jobs that failed on several workers, with the reason.
+    pub condemned: IndexMap<JobId, Box<str>>,
+}
--- a/components/model/src/request.rs
+++ b/components/model/src/request.rs
@@ -19,9 +19,9 @@
     pub service: ServiceId,
     /// The gang it needs while it runs; none for a short request.
     pub shape: Option<Shape>,
-    /// Whether it may run more than once.
+    /// Whether it may run more than once; a stopped idempotent job starts again from its beginning.
     pub idempotent: bool,
-    /// Whether it may be stopped while it runs and be started again later.
+    /// Whether it can checkpoint; a stopped job of this kind continues from its checkpoint.
     pub stoppable: bool,
     /// The time left until its deadline when the request was sent on.
     pub timeout: Duration,
