Add authenticated calls and datagrams between processes

One task owns each client connection and its waiting calls, so that callers share no lock; frames carry a keyed hash over a rising sequence number. A mutex around the waiting calls was ruled out, as the request path takes no locks.

--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,4 +4,4 @@
 mod spans;
 
 pub use logs::{init_logs, level_from_name};
-pub use spans::{TraceParent, flush_spans, init_spans, parse_traceparent};
+pub use spans::{TraceParent, current_trace, flush_spans, init_spans, parse_traceparent};
--- a/components/telemetry/src/spans.rs
+++ b/components/telemetry/src/spans.rs
@@ -33,6 +33,15 @@
     })
 }
 
+/// Returns the context of the current span, if the trace is sampled.
+pub fn current_trace() -> Option<TraceParent> {
+    let context = SpanContext::current_local_parent()?;
+    context.sampled.then_some(TraceParent {
+        trace: context.trace_id.0,
+        span: context.span_id.0,
+    })
+}
+
 /// Starts the reporting of spans.
 pub fn init_spans() {
     let config = Config::default().report_interval(REPORT_INTERVAL);
--- /dev/null
+++ b/components/wire/src/client.rs
@@ -0,0 +1,163 @@
+//! Calls to other processes over shared connections.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
+use tokio::net::TcpStream;
+use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::auth::Key;
+use crate::connection::{Outgoing, drive};
+use crate::frame::{FrameReader, FrameWriter, Side, encode, handshake};
+use crate::messages::{Call, Reply};
+
+/// How long a connection attempt may take, several times the latency between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Calls that wait for the socket of one connection.
+const CALL_QUEUE: usize = 1024;
+
+/// The connections of a process to its peers, one for each address.
+#[derive(Clone)]
+pub struct Peers {
+    key: Key,
+    slots: Arc<ArcSwap<IndexMap<SocketAddr, Arc<Slot>>>>,
+}
+
+#[derive(Default)]
+struct Slot {
+    current: ArcSwapOption<Connection>,
+    opening: Mutex<()>,
+}
+
+struct Connection {
+    tx: mpsc::Sender<Outgoing>,
+    next: AtomicU64,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Peers")
+    }
+}
+
+impl Peers {
+    /// Creates an empty set of connections.
+    pub fn new(key: Key) -> Self {
+        Self {
+            key,
+            slots: Arc::default(),
+        }
+    }
+
+    /// Calls a peer and returns its reply; a `Failed` reply becomes the error.
+    pub async fn call(&self, addr: SocketAddr, call: &Call, limit: Duration) -> Result<Reply> {
+        let connection = self.connect(addr).await?;
+        match connection.call(call, limit).await? {
+            Reply::Failed(error) => Err(error.report()),
+            reply => Ok(reply),
+        }
+    }
+
+    /// Drops the connection to a peer that left; calls in progress still get their replies.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.slots.rcu(|slots| {
+            let mut slots = IndexMap::clone(slots);
+            slots.swap_remove(&addr);
+            slots
+        });
+    }
+
+    fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
+        if let Some(slot) = self.slots.load().get(&addr) {
+            return Arc::clone(slot);
+        }
+        let new = Arc::new(Slot::default());
+        self.slots.rcu(|slots| {
+            let mut slots = IndexMap::clone(slots);
+            slots.entry(addr).or_insert_with(|| Arc::clone(&new));
+            slots
+        });
+        self.slots.load().get(&addr).map_or(new, Arc::clone)
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Arc<Connection>> {
+        let slot = self.slot(addr);
+        if let Some(connection) = slot.open_connection() {
+            return Ok(connection);
+        }
+        let _one_at_a_time = slot.opening.lock().await;
+        if let Some(connection) = slot.open_connection() {
+            return Ok(connection);
+        }
+        let connection = Arc::new(open(addr, &self.key).await?);
+        slot.current.store(Some(Arc::clone(&connection)));
+        Ok(connection)
+    }
+}
+
+impl Slot {
+    fn open_connection(&self) -> Option<Arc<Connection>> {
+        self.current
+            .load_full()
+            .filter(|connection| !connection.tx.is_closed())
+    }
+}
+
+async fn open(addr: SocketAddr, key: &Key) -> Result<Connection> {
+    let (reader, writer) = match timeout(CONNECT_TIMEOUT, connect(addr, key)).await {
+        Ok(Ok(halves)) => halves,
+        Ok(Err(e)) => return Err(unreachable(addr, &e).report()),
+        Err(e) => return Err(unreachable(addr, &e).report()),
+    };
+    let (tx, rx) = mpsc::channel(CALL_QUEUE);
+    tokio::spawn(drive(rx, reader, writer));
+    Ok(Connection {
+        tx,
+        next: AtomicU64::new(0),
+    })
+}
+
+async fn connect(addr: SocketAddr, key: &Key) -> std::io::Result<(FrameReader, FrameWriter)> {
+    let stream = TcpStream::connect(addr).await?;
+    handshake(stream, key, Side::Client).await
+}
+
+fn unreachable(addr: SocketAddr, reason: &dyn fmt::Display) -> Error {
+    Error::not_run(
+        ErrorKind::Unavailable,
+        format!("cannot reach {addr}: {reason}"),
+    )
+}
+
+impl Connection {
+    async fn call(&self, call: &Call, limit: Duration) -> Result<Reply> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let trace = telemetry::current_trace().map(|parent| (parent.trace, parent.span));
+        let message = encode(&(id, trace, call)).map_err(|e| {
+            Error::not_run(ErrorKind::Internal, format!("cannot encode: {e}")).report()
+        })?;
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(Outgoing { id, message, tx }).await.is_err() {
+            let message = "the connection closed before the call was sent";
+            return Err(Error::not_run(ErrorKind::Unavailable, message).report());
+        }
+        match timeout(limit, rx).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => {
+                let message = "the connection closed before the reply";
+                Err(Error::may_have_run(ErrorKind::Unavailable, message).report())
+            }
+            Err(_) => {
+                let message = "no reply within the time limit";
+                Err(Error::may_have_run(ErrorKind::Timeout, message).report())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/src/frame.rs
@@ -0,0 +1,119 @@
+//! Authenticated frames on a TCP connection.
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::auth::{Key, NONCE_LEN, TAG_LEN};
+
+/// The largest frame in bytes, above the largest body that an entry accepts.
+const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
+
+const CLIENT_TO_SERVER: u8 = 1;
+const SERVER_TO_CLIENT: u8 = 2;
+
+/// The reading half of a connection.
+pub(crate) struct FrameReader {
+    inner: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    key: Key,
+    sequence: u64,
+}
+
+/// The writing half of a connection.
+pub(crate) struct FrameWriter {
+    inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    key: Key,
+    sequence: u64,
+}
+
+/// The side of the connection that this process is on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Side {
+    Client,
+    Server,
+}
+
+/// Exchanges nonces and returns both halves of the connection.
+pub(crate) async fn handshake(
+    mut stream: TcpStream,
+    key: &Key,
+    side: Side,
+) -> std::io::Result<(FrameReader, FrameWriter)> {
+    stream.set_nodelay(true)?;
+    let own: [u8; NONCE_LEN] = fastrand::u128(..).to_le_bytes();
+    stream.write_all(&own).await?;
+    let mut peer = [0; NONCE_LEN];
+    stream.read_exact(&mut peer).await?;
+    let (client, server) = if side == Side::Client {
+        (own, peer)
+    } else {
+        (peer, own)
+    };
+    let mut nonces = [0; 2 * NONCE_LEN];
+    nonces[..NONCE_LEN].copy_from_slice(&client);
+    nonces[NONCE_LEN..].copy_from_slice(&server);
+    let to_server = key.for_direction(CLIENT_TO_SERVER, &nonces);
+    let to_client = key.for_direction(SERVER_TO_CLIENT, &nonces);
+    let (read_key, write_key) = match side {
+        Side::Client => (to_client, to_server),
+        Side::Server => (to_server, to_client),
+    };
+    let (read, write) = stream.into_split();
+    let reader = FrameReader {
+        inner: FramedRead::new(read, codec()),
+        key: read_key,
+        sequence: 0,
+    };
+    let writer = FrameWriter {
+        inner: FramedWrite::new(write, codec()),
+        key: write_key,
+        sequence: 0,
+    };
+    Ok((reader, writer))
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
+
+/// Encodes a message, leaving room for its tag.
+pub(crate) fn encode<T: Serialize>(message: &T) -> postcard::Result<Vec<u8>> {
+    postcard::to_extend(message, Vec::with_capacity(128))
+}
+
+impl FrameReader {
+    /// Reads the next message; `None` at the end of the connection or after a frame that fails its check.
+    pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
+        let frame: BytesMut = self.inner.next().await?.ok()?;
+        let split = frame.len().checked_sub(TAG_LEN)?;
+        let (message, tag) = frame.split_at(split);
+        if !self.key.verify(self.sequence, message, tag) {
+            log::warn!(target: "limpethook", reason = "bad tag"; "connection_closed");
+            return None;
+        }
+        self.sequence += 1;
+        postcard::from_bytes(message).ok()
+    }
+}
+
+impl FrameWriter {
+    /// Queues an encoded message in the write buffer.
+    pub(crate) async fn feed(&mut self, mut message: Vec<u8>) -> std::io::Result<()> {
+        let tag = self.key.tag(self.sequence, &message);
+        self.sequence += 1;
+        message.extend_from_slice(&tag);
+        self.inner.feed(Bytes::from(message)).await
+    }
+
+    /// Sends all queued messages.
+    pub(crate) async fn flush(&mut self) -> std::io::Result<()> {
+        SinkExt::<Bytes>::flush(&mut self.inner).await
+    }
+}
--- /dev/null
+++ b/components/wire/src/messages.rs
@@ -0,0 +1,361 @@
+//! The messages between processes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use errors::Error;
+use model::{
+    AgentId, Attempt, CellId, EndpointId, EntryId, Epoch, GangId, JobId, Member, Place as Position,
+    Request, RequestId, Resources, Revision, SectionName, ServiceId, Worker, WorkerId,
+};
+use serde::{Deserialize, Serialize};
+
+/// A call over TCP.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Call {
+    /// Owner to agent: reserve the members of a gang and, if asked, an endpoint slot.
+    Reserve(Reserve),
+    /// Owner to leader, leader to member: a step of the gang protocol.
+    Gang(GangMessage),
+    /// Entry or owner to agent: run a request at the endpoint.
+    Dispatch(Dispatch),
+    /// Entry or owner to agent: stop a request that is queued or running.
+    CancelRequest(RequestId),
+    /// Owner to agent: configuration sections that changed.
+    Sections(Sections),
+    /// Agent to owner: everything the agent has.
+    Announce(Announce),
+    /// Entry to owner: queue a request with a shape and answer when its gang runs.
+    Place(Place),
+    /// Entry to owner: a placed request ended.
+    Finish(Finish),
+    /// Entry to owner: cancel a job.
+    Cancel(Cancel),
+    /// Entry to owner: the endpoint directory once it is newer than the version stated.
+    Directory {
+        /// The version that the entry has.
+        after: u64,
+    },
+    /// Any process to any other: the sections above a revision.
+    SectionsAfter(Revision),
+    /// Entry to owner: which agent has the request, or this one if none has it.
+    Claim {
+        /// The request.
+        request: RequestId,
+        /// The agent that gets it if it is new.
+        agent: AgentId,
+    },
+}
+
+/// The reply to a call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    /// The call took effect.
+    Done,
+    /// The epoch at which the call took effect.
+    Epoch(Epoch),
+    /// The gang of a request runs.
+    Placed(Placed),
+    /// The endpoint answered.
+    Answer(Answer),
+    /// The endpoint directory.
+    Directory(Directory),
+    /// Configuration sections.
+    Sections(Sections),
+    /// The agent that holds a claimed request; `new` if the claim was granted to the caller.
+    Claimed {
+        /// The agent.
+        agent: AgentId,
+        /// Whether this call made the claim.
+        new: bool,
+    },
+    /// The call failed.
+    Failed(Error),
+}
+
+/// A reservation of gang members at one agent.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reserve {
+    /// The cell.
+    pub cell: CellId,
+    /// The epoch of the owner.
+    pub epoch: Epoch,
+    /// The gang.
+    pub gang: GangId,
+    /// The job.
+    pub job: JobId,
+    /// The members at this agent.
+    pub members: Vec<Member>,
+    /// Whether the request will run at this agent's endpoint.
+    pub slot: bool,
+}
+
+/// A step of the gang protocol after the reservation.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GangMessage {
+    /// The cell.
+    pub cell: CellId,
+    /// The epoch of the owner that reserved the gang.
+    pub epoch: Epoch,
+    /// The gang.
+    pub gang: GangId,
+    /// The step.
+    pub step: GangStep,
+}
+
+/// What a member or the leader of a gang must do.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GangStep {
+    /// Owner to leader: arm all members and let them run.
+    Start {
+        /// The agents of the gang with their addresses; the first one leads.
+        agents: Vec<(AgentId, SocketAddr)>,
+        /// The request that the gang runs.
+        request: Request,
+    },
+    /// Leader to member: extend the reservation to the gang lease.
+    Arm {
+        /// The address of the leader.
+        leader: SocketAddr,
+        /// The request that the gang runs.
+        request: Request,
+    },
+    /// Leader to member: run the tasks.
+    Go,
+    /// Stop the tasks and give back the reservation.
+    Stop,
+}
+
+/// A request for an endpoint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// The request.
+    pub request: Request,
+    /// The try, from 1.
+    pub attempt: Attempt,
+    /// The gang that runs for it, with its epoch.
+    pub gang: Option<(GangId, Epoch)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The answer of an endpoint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Answer {
+    /// The request that it answers.
+    pub request: RequestId,
+    /// The try that it answers.
+    pub attempt: Attempt,
+    /// The HTTP status of the endpoint.
+    pub status: u16,
+    /// The content type of the body.
+    pub content_type: Box<str>,
+    /// Length of the body in bytes.
+    pub length: u64,
+    /// BLAKE3 hash of the body.
+    pub digest: [u8; 32],
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Configuration sections with the store's revisions.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Sections {
+    /// The highest revision that the sender has applied.
+    pub revision: Revision,
+    /// The sections.
+    pub sections: Vec<Section>,
+}
+
+/// One configuration section.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Section {
+    /// The name.
+    pub name: SectionName,
+    /// The revision that last changed it.
+    pub revision: Revision,
+    /// The JSON text; none if the section was deleted.
+    pub text: Option<Box<str>>,
+}
+
+/// Everything that an agent has, for an owner that builds its board.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Announce {
+    /// The agent.
+    pub agent: AgentId,
+    /// Its address for calls and datagrams.
+    pub addr: SocketAddr,
+    /// When the process started, in milliseconds since 1970; a restart forgets all reservations.
+    pub incarnation: u64,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// The endpoint.
+    pub endpoint: Option<EndpointEntry>,
+    /// Gangs with members at this agent.
+    pub gangs: Vec<HeldGang>,
+    /// Attempts that the agent remembers.
+    pub attempts: Vec<RecordedAttempt>,
+}
+
+/// A gang as one of its agents reports it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeldGang {
+    /// The gang.
+    pub gang: GangId,
+    /// The epoch of its reservation.
+    pub epoch: Epoch,
+    /// The job.
+    pub job: JobId,
+    /// The members at this agent.
+    pub members: Vec<Member>,
+    /// Whether the request runs at this agent's endpoint.
+    pub slot: bool,
+    /// The request; none before the gang was armed.
+    pub request: Option<Request>,
+    /// Whether this agent leads the gang.
+    pub leads: bool,
+}
+
+/// An attempt in an agent's at-most-once record.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RecordedAttempt {
+    /// The request.
+    pub request: RequestId,
+    /// The try.
+    pub attempt: Attempt,
+}
+
+/// An endpoint in the directory.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointEntry {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// The agent beside it.
+    pub agent: AgentId,
+    /// The address of the agent.
+    pub agent_addr: SocketAddr,
+    /// The service it provides.
+    pub service: ServiceId,
+    /// Where it stands.
+    pub place: Position,
+    /// How many requests it handles at once.
+    pub slots: u32,
+    /// Slots free when last heard.
+    pub free: u32,
+    /// Whether it leaves.
+    pub draining: bool,
+}
+
+/// The endpoints of a cell.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Directory {
+    /// Rises with each change.
+    pub version: u64,
+    /// The epoch of the owner.
+    pub epoch: Epoch,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointEntry>,
+    /// Free resources of the cell.
+    pub free: Resources,
+}
+
+/// A request with a shape for the owner of a cell.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Place {
+    /// The request.
+    pub request: Request,
+    /// The entry that waits.
+    pub entry: EntryId,
+}
+
+/// A gang that runs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Placed {
+    /// The gang.
+    pub gang: GangId,
+    /// The epoch of its reservation.
+    pub epoch: Epoch,
+    /// The try, from 1.
+    pub attempt: Attempt,
+    /// The agent whose endpoint takes the request.
+    pub agent: AgentId,
+    /// The address of that agent.
+    pub agent_addr: SocketAddr,
+    /// The workers of the gang.
+    pub workers: Vec<WorkerId>,
+}
+
+/// The end of a placed request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Finish {
+    /// The gang.
+    pub gang: GangId,
+    /// How it ended.
+    pub end: FinishEnd,
+}
+
+/// How a placed request ended, as its entry saw it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum FinishEnd {
+    /// The whole answer arrived.
+    Answered,
+    /// The attempt failed with this error.
+    Failed(Error),
+}
+
+/// A cancellation.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Cancel {
+    /// The job.
+    pub job: JobId,
+}
+
+/// A message over UDP.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Packet {
+    /// Agent to owner, each second.
+    Heartbeat(Heartbeat),
+    /// Owner to agent, in reply.
+    Ack(Ack),
+    /// Leader to members and back while a gang runs.
+    Pulse(Pulse),
+}
+
+/// The state of an agent.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The agent.
+    pub agent: AgentId,
+    /// When the process started, in milliseconds since 1970.
+    pub incarnation: u64,
+    /// The highest epoch that the agent has seen.
+    pub epoch: Epoch,
+    /// Free slots of the endpoint.
+    pub free: u32,
+    /// The configuration revision in force.
+    pub revision: Revision,
+    /// Whether the endpoint leaves.
+    pub draining: bool,
+}
+
+/// The reply to a heartbeat.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Ack {
+    /// The epoch of the owner.
+    pub epoch: Epoch,
+    /// The configuration revision of the owner.
+    pub revision: Revision,
+    /// Whether the owner wants an `Announce`.
+    pub announce: bool,
+}
+
+/// Keeps the gang lease alive.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Pulse {
+    /// The gang.
+    pub gang: GangId,
+    /// The agent that sends it.
+    pub agent: AgentId,
+    /// Whether the tasks may run.
+    pub go: bool,
+}
