--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -58,6 +58,7 @@
                 () = stop.cancelled() => return,
             };
             let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
             let connection = serve_connection(stream, peer, self.key.clone(), Arc::clone(&handler));
@@ -69,10 +70,7 @@
 async fn serve_connection<H, F>(stream: TcpStream, peer: SocketAddr, key: Key, handler: Arc<H>)
 where
     H: Fn(CallContext, Call) -> F + Send + Sync + 'static,
-            let Ok((stream, peer)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
+    let Ok((mut reader, writer)) = handshake(stream, &key, Side::Server).await else {
         return;
     };
     let (tx, rx) = mpsc::channel(WRITE_QUEUE);
