Complete the gang messages and repair the server module

The leader of a gang is the agent of its endpoint, so that the end of a request frees its gang without the owner. The message types follow that.

--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -1,9 +1,10 @@
 //! The messages between processes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use errors::Error;
+use errors::{Error, ErrorKind};
 use model::{
     AgentId, Attempt, CellId, EndpointId, EntryId, Epoch, GangId, JobId, Member, Place as Position,
     Request, RequestId, Resources, Revision, SectionName, ServiceId, Worker, WorkerId,
@@ -15,8 +16,16 @@
 pub enum Call {
     /// Owner to agent: reserve the members of a gang and, if asked, an endpoint slot.
     Reserve(Reserve),
-    /// Owner to leader, leader to member: a step of the gang protocol.
-    Gang(GangMessage),
+    /// Owner to leader: let a reserved gang run.
+    StartGang(StartGang),
+    /// Leader to member: extend the reservation to the gang lease.
+    ArmGang(ArmGang),
+    /// Owner to leader, leader to member: stop or release a gang.
+    StopGang(StopGang),
+    /// Member to leader: a worker failed a task.
+    MemberFailed(MemberFailed),
+    /// Leader to owner: a gang ended.
+    GangEnded(GangEnded),
     /// Entry or owner to agent: run a request at the endpoint.
     Dispatch(Dispatch),
     /// Entry or owner to agent: stop a request that is queued or running.
@@ -27,8 +36,6 @@
     Announce(Announce),
     /// Entry to owner: queue a request with a shape and answer when its gang runs.
     Place(Place),
-    /// Entry to owner: a placed request ended.
-    Finish(Finish),
     /// Entry to owner: cancel a job.
     Cancel(Cancel),
     /// Entry to owner: the endpoint directory once it is newer than the version stated.
@@ -54,6 +61,8 @@
     Done,
     /// The epoch at which the call took effect.
     Epoch(Epoch),
+    /// A member extended its reservation.
+    Armed(PulseAck),
     /// The gang of a request runs.
     Placed(Placed),
     /// The endpoint answered.
@@ -90,40 +99,71 @@
     pub slot: bool,
 }
 
-/// A step of the gang protocol after the reservation.
+/// Asks the leader of a gang to arm all members and let them run.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct GangMessage {
-    /// The cell.
-    pub cell: CellId,
-    /// The epoch of the owner that reserved the gang.
+pub struct StartGang {
+    /// The epoch of the owner.
     pub epoch: Epoch,
     /// The gang.
     pub gang: GangId,
-    /// The step.
-    pub step: GangStep,
+    /// The try of the request, from 1.
+    pub attempt: Attempt,
+    /// The agents of the gang with their addresses.
+    pub agents: Vec<(AgentId, SocketAddr)>,
+    /// The workers of the gang.
+    pub workers: Vec<WorkerId>,
+    /// The request that the gang runs.
+    pub request: Request,
 }
 
-/// What a member or the leader of a gang must do.
+/// Asks a member to extend its reservation to the gang lease.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum GangStep {
-    /// Owner to leader: arm all members and let them run.
-    Start {
-        /// The agents of the gang with their addresses; the first one leads.
-        agents: Vec<(AgentId, SocketAddr)>,
-        /// The request that the gang runs.
-        request: Request,
-    },
-    /// Leader to member: extend the reservation to the gang lease.
-    Arm {
-        /// The address of the leader.
-        leader: SocketAddr,
-        /// The request that the gang runs.
-        request: Request,
-    },
-    /// Leader to member: run the tasks.
-    Go,
-    /// Stop the tasks and give back the reservation.
-    Stop,
+pub struct ArmGang {
+    /// The gang.
+    pub gang: GangId,
+    /// The epoch of the reservation.
+    pub epoch: Epoch,
+    /// When the leader sent this, by the leader's clock for this gang.
+    pub stamp: Duration,
+    /// The address of the leader.
+    pub leader: SocketAddr,
+    /// The request that the gang runs.
+    pub request: Request,
+}
+
+/// Asks an agent to stop its part of a gang.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StopGang {
+    /// The gang.
+    pub gang: GangId,
+    /// The epoch of the owner that asks; none if the leader asks.
+    pub epoch: Option<Epoch>,
+    /// Why it is stopped.
+    pub reason: ErrorKind,
+    /// Whether no member can run any more, so that the accelerators are free.
+    pub release: bool,
+}
+
+/// Tells the leader that a worker failed a task.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MemberFailed {
+    /// The gang.
+    pub gang: GangId,
+    /// The worker.
+    pub worker: WorkerId,
+    /// What the worker reported.
+    pub message: Box<str>,
+}
+
+/// Tells the owner that a gang ended and holds nothing any more.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GangEnded {
+    /// The gang.
+    pub gang: GangId,
+    /// The error; none if the endpoint answered.
+    pub error: Option<Error>,
+    /// The workers that failed a task.
+    pub failed_workers: Vec<WorkerId>,
 }
 
 /// A request for an endpoint.
@@ -285,24 +325,6 @@
     pub workers: Vec<WorkerId>,
 }
 
-/// The end of a placed request.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Finish {
-    /// The gang.
-    pub gang: GangId,
-    /// How it ended.
-    pub end: FinishEnd,
-}
-
-/// How a placed request ended, as its entry saw it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum FinishEnd {
-    /// The whole answer arrived.
-    Answered,
-    /// The attempt failed with this error.
-    Failed(Error),
-}
-
 /// A cancellation.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Cancel {
@@ -317,8 +339,10 @@
     Heartbeat(Heartbeat),
     /// Owner to agent, in reply.
     Ack(Ack),
-    /// Leader to members and back while a gang runs.
+    /// Leader to member while a gang runs.
     Pulse(Pulse),
+    /// Member to leader, in reply.
+    PulseAck(PulseAck),
 }
 
 /// The state of an agent.
@@ -349,13 +373,26 @@
     pub announce: bool,
 }
 
-/// Keeps the gang lease alive.
+/// Lets a member run and renews the gang lease.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Pulse {
     /// The gang.
     pub gang: GangId,
-    /// The agent that sends it.
+    /// The leader's stamp.
+    pub stamp: Duration,
+    /// The member's last stamp that the leader heard.
+    pub echo: Duration,
+}
+
+/// A member's answer to `ArmGang` and `Pulse`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PulseAck {
+    /// The gang.
+    pub gang: GangId,
+    /// The member.
     pub agent: AgentId,
-    /// Whether the tasks may run.
-    pub go: bool,
+    /// The leader's stamp that is answered.
+    pub echo: Duration,
+    /// The member's stamp.
+    pub stamp: Duration,
 }
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -70,6 +70,7 @@
 async fn serve_connection<H, F>(stream: TcpStream, peer: SocketAddr, key: Key, handler: Arc<H>)
 where
     H: Fn(CallContext, Call) -> F + Send + Sync + 'static,
+    F: Future<Output = Result<Reply>> + Send + 'static,
 {
     let Ok((mut reader, writer)) = handshake(stream, &key, Side::Server).await else {
         return;
