--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -15,6 +15,8 @@
     pub agent: AgentId,
     /// The address of that agent.
     pub agent_addr: SocketAddr,
+    /// When that agent started, in milliseconds since 1970; a later life has lost its record of attempts.
+    pub incarnation: u64,
     /// The service it provides.
     pub service: ServiceId,
     /// Where it stands.
@@ -54,6 +56,7 @@
             id: self.id,
             agent: self.agent,
             agent_addr: self.agent_addr,
+            incarnation: self.incarnation,
             service: self.service,
             place: self.place,
             slots: self.slots,
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,7 +15,7 @@
 pub use datagram::{DatagramCounts, Datagrams};
 pub use messages::{
     Ack, Announce, Answer, ArmGang, Call, Cancel, Directory, Dispatch, EndpointEntry, GangEnded,
-    Heartbeat, HeldGang, MemberFailed, Packet, Place, Placed, Pulse, PulseAck, RecordedAttempt,
-    Reply, Reserve, Section, Sections, StartGang, StopGang,
+    Heartbeat, HeldGang, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck,
+    RecordedAttempt, Reply, Reserve, Section, Sections, StartGang, StopGang,
 };
 pub use server::{CallContext, Server};
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -43,6 +43,8 @@
         /// The version that the entry has.
         after: u64,
     },
+    /// Any process to any other: which process owns this cell.
+    WhoOwns(CellId),
     /// Any process to any other: the sections above a revision.
     SectionsAfter(Revision),
     /// Entry to owner: which agent has the request, or this one if none has it.
@@ -61,6 +63,8 @@
     Done,
     /// The epoch at which the call took effect.
     Epoch(Epoch),
+    /// The owner of a cell, if known.
+    Owner(Option<OwnerRecord>),
     /// A member extended its reservation.
     Armed(PulseAck),
     /// The gang of a request runs.
@@ -173,8 +177,10 @@
     pub request: Request,
     /// The try, from 1.
     pub attempt: Attempt,
-    /// The gang that runs for it, with its epoch.
-    pub gang: Option<(GangId, Epoch)>,
+    /// The life of the agent that the sender knows; a restarted agent has lost its record of attempts.
+    pub incarnation: u64,
+    /// The gang that runs for it.
+    pub gang: Option<GangId>,
     /// The body.
     pub body: Bytes,
 }
@@ -274,6 +280,8 @@
     pub agent: AgentId,
     /// The address of the agent.
     pub agent_addr: SocketAddr,
+    /// When the agent started, in milliseconds since 1970.
+    pub incarnation: u64,
     /// The service it provides.
     pub service: ServiceId,
     /// Where it stands.
@@ -299,6 +307,17 @@
     pub free: Resources,
 }
 
+/// The owner of a cell, also the value of the key `cells/<cell>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    /// The owner.
+    pub owner: EntryId,
+    /// Its address for calls and datagrams.
+    pub addr: SocketAddr,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
 /// A request with a shape for the owner of a cell.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Place {
@@ -321,6 +340,8 @@
     pub agent: AgentId,
     /// The address of that agent.
     pub agent_addr: SocketAddr,
+    /// When that agent started, in milliseconds since 1970.
+    pub incarnation: u64,
     /// The workers of the gang.
     pub workers: Vec<WorkerId>,
 }
