Add the protocol decisions of membership

Ruled out: a gang lease with one term for running and for keeping the accelerators. A member whose pulse is lost would give its accelerators back while another member, renewed a moment later, still runs. Also ruled out: renewal counted from the receipt of a pulse, because a delayed pulse would extend the lease after the leader gave up.

Change: new crate membership with fencing, reservation (typestates and the agent's collection), leader, attempts, ownership, revisions and liveness. The empty crate specs follows.

--- /dev/null
+++ b/components/membership/tests/liveness.rs
@@ -0,0 +1,82 @@
+//! Tests of liveness and fencing.
+
+use std::time::Instant;
+
+use board::{Agent, Membership};
+use membership::fencing::{Admission, Fence};
+use membership::liveness::{Beat, Gone, SILENCE_LIMIT, announce, heartbeat, sweep};
+use model::{Announced, Endpoint, Place};
+
+fn announced(now: Instant) -> Membership {
+    let addr = "127.0.0.1:1".parse().unwrap();
+    let agent = Agent {
+        id: "a".into(),
+        addr,
+        workers: Vec::new(),
+        heard: now,
+        config_revision: 0,
+    };
+    let endpoint = Endpoint {
+        id: "p".into(),
+        agent: "a".into(),
+        agent_addr: addr,
+        service: "s".into(),
+        place: Place {
+            region: "r".into(),
+            data_centre: "d".into(),
+            rack: "k".into(),
+        },
+        slots: 8,
+        state: Announced { at: now },
+    };
+    let mut membership = Membership::default();
+    announce(&mut membership, agent, Some(endpoint));
+    membership
+}
+
+fn beat(draining: bool) -> Beat {
+    Beat {
+        agent: "a".into(),
+        endpoint: Some("p".into()),
+        free: 3,
+        config_revision: 1,
+        draining,
+    }
+}
+
+/// Guards against a draining endpoint that a reordered heartbeat puts back into service.
+#[test]
+fn heartbeat_never_revives_draining() {
+    let now = Instant::now();
+    let mut membership = announced(now);
+    heartbeat(&mut membership, &beat(false), now).unwrap();
+    assert_eq!(membership.serving["p"].state.free, 3);
+    heartbeat(&mut membership, &beat(true), now).unwrap();
+    heartbeat(&mut membership, &beat(false), now).unwrap();
+    assert!(membership.serving.is_empty() && membership.draining.contains_key("p"));
+}
+
+/// Guards against a crashed agent that stays in the directory.
+#[test]
+fn sweep_removes_silent_agent() {
+    let now = Instant::now();
+    let mut membership = announced(now);
+    heartbeat(&mut membership, &beat(false), now).unwrap();
+    assert!(sweep(&mut membership, now).is_empty());
+    let gone = Gone {
+        agent: "a".into(),
+        endpoints: vec!["p".into()],
+    };
+    assert_eq!(sweep(&mut membership, now + SILENCE_LIMIT), [gone]);
+    assert!(heartbeat(&mut membership, &beat(false), now).is_err());
+}
+
+/// Guards against messages of a deposed owner.
+#[test]
+fn admit_refuses_lower_epoch() {
+    let mut fence = Fence::default();
+    assert_eq!(fence.admit(2).unwrap(), Admission::Adopted);
+    assert_eq!(fence.admit(2).unwrap(), Admission::Current);
+    assert!(fence.admit(1).is_err());
+    assert_eq!(fence.highest(), 2);
+}
--- /dev/null
+++ b/components/specs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specifications of the protocols, explored exhaustively to a stated bound.
