Add settings files and the configuration document

Cause: the daemons need settings and the operators need one document whose faults are all reported at once, with file, key and allowed values.

Ruled out: serde derives alone stop at the first fault and keep the last of two equal keys.

Change: a checker walks serde_json values and collects faults; settings for entry and agent; sections, their assembly and a diff; salted token hashes with blake3's constant-time comparison; an object that repeats a key is refused.

--- /dev/null
+++ b/components/config/src/sections.rs
@@ -0,0 +1,150 @@
+//! Sections of the configuration document, the unit of its revisions in the store.
+
+use errors::{Error, ErrorKind, Result};
+use model::{Document, SectionName};
+use serde_json::{Map, Value};
+
+use crate::document::{check_value, document_from};
+use crate::unique::Unique;
+
+/// How one section differs between two documents.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The section.
+    pub section: SectionName,
+    /// What happened to it.
+    pub kind: ChangeKind,
+}
+
+/// What happened to a section.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// The section is new.
+    Added,
+    /// The section is gone.
+    Removed,
+    /// The values of these keys differ, as dotted paths.
+    Changed(Vec<Box<str>>),
+}
+
+/// Splits a document into `accounts/<id>`, `services/<id>` and `policy`, each with its JSON text.
+pub fn split_sections(document: &Document) -> Vec<(SectionName, Box<str>)> {
+    let text = |(name, value): (SectionName, Value)| (name, value.to_string().into());
+    section_values(document).into_iter().map(text).collect()
+}
+
+/// Assembles a document from its sections and reports all faults at once.
+pub fn assemble_sections<'a>(
+    sections: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Result<Document> {
+    let mut root = Map::new();
+    let mut faults = Vec::new();
+    for (name, text) in sections {
+        if let Err(fault) = insert_section(&mut root, name, text) {
+            faults.push(fault);
+        }
+    }
+    let value = Value::Object(root);
+    if let Err(report) = check_value("sections", &value) {
+        faults.push(report.current_context().message.to_string());
+    }
+    if faults.is_empty() {
+        return document_from("sections", value);
+    }
+    Err(Error::not_run(ErrorKind::InvalidRequest, faults.join("\n")).report())
+}
+
+/// Returns the sections that differ, in the order of the new document and with removed sections last.
+pub fn diff_documents(old: &Document, new: &Document) -> Vec<Change> {
+    let (before, after) = (section_values(old), section_values(new));
+    let find = |list: &[(SectionName, Value)], name: &str| {
+        let found = list.iter().find(|(section, _)| **section == *name);
+        found.map(|(_, value)| value.clone())
+    };
+    let changed = after.iter().filter_map(|(section, value)| {
+        let kind = match find(&before, section) {
+            None => ChangeKind::Added,
+            Some(old) if old == *value => return None,
+            Some(old) => ChangeKind::Changed(changed_keys(&old, value)),
+        };
+        Some(change(section, kind))
+    });
+    let removed = before
+        .iter()
+        .filter(|(section, _)| find(&after, section).is_none())
+        .map(|(section, _)| change(section, ChangeKind::Removed));
+    changed.chain(removed).collect()
+}
+
+fn change(section: &str, kind: ChangeKind) -> Change {
+    Change {
+        section: section.into(),
+        kind,
+    }
+}
+
+fn section_values(document: &Document) -> Vec<(SectionName, Value)> {
+    let mut sections = Vec::new();
+    for (id, account) in &document.accounts {
+        sections.push((format!("accounts/{id}").into(), to_value(account)));
+    }
+    for (id, service) in &document.services {
+        sections.push((format!("services/{id}").into(), to_value(service)));
+    }
+    sections.push(("policy".into(), to_value(&document.policy)));
+    sections
+}
+
+/// The types of the document have text keys and finite numbers only, so that they always have a JSON form.
+fn to_value(part: &impl serde::Serialize) -> Value {
+    serde_json::to_value(part).unwrap_or_default()
+}
+
+fn insert_section(
+    root: &mut Map<String, Value>,
+    name: &str,
+    text: &str,
+) -> std::result::Result<(), String> {
+    let Unique(value) = serde_json::from_str(text)
+        .map_err(|fault| format!("section {name}: is not valid JSON: {fault}"))?;
+    if name == "policy" {
+        root.insert(name.into(), value);
+        return Ok(());
+    }
+    let Some((group @ ("accounts" | "services"), id)) = name.split_once('/') else {
+        return Err(format!(
+            "section {name}: the name must be accounts/<id>, services/<id> or policy"
+        ));
+    };
+    let group = root
+        .entry(group)
+        .or_insert_with(|| Value::Object(Map::new()));
+    if let Value::Object(entries) = group {
+        entries.insert(id.into(), value);
+    }
+    Ok(())
+}
+
+fn changed_keys(old: &Value, new: &Value) -> Vec<Box<str>> {
+    let mut keys = Vec::new();
+    collect_changes("", old, new, &mut keys);
+    keys
+}
+
+fn collect_changes(path: &str, old: &Value, new: &Value, keys: &mut Vec<Box<str>>) {
+    let (Value::Object(before), Value::Object(after)) = (old, new) else {
+        if old != new {
+            keys.push(path.into());
+        }
+        return;
+    };
+    for (key, value) in after {
+        let path = if path.is_empty() {
+            key.clone()
+        } else {
+            format!("{path}.{key}")
+        };
+        let old = before.get(key).unwrap_or(&Value::Null);
+        collect_changes(&path, old, value, keys);
+    }
+}
--- /dev/null
+++ b/components/config/tests/document.rs
@@ -0,0 +1,133 @@
+//! Tests of the configuration document, its sections and its tokens.
+
+use config::{ChangeKind, assemble_sections, check_document, diff_documents, new_token_hash};
+use config::{parse_document, split_sections, verify_token};
+use model::{Account, Document};
+
+const TEXT: &str = r#"{
+    "accounts": {
+        "faro": {"guarantees": [{"tasks": 2, "accelerators": 8, "adjacency": "rack"}], "limits": {"requests": 4}},
+        "prisma": {}},
+    "services": {"curvature": {"timeout_ms": 60000}},
+    "policy": {"fragmentation_weight": 0.8}}"#;
+
+fn document() -> Document {
+    parse_document("config.json", TEXT).unwrap()
+}
+
+fn message(text: &str) -> String {
+    let report = parse_document("config.json", text).unwrap_err();
+    report.current_context().message.to_string()
+}
+
+/// Guards against a document that passes one of the two checks and fails the other.
+#[test]
+fn parse_document_agrees_with_check() {
+    let mut document = document();
+    assert!(check_document(&document).is_ok());
+    document.accounts["faro"].guarantees[0].tasks = 200;
+    let report = check_document(&document).unwrap_err();
+    let expected = "document: accounts.faro.guarantees.0.tasks: must be an integer from 1 to 128";
+    assert_eq!(&*report.current_context().message, expected);
+}
+
+/// Guards against faults of one team's section that hide those of another.
+#[test]
+fn parse_document_reports_all_faults() {
+    let text = TEXT
+        .replace("\"limits\"", "\"limit\"")
+        .replace("\"rack\"", "\"rak\"")
+        .replace("0.8", "1.5");
+    let expected = [
+        "config.json: accounts.faro.limit: is unknown; did you mean `limits`?",
+        "config.json: accounts.faro.guarantees.0.adjacency: must be one of worker, rack, data_centre, region, any; \
+         did you mean `rack`?",
+        "config.json: policy.fragmentation_weight: must be a number from 0 to 1",
+    ];
+    assert_eq!(message(&text), expected.join("\n"));
+}
+
+/// Guards against the silent loss of one of two accounts with the same name.
+#[test]
+fn parse_document_refuses_repeated_key() {
+    let message = message(&TEXT.replace("prisma", "faro"));
+    assert!(message.contains("key `faro` appears twice"), "{message}");
+}
+
+/// Guards against a section that changes on its way through the store.
+#[test]
+fn assemble_sections_restores_document() {
+    let document = document();
+    let sections = split_sections(&document);
+    let names: Vec<_> = sections.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(
+        names,
+        [
+            "accounts/faro",
+            "accounts/prisma",
+            "services/curvature",
+            "policy"
+        ]
+    );
+    let pairs = sections.iter().map(|(name, text)| (&**name, &**text));
+    assert_eq!(assemble_sections(pairs).unwrap(), document);
+}
+
+/// Guards against a fault in one section that hides a fault in another.
+#[test]
+fn assemble_sections_reports_all_faults() {
+    let sections = [
+        ("accounts/faro", "{"),
+        ("policy", r#"{"queue_limit": 0}"#),
+        ("polcy", "{}"),
+    ];
+    let report = assemble_sections(sections).unwrap_err();
+    let message = &report.current_context().message;
+    for part in [
+        "section accounts/faro: is not valid JSON",
+        "policy.queue_limit: must be",
+        "section polcy: ",
+    ] {
+        assert!(message.contains(part), "{part} is not in {message}");
+    }
+}
+
+/// Guards against a change that the operator does not see before it is applied.
+#[test]
+fn diff_documents_names_changed_keys() {
+    let old = document();
+    let mut new = document();
+    new.accounts["faro"].limits.requests = 8;
+    new.accounts.shift_remove("prisma");
+    new.accounts.insert("nuevo".into(), Account::default());
+    let changes = diff_documents(&old, &new);
+    let found: Vec<_> = changes.iter().map(|c| (&*c.section, &c.kind)).collect();
+    let edited = ChangeKind::Changed(vec!["limits.requests".into()]);
+    let expected = [
+        ("accounts/faro", &edited),
+        ("accounts/nuevo", &ChangeKind::Added),
+        ("accounts/prisma", &ChangeKind::Removed),
+    ];
+    assert_eq!(found, expected);
+}
+
+/// Guards against a token that opens another account or is accepted in part.
+#[test]
+fn verify_token_accepts_only_own_tokens() {
+    let (first, second) = (new_token_hash("token-one"), new_token_hash("token-two"));
+    assert_ne!(first, new_token_hash("token-one"), "the salt must differ");
+    let account = Account {
+        tokens: vec![first, second],
+        ..Account::default()
+    };
+    assert!(verify_token(&account, "token-one") && verify_token(&account, "token-two"));
+    for wrong in ["token-on", "token-three", ""] {
+        assert!(!verify_token(&account, wrong), "{wrong}");
+    }
+    assert!(!verify_token(&Account::default(), ""));
+    let document = Document {
+        accounts: [("faro".into(), account)].into_iter().collect(),
+        ..Document::default()
+    };
+    assert!(check_document(&document).is_ok());
+}
