--- /dev/null
+++ b/components/agent/src/announce.rs
@@ -0,0 +1,73 @@
+//! What the agent tells the owner of its cell.
+
+use model::{Place, Worker};
+use tokio::sync::oneshot;
+use wire::{Announce, EndpointEntry, Heartbeat, RecordedAttempt};
+
+use crate::context::Context;
+use crate::requests::RequestEvent;
+
+/// Collects everything that the agent has.
+pub(crate) async fn announce(cx: &Context) -> Announce {
+    Announce {
+        agent: cx.settings.id.clone(),
+        addr: cx.addr(),
+        incarnation: cx.datagrams.incarnation(),
+        workers: workers(cx),
+        endpoint: endpoint(cx),
+        gangs: Vec::clone(&cx.board.gangs.load()),
+        attempts: recorded_attempts(cx).await,
+    }
+}
+
+/// Collects what changes from second to second.
+pub(crate) fn heartbeat(cx: &Context) -> Heartbeat {
+    Heartbeat {
+        agent: cx.settings.id.clone(),
+        incarnation: cx.datagrams.incarnation(),
+        epoch: cx.board.owner.load().as_ref().as_ref().map_or(0, |owner| owner.epoch),
+        free: cx.slots.free(),
+        revision: cx.board.config.load().revision,
+        draining: cx.is_draining(),
+    }
+}
+
+async fn recorded_attempts(cx: &Context) -> Vec<RecordedAttempt> {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.requests.send(RequestEvent::Recorded { tx });
+    rx.await.unwrap_or_default()
+}
+
+fn workers(cx: &Context) -> Vec<Worker> {
+    let workers = cx.settings.workers.iter();
+    let workers = workers.map(|worker| Worker {
+        id: worker.id.clone(),
+        agent: cx.settings.id.clone(),
+        place: Place { rack: worker.rack.clone(), ..place(cx) },
+        capacity: worker.capacity,
+    });
+    workers.collect()
+}
+
+fn endpoint(cx: &Context) -> Option<EndpointEntry> {
+    let endpoint = cx.settings.endpoint.as_ref()?;
+    Some(EndpointEntry {
+        id: endpoint.id.clone(),
+        agent: cx.settings.id.clone(),
+        agent_addr: cx.addr(),
+        incarnation: cx.datagrams.incarnation(),
+        service: endpoint.service.clone(),
+        place: place(cx),
+        slots: endpoint.slots,
+        free: cx.slots.free(),
+        draining: cx.is_draining(),
+    })
+}
+
+fn place(cx: &Context) -> Place {
+    Place {
+        region: cx.settings.region.clone(),
+        data_centre: cx.settings.data_centre.clone(),
+        rack: cx.settings.rack.clone(),
+    }
+}
--- /dev/null
+++ b/components/agent/src/context.rs
@@ -0,0 +1,62 @@
+//! What all parts of the agent share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use board::{ConfigSnapshot, Section};
+use config::AgentSettings;
+use discovery::Locator;
+use distribution::Updates;
+use timer::Timer;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::{Datagrams, HeldGang, OwnerRecord, Peers};
+use workers::WorkerPlatform;
+
+use crate::endpoint::EndpointClient;
+use crate::gangs::GangEvent;
+use crate::metrics::Metrics;
+use crate::requests::RequestEvent;
+use crate::slots::Slots;
+
+/// The sections of the agent's board; one controller writes each.
+#[derive(Debug, Default)]
+pub(crate) struct AgentBoard {
+    /// Gangs with members here; written by the gang controller.
+    pub(crate) gangs: Section<Vec<HeldGang>>,
+    /// The owner of the cell; written by the owner link.
+    pub(crate) owner: Section<Option<OwnerRecord>>,
+    /// The configuration in force; written by the configuration controller.
+    pub(crate) config: Section<ConfigSnapshot>,
+}
+
+/// The shared parts of the agent.
+pub(crate) struct Context {
+    pub(crate) settings: AgentSettings,
+    pub(crate) board: AgentBoard,
+    pub(crate) timer: Timer,
+    pub(crate) peers: Peers,
+    pub(crate) datagrams: Datagrams,
+    pub(crate) locator: Locator,
+    pub(crate) platform: Arc<dyn WorkerPlatform>,
+    pub(crate) endpoint: Option<EndpointClient>,
+    pub(crate) slots: Slots,
+    pub(crate) gangs: mpsc::UnboundedSender<GangEvent>,
+    pub(crate) requests: mpsc::UnboundedSender<RequestEvent>,
+    pub(crate) config_updates: Updates,
+    /// Cancelled when the shutdown begins.
+    pub(crate) drain: CancellationToken,
+    pub(crate) metrics: Metrics,
+}
+
+impl Context {
+    /// Returns whether the agent is shutting down and takes no new work.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.drain.is_cancelled()
+    }
+
+    /// Returns the address of this agent for its peers.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.settings.peer_listen
+    }
+}
--- /dev/null
+++ b/components/agent/src/dispatch.rs
@@ -0,0 +1,154 @@
+//! Running a request at the endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::{Error, ErrorKind, Result, Verdict};
+use membership::attempts::{AttemptId, Permit};
+use model::WorkerId;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use wire::{Answer, Dispatch};
+
+use crate::context::Context;
+use crate::endpoint::EndpointClient;
+use crate::gangs::{ClaimedGang, GangEvent};
+use crate::requests::RequestEvent;
+use crate::slots::Slot;
+
+/// Runs a request and returns the whole answer.
+///
+/// A non-idempotent request that is turned away leaves a record, so that a late copy of it is refused, too.
+pub(crate) async fn dispatch(cx: &Arc<Context>, dispatch: Dispatch) -> Result<Answer> {
+    let result = match dispatch.gang {
+        Some(_) => dispatch_gang(cx, &dispatch).await,
+        None => dispatch_short(cx, &dispatch).await,
+    };
+    cx.metrics.count_dispatch(&result);
+    match result {
+        Err(report) if turned_away(&report) && !dispatch.request.idempotent => Err(refuse(cx, &dispatch, report).await),
+        result => result,
+    }
+}
+
+fn turned_away(report: &error_stack::Report<Error>) -> bool {
+    report.current_context().verdict == Verdict::NotRun
+}
+
+/// Records the refusal; the error of the record replaces the original one if the attempt did begin.
+async fn refuse(cx: &Context, dispatch: &Dispatch, report: error_stack::Report<Error>) -> error_stack::Report<Error> {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.requests.send(RequestEvent::Refuse { id: attempt_id(dispatch), tx });
+    match rx.await {
+        Ok(recorded) if recorded.current_context().verdict == Verdict::NotRun => report,
+        Ok(recorded) => recorded,
+        Err(_) => internal("the request controller ended"),
+    }
+}
+
+async fn dispatch_short(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
+    let slot = take_slot(cx, dispatch.request.timeout).await?;
+    let cancel = CancellationToken::new();
+    run_recorded(cx, dispatch, &[], slot, cancel).await
+}
+
+async fn take_slot(cx: &Context, limit: Duration) -> Result<Slot> {
+    if cx.is_draining() {
+        return Err(Error::not_run(ErrorKind::Draining, "the endpoint is leaving").report());
+    }
+    cx.slots.take(limit).await
+}
+
+async fn dispatch_gang(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
+    let gang = dispatch.gang.unwrap_or_default();
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.gangs.send(GangEvent::Claim { gang, tx });
+    let claimed = rx.await.unwrap_or_else(|_| Err(internal("the gang controller ended")))?;
+    let ClaimedGang { slot, stopped, workers } = claimed;
+    let end_gang = EndGang { cx, gang, error: Some(cancelled()) };
+    let result = run_recorded(cx, dispatch, &workers, slot, stopped).await;
+    end_gang.end(result.as_ref().err().map(|report| report.current_context().clone()));
+    result
+}
+
+/// Ends the gang of a request also when the caller gives up.
+struct EndGang<'a> {
+    cx: &'a Context,
+    gang: model::GangId,
+    error: Option<Error>,
+}
+
+impl EndGang<'_> {
+    fn end(mut self, error: Option<Error>) {
+        self.error = error;
+    }
+}
+
+impl Drop for EndGang<'_> {
+    fn drop(&mut self) {
+        let error = self.error.take();
+        let _ = self.cx.gangs.send(GangEvent::RequestEnded { gang: self.gang, error });
+    }
+}
+
+async fn run_recorded(
+    cx: &Context,
+    dispatch: &Dispatch,
+    workers: &[WorkerId],
+    slot: Slot,
+    cancel: CancellationToken,
+) -> Result<Answer> {
+    let endpoint = cx.endpoint.as_ref().ok_or_else(no_endpoint)?;
+    let permit = if dispatch.request.idempotent { None } else { Some(begin(cx, dispatch).await?) };
+    let request = dispatch.request.id;
+    let _ = cx.requests.send(RequestEvent::Register { request, cancel: cancel.clone() });
+    let result = call(endpoint, dispatch, workers, &cancel).await;
+    drop(slot);
+    let _ = cx.requests.send(RequestEvent::Unregister { request });
+    if let Some(permit) = permit {
+        let not_run = result.as_ref().is_err_and(turned_away);
+        let event = if not_run { RequestEvent::Abandon { permit } } else { RequestEvent::Finish { permit } };
+        let _ = cx.requests.send(event);
+    }
+    result
+}
+
+async fn call(
+    endpoint: &EndpointClient,
+    dispatch: &Dispatch,
+    workers: &[WorkerId],
+    cancel: &CancellationToken,
+) -> Result<Answer> {
+    let call = endpoint.call(dispatch, workers, dispatch.request.timeout);
+    tokio::select! {
+        result = call => result,
+        () = cancel.cancelled() => Err(cancelled().report()),
+    }
+}
+
+fn cancelled() -> Error {
+    Error::may_have_run(ErrorKind::Cancelled, "the request was stopped while the endpoint handled it")
+}
+
+async fn begin(cx: &Context, dispatch: &Dispatch) -> Result<Permit> {
+    let (tx, rx) = oneshot::channel();
+    let epoch = cx.board.owner.load().as_ref().as_ref().map_or(0, |owner| owner.epoch);
+    let _ = cx.requests.send(RequestEvent::Begin { id: attempt_id(dispatch), epoch, tx });
+    rx.await.unwrap_or_else(|_| Err(internal("the request controller ended")))
+}
+
+fn attempt_id(dispatch: &Dispatch) -> AttemptId {
+    AttemptId {
+        request: dispatch.request.id,
+        attempt: dispatch.attempt,
+        incarnation: dispatch.incarnation,
+    }
+}
+
+fn no_endpoint() -> error_stack::Report<Error> {
+    Error::not_run(ErrorKind::NotFound, "the agent has no endpoint").report()
+}
+
+fn internal(message: &str) -> error_stack::Report<Error> {
+    Error::may_have_run(ErrorKind::Internal, message).report()
+}
--- /dev/null
+++ b/components/agent/src/drain.rs
@@ -0,0 +1,31 @@
+//! Graceful shutdown.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::context::Context;
+
+/// How often the end of the last request is checked for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Refuses new work, waits until nothing runs any more or the configured time is over, and returns whether all ended.
+pub(crate) async fn drain(cx: Arc<Context>) -> bool {
+    cx.drain.cancel();
+    log::info!(target: "limpethook", slots_used = cx.slots.used(), gangs = cx.board.gangs.load().len(); "drain_started");
+    let mut checks = cx.timer.subscribe_every(CHECK_INTERVAL);
+    let started = timer::now();
+    while !is_idle(&cx) {
+        let elapsed = timer::now().saturating_duration_since(started);
+        if cx.settings.drain_timeout.is_some_and(|limit| elapsed >= limit) {
+            log::warn!(target: "limpethook", slots_used = cx.slots.used(); "drain_timed_out");
+            return false;
+        }
+        checks.recv().await;
+    }
+    log::info!(target: "limpethook"; "drain_finished");
+    true
+}
+
+fn is_idle(cx: &Context) -> bool {
+    cx.slots.used() == 0 && cx.slots.waiting() == 0 && cx.board.gangs.load().is_empty()
+}
--- /dev/null
+++ b/components/agent/src/endpoint.rs
@@ -0,0 +1,117 @@
+//! Calls of the endpoint over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::EndpointSettings;
+use errors::{Error, ErrorKind, Result};
+use model::WorkerId;
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use wire::{Answer, Dispatch};
+
+/// Names the request; an endpoint that returns the header proves which request it answered.
+const REQUEST_ID_HEADER: &str = "limpethook-request-id";
+const ATTEMPT_HEADER: &str = "limpethook-attempt";
+const ACCOUNT_HEADER: &str = "limpethook-account";
+const WORKERS_HEADER: &str = "limpethook-workers";
+const TRACEPARENT_HEADER: &str = "traceparent";
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest answer in bytes, below the largest frame between processes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A client of the endpoint beside the agent.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointClient {
+    http: reqwest::Client,
+    url: Box<str>,
+}
+
+impl EndpointClient {
+    /// Creates a client that keeps up to the configured number of connections.
+    pub(crate) fn new(settings: &EndpointSettings) -> Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(settings.connections as usize)
+            .tcp_nodelay(true)
+            .build()
+            .map_err(|e| Error::not_run(ErrorKind::Internal, format!("HTTP client: {e}")).report())?;
+        Ok(Self { http, url: settings.url.clone() })
+    }
+
+    /// Sends a request and returns the whole answer with its digest.
+    pub(crate) async fn call(&self, dispatch: &Dispatch, workers: &[WorkerId], limit: Duration) -> Result<Answer> {
+        let mut req = self
+            .http
+            .post(&*self.url)
+            .timeout(limit)
+            .header(REQUEST_ID_HEADER, format!("{:032x}", dispatch.request.id))
+            .header(ATTEMPT_HEADER, dispatch.attempt)
+            .header(ACCOUNT_HEADER, &*dispatch.request.account)
+            .body(dispatch.body.clone());
+        if !workers.is_empty() {
+            req = req.header(WORKERS_HEADER, workers.join(","));
+        }
+        if let Some(parent) = telemetry::current_trace() {
+            req = req.header(TRACEPARENT_HEADER, parent.header());
+        }
+        let res = req.send().await.map_err(|e| unanswered(&e))?;
+        check_answered_request(res.headers(), dispatch)?;
+        if res.content_length().is_some_and(|length| length > MAX_ANSWER_BYTES) {
+            return Err(Error::ran(ErrorKind::TooLarge, "the answer is larger than 64 MB").report());
+        }
+        let status = res.status().as_u16();
+        let content_type = content_type(res.headers());
+        let body = res.bytes().await.map_err(|e| truncated(&e))?;
+        Ok(answer(dispatch, status, content_type, body))
+    }
+}
+
+fn answer(dispatch: &Dispatch, status: u16, content_type: Box<str>, body: Bytes) -> Answer {
+    Answer {
+        request: dispatch.request.id,
+        attempt: dispatch.attempt,
+        status,
+        content_type,
+        length: body.len() as u64,
+        digest: *blake3::hash(&body).as_bytes(),
+        body,
+    }
+}
+
+fn content_type(headers: &HeaderMap) -> Box<str> {
+    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.unwrap_or("application/octet-stream").into()
+}
+
+/// Refuses an answer that names another request.
+fn check_answered_request(headers: &HeaderMap, dispatch: &Dispatch) -> Result<()> {
+    let Some(named) = headers.get(REQUEST_ID_HEADER) else {
+        return Ok(());
+    };
+    if named.as_bytes() == format!("{:032x}", dispatch.request.id).as_bytes() {
+        return Ok(());
+    }
+    Err(Error::may_have_run(ErrorKind::Corrupt, "the endpoint answered another request").report())
+}
+
+fn unanswered(e: &reqwest::Error) -> error_stack::Report<Error> {
+    let error = if e.is_connect() {
+        Error::not_run(ErrorKind::Unavailable, "the endpoint refused the connection")
+    } else if e.is_timeout() {
+        Error::may_have_run(ErrorKind::Timeout, "the endpoint did not answer in time")
+    } else {
+        Error::may_have_run(ErrorKind::Failed, "the connection to the endpoint broke")
+    };
+    error.report()
+}
+
+fn truncated(e: &reqwest::Error) -> error_stack::Report<Error> {
+    let error = if e.is_timeout() {
+        Error::may_have_run(ErrorKind::Timeout, "the answer did not end in time")
+    } else {
+        Error::may_have_run(ErrorKind::Corrupt, "the answer of the endpoint was cut off")
+    };
+    error.report()
+}
--- /dev/null
+++ b/components/agent/src/gangs/controller.rs
@@ -0,0 +1,91 @@
+//! The loop of the gang controller.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use membership::Reservations;
+use membership::fencing::Fence;
+use membership::leader::PULSE_INTERVAL;
+use tokio::sync::mpsc;
+
+use crate::context::Context;
+use crate::gangs::state::State;
+use crate::gangs::{GangEvent, leading, member};
+use crate::tasks;
+
+/// Events that are applied before the gang section is published again.
+const BATCH: usize = 64;
+
+/// Runs the controller until its last sender is gone.
+pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<GangEvent>, cx: Arc<Context>) {
+    let workers = &cx.settings.workers;
+    let capacity: BTreeMap<_, _> = workers.iter().map(|worker| (worker.id.clone(), worker.capacity)).collect();
+    let mut state = State {
+        cx: Arc::clone(&cx),
+        fence: Fence::default(),
+        reservations: Reservations::start(capacity, timer::now()),
+        gangs: IndexMap::new(),
+        arming: IndexMap::new(),
+        leading: IndexMap::new(),
+        stopping: IndexMap::new(),
+    };
+    let mut ticks = cx.timer.subscribe_every(PULSE_INTERVAL);
+    let mut batch = Vec::with_capacity(BATCH);
+    loop {
+        tokio::select! {
+            received = rx.recv_many(&mut batch, BATCH) => if received == 0 { return },
+            _ = ticks.recv() => batch.push(GangEvent::Tick),
+        }
+        // Replies that report a reservation leave only after the section shows it.
+        for event in batch.drain(..) {
+            apply(&mut state, event);
+            member::carry_out_lapses(&mut state);
+        }
+        cx.board.gangs.publish(state.view());
+    }
+}
+
+fn apply(state: &mut State, event: GangEvent) {
+    let now = timer::now();
+    match event {
+        GangEvent::Adopt { epoch, tx } => {
+            // An older epoch than the adopted one is refused later, by the fence.
+            let _ = state.fence.admit(epoch);
+            let _ = tx.send(());
+        }
+        GangEvent::Reserve { reserve, tx } => {
+            let _ = tx.send(member::reserve(state, reserve, now));
+        }
+        GangEvent::Arm { arm, tx } => {
+            let _ = tx.send(member::arm(state, arm, now));
+        }
+        GangEvent::Pulse { from, pulse } => member::pulse(state, from, &pulse, now),
+        GangEvent::Stop { stop, tx } => stop_gang(state, &stop, tx),
+        GangEvent::TaskFailed { gang, worker, message } => member::task_failed(state, gang, worker, message),
+        GangEvent::Start { start, tx } => leading::start(state, start, tx, now),
+        GangEvent::Armed { gang, agent, result } => leading::armed(state, gang, &agent, result, now),
+        GangEvent::PulseAck { ack } => leading::pulse_acked(state, &ack, now),
+        GangEvent::MemberStopped { gang, agent } => leading::member_stopped(state, gang, &agent, now),
+        GangEvent::MemberFailed { failed } => leading::member_failed(state, failed, now),
+        GangEvent::Claim { gang, tx } => {
+            let _ = tx.send(leading::claim(state, gang));
+        }
+        GangEvent::RequestEnded { gang, error } => leading::request_ended(state, gang, error, now),
+        GangEvent::Tick => {
+            state.reservations.expire(now);
+            leading::tick(state, now);
+            tasks::renew(state, now);
+        }
+    }
+}
+
+/// Stops a gang: as its leader if the owner asks and this agent leads it, otherwise as a member.
+fn stop_gang(state: &mut State, stop: &wire::StopGang, tx: crate::gangs::ReplyTo<()>) {
+    let now = timer::now();
+    if stop.epoch.is_some() && state.led_info(stop.gang).is_some() {
+        let _ = tx.send(leading::stop_by_owner(state, stop, now));
+        return;
+    }
+    member::stop(state, stop, tx, now);
+}
--- /dev/null
+++ b/components/agent/src/gangs/leading.rs
@@ -0,0 +1,291 @@
+//! An agent as the leader of a gang.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use errors::{Error, ErrorKind, Result, Verdict};
+use membership::leader::{Ack, Leader, Leading};
+use model::{AgentId, GangId};
+use tokio_util::sync::CancellationToken;
+use wire::{ArmGang, Call, GangEnded, MemberFailed, Packet, Pulse, PulseAck, Reply, StartGang, StopGang};
+
+use crate::context::Context;
+use crate::gangs::state::{Led, LedInfo, State};
+use crate::gangs::{ClaimedGang, GangEvent, ReplyTo};
+
+/// How long one call to a member may take; it is repeated or given up with the gang lease.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a running gang waits for the body of its request.
+const CLAIM_TERM: Duration = Duration::from_secs(2);
+/// Pause before the end of a gang is reported again to an owner that did not answer.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Reports of one end; a new owner learns the rest from `Announce`.
+const REPORT_TRIES: usize = 20;
+
+/// Arms all members of a gang.
+pub(crate) fn start(state: &mut State, start: StartGang, tx: ReplyTo<()>, now: Instant) {
+    let own_part = state.gangs.get(&start.gang).is_some_and(|gang| gang.has_slot);
+    if !own_part || state.led_info(start.gang).is_some() {
+        let message = "the gang has no reserved slot here or has started already";
+        let _ = tx.send(Err(Error::not_run(ErrorKind::Conflict, message).report()));
+        return;
+    }
+    if let Err(report) = state.fence.admit(start.epoch) {
+        let _ = tx.send(Err(report));
+        return;
+    }
+    let members = start.agents.iter().map(|(agent, _)| agent.clone());
+    let leader = Leader::start(start.gang, start.epoch, members, now);
+    let arm = leader.arm(now);
+    for (agent, addr) in &start.agents {
+        let call = Call::ArmGang(ArmGang {
+            gang: arm.gang,
+            epoch: arm.epoch,
+            stamp: arm.stamp,
+            leader: state.cx.addr(),
+            request: start.request.clone(),
+        });
+        spawn_arm(&state.cx, start.gang, agent.clone(), *addr, call);
+    }
+    let info = LedInfo {
+        agents: start.agents,
+        workers: start.workers,
+        request: start.request,
+        started: Some(tx),
+        claim_by: now + CLAIM_TERM,
+        claimed: false,
+        stopped: CancellationToken::new(),
+        error: None,
+        failed_workers: Vec::new(),
+    };
+    state.arming.insert(start.gang, Led { leader, info });
+}
+
+fn spawn_arm(cx: &Arc<Context>, gang: GangId, agent: AgentId, addr: SocketAddr, call: Call) {
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move {
+        let result = match cx.peers.call(addr, &call, MEMBER_TIMEOUT).await {
+            Ok(Reply::Armed(ack)) => Ok(ack),
+            Ok(_) => Err(Error::not_run(ErrorKind::Internal, "unexpected reply").report()),
+            Err(report) => Err(report),
+        };
+        let _ = cx.gangs.send(GangEvent::Armed { gang, agent, result });
+    });
+}
+
+/// Records that a member is armed, and lets the gang run once all are.
+pub(crate) fn armed(state: &mut State, gang: GangId, agent: &str, result: Result<PulseAck>, now: Instant) {
+    let Some(mut led) = state.arming.swap_remove(&gang) else { return };
+    let ack = match result {
+        Ok(ack) => Ack { gang, echo: ack.echo, stamp: ack.stamp },
+        Err(report) => {
+            let cause = report.current_context();
+            let message = format!("agent {agent} could not arm its members: {}", cause.message);
+            give_up(state, led, Error::not_run(cause.kind, message), now);
+            return;
+        }
+    };
+    led.leader.acked(agent, &ack, now);
+    match led.leader.go(now) {
+        Ok(leader) => {
+            let mut led = Led { leader, info: led.info };
+            if let Some(started) = led.info.started.take() {
+                let _ = started.send(Ok(()));
+            }
+            led.info.claim_by = now + CLAIM_TERM;
+            send_pulses(state, led, now);
+        }
+        Err(leader) => {
+            state.arming.insert(gang, Led { leader, info: led.info });
+        }
+    }
+}
+
+/// Records a member's answer to a pulse.
+pub(crate) fn pulse_acked(state: &mut State, ack: &PulseAck, now: Instant) {
+    if let Some(led) = state.leading.get_mut(&ack.gang) {
+        led.leader.acked(&ack.agent, &Ack { gang: ack.gang, echo: ack.echo, stamp: ack.stamp }, now);
+    }
+}
+
+/// Sends pulses, gives up gangs that cannot start, and ends gangs that have stopped.
+pub(crate) fn tick(state: &mut State, now: Instant) {
+    for led in std::mem::take(&mut state.arming).into_values() {
+        if now < led.info.claim_by {
+            state.arming.insert(led.leader.gang, led);
+            continue;
+        }
+        let error = Error::not_run(ErrorKind::Timeout, "the members were not armed in time");
+        give_up(state, led, error, now);
+    }
+    for mut led in std::mem::take(&mut state.leading).into_values() {
+        if !led.info.claimed && now >= led.info.claim_by {
+            let message = "the request did not arrive at the endpoint's agent in time";
+            led.info.error = Some(Error::not_run(ErrorKind::Timeout, message));
+            begin_stop(state, led, ErrorKind::Timeout);
+            continue;
+        }
+        send_pulses(state, led, now);
+    }
+    let over: Vec<GangId> =
+        state.stopping.iter().filter(|(_, led)| led.leader.is_over(now)).map(|(gang, _)| *gang).collect();
+    for gang in over {
+        finish(state, gang);
+    }
+}
+
+fn send_pulses(state: &mut State, led: Led<Leading>, now: Instant) {
+    let Led { leader, mut info } = led;
+    match leader.pulse(now) {
+        Ok((leader, pulses)) => {
+            let led = Led { leader, info };
+            for (agent, pulse) in pulses {
+                let Some(addr) = led.addr(&agent) else { continue };
+                let packet = Packet::Pulse(Pulse { gang: pulse.gang, stamp: pulse.stamp, echo: pulse.echo });
+                let cx = Arc::clone(&state.cx);
+                tokio::spawn(async move { cx.datagrams.send(addr, packet).await });
+            }
+            state.leading.insert(led.leader.gang, led);
+        }
+        Err(stopping) => {
+            let message = "a member of the gang was lost";
+            info.error.get_or_insert_with(|| Error::may_have_run(ErrorKind::Stopped, message));
+            info.stopped.cancel();
+            stop_members(state, stopping.gang, &info, ErrorKind::Unavailable);
+            state.stopping.insert(stopping.gang, Led { leader: stopping, info });
+        }
+    }
+}
+
+/// Hands the endpoint slot to the request of a running gang, once.
+pub(crate) fn claim(state: &mut State, gang: GangId) -> Result<ClaimedGang> {
+    let missing = || Error::not_run(ErrorKind::Stopped, "the gang no longer runs").report();
+    let led = state.leading.get_mut(&gang).ok_or_else(missing)?;
+    let slot = state.gangs.get_mut(&gang).and_then(|gang| gang.slot.take()).ok_or_else(missing)?;
+    led.info.claimed = true;
+    Ok(ClaimedGang {
+        slot,
+        stopped: led.info.stopped.clone(),
+        workers: led.info.workers.clone(),
+    })
+}
+
+/// Ends a gang whose request ended.
+pub(crate) fn request_ended(state: &mut State, gang: GangId, error: Option<Error>, _now: Instant) {
+    let reason = error.as_ref().map_or(ErrorKind::Cancelled, |error| error.kind);
+    if let Some(mut led) = state.leading.swap_remove(&gang) {
+        led.info.error = error;
+        begin_stop(state, led, reason);
+    }
+}
+
+/// Stops a gang because a worker failed a task.
+pub(crate) fn member_failed(state: &mut State, failed: MemberFailed, now: Instant) {
+    let Some(info) = state.led_info(failed.gang) else { return };
+    if !info.failed_workers.contains(&failed.worker) {
+        info.failed_workers.push(failed.worker.clone());
+    }
+    let message = format!("worker {} failed a task: {}", failed.worker, failed.message);
+    if let Some(mut led) = state.leading.swap_remove(&failed.gang) {
+        led.info.error = Some(Error::may_have_run(ErrorKind::Failed, message));
+        begin_stop(state, led, ErrorKind::Failed);
+    } else if let Some(led) = state.arming.swap_remove(&failed.gang) {
+        give_up(state, led, Error::not_run(ErrorKind::Failed, message), now);
+    }
+}
+
+/// Stops a gang because the owner asks.
+pub(crate) fn stop_by_owner(state: &mut State, stop: &StopGang, now: Instant) -> Result<()> {
+    state.fence.admit(stop.epoch.unwrap_or_default())?;
+    let message = "the owner stopped the gang";
+    if let Some(mut led) = state.leading.swap_remove(&stop.gang) {
+        let verdict = if led.info.claimed { Verdict::MayHaveRun } else { Verdict::NotRun };
+        led.info.error = Some(Error::new(verdict, stop.reason, message));
+        begin_stop(state, led, stop.reason);
+    } else if let Some(led) = state.arming.swap_remove(&stop.gang) {
+        give_up(state, led, Error::not_run(stop.reason, message), now);
+    }
+    Ok(())
+}
+
+fn begin_stop(state: &mut State, led: Led<Leading>, reason: ErrorKind) {
+    let Led { leader, info } = led;
+    let gang = leader.gang;
+    info.stopped.cancel();
+    stop_members(state, gang, &info, reason);
+    state.stopping.insert(gang, Led { leader: leader.stop(), info });
+}
+
+/// Gives up a gang of which no member was ever allowed to run.
+fn give_up(state: &mut State, led: Led<membership::leader::Arming>, error: Error, now: Instant) {
+    let Led { leader, mut info } = led;
+    let gang = leader.gang;
+    if let Some(started) = info.started.take() {
+        let _ = started.send(Err(error.clone().report()));
+    }
+    info.error = Some(error);
+    info.stopped.cancel();
+    stop_members(state, gang, &info, ErrorKind::Cancelled);
+    state.stopping.insert(gang, Led { leader: leader.stop(now), info });
+}
+
+/// Stops the tasks of all members; each reports back once its workers have stopped.
+fn stop_members(state: &State, gang: GangId, info: &LedInfo, reason: ErrorKind) {
+    for (agent, addr) in &info.agents {
+        let call = Call::StopGang(StopGang { gang, epoch: None, reason, release: false });
+        let cx = Arc::clone(&state.cx);
+        let (agent, addr) = (agent.clone(), *addr);
+        tokio::spawn(async move {
+            // A member that does not answer stops with the gang lease.
+            if cx.peers.call(addr, &call, MEMBER_TIMEOUT).await.is_ok() {
+                let _ = cx.gangs.send(GangEvent::MemberStopped { gang, agent });
+            }
+        });
+    }
+}
+
+/// Records that a member stopped; the gang ends with its last member.
+pub(crate) fn member_stopped(state: &mut State, gang: GangId, agent: &str, now: Instant) {
+    let Some(led) = state.stopping.get_mut(&gang) else { return };
+    led.leader.stopped(agent);
+    if led.leader.is_over(now) {
+        finish(state, gang);
+    }
+}
+
+/// Releases all members and reports the end to the owner.
+fn finish(state: &mut State, gang: GangId) {
+    let Some(led) = state.stopping.swap_remove(&gang) else { return };
+    let info = led.info;
+    for (_, addr) in &info.agents {
+        let call = Call::StopGang(StopGang { gang, epoch: None, reason: ErrorKind::Cancelled, release: true });
+        let cx = Arc::clone(&state.cx);
+        let addr = *addr;
+        tokio::spawn(async move {
+            // A member that does not hear this frees its accelerators with the gang lease.
+            let _ = cx.peers.call(addr, &call, MEMBER_TIMEOUT).await;
+        });
+    }
+    log::info!(
+        target: "limpethook",
+        gang:% = format_args!("{gang:032x}"), request:% = format_args!("{:032x}", info.request.id),
+        result:% = info.error.as_ref().map_or("answered", |error| error.kind.as_str());
+        "gang_ended"
+    );
+    let ended = GangEnded { gang, error: info.error, failed_workers: info.failed_workers };
+    tokio::spawn(report_end(Arc::clone(&state.cx), ended));
+}
+
+async fn report_end(cx: Arc<Context>, ended: GangEnded) {
+    let call = Call::GangEnded(ended);
+    for _ in 0..REPORT_TRIES {
+        let owner = cx.board.owner.load().as_ref().as_ref().map(|owner| owner.addr);
+        if let Some(addr) = owner
+            && cx.peers.call(addr, &call, MEMBER_TIMEOUT).await.is_ok()
+        {
+            return;
+        }
+        cx.timer.subscribe_after(REPORT_RETRY_DELAY).recv().await;
+    }
+}
--- /dev/null
+++ b/components/agent/src/gangs/mod.rs
@@ -0,0 +1,65 @@
+//! The gang controller: reservations of this agent's workers and the gangs that it leads.
+
+mod controller;
+mod leading;
+mod member;
+mod state;
+
+use std::net::SocketAddr;
+
+use errors::{Error, Result};
+use model::{AgentId, Epoch, GangId, WorkerId};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use wire::{ArmGang, MemberFailed, Pulse, PulseAck, Reserve, StartGang, StopGang};
+
+use crate::slots::Slot;
+
+pub(crate) use controller::run;
+
+/// Where the result of an event goes.
+pub(crate) type ReplyTo<T> = oneshot::Sender<Result<T>>;
+
+/// An event for the gang controller.
+#[derive(Debug)]
+pub(crate) enum GangEvent {
+    /// A new owner was found; its epoch is adopted before the agent reports to it.
+    Adopt { epoch: Epoch, tx: oneshot::Sender<()> },
+    /// The owner reserves members.
+    Reserve { reserve: Reserve, tx: ReplyTo<()> },
+    /// The owner lets a gang run that this agent leads.
+    Start { start: StartGang, tx: ReplyTo<()> },
+    /// The leader arms this agent's members.
+    Arm { arm: ArmGang, tx: ReplyTo<PulseAck> },
+    /// A member answered `ArmGang`.
+    Armed { gang: GangId, agent: AgentId, result: Result<PulseAck> },
+    /// The leader renews the gang lease.
+    Pulse { from: SocketAddr, pulse: Pulse },
+    /// A member answered a pulse.
+    PulseAck { ack: PulseAck },
+    /// The owner or the leader stops a gang.
+    Stop { stop: StopGang, tx: ReplyTo<()> },
+    /// A member stopped its part of a gang that this agent leads.
+    MemberStopped { gang: GangId, agent: AgentId },
+    /// A worker of this agent failed a task.
+    TaskFailed { gang: GangId, worker: WorkerId, message: Box<str> },
+    /// A worker of another member failed a task.
+    MemberFailed { failed: MemberFailed },
+    /// The request of a gang that this agent leads wants to run.
+    Claim { gang: GangId, tx: ReplyTo<ClaimedGang> },
+    /// The request of a gang ended.
+    RequestEnded { gang: GangId, error: Option<Error> },
+    /// Time passed.
+    Tick,
+}
+
+/// The right to run the request of a gang.
+#[derive(Debug)]
+pub(crate) struct ClaimedGang {
+    /// The slot of the endpoint.
+    pub(crate) slot: Slot,
+    /// Cancelled when the gang stops.
+    pub(crate) stopped: CancellationToken,
+    /// The workers of the gang.
+    pub(crate) workers: Vec<WorkerId>,
+}
--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,17 @@
+//! The agent daemon: the only authority on what its endpoint and its workers do.
+
+mod announce;
+mod context;
+mod dispatch;
+mod drain;
+mod endpoint;
+mod gangs;
+mod link;
+mod metrics;
+mod requests;
+mod run;
+mod serve;
+mod slots;
+mod tasks;
+
+pub use run::run;
--- /dev/null
+++ b/components/agent/src/requests.rs
@@ -0,0 +1,83 @@
+//! The request controller: the at-most-once record and the cancellation of requests at this agent.
+
+use std::time::Instant;
+
+use error_stack::Report;
+use errors::{Error, Result};
+use indexmap::IndexMap;
+use membership::attempts::{AttemptId, Attempts, Permit};
+use model::{Epoch, RequestId};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+use wire::RecordedAttempt;
+
+/// Attempts that the record holds, about 20 MB.
+const RECORD_LIMIT: usize = 262_144;
+
+/// An event for the request controller.
+#[derive(Debug)]
+pub(crate) enum RequestEvent {
+    /// A request is about to run and can be cancelled with the token.
+    Register { request: RequestId, cancel: CancellationToken },
+    /// A request no longer runs.
+    Unregister { request: RequestId },
+    /// The caller gave up.
+    Cancel { request: RequestId },
+    /// A non-idempotent request asks for the right to call the endpoint.
+    Begin { id: AttemptId, epoch: Epoch, tx: oneshot::Sender<Result<Permit>> },
+    /// The call of the endpoint ended.
+    Finish { permit: Permit },
+    /// The endpoint was never called.
+    Abandon { permit: Permit },
+    /// A dispatch is turned away; a late copy of it must be refused as well.
+    Refuse { id: AttemptId, tx: oneshot::Sender<Report<Error>> },
+    /// The attempts that began, for the owner.
+    Recorded { tx: oneshot::Sender<Vec<RecordedAttempt>> },
+}
+
+/// Runs the controller until its last sender is gone.
+pub(crate) async fn run(
+    mut rx: mpsc::UnboundedReceiver<RequestEvent>,
+    incarnation: u64,
+) {
+    let mut attempts = Attempts::start(incarnation, RECORD_LIMIT);
+    let mut running: IndexMap<RequestId, CancellationToken> = IndexMap::new();
+    while let Some(event) = rx.recv().await {
+        apply(event, &mut attempts, &mut running, timer::now());
+    }
+}
+
+fn apply(
+    event: RequestEvent,
+    attempts: &mut Attempts,
+    running: &mut IndexMap<RequestId, CancellationToken>,
+    now: Instant,
+) {
+    match event {
+        RequestEvent::Register { request, cancel } => {
+            running.insert(request, cancel);
+        }
+        RequestEvent::Unregister { request } => {
+            running.swap_remove(&request);
+        }
+        RequestEvent::Cancel { request } => {
+            if let Some(cancel) = running.get(&request) {
+                cancel.cancel();
+            }
+        }
+        RequestEvent::Begin { id, epoch, tx } => {
+            // A dispatch that ended meanwhile has not called the endpoint; its record stays.
+            let _ = tx.send(attempts.begin(id, epoch, false, now));
+        }
+        RequestEvent::Finish { permit } => attempts.finish(permit, now),
+        RequestEvent::Abandon { permit } => attempts.abandon(permit, now),
+        RequestEvent::Refuse { id, tx } => {
+            let _ = tx.send(attempts.refuse(id, now));
+        }
+        RequestEvent::Recorded { tx } => {
+            let recorded = attempts.recorded();
+            let recorded = recorded.map(|(request, attempt)| RecordedAttempt { request, attempt });
+            let _ = tx.send(recorded.collect());
+        }
+    }
+}
--- /dev/null
+++ b/components/agent/src/run.rs
@@ -0,0 +1,111 @@
+//! Starting and ending the agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::AgentSettings;
+use discovery::Locator;
+use errors::{Error, ErrorKind, Result};
+use store::{HttpStore, HttpStoreSettings};
+use timer::Timer;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::{Datagrams, Key, Peers, Server};
+use workers::HttpWorkers;
+
+use crate::context::{AgentBoard, Context};
+use crate::endpoint::EndpointClient;
+use crate::metrics::Metrics;
+use crate::slots::Slots;
+use crate::{drain, gangs, link, requests, serve};
+
+/// Acknowledgements that wait for the owner link.
+const ACK_QUEUE: usize = 16;
+/// Time for the last replies to leave after the drain.
+const FLUSH_DELAY: Duration = Duration::from_millis(100);
+
+/// Runs an agent until `shutdown` is cancelled and its work has ended; returns whether all work ended.
+pub async fn run(settings: AgentSettings, shutdown: CancellationToken) -> Result<bool> {
+    let key = Key::from_secret(settings.peer_key.as_str());
+    let listener = TcpListener::bind(settings.peer_listen).await.map_err(|e| cannot_listen(&settings, &e))?;
+    let (gang_tx, gang_rx) = mpsc::unbounded_channel();
+    let (request_tx, request_rx) = mpsc::unbounded_channel();
+    let (config_updates, config_rx) = distribution::updates();
+    let datagrams = Datagrams::bind(settings.peer_listen, key.clone(), &settings.id)
+        .await
+        .map_err(|e| cannot_listen(&settings, &e))?;
+    let incarnation = datagrams.incarnation();
+    let cx = Arc::new(context(settings, key.clone(), datagrams, gang_tx, request_tx, config_updates)?);
+
+    tokio::spawn(gangs::run(gang_rx, Arc::clone(&cx)));
+    tokio::spawn(requests::run(request_rx, incarnation));
+    tokio::spawn(distribution::run_controller(config_rx, Arc::clone(&cx), |cx| &cx.board.config));
+    let (ack_tx, ack_rx) = mpsc::channel(ACK_QUEUE);
+    tokio::spawn(serve::receive(Arc::clone(&cx), ack_tx));
+    tokio::spawn(link::run(Arc::clone(&cx), ack_rx));
+    if let Some(addr) = cx.settings.metrics_listen {
+        let metrics_cx = Arc::clone(&cx);
+        tokio::spawn(telemetry::serve_metrics(addr, move || metrics_cx.metrics.text(&metrics_cx)));
+    }
+    let stop = CancellationToken::new();
+    let handler_cx = Arc::clone(&cx);
+    let server = Server::new(listener, key).serve(
+        move |call_cx, call| serve::answer(Arc::clone(&handler_cx), call_cx, call),
+        stop.clone(),
+    );
+    tokio::spawn(server);
+    log::info!(
+        target: "limpethook",
+        agent:% = cx.settings.id, addr:% = cx.addr(), workers = cx.settings.workers.len(),
+        slots = cx.slots.total(), incarnation = incarnation;
+        "agent_started"
+    );
+
+    shutdown.cancelled().await;
+    let ended = drain::drain(Arc::clone(&cx)).await;
+    cx.timer.subscribe_after(FLUSH_DELAY).recv().await;
+    stop.cancel();
+    telemetry::flush_spans();
+    Ok(ended)
+}
+
+fn context(
+    settings: AgentSettings,
+    key: Key,
+    datagrams: Datagrams,
+    gangs: mpsc::UnboundedSender<gangs::GangEvent>,
+    requests: mpsc::UnboundedSender<requests::RequestEvent>,
+    config_updates: distribution::Updates,
+) -> Result<Context> {
+    let store = Arc::new(HttpStore::new(HttpStoreSettings::new(&settings.store_url))?);
+    let peers = Peers::new(key);
+    let locator = Locator::new(store, peers.clone(), &settings.seeds);
+    let urls = settings.workers.iter().map(|worker| (worker.id.clone(), worker.url.clone()));
+    let platform = Arc::new(HttpWorkers::new(urls)?);
+    let endpoint = settings.endpoint.as_ref().map(EndpointClient::new).transpose()?;
+    let (slots, backlog) = settings.endpoint.as_ref().map_or((0, 0), |e| (e.slots, e.backlog));
+    let metrics = Metrics::new()
+        .map_err(|e| Error::not_run(ErrorKind::Internal, format!("metrics: {e}")).report())?;
+    Ok(Context {
+        settings,
+        board: AgentBoard::default(),
+        timer: Timer::start(),
+        peers,
+        datagrams,
+        locator,
+        platform,
+        endpoint,
+        slots: Slots::new(slots, backlog),
+        gangs,
+        requests,
+        config_updates,
+        drain: CancellationToken::new(),
+        metrics,
+    })
+}
+
+fn cannot_listen(settings: &AgentSettings, e: &std::io::Error) -> error_stack::Report<Error> {
+    let message = format!("key peer_listen: cannot listen on {}: {e}", settings.peer_listen);
+    Error::not_run(ErrorKind::Unavailable, message).report()
+}
--- /dev/null
+++ b/components/agent/src/serve.rs
@@ -0,0 +1,97 @@
+//! Answering calls and datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::{Error, ErrorKind, Result};
+use fastrace::Span;
+use fastrace::future::FutureExt;
+use tokio::sync::{mpsc, oneshot};
+use wire::{Ack, Call, CallContext, Packet, Reply};
+
+use crate::context::Context;
+use crate::dispatch::dispatch;
+use crate::gangs::{GangEvent, ReplyTo};
+use crate::requests::RequestEvent;
+
+/// Answers one call.
+pub(crate) async fn answer(cx: Arc<Context>, call_cx: CallContext, call: Call) -> Result<Reply> {
+    let span = match call_cx.parent {
+        Some(parent) => Span::root(span_name(&call), parent.context()),
+        None => Span::noop(),
+    };
+    let result = handle(&cx, call).in_span(span).await;
+    if let Err(report) = &result
+        && report.current_context().kind == ErrorKind::StaleEpoch
+    {
+        cx.metrics.refused_epochs.inc();
+    }
+    result
+}
+
+fn span_name(call: &Call) -> &'static str {
+    match call {
+        Call::Dispatch(_) => "agent_dispatch",
+        Call::Reserve(_) => "agent_reserve",
+        Call::StartGang(_) => "agent_start_gang",
+        Call::ArmGang(_) => "agent_arm_gang",
+        Call::StopGang(_) => "agent_stop_gang",
+        _ => "agent_call",
+    }
+}
+
+async fn handle(cx: &Arc<Context>, call: Call) -> Result<Reply> {
+    match call {
+        Call::Dispatch(req) => dispatch(cx, req).await.map(Reply::Answer),
+        Call::CancelRequest(request) => {
+            let _ = cx.requests.send(RequestEvent::Cancel { request });
+            Ok(Reply::Done)
+        }
+        Call::Reserve(reserve) => ask(cx, |tx| GangEvent::Reserve { reserve, tx }).await.map(|()| Reply::Done),
+        Call::StartGang(start) => ask(cx, |tx| GangEvent::Start { start, tx }).await.map(|()| Reply::Done),
+        Call::ArmGang(arm) => ask(cx, |tx| GangEvent::Arm { arm, tx }).await.map(Reply::Armed),
+        Call::StopGang(stop) => ask(cx, |tx| GangEvent::Stop { stop, tx }).await.map(|()| Reply::Done),
+        Call::MemberFailed(failed) => {
+            let _ = cx.gangs.send(GangEvent::MemberFailed { failed });
+            Ok(Reply::Done)
+        }
+        Call::SectionsAfter(after) => {
+            Ok(Reply::Sections(distribution::sections_after(&cx.board.config.load(), after)))
+        }
+        Call::WhoOwns(cell) if cell == cx.settings.cell => {
+            Ok(Reply::Owner(Option::clone(&cx.board.owner.load())))
+        }
+        _ => Err(Error::not_run(ErrorKind::NotFound, "an agent does not answer this call").report()),
+    }
+}
+
+async fn ask<T>(cx: &Context, event: impl FnOnce(ReplyTo<T>) -> GangEvent) -> Result<T> {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.gangs.send(event(tx));
+    let ended = || Error::may_have_run(ErrorKind::Internal, "the gang controller ended").report();
+    rx.await.unwrap_or_else(|_| Err(ended()))
+}
+
+/// Hands datagrams to the controllers.
+pub(crate) async fn receive(cx: Arc<Context>, acks: mpsc::Sender<Ack>) {
+    loop {
+        let (from, packet) = cx.datagrams.recv().await;
+        deliver(&cx, &acks, from, packet);
+    }
+}
+
+fn deliver(cx: &Context, acks: &mpsc::Sender<Ack>, from: SocketAddr, packet: Packet) {
+    match packet {
+        Packet::Pulse(pulse) => {
+            let _ = cx.gangs.send(GangEvent::Pulse { from, pulse });
+        }
+        Packet::PulseAck(ack) => {
+            let _ = cx.gangs.send(GangEvent::PulseAck { ack });
+        }
+        Packet::Ack(ack) => {
+            // A link that is busy hears the next one.
+            let _ = acks.try_send(ack);
+        }
+        Packet::Heartbeat(_) => {}
+    }
+}
--- /dev/null
+++ b/components/agent/src/tasks.rs
@@ -0,0 +1,114 @@
+//! Tasks of gangs at the worker platform.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use model::{GangId, Member, Request, WorkerId};
+use tokio::time::timeout;
+use workers::{StartTask, TaskId};
+
+use crate::context::Context;
+use crate::gangs::state::{Gang, State};
+use crate::gangs::{GangEvent, ReplyTo};
+
+/// Tasks with a shorter remaining term are left to lapse.
+const MIN_RENEWAL: Duration = Duration::from_millis(300);
+/// Bound of a checkpoint when capacity is reclaimed; urgent work must start within 1.1 s of its acceptance.
+const CHECKPOINT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Starts the tasks of a gang on this agent's workers.
+pub(crate) fn start(cx: &Arc<Context>, id: GangId, gang: &Gang, lease: Duration) {
+    let Some(request) = &gang.request else { return };
+    for member in &gang.members {
+        for number in 0..member.tasks {
+            let task = start_task(id, member, number, request, lease);
+            tokio::spawn(start_one(Arc::clone(cx), id, member.worker.clone(), task));
+        }
+    }
+}
+
+async fn start_one(cx: Arc<Context>, gang: GangId, worker: WorkerId, task: StartTask) {
+    let Err(report) = cx.platform.start_task(&worker, &task).await else { return };
+    let message = report.current_context().message.clone();
+    let _ = cx.gangs.send(GangEvent::TaskFailed { gang, worker, message });
+}
+
+fn start_task(id: GangId, member: &Member, number: u32, request: &Request, lease: Duration) -> StartTask {
+    StartTask {
+        task: task_id(id, &member.worker, number),
+        gang: id,
+        account: request.account.clone(),
+        service: request.service.clone(),
+        resources: member.per_task,
+        lease,
+    }
+}
+
+fn task_id(gang: GangId, worker: &str, number: u32) -> TaskId {
+    format!("{gang:032x}-{worker}-{number}").into()
+}
+
+fn task_ids(id: GangId, member: &Member) -> impl Iterator<Item = TaskId> {
+    (0..member.tasks).map(move |number| task_id(id, &member.worker, number))
+}
+
+/// Renews the tasks of all running gangs, with one call a worker.
+pub(crate) fn renew(state: &State, now: Instant) {
+    let mut batches: IndexMap<WorkerId, (Duration, Vec<(GangId, TaskId)>)> = IndexMap::new();
+    for (id, gang) in &state.gangs {
+        let Some(left) = gang.run_until.and_then(|until| until.checked_duration_since(now)) else { continue };
+        if left < MIN_RENEWAL {
+            continue;
+        }
+        for member in &gang.members {
+            let (lease, tasks) = batches.entry(member.worker.clone()).or_insert((left, Vec::new()));
+            *lease = left.min(*lease);
+            tasks.extend(task_ids(*id, member).map(|task| (*id, task)));
+        }
+    }
+    for (worker, (lease, tasks)) in batches {
+        tokio::spawn(renew_worker(Arc::clone(&state.cx), worker, lease, tasks));
+    }
+}
+
+async fn renew_worker(cx: Arc<Context>, worker: WorkerId, lease: Duration, tasks: Vec<(GangId, TaskId)>) {
+    let ids: Vec<TaskId> = tasks.iter().map(|(_, task)| task.clone()).collect();
+    // A worker that does not answer lets its tasks lapse, which a later renewal reports.
+    let Ok(renewed) = cx.platform.renew_tasks(&worker, &ids, lease).await else { return };
+    for ended in renewed.ended {
+        let Some((gang, _)) = tasks.iter().find(|(_, task)| *task == ended.task) else { continue };
+        let message = format!("task {} ended: {:?}", ended.task, ended.end);
+        let failed = GangEvent::TaskFailed { gang: *gang, worker: worker.clone(), message: message.into() };
+        let _ = cx.gangs.send(failed);
+    }
+}
+
+/// Stops the tasks of a gang, with a bounded checkpoint first if asked, and then answers.
+pub(crate) fn stop(cx: &Arc<Context>, id: GangId, gang: &Gang, checkpoint: bool, tx: Option<ReplyTo<()>>) {
+    let mut stops = tokio::task::JoinSet::new();
+    for member in &gang.members {
+        for task in task_ids(id, member) {
+            stops.spawn(stop_one(Arc::clone(cx), member.worker.clone(), task, checkpoint));
+        }
+    }
+    tokio::spawn(async move {
+        let stopped = stops.join_all().await.into_iter().all(|stopped| stopped);
+        let Some(tx) = tx else { return };
+        let result = if stopped { Ok(()) } else { Err(not_stopped()) };
+        let _ = tx.send(result);
+    });
+}
+
+fn not_stopped() -> error_stack::Report<errors::Error> {
+    let message = "a worker did not confirm that it stopped a task; the task lapses with its lease";
+    errors::Error::may_have_run(errors::ErrorKind::Unavailable, message).report()
+}
+
+async fn stop_one(cx: Arc<Context>, worker: WorkerId, task: TaskId, checkpoint: bool) -> bool {
+    if checkpoint {
+        // Without a checkpoint in time the job starts again from its last one.
+        let _ = timeout(CHECKPOINT_TIMEOUT, cx.platform.checkpoint_task(&worker, &task)).await;
+    }
+    cx.platform.stop_task(&worker, &task).await.is_ok()
+}
--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub use section::Section;
 pub use sections::{
-    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
+    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue, SectionText,
 };
 
 /// All sections of one process.
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -41,13 +41,22 @@
     pub draining: IndexMap<EndpointId, Arc<Endpoint<Draining>>>,
 }
 
+/// One section of the configuration as the store has it.
+#[derive(Debug, Clone)]
+pub struct SectionText {
+    /// The revision that last changed it.
+    pub revision: Revision,
+    /// The JSON text; none after the section was deleted.
+    pub text: Option<Arc<str>>,
+}
+
 /// The configuration document with the revision of each section.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigSnapshot {
     /// The highest revision applied.
     pub revision: Revision,
-    /// The revision of each section.
-    pub sections: IndexMap<SectionName, Revision>,
+    /// The sections with their revisions.
+    pub sections: IndexMap<SectionName, SectionText>,
     /// The document.
     pub document: Document,
 }
--- a/components/membership/src/attempts.rs
+++ b/components/membership/src/attempts.rs
@@ -116,6 +116,13 @@
         self.ended_order.push_back((now, key));
     }
 
+    /// Records that the endpoint was never called, such as after a refused connection; consumes the right to call it.
+    pub fn abandon(&mut self, permit: Permit, now: Instant) {
+        let key = (permit.request, permit.attempt);
+        self.records.insert(key, Record::Refused);
+        self.ended_order.push_back((now, key));
+    }
+
     /// Refuses an attempt for good if it has not begun; otherwise says what is known of it.
     ///
     /// The returned error has the verdict "not run" only when a late dispatch of the attempt is refused from now on.
--- /dev/null
+++ b/components/owner/src/actions.rs
@@ -0,0 +1,180 @@
+//! Carrying out the actions of the placement controller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::{Error, ErrorKind, Verdict};
+use indexmap::IndexMap;
+use membership::reservation::GANG_LEASE_TERM;
+use model::{AgentId, Gang, GangId, Member, Planned, Running};
+use placement::{Action, Event, GangEnd, StopReason};
+use tokio::task::JoinSet;
+use wire::{Call, Placed, Reserve, StartGang, StopGang};
+
+use crate::context::Context;
+use crate::scheduler::{SchedulerEvent, hex};
+
+/// How long an agent may take to reserve; a held reservation lapses after 2 s.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a gang may take to start, with one lost message.
+const START_TIMEOUT: Duration = Duration::from_millis(1500);
+const STOP_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Starts to carry out an action.
+pub(crate) fn carry_out(cx: &Arc<Context>, action: Action) {
+    let cx = Arc::clone(cx);
+    match action {
+        Action::Reserve(gang) => drop(tokio::spawn(reserve(cx, gang))),
+        Action::Start(gang) => drop(tokio::spawn(start(cx, gang))),
+        Action::Release(gang) => drop(tokio::spawn(release(cx, gang))),
+        Action::Stop { gang, reason } => drop(tokio::spawn(stop(cx, gang, reason))),
+        Action::Refuse { job, error } => drop(cx.scheduler.send(SchedulerEvent::Refused { job, error })),
+        Action::Free { .. } => {}
+    }
+}
+
+/// Reserves all members and the slot at once; one refusal gives up the gang.
+async fn reserve(cx: Arc<Context>, gang: Arc<Gang<Planned>>) {
+    let epoch = cx.epoch();
+    let mut calls = JoinSet::new();
+    for (agent, members) in members_by_agent(&gang) {
+        let call = Call::Reserve(Reserve {
+            cell: cx.settings.cell.clone(),
+            epoch,
+            gang: gang.id,
+            job: gang.job,
+            members,
+            slot: agent == gang.endpoint_agent,
+        });
+        let cx = Arc::clone(&cx);
+        calls.spawn(async move {
+            let result = call_agent(&cx, &agent, &call, RESERVE_TIMEOUT).await;
+            result.map_err(|error| (agent, error))
+        });
+    }
+    let refused = calls.join_all().await.into_iter().find_map(Result::err);
+    let event = match refused {
+        None => Event::Reserved { gang: gang.id, epoch },
+        Some((agent, error)) => {
+            log::info!(
+                target: "limpethook",
+                gang:% = hex(gang.id), agent:% = agent, error:% = error;
+                "reservation_refused"
+            );
+            Event::ReservationRefused { gang: gang.id, agent, error }
+        }
+    };
+    let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
+}
+
+/// Groups the members by agent; the agent of the endpoint is always part of the gang.
+fn members_by_agent<S>(gang: &Gang<S>) -> IndexMap<AgentId, Vec<Member>> {
+    let mut agents: IndexMap<AgentId, Vec<Member>> = IndexMap::new();
+    agents.insert(gang.endpoint_agent.clone(), Vec::new());
+    for member in &gang.members {
+        agents.entry(member.agent.clone()).or_default().push(member.clone());
+    }
+    agents
+}
+
+async fn call_agent(cx: &Context, agent: &AgentId, call: &Call, limit: Duration) -> Result<(), Error> {
+    let addr = addr_of(cx, agent).ok_or_else(|| {
+        Error::not_run(ErrorKind::Unavailable, format!("agent {agent} is not known"))
+    })?;
+    match cx.peers.call(addr, call, limit).await {
+        Ok(_) => Ok(()),
+        Err(report) => {
+            let error = report.current_context().clone();
+            if error.kind == ErrorKind::StaleEpoch {
+                let _ = cx.superseded.send(cx.epoch() + 1);
+            }
+            Err(error)
+        }
+    }
+}
+
+fn addr_of(cx: &Context, agent: &AgentId) -> Option<SocketAddr> {
+    cx.board.membership.load().agents.get(agent).map(|agent| agent.addr)
+}
+
+/// Asks the leader to let the gang run, and tells the entry.
+async fn start(cx: Arc<Context>, gang: Arc<Gang<Running>>) {
+    let Some(job) = cx.board.queue.load().active.get(&gang.job).cloned() else { return };
+    let agents = members_by_agent(&gang);
+    let agents = agents.into_keys().filter_map(|agent| addr_of(&cx, &agent).map(|addr| (agent, addr)));
+    let call = Call::StartGang(StartGang {
+        epoch: gang.state.epoch,
+        gang: gang.id,
+        attempt: gang.attempt,
+        agents: agents.collect(),
+        workers: gang.members.iter().map(|member| member.worker.clone()).collect(),
+        request: model::Request::clone(&job.request),
+    });
+    match call_agent(&cx, &gang.endpoint_agent, &call, START_TIMEOUT).await {
+        Ok(()) => started(&cx, &gang),
+        Err(error) => not_started(&cx, &gang, error).await,
+    }
+}
+
+fn started(cx: &Context, gang: &Gang<Running>) {
+    let membership = cx.board.membership.load();
+    let Some(agent) = membership.agents.get(&gang.endpoint_agent) else { return };
+    let incarnation = membership.serving.get(&gang.endpoint).map(|endpoint| endpoint.incarnation);
+    let placed = Placed {
+        gang: gang.id,
+        epoch: gang.state.epoch,
+        attempt: gang.attempt,
+        agent: gang.endpoint_agent.clone(),
+        agent_addr: agent.addr,
+        incarnation: incarnation.unwrap_or_default(),
+        workers: gang.members.iter().map(|member| member.worker.clone()).collect(),
+    };
+    log::info!(
+        target: "limpethook",
+        gang:% = hex(gang.id), request:% = hex(gang.job), attempt = gang.attempt, agent:% = gang.endpoint_agent,
+        members = gang.members.len();
+        "gang_started"
+    );
+    let _ = cx.scheduler.send(SchedulerEvent::Started { job: gang.job, placed });
+}
+
+/// Ends a gang that did not start; its request was not dispatched, because no entry was told.
+async fn not_started(cx: &Arc<Context>, gang: &Gang<Running>, error: Error) {
+    log::warn!(target: "limpethook", gang:% = hex(gang.id), error:% = error; "gang_not_started");
+    if error.verdict != Verdict::NotRun {
+        stop_members(cx, gang, ErrorKind::Cancelled).await;
+        cx.timer.subscribe_after(2 * GANG_LEASE_TERM).recv().await;
+    }
+    let event = Event::Ended { gang: gang.id, end: GangEnd::NeverRan };
+    let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
+}
+
+async fn release(cx: Arc<Context>, gang: Arc<Gang<Planned>>) {
+    stop_members(&cx, &gang, ErrorKind::Cancelled).await;
+}
+
+async fn stop(cx: Arc<Context>, gang: Arc<Gang<Running>>, reason: StopReason) {
+    let reason = match reason {
+        StopReason::Cancelled => ErrorKind::Cancelled,
+        StopReason::Reclaimed | StopReason::MemberLost => ErrorKind::Stopped,
+    };
+    let call = Call::StopGang(stop_call(&cx, gang.id, reason));
+    // The leader reports the end; if it is lost, its silence ends the gang.
+    let _ = call_agent(&cx, &gang.endpoint_agent, &call, STOP_TIMEOUT).await;
+}
+
+async fn stop_members<S>(cx: &Arc<Context>, gang: &Gang<S>, reason: ErrorKind) {
+    let mut calls = JoinSet::new();
+    for agent in members_by_agent(gang).into_keys() {
+        let call = Call::StopGang(stop_call(cx, gang.id, reason));
+        let cx = Arc::clone(cx);
+        // A reservation that does not hear this lapses by itself.
+        calls.spawn(async move { call_agent(&cx, &agent, &call, STOP_TIMEOUT).await });
+    }
+    calls.join_all().await;
+}
+
+fn stop_call(cx: &Context, gang: GangId, reason: ErrorKind) -> StopGang {
+    StopGang { gang, epoch: Some(cx.epoch()), reason, release: true }
+}
--- /dev/null
+++ b/components/owner/src/members.rs
@@ -0,0 +1,191 @@
+//! The membership controller: announcements, heartbeats and silence.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::{Agent, Membership};
+use errors::{Error, ErrorKind, Result};
+use membership::liveness::{self, Beat};
+use membership::reservation::GANG_LEASE_TERM;
+use model::{AgentId, Announced, Endpoint, Epoch};
+use placement::{Event, GangEnd};
+use tokio::sync::{mpsc, oneshot};
+use wire::{Ack, Announce, EndpointEntry, Heartbeat, Packet};
+
+use crate::context::Context;
+use crate::scheduler::SchedulerEvent;
+
+/// How often silent agents are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Events that share one copy of the membership section.
+const BATCH: usize = 64;
+
+/// An event for the membership controller.
+#[derive(Debug)]
+pub(crate) enum MemberEvent {
+    /// The process owns the cell at a new epoch, or no longer owns it (0).
+    Reset { epoch: Epoch },
+    /// An agent reports everything it has.
+    Announced { announce: Announce, tx: oneshot::Sender<Result<Epoch>> },
+    /// An agent is alive.
+    Heartbeat { from: SocketAddr, heartbeat: Heartbeat },
+}
+
+/// Hands a heartbeat to the controller.
+pub(crate) fn heartbeat(cx: &Context, from: SocketAddr, heartbeat: Heartbeat) {
+    let _ = cx.members.send(MemberEvent::Heartbeat { from, heartbeat });
+}
+
+/// Runs the controller until its last sender is gone.
+pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<MemberEvent>, cx: Arc<Context>) {
+    let mut sweeps = cx.timer.subscribe_every(SWEEP_INTERVAL);
+    let mut batch = Vec::with_capacity(BATCH);
+    loop {
+        tokio::select! {
+            received = rx.recv_many(&mut batch, BATCH) => if received == 0 { return },
+            _ = sweeps.recv() => {}
+        }
+        let now = timer::now();
+        let mut membership = Membership::clone(&cx.board.membership.load());
+        let before = Shape::of(&membership);
+        let replies: Vec<_> = batch.drain(..).filter_map(|event| apply(&cx, &mut membership, event, now)).collect();
+        for gone in liveness::sweep(&mut membership, now) {
+            agent_gone(&cx, &gone.agent);
+        }
+        let changed = before != Shape::of(&membership) || !replies.is_empty();
+        cx.board.membership.publish(membership);
+        if changed {
+            let _ = cx.scheduler.send(SchedulerEvent::Placement(Event::MembershipChanged));
+        }
+        // An agent hears that it is known only after the section shows it.
+        for (tx, result) in replies {
+            let _ = tx.send(result);
+        }
+    }
+}
+
+/// The parts of the membership whose change matters to placement.
+#[derive(PartialEq, Eq)]
+struct Shape {
+    agents: usize,
+    serving: usize,
+    draining: usize,
+    epoch: Epoch,
+}
+
+impl Shape {
+    fn of(membership: &Membership) -> Self {
+        Self {
+            agents: membership.agents.len(),
+            serving: membership.serving.len(),
+            draining: membership.draining.len(),
+            epoch: membership.epoch,
+        }
+    }
+}
+
+type Answer = (oneshot::Sender<Result<Epoch>>, Result<Epoch>);
+
+fn apply(cx: &Arc<Context>, membership: &mut Membership, event: MemberEvent, now: Instant) -> Option<Answer> {
+    match event {
+        MemberEvent::Reset { epoch } => {
+            *membership = Membership { epoch, ..Membership::default() };
+            None
+        }
+        MemberEvent::Announced { announce, tx } => {
+            let result = announced(cx, membership, announce, now);
+            Some((tx, result))
+        }
+        MemberEvent::Heartbeat { from, heartbeat } => {
+            beat(cx, membership, from, &heartbeat, now);
+            None
+        }
+    }
+}
+
+fn announced(cx: &Context, membership: &mut Membership, announce: Announce, now: Instant) -> Result<Epoch> {
+    if membership.epoch == 0 {
+        return Err(Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report());
+    }
+    log::info!(
+        target: "limpethook",
+        agent:% = announce.agent, addr:% = announce.addr, workers = announce.workers.len(),
+        gangs = announce.gangs.len();
+        "agent_announced"
+    );
+    let agent = Agent {
+        id: announce.agent.clone(),
+        addr: announce.addr,
+        workers: announce.workers,
+        heard: now,
+        config_revision: 0,
+    };
+    let endpoint = announce.endpoint.map(|entry| announced_endpoint(entry, now));
+    liveness::announce(membership, agent, endpoint);
+    for gang in announce.gangs {
+        let agent = announce.agent.clone();
+        let _ = cx.scheduler.send(SchedulerEvent::GangReported { agent, gang });
+    }
+    Ok(membership.epoch)
+}
+
+fn announced_endpoint(entry: EndpointEntry, now: Instant) -> Endpoint<Announced> {
+    Endpoint {
+        id: entry.id,
+        agent: entry.agent,
+        agent_addr: entry.agent_addr,
+        incarnation: entry.incarnation,
+        service: entry.service,
+        place: entry.place,
+        slots: entry.slots,
+        state: Announced { at: now },
+    }
+}
+
+fn beat(cx: &Arc<Context>, membership: &mut Membership, from: SocketAddr, heartbeat: &Heartbeat, now: Instant) {
+    if membership.epoch == 0 {
+        return;
+    }
+    if heartbeat.epoch > membership.epoch {
+        let _ = cx.superseded.send(heartbeat.epoch);
+        return;
+    }
+    let beat = Beat {
+        agent: heartbeat.agent.clone(),
+        endpoint: endpoint_of(membership, &heartbeat.agent),
+        free: heartbeat.free,
+        config_revision: heartbeat.revision,
+        draining: heartbeat.draining,
+    };
+    let known = liveness::heartbeat(membership, &beat, now).is_ok();
+    let ack = Ack {
+        epoch: membership.epoch,
+        revision: cx.board.config.load().revision,
+        announce: !known,
+    };
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move { cx.datagrams.send(from, Packet::Ack(ack)).await });
+}
+
+fn endpoint_of(membership: &Membership, agent: &AgentId) -> Option<model::EndpointId> {
+    let announced = membership.announced.values().find(|e| e.agent == *agent).map(|e| &e.id);
+    let serving = membership.serving.values().find(|e| e.agent == *agent).map(|e| &e.id);
+    let draining = membership.draining.values().find(|e| e.agent == *agent).map(|e| &e.id);
+    announced.or(serving).or(draining).cloned()
+}
+
+/// Ends the gangs that a lost agent led, once its members cannot run any more.
+fn agent_gone(cx: &Arc<Context>, agent: &AgentId) {
+    log::warn!(target: "limpethook", agent:% = agent; "agent_lost");
+    let fleet = cx.board.fleet.load();
+    let led = fleet.running.values().filter(|gang| gang.endpoint_agent == *agent);
+    for gang in led.map(|gang| gang.id) {
+        let cx = Arc::clone(cx);
+        tokio::spawn(async move {
+            cx.timer.subscribe_after(GANG_LEASE_TERM).recv().await;
+            let event = Event::Ended { gang, end: GangEnd::MemberLost };
+            let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
+        });
+    }
+}
--- a/components/placement/src/events.rs
+++ b/components/placement/src/events.rs
@@ -54,4 +54,6 @@
     Stopped,
     /// A member was lost.
     MemberLost,
+    /// The gang did not start, so its request never ran.
+    NeverRan,
 }
--- a/components/placement/src/step.rs
+++ b/components/placement/src/step.rs
@@ -159,6 +159,10 @@
     };
     match end {
         GangEnd::Answered => {}
+        GangEnd::NeverRan => {
+            let job = Job::clone(&job).requeue(now);
+            queue.queued.insert(job.id(), Arc::new(job));
+        }
         GangEnd::Failed(error) => actions.push(Action::Refuse {
             job: gang.job,
             error,
--- /dev/null
+++ b/components/telemetry/src/metrics.rs
@@ -0,0 +1,31 @@
+//! Metrics in the Prometheus text format over HTTP.
+
+use std::net::SocketAddr;
+
+use prometheus::{Registry, TextEncoder};
+use salvo::conn::TcpListener;
+use salvo::prelude::*;
+
+/// Returns all metrics of a registry in the text format.
+pub fn metrics_text(registry: &Registry) -> String {
+    // Encoding fails only for metrics without a name, which cannot be registered.
+    TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default()
+}
+
+struct Metrics<F>(F);
+
+#[async_trait]
+impl<F: Fn() -> String + Send + Sync + 'static> Handler for Metrics<F> {
+    async fn handle(&self, _req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
+        res.render(Text::plain((self.0)()));
+    }
+}
+
+/// Serves `/metrics` until the process ends.
+pub async fn serve_metrics<F: Fn() -> String + Send + Sync + 'static>(addr: SocketAddr, text: F) {
+    let router = Router::with_path("metrics").get(Metrics(text));
+    match TcpListener::new(addr).try_bind().await {
+        Ok(acceptor) => Server::new(acceptor).serve(router).await,
+        Err(e) => log::error!(target: "limpethook", addr:% = addr, error:% = e; "metrics_not_served"),
+    }
+}
--- a/components/telemetry/src/spans.rs
+++ b/components/telemetry/src/spans.rs
@@ -22,6 +22,11 @@
     pub fn context(self) -> SpanContext {
         SpanContext::new(TraceId(self.trace), SpanId(self.span))
     }
+
+    /// Returns the value of a `traceparent` header.
+    pub fn header(self) -> String {
+        self.context().encode_w3c_traceparent()
+    }
 }
 
 /// Reads a `traceparent` header whose caller asks for sampling.
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -26,16 +26,38 @@
 /// Datagrams by fate.
 #[derive(Debug, Default)]
 pub struct DatagramCounts {
-    /// Sent.
-    pub sent: AtomicU64,
-    /// Bytes sent.
-    pub sent_bytes: AtomicU64,
-    /// Accepted.
-    pub received: AtomicU64,
-    /// Dropped because the key or the format was wrong.
-    pub foreign: AtomicU64,
-    /// Dropped because the sequence number did not rise.
-    pub repeated: AtomicU64,
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    received: AtomicU64,
+    foreign: AtomicU64,
+    repeated: AtomicU64,
+}
+
+impl DatagramCounts {
+    /// Returns the number of datagrams sent.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bytes sent.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of datagrams accepted.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of datagrams dropped because the key or the format was wrong.
+    pub fn foreign(&self) -> u64 {
+        self.foreign.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of datagrams dropped because the sequence number did not rise.
+    pub fn repeated(&self) -> u64 {
+        self.repeated.load(Ordering::Relaxed)
+    }
 }
 
 /// A socket for datagrams between the processes of a deployment.
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -301,6 +301,8 @@
     pub version: u64,
     /// The epoch of the owner.
     pub epoch: Epoch,
+    /// The configuration revision of the owner.
+    pub revision: Revision,
     /// The endpoints.
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
@@ -316,6 +318,8 @@
     pub addr: SocketAddr,
     /// Its epoch.
     pub epoch: Epoch,
+    /// The store lease under which it raised the epoch.
+    pub lease: u64,
 }
 
 /// A request with a shape for the owner of a cell.
