Add the store and workers crates and the stand-in platform

Cause: the daemons need the key-value service and the workers behind narrow traits, and tests need something that plays both, and endpoints, with faults.

Ruled out: base64 values in JSON, which add a third to configuration sections of up to 1 MB; listings and watches use frames of one JSON line and the raw value instead. Reading back a lost write by comparing only the current value was ruled out, too, because another writer may have replaced it already.

Change: trait KvStore with HttpStore and put_confirmed, trait WorkerPlatform with HttpWorkers, the program standin with its library, and docs/platform.md. A lost answer is played by a body that fails before the head is flushed, so the connection closes and the client receives nothing.

No performance figure was measured yet.

--- /dev/null
+++ b/components/standin/src/fleet.rs
@@ -0,0 +1,9 @@
+//! The workers.
+
+mod faults;
+mod handler;
+mod tasks;
+
+pub use faults::{FailMode, Vanish, WorkerFaults};
+pub use handler::start_workers;
+pub use tasks::TaskRecord;
--- /dev/null
+++ b/components/standin/src/server.rs
@@ -0,0 +1,68 @@
+//! Binding a listener and serving one handler on it.
+
+use std::net::SocketAddr;
+
+use error_stack::Report;
+use errors::{Error, ErrorKind, Result};
+use salvo::conn::{Acceptor, Listener, TcpListener};
+use salvo::server::ServerHandle;
+use salvo::{Handler, Router};
+
+/// A running server; it stops when this value is dropped.
+pub struct Server {
+    addr: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the base address for clients.
+    pub fn base(&self) -> Box<str> {
+        format!("http://{}", self.addr).into()
+    }
+
+    /// Closes the listener and all connections.
+    pub fn stop(&self) {
+        self.handle.stop_forceful();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Serves all paths of an address with one handler.
+pub(crate) async fn serve(
+    listen: SocketAddr,
+    connections: Option<usize>,
+    handler: impl Handler,
+) -> Result<Server> {
+    let acceptor = TcpListener::new(listen)
+        .try_bind()
+        .await
+        .map_err(|e| unbound(listen, &e.to_string()))?;
+    let addr = acceptor.holdings()[0]
+        .local_addr
+        .clone()
+        .into_std()
+        .ok_or_else(|| unbound(listen, "no IP address"))?;
+    let mut server = salvo::Server::new(acceptor).disable_fuse();
+    if let Some(connections) = connections {
+        server = server.max_connections(connections);
+    }
+    let handle = server.handle();
+    let router = Router::new().push(Router::with_path("{**path}").goal(handler));
+    tokio::spawn(server.serve(router));
+    Ok(Server { addr, handle })
+}
+
+fn unbound(listen: SocketAddr, fault: &str) -> Report<Error> {
+    let message = format!("cannot listen on {listen}: {fault}");
+    Error::not_run(ErrorKind::Unavailable, message).report()
+}
--- /dev/null
+++ b/components/store/src/http.rs
@@ -0,0 +1,282 @@
+//! The HTTP/JSON adapter of the key-value service.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use errors::{Error, ErrorKind, Result, Verdict};
+use model::Revision;
+use reqwest::header::{HeaderMap, IF_MATCH, IF_NONE_MATCH};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url};
+use serde::de::DeserializeOwned;
+
+use crate::calls::{CallCounts, CallKind, Calls};
+use crate::frames::decode_frames;
+use crate::kv::{
+    Change, Entry, Expect, KvStore, LeaseId, Listing, MAX_VALUE_BYTES, PutOutcome, Watched,
+};
+use crate::wire::{LEASE_HEADER, LeaseAnswer, LeaseRequest, REVISION_HEADER, WriteAnswer};
+
+/// Where the service is and how long calls may take.
+#[derive(Debug, Clone)]
+pub struct HttpStoreSettings {
+    /// The base address, such as `http://127.0.0.1:2379`.
+    pub base: Box<str>,
+    /// The time for a new connection.
+    pub connect_timeout: Duration,
+    /// The time for one call; a watch gets its wait in addition.
+    pub call_timeout: Duration,
+}
+
+impl HttpStoreSettings {
+    /// Creates settings with 1 s for a connection and 2 s for a call; the service answers in milliseconds.
+    pub fn new(base: impl Into<Box<str>>) -> Self {
+        Self {
+            base: base.into(),
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Calls the key-value service over HTTP.
+#[derive(Debug)]
+pub struct HttpStore {
+    client: Client,
+    base: Url,
+    call_timeout: Duration,
+    calls: Calls,
+}
+
+impl HttpStore {
+    /// Creates the adapter; it connects with the first call.
+    pub fn new(settings: &HttpStoreSettings) -> Result<Self> {
+        let base = Url::parse(&settings.base).map_err(|e| {
+            let message = format!("store address {:?}: {e}", settings.base);
+            Error::not_run(ErrorKind::InvalidRequest, message).report()
+        })?;
+        let client = Client::builder()
+            .no_proxy()
+            .connect_timeout(settings.connect_timeout)
+            .tcp_nodelay(true)
+            .build()
+            .map_err(|e| {
+                let message = format!("HTTP client: {e}");
+                Error::not_run(ErrorKind::Internal, message).report()
+            })?;
+        Ok(Self {
+            client,
+            base,
+            call_timeout: settings.call_timeout,
+            calls: Calls::default(),
+        })
+    }
+
+    /// Returns the number of calls made so far.
+    pub fn calls(&self) -> CallCounts {
+        self.calls.counts()
+    }
+
+    fn request(
+        &self,
+        kind: CallKind,
+        method: Method,
+        path: &str,
+        query: &[(&str, &str)],
+    ) -> RequestBuilder {
+        self.calls.add(kind);
+        let mut url = self.base.clone();
+        url.set_path(path);
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        self.client.request(method, url).timeout(self.call_timeout)
+    }
+
+    async fn lease_call(&self, id: LeaseId, method: Method, action: &str) -> Result<bool> {
+        let path = format!("/v1/leases/{id}{action}");
+        let req = self.request(CallKind::Lease, method, &path, &[]);
+        let (status, _, _) = send(req, Verdict::MayHaveRun).await?;
+        Ok(status != StatusCode::NOT_FOUND)
+    }
+}
+
+#[async_trait]
+impl KvStore for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        let req = self.request(CallKind::Get, Method::GET, "/v1/kv", &[("key", key)]);
+        let (status, headers, value) = send(req, Verdict::NotRun).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(Entry {
+            key: key.into(),
+            value,
+            revision: revision_of(&headers)?,
+            lease: number(&headers, LEASE_HEADER),
+        }))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing> {
+        let query = [("prefix", prefix)];
+        let req = self.request(CallKind::List, Method::GET, "/v1/list", &query);
+        let (_, headers, body) = send(req, Verdict::NotRun).await?;
+        let entries = decode_frames(body)?
+            .into_iter()
+            .filter_map(|change| match change {
+                Change::Put(entry) => Some(entry),
+                Change::Deleted { .. } => None,
+            })
+            .collect();
+        let revision = revision_of(&headers)?;
+        Ok(Listing { entries, revision })
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<PutOutcome> {
+        if value.len() > MAX_VALUE_BYTES {
+            let message = format!("value of {key:?} has {} bytes", value.len());
+            return Err(Error::not_run(ErrorKind::TooLarge, message).report());
+        }
+        let mut req = self.request(CallKind::Put, Method::PUT, "/v1/kv", &[("key", key)]);
+        if let Some(lease) = lease {
+            req = req.header(LEASE_HEADER, lease);
+        }
+        write(expecting(req, expect).body(value)).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<PutOutcome> {
+        let req = self.request(CallKind::Delete, Method::DELETE, "/v1/kv", &[("key", key)]);
+        write(expecting(req, expect)).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched> {
+        let (after, wait_ms) = (after.to_string(), wait.as_millis().to_string());
+        let query = [("prefix", prefix), ("after", &after), ("wait_ms", &wait_ms)];
+        let req = self
+            .request(CallKind::Watch, Method::GET, "/v1/watch", &query)
+            .timeout(self.call_timeout + wait);
+        let (status, headers, body) = send(req, Verdict::NotRun).await?;
+        let revision = revision_of(&headers)?;
+        if status == StatusCode::GONE {
+            return Ok(Watched::Compacted { revision });
+        }
+        let changes = decode_frames(body)?;
+        Ok(Watched::Changes { changes, revision })
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let req = self.request(CallKind::Lease, Method::POST, "/v1/leases", &[]);
+        let (_, _, body) = send(req.json(&LeaseRequest { ttl_ms }), Verdict::MayHaveRun).await?;
+        Ok(parse::<LeaseAnswer>(&body, Verdict::MayHaveRun)?.lease)
+    }
+
+    async fn renew_lease(&self, id: LeaseId) -> Result<bool> {
+        self.lease_call(id, Method::POST, "/renew").await
+    }
+
+    async fn revoke_lease(&self, id: LeaseId) -> Result<()> {
+        self.lease_call(id, Method::DELETE, "").await.map(drop)
+    }
+}
+
+fn expecting(req: RequestBuilder, expect: Expect) -> RequestBuilder {
+    match expect {
+        Expect::Any => req,
+        Expect::Absent => req.header(IF_NONE_MATCH, "*"),
+        Expect::Revision(revision) => req.header(IF_MATCH, format!("\"{revision}\"")),
+    }
+}
+
+async fn write(req: RequestBuilder) -> Result<PutOutcome> {
+    let (status, _, body) = send(req, Verdict::MayHaveRun).await?;
+    if status == StatusCode::NOT_FOUND {
+        let error = Error::not_run(ErrorKind::NotFound, "the lease has lapsed");
+        return Err(error.report());
+    }
+    let answer: WriteAnswer = parse(&body, Verdict::MayHaveRun)?;
+    if status == StatusCode::PRECONDITION_FAILED {
+        let current = answer.revision;
+        return Ok(PutOutcome::Conflict { current });
+    }
+    match answer.revision {
+        Some(revision) => Ok(PutOutcome::Written { revision }),
+        None => Err(Error::ran(ErrorKind::Corrupt, "a write answered no revision").report()),
+    }
+}
+
+/// Sends a request; `lost` is the verdict when it was sent and no whole answer came back.
+async fn send(req: RequestBuilder, lost: Verdict) -> Result<(StatusCode, HeaderMap, Bytes)> {
+    let mut answer = req.send().await.map_err(|e| failed(&e, lost))?;
+    let status = answer.status();
+    let headers = std::mem::take(answer.headers_mut());
+    if status.is_success() || is_outcome(status) {
+        let body = answer.bytes().await.map_err(|e| failed(&e, lost))?;
+        return Ok((status, headers, body));
+    }
+    Err(refused(answer, status, lost).await.report())
+}
+
+/// Returns whether the status is one of the answers that a caller handles.
+fn is_outcome(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED | StatusCode::GONE
+    )
+}
+
+async fn refused(answer: Response, status: StatusCode, lost: Verdict) -> Error {
+    // The status decides; the text only explains it.
+    let text = answer.text().await.unwrap_or_default();
+    let message = format!("key-value service answered {status}: {text}");
+    match status {
+        StatusCode::PAYLOAD_TOO_LARGE => Error::not_run(ErrorKind::TooLarge, message),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Error::not_run(ErrorKind::Unavailable, message)
+        }
+        _ if status.is_client_error() => Error::not_run(ErrorKind::InvalidRequest, message),
+        _ => Error::new(lost, ErrorKind::Unavailable, message),
+    }
+}
+
+fn failed(e: &reqwest::Error, lost: Verdict) -> error_stack::Report<Error> {
+    let sent = !(e.is_connect() || e.is_builder());
+    let verdict = if sent { lost } else { Verdict::NotRun };
+    let message = format!("call to the key-value service failed: {}", causes(e));
+    Error::new(verdict, ErrorKind::Unavailable, message).report()
+}
+
+/// Joins an error with its causes, because the outermost one seldom names the fault.
+fn causes(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut cause = e.source();
+    while let Some(inner) = cause {
+        text = format!("{text}: {inner}");
+        cause = inner.source();
+    }
+    text
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8], verdict: Verdict) -> Result<T> {
+    serde_json::from_slice(body).map_err(|e| {
+        let message = format!("answer of the key-value service: {e}");
+        Error::new(verdict, ErrorKind::Corrupt, message).report()
+    })
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn revision_of(headers: &HeaderMap) -> Result<Revision> {
+    number(headers, REVISION_HEADER).ok_or_else(|| {
+        let message = "answer of the key-value service has no revision";
+        Error::not_run(ErrorKind::Corrupt, message).report()
+    })
+}
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,21 @@
+//! The interface to the platform's key-value service and its HTTP/JSON adapter.
+//!
+//! The protocol is described in docs/platform.md.
+
+mod calls;
+mod confirm;
+mod frames;
+mod http;
+mod kv;
+mod wire;
+
+pub use calls::{CallCounts, CallKind, Calls};
+pub use confirm::{Confirmed, PutRequest, put_confirmed};
+pub use frames::{Frame, decode_frames, encode_frames};
+pub use http::{HttpStore, HttpStoreSettings};
+pub use kv::{
+    Change, Entry, Expect, Key, KvStore, LeaseId, Listing, MAX_VALUE_BYTES, PutOutcome, Watched,
+};
+pub use wire::{
+    ErrorAnswer, LEASE_HEADER, LeaseAnswer, LeaseRequest, REVISION_HEADER, WriteAnswer,
+};
--- /dev/null
+++ b/components/workers/tests/http.rs
@@ -0,0 +1,149 @@
+//! `HttpWorkers` against the stand-in over loopback.
+
+use std::time::Duration;
+
+use errors::{ErrorKind, Verdict};
+use model::Resources;
+use standin::{FailMode, Server, TaskRecord, Vanish, WorkerFaults, WorkersSettings, start_workers};
+use timer::Timer;
+use workers::{HttpWorkers, HttpWorkersSettings, StartTask, TaskEnd, WorkerPlatform};
+
+const LEASE: Duration = Duration::from_millis(300);
+
+async fn start() -> (Server, HttpWorkers) {
+    let settings = WorkersSettings {
+        usage_lag_ms: 50,
+        ..WorkersSettings::default()
+    };
+    let server = start_workers(&settings, &Timer::start()).await.unwrap();
+    let mut settings = HttpWorkersSettings::new(server.base());
+    settings.call_timeout = Duration::from_millis(300);
+    let workers = HttpWorkers::new(&settings).unwrap();
+    (server, workers)
+}
+
+fn task(id: &str) -> StartTask {
+    StartTask {
+        task: id.into(),
+        gang: u128::MAX - 1,
+        account: "faro".into(),
+        service: "guild".into(),
+        resources: Resources {
+            accelerators: 2,
+            cores: 8,
+            memory_mb: 1024,
+        },
+        lease: LEASE,
+    }
+}
+
+async fn set_faults(server: &Server, worker: &str, faults: &WorkerFaults) {
+    let url = format!("{}/control/workers/{worker}", server.base());
+    let sent = reqwest::Client::new().post(url).json(faults).send().await;
+    assert!(sent.unwrap().status().is_success());
+}
+
+async fn records(server: &Server) -> Vec<TaskRecord> {
+    let url = format!("{}/control/tasks", server.base());
+    let answer = reqwest::get(url).await.unwrap();
+    answer.json().await.unwrap()
+}
+
+/// Guards against tasks that run on after their agent died, and against a renewal that hides their end.
+#[tokio::test]
+async fn renew_tasks_reports_lapsed_lease() {
+    let (server, workers) = start().await;
+    workers.start_task("w1", &task("a/0")).await.unwrap();
+    workers.start_task("w1", &task("b")).await.unwrap();
+    for _ in 0..4 {
+        tokio::time::sleep(LEASE / 2).await;
+        let renewed = workers.renew_tasks("w1", &["b".into()], LEASE).await;
+        assert_eq!(renewed.unwrap().renewed, ["b".into()]);
+    }
+    let both = ["a/0".into(), "b".into()];
+    let renewed = workers.renew_tasks("w1", &both, LEASE).await.unwrap();
+    assert_eq!(renewed.renewed, ["b".into()]);
+    assert_eq!(renewed.ended[0].end, Some(TaskEnd::LeaseLapsed));
+    let log = records(&server).await;
+    assert_eq!(log[0].gang_id(), Some(u128::MAX - 1));
+    let ran = log[0].end_us.unwrap() - log[0].start_us;
+    assert!((300_000..500_000).contains(&ran), "ran for {ran} us");
+    assert_eq!(log[1].end, None);
+}
+
+/// Guards against a repeated start that runs a task twice, also after its end.
+#[tokio::test]
+async fn start_task_has_one_effect_when_repeated() {
+    let (server, workers) = start().await;
+    workers.start_task("w1", &task("a")).await.unwrap();
+    workers.start_task("w1", &task("a")).await.unwrap();
+    workers.stop_task("w1", "a").await.unwrap();
+    workers.stop_task("w1", "a").await.unwrap();
+    let repeated = workers.start_task("w1", &task("a")).await.unwrap_err();
+    assert_eq!(repeated.current_context().verdict, Verdict::Ran);
+    let log = records(&server).await;
+    assert_eq!(log.len(), 1);
+    assert_eq!(log[0].end, Some(TaskEnd::Stopped));
+}
+
+/// Guards against a worker that takes more than it has.
+#[tokio::test]
+async fn start_task_refuses_beyond_capacity() {
+    let (server, workers) = start().await;
+    let faults = WorkerFaults {
+        capacity: Some(task("a").resources),
+        ..WorkerFaults::default()
+    };
+    set_faults(&server, "w1", &faults).await;
+    workers.start_task("w1", &task("a")).await.unwrap();
+    let refused = workers.start_task("w1", &task("b")).await.unwrap_err();
+    assert_eq!(refused.current_context().kind, ErrorKind::Overloaded);
+    assert_eq!(refused.current_context().verdict, Verdict::NotRun);
+}
+
+/// Guards against a usage report that never catches up or loses the throttle.
+#[tokio::test]
+async fn usage_follows_with_lag() {
+    let (_server, workers) = start().await;
+    workers.start_task("w1", &task("a")).await.unwrap();
+    workers.throttle_task("w1", "a", 25).await.unwrap();
+    workers.checkpoint_task("w1", "a").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let usage = workers.usage("w1").await.unwrap();
+    assert_eq!(usage.used, task("a").resources);
+    assert_eq!(usage.tasks[0].throttle_percent, 25);
+    let unknown = workers.checkpoint_task("w1", "b").await.unwrap_err();
+    assert_eq!(unknown.current_context().kind, ErrorKind::NotFound);
+}
+
+/// Guards against failures of a worker that its agent cannot see.
+#[tokio::test]
+async fn start_task_reports_failing_worker() {
+    let (server, workers) = start().await;
+    let fail = |mode| WorkerFaults {
+        fail: Some(mode),
+        ..WorkerFaults::default()
+    };
+    set_faults(&server, "w1", &fail(FailMode::Start)).await;
+    let failed = workers.start_task("w1", &task("a")).await.unwrap_err();
+    assert_eq!(failed.current_context().kind, ErrorKind::Failed);
+    set_faults(&server, "w2", &fail(FailMode::Run)).await;
+    workers.start_task("w2", &task("a")).await.unwrap();
+    let renewed = workers.renew_tasks("w2", &["a".into()], LEASE).await;
+    assert_eq!(renewed.unwrap().ended[0].end, Some(TaskEnd::Failed));
+}
+
+/// Guards against a lost worker whose start is reported as "not run", and against tasks that outlive it.
+#[tokio::test]
+async fn start_task_may_have_run_on_vanished_worker() {
+    let (server, workers) = start().await;
+    workers.start_task("w1", &task("a")).await.unwrap();
+    let faults = WorkerFaults {
+        vanish: Some(Vanish::Lost),
+        ..WorkerFaults::default()
+    };
+    set_faults(&server, "w1", &faults).await;
+    let failed = workers.start_task("w1", &task("b")).await.unwrap_err();
+    assert_eq!(failed.current_context().verdict, Verdict::MayHaveRun);
+    assert_eq!(records(&server).await[0].end, Some(TaskEnd::Lost));
+}
