--- a/components/agent/src/announce.rs
+++ b/components/agent/src/announce.rs
@@ -25,7 +25,13 @@
     Heartbeat {
         agent: cx.settings.id.clone(),
         incarnation: cx.datagrams.incarnation(),
-        epoch: cx.board.owner.load().as_ref().as_ref().map_or(0, |owner| owner.epoch),
+        epoch: cx
+            .board
+            .owner
+            .load()
+            .as_ref()
+            .as_ref()
+            .map_or(0, |owner| owner.epoch),
         free: cx.slots.free(),
         revision: cx.board.config.load().revision,
         draining: cx.is_draining(),
@@ -43,7 +49,10 @@
     let workers = workers.map(|worker| Worker {
         id: worker.id.clone(),
         agent: cx.settings.id.clone(),
-        place: Place { rack: worker.rack.clone(), ..place(cx) },
+        place: Place {
+            rack: worker.rack.clone(),
+            ..place(cx)
+        },
         capacity: worker.capacity,
     });
     workers.collect()
--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -7,6 +7,9 @@
 use config::AgentSettings;
 use discovery::Locator;
 use distribution::Updates;
+use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
+use model::WorkerId;
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -38,7 +41,7 @@
     pub(crate) peers: Peers,
     pub(crate) datagrams: Datagrams,
     pub(crate) locator: Locator,
-    pub(crate) platform: Arc<dyn WorkerPlatform>,
+    pub(crate) platforms: IndexMap<WorkerId, Arc<dyn WorkerPlatform>>,
     pub(crate) endpoint: Option<EndpointClient>,
     pub(crate) slots: Slots,
     pub(crate) gangs: mpsc::UnboundedSender<GangEvent>,
@@ -55,6 +58,14 @@
         self.drain.is_cancelled()
     }
 
+    /// Returns the platform interface of a worker of this agent.
+    pub(crate) fn platform(&self, worker: &str) -> Result<&Arc<dyn WorkerPlatform>> {
+        self.platforms.get(worker).ok_or_else(|| {
+            let message = format!("worker {worker} does not belong to this agent");
+            Error::not_run(ErrorKind::NotFound, message).report()
+        })
+    }
+
     /// Returns the address of this agent for its peers.
     pub(crate) fn addr(&self) -> SocketAddr {
         self.settings.peer_listen
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -26,7 +26,9 @@
     };
     cx.metrics.count_dispatch(&result);
     match result {
-        Err(report) if turned_away(&report) && !dispatch.request.idempotent => Err(refuse(cx, &dispatch, report).await),
+        Err(report) if turned_away(&report) && !dispatch.request.idempotent => {
+            Err(refuse(cx, &dispatch, report).await)
+        }
         result => result,
     }
 }
@@ -36,9 +38,16 @@
 }
 
 /// Records the refusal; the error of the record replaces the original one if the attempt did begin.
-async fn refuse(cx: &Context, dispatch: &Dispatch, report: error_stack::Report<Error>) -> error_stack::Report<Error> {
+async fn refuse(
+    cx: &Context,
+    dispatch: &Dispatch,
+    report: error_stack::Report<Error>,
+) -> error_stack::Report<Error> {
     let (tx, rx) = oneshot::channel();
-    let _ = cx.requests.send(RequestEvent::Refuse { id: attempt_id(dispatch), tx });
+    let _ = cx.requests.send(RequestEvent::Refuse {
+        id: attempt_id(dispatch),
+        tx,
+    });
     match rx.await {
         Ok(recorded) if recorded.current_context().verdict == Verdict::NotRun => report,
         Ok(recorded) => recorded,
@@ -63,11 +72,26 @@
     let gang = dispatch.gang.unwrap_or_default();
     let (tx, rx) = oneshot::channel();
     let _ = cx.gangs.send(GangEvent::Claim { gang, tx });
-    let claimed = rx.await.unwrap_or_else(|_| Err(internal("the gang controller ended")))?;
-    let ClaimedGang { slot, stopped, workers } = claimed;
-    let end_gang = EndGang { cx, gang, error: Some(cancelled()) };
+    let claimed = rx
+        .await
+        .unwrap_or_else(|_| Err(internal("the gang controller ended")))?;
+    let ClaimedGang {
+        slot,
+        stopped,
+        workers,
+    } = claimed;
+    let end_gang = EndGang {
+        cx,
+        gang,
+        error: Some(cancelled()),
+    };
     let result = run_recorded(cx, dispatch, &workers, slot, stopped).await;
-    end_gang.end(result.as_ref().err().map(|report| report.current_context().clone()));
+    end_gang.end(
+        result
+            .as_ref()
+            .err()
+            .map(|report| report.current_context().clone()),
+    );
     result
 }
 
@@ -87,7 +111,10 @@
 impl Drop for EndGang<'_> {
     fn drop(&mut self) {
         let error = self.error.take();
-        let _ = self.cx.gangs.send(GangEvent::RequestEnded { gang: self.gang, error });
+        let _ = self.cx.gangs.send(GangEvent::RequestEnded {
+            gang: self.gang,
+            error,
+        });
     }
 }
 
@@ -99,15 +126,26 @@
     cancel: CancellationToken,
 ) -> Result<Answer> {
     let endpoint = cx.endpoint.as_ref().ok_or_else(no_endpoint)?;
-    let permit = if dispatch.request.idempotent { None } else { Some(begin(cx, dispatch).await?) };
+    let permit = if dispatch.request.idempotent {
+        None
+    } else {
+        Some(begin(cx, dispatch).await?)
+    };
     let request = dispatch.request.id;
-    let _ = cx.requests.send(RequestEvent::Register { request, cancel: cancel.clone() });
+    let _ = cx.requests.send(RequestEvent::Register {
+        request,
+        cancel: cancel.clone(),
+    });
     let result = call(endpoint, dispatch, workers, &cancel).await;
     drop(slot);
     let _ = cx.requests.send(RequestEvent::Unregister { request });
     if let Some(permit) = permit {
         let not_run = result.as_ref().is_err_and(turned_away);
-        let event = if not_run { RequestEvent::Abandon { permit } } else { RequestEvent::Finish { permit } };
+        let event = if not_run {
+            RequestEvent::Abandon { permit }
+        } else {
+            RequestEvent::Finish { permit }
+        };
         let _ = cx.requests.send(event);
     }
     result
@@ -127,14 +165,28 @@
 }
 
 fn cancelled() -> Error {
-    Error::may_have_run(ErrorKind::Cancelled, "the request was stopped while the endpoint handled it")
+    Error::may_have_run(
+        ErrorKind::Cancelled,
+        "the request was stopped while the endpoint handled it",
+    )
 }
 
 async fn begin(cx: &Context, dispatch: &Dispatch) -> Result<Permit> {
     let (tx, rx) = oneshot::channel();
-    let epoch = cx.board.owner.load().as_ref().as_ref().map_or(0, |owner| owner.epoch);
-    let _ = cx.requests.send(RequestEvent::Begin { id: attempt_id(dispatch), epoch, tx });
-    rx.await.unwrap_or_else(|_| Err(internal("the request controller ended")))
+    let epoch = cx
+        .board
+        .owner
+        .load()
+        .as_ref()
+        .as_ref()
+        .map_or(0, |owner| owner.epoch);
+    let _ = cx.requests.send(RequestEvent::Begin {
+        id: attempt_id(dispatch),
+        epoch,
+        tx,
+    });
+    rx.await
+        .unwrap_or_else(|_| Err(internal("the request controller ended")))
 }
 
 fn attempt_id(dispatch: &Dispatch) -> AttemptId {
--- a/components/agent/src/drain.rs
+++ b/components/agent/src/drain.rs
@@ -16,13 +16,17 @@
     let started = timer::now();
     while !is_idle(&cx) {
         let elapsed = timer::now().saturating_duration_since(started);
-        if cx.settings.drain_timeout.is_some_and(|limit| elapsed >= limit) {
+        if cx
+            .settings
+            .drain_timeout
+            .is_some_and(|limit| elapsed >= limit)
+        {
             log::warn!(target: "limpethook", slots_used = cx.slots.used(); "drain_timed_out");
             return false;
         }
         checks.recv().await;
     }
-    log::info!(target: "limpethook"; "drain_finished");
+    log::info!(target: "limpethook", agent:% = cx.settings.id; "drain_finished");
     true
 }
 
--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -36,12 +36,22 @@
             .pool_max_idle_per_host(settings.connections as usize)
             .tcp_nodelay(true)
             .build()
-            .map_err(|e| Error::not_run(ErrorKind::Internal, format!("HTTP client: {e}")).report())?;
-        Ok(Self { http, url: settings.url.clone() })
+            .map_err(|e| {
+                Error::not_run(ErrorKind::Internal, format!("HTTP client: {e}")).report()
+            })?;
+        Ok(Self {
+            http,
+            url: settings.url.clone(),
+        })
     }
 
     /// Sends a request and returns the whole answer with its digest.
-    pub(crate) async fn call(&self, dispatch: &Dispatch, workers: &[WorkerId], limit: Duration) -> Result<Answer> {
+    pub(crate) async fn call(
+        &self,
+        dispatch: &Dispatch,
+        workers: &[WorkerId],
+        limit: Duration,
+    ) -> Result<Answer> {
         let mut req = self
             .http
             .post(&*self.url)
@@ -58,8 +68,13 @@
         }
         let res = req.send().await.map_err(|e| unanswered(&e))?;
         check_answered_request(res.headers(), dispatch)?;
-        if res.content_length().is_some_and(|length| length > MAX_ANSWER_BYTES) {
-            return Err(Error::ran(ErrorKind::TooLarge, "the answer is larger than 64 MB").report());
+        if res
+            .content_length()
+            .is_some_and(|length| length > MAX_ANSWER_BYTES)
+        {
+            return Err(
+                Error::ran(ErrorKind::TooLarge, "the answer is larger than 64 MB").report(),
+            );
         }
         let status = res.status().as_u16();
         let content_type = content_type(res.headers());
@@ -81,7 +96,9 @@
 }
 
 fn content_type(headers: &HeaderMap) -> Box<str> {
-    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let value = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
     value.unwrap_or("application/octet-stream").into()
 }
 
@@ -98,7 +115,10 @@
 
 fn unanswered(e: &reqwest::Error) -> error_stack::Report<Error> {
     let error = if e.is_connect() {
-        Error::not_run(ErrorKind::Unavailable, "the endpoint refused the connection")
+        Error::not_run(
+            ErrorKind::Unavailable,
+            "the endpoint refused the connection",
+        )
     } else if e.is_timeout() {
         Error::may_have_run(ErrorKind::Timeout, "the endpoint did not answer in time")
     } else {
--- a/components/agent/src/gangs/controller.rs
+++ b/components/agent/src/gangs/controller.rs
@@ -20,7 +20,10 @@
 /// Runs the controller until its last sender is gone.
 pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<GangEvent>, cx: Arc<Context>) {
     let workers = &cx.settings.workers;
-    let capacity: BTreeMap<_, _> = workers.iter().map(|worker| (worker.id.clone(), worker.capacity)).collect();
+    let capacity: BTreeMap<_, _> = workers
+        .iter()
+        .map(|worker| (worker.id.clone(), worker.capacity))
+        .collect();
     let mut state = State {
         cx: Arc::clone(&cx),
         fence: Fence::default(),
@@ -62,12 +65,22 @@
         }
         GangEvent::Pulse { from, pulse } => member::pulse(state, from, &pulse, now),
         GangEvent::Stop { stop, tx } => stop_gang(state, &stop, tx),
-        GangEvent::TaskFailed { gang, worker, message } => member::task_failed(state, gang, worker, message),
+        GangEvent::TaskFailed {
+            gang,
+            worker,
+            message,
+        } => member::task_failed(state, gang, worker, message),
         GangEvent::Start { start, tx } => leading::start(state, start, tx, now),
-        GangEvent::Armed { gang, agent, result } => leading::armed(state, gang, &agent, result, now),
+        GangEvent::Armed {
+            gang,
+            agent,
+            result,
+        } => leading::armed(state, gang, &agent, result, now),
         GangEvent::PulseAck { ack } => leading::pulse_acked(state, &ack, now),
-        GangEvent::MemberStopped { gang, agent } => leading::member_stopped(state, gang, &agent, now),
-        GangEvent::MemberFailed { failed } => leading::member_failed(state, failed, now),
+        GangEvent::MemberStopped { gang, agent } => {
+            leading::member_stopped(state, gang, &agent, now);
+        }
+        GangEvent::MemberFailed { failed } => leading::member_failed(state, &failed, now),
         GangEvent::Claim { gang, tx } => {
             let _ = tx.send(leading::claim(state, gang));
         }
--- a/components/agent/src/gangs/leading.rs
+++ b/components/agent/src/gangs/leading.rs
@@ -8,7 +8,9 @@
 use membership::leader::{Ack, Leader, Leading};
 use model::{AgentId, GangId};
 use tokio_util::sync::CancellationToken;
-use wire::{ArmGang, Call, GangEnded, MemberFailed, Packet, Pulse, PulseAck, Reply, StartGang, StopGang};
+use wire::{
+    ArmGang, Call, GangEnded, MemberFailed, Packet, Pulse, PulseAck, Reply, StartGang, StopGang,
+};
 
 use crate::context::Context;
 use crate::gangs::state::{Led, LedInfo, State};
@@ -25,7 +27,10 @@
 
 /// Arms all members of a gang.
 pub(crate) fn start(state: &mut State, start: StartGang, tx: ReplyTo<()>, now: Instant) {
-    let own_part = state.gangs.get(&start.gang).is_some_and(|gang| gang.has_slot);
+    let own_part = state
+        .gangs
+        .get(&start.gang)
+        .is_some_and(|gang| gang.has_slot);
     if !own_part || state.led_info(start.gang).is_some() {
         let message = "the gang has no reserved slot here or has started already";
         let _ = tx.send(Err(Error::not_run(ErrorKind::Conflict, message).report()));
@@ -70,15 +75,31 @@
             Ok(_) => Err(Error::not_run(ErrorKind::Internal, "unexpected reply").report()),
             Err(report) => Err(report),
         };
-        let _ = cx.gangs.send(GangEvent::Armed { gang, agent, result });
+        let _ = cx.gangs.send(GangEvent::Armed {
+            gang,
+            agent,
+            result,
+        });
     });
 }
 
 /// Records that a member is armed, and lets the gang run once all are.
-pub(crate) fn armed(state: &mut State, gang: GangId, agent: &str, result: Result<PulseAck>, now: Instant) {
-    let Some(mut led) = state.arming.swap_remove(&gang) else { return };
+pub(crate) fn armed(
+    state: &mut State,
+    gang: GangId,
+    agent: &str,
+    result: Result<PulseAck>,
+    now: Instant,
+) {
+    let Some(mut led) = state.arming.swap_remove(&gang) else {
+        return;
+    };
     let ack = match result {
-        Ok(ack) => Ack { gang, echo: ack.echo, stamp: ack.stamp },
+        Ok(ack) => Ack {
+            gang,
+            echo: ack.echo,
+            stamp: ack.stamp,
+        },
         Err(report) => {
             let cause = report.current_context();
             let message = format!("agent {agent} could not arm its members: {}", cause.message);
@@ -89,7 +110,10 @@
     led.leader.acked(agent, &ack, now);
     match led.leader.go(now) {
         Ok(leader) => {
-            let mut led = Led { leader, info: led.info };
+            let mut led = Led {
+                leader,
+                info: led.info,
+            };
             if let Some(started) = led.info.started.take() {
                 let _ = started.send(Ok(()));
             }
@@ -97,7 +121,13 @@
             send_pulses(state, led, now);
         }
         Err(leader) => {
-            state.arming.insert(gang, Led { leader, info: led.info });
+            state.arming.insert(
+                gang,
+                Led {
+                    leader,
+                    info: led.info,
+                },
+            );
         }
     }
 }
@@ -105,7 +135,15 @@
 /// Records a member's answer to a pulse.
 pub(crate) fn pulse_acked(state: &mut State, ack: &PulseAck, now: Instant) {
     if let Some(led) = state.leading.get_mut(&ack.gang) {
-        led.leader.acked(&ack.agent, &Ack { gang: ack.gang, echo: ack.echo, stamp: ack.stamp }, now);
+        led.leader.acked(
+            &ack.agent,
+            &Ack {
+                gang: ack.gang,
+                echo: ack.echo,
+                stamp: ack.stamp,
+            },
+            now,
+        );
     }
 }
 
@@ -128,8 +166,12 @@
         }
         send_pulses(state, led, now);
     }
-    let over: Vec<GangId> =
-        state.stopping.iter().filter(|(_, led)| led.leader.is_over(now)).map(|(gang, _)| *gang).collect();
+    let over: Vec<GangId> = state
+        .stopping
+        .iter()
+        .filter(|(_, led)| led.leader.is_over(now))
+        .map(|(gang, _)| *gang)
+        .collect();
     for gang in over {
         finish(state, gang);
     }
@@ -141,8 +183,14 @@
         Ok((leader, pulses)) => {
             let led = Led { leader, info };
             for (agent, pulse) in pulses {
-                let Some(addr) = led.addr(&agent) else { continue };
-                let packet = Packet::Pulse(Pulse { gang: pulse.gang, stamp: pulse.stamp, echo: pulse.echo });
+                let Some(addr) = led.addr(&agent) else {
+                    continue;
+                };
+                let packet = Packet::Pulse(Pulse {
+                    gang: pulse.gang,
+                    stamp: pulse.stamp,
+                    echo: pulse.echo,
+                });
                 let cx = Arc::clone(&state.cx);
                 tokio::spawn(async move { cx.datagrams.send(addr, packet).await });
             }
@@ -150,10 +198,17 @@
         }
         Err(stopping) => {
             let message = "a member of the gang was lost";
-            info.error.get_or_insert_with(|| Error::may_have_run(ErrorKind::Stopped, message));
+            info.error
+                .get_or_insert_with(|| Error::may_have_run(ErrorKind::Stopped, message));
             info.stopped.cancel();
             stop_members(state, stopping.gang, &info, ErrorKind::Unavailable);
-            state.stopping.insert(stopping.gang, Led { leader: stopping, info });
+            state.stopping.insert(
+                stopping.gang,
+                Led {
+                    leader: stopping,
+                    info,
+                },
+            );
         }
     }
 }
@@ -162,7 +217,11 @@
 pub(crate) fn claim(state: &mut State, gang: GangId) -> Result<ClaimedGang> {
     let missing = || Error::not_run(ErrorKind::Stopped, "the gang no longer runs").report();
     let led = state.leading.get_mut(&gang).ok_or_else(missing)?;
-    let slot = state.gangs.get_mut(&gang).and_then(|gang| gang.slot.take()).ok_or_else(missing)?;
+    let slot = state
+        .gangs
+        .get_mut(&gang)
+        .and_then(|gang| gang.slot.take())
+        .ok_or_else(missing)?;
     led.info.claimed = true;
     Ok(ClaimedGang {
         slot,
@@ -173,7 +232,9 @@
 
 /// Ends a gang whose request ended.
 pub(crate) fn request_ended(state: &mut State, gang: GangId, error: Option<Error>, _now: Instant) {
-    let reason = error.as_ref().map_or(ErrorKind::Cancelled, |error| error.kind);
+    let reason = error
+        .as_ref()
+        .map_or(ErrorKind::Cancelled, |error| error.kind);
     if let Some(mut led) = state.leading.swap_remove(&gang) {
         led.info.error = error;
         begin_stop(state, led, reason);
@@ -181,8 +242,10 @@
 }
 
 /// Stops a gang because a worker failed a task.
-pub(crate) fn member_failed(state: &mut State, failed: MemberFailed, now: Instant) {
-    let Some(info) = state.led_info(failed.gang) else { return };
+pub(crate) fn member_failed(state: &mut State, failed: &MemberFailed, now: Instant) {
+    let Some(info) = state.led_info(failed.gang) else {
+        return;
+    };
     if !info.failed_workers.contains(&failed.worker) {
         info.failed_workers.push(failed.worker.clone());
     }
@@ -200,7 +263,11 @@
     state.fence.admit(stop.epoch.unwrap_or_default())?;
     let message = "the owner stopped the gang";
     if let Some(mut led) = state.leading.swap_remove(&stop.gang) {
-        let verdict = if led.info.claimed { Verdict::MayHaveRun } else { Verdict::NotRun };
+        let verdict = if led.info.claimed {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
         led.info.error = Some(Error::new(verdict, stop.reason, message));
         begin_stop(state, led, stop.reason);
     } else if let Some(led) = state.arming.swap_remove(&stop.gang) {
@@ -214,7 +281,13 @@
     let gang = leader.gang;
     info.stopped.cancel();
     stop_members(state, gang, &info, reason);
-    state.stopping.insert(gang, Led { leader: leader.stop(), info });
+    state.stopping.insert(
+        gang,
+        Led {
+            leader: leader.stop(),
+            info,
+        },
+    );
 }
 
 /// Gives up a gang of which no member was ever allowed to run.
@@ -227,13 +300,24 @@
     info.error = Some(error);
     info.stopped.cancel();
     stop_members(state, gang, &info, ErrorKind::Cancelled);
-    state.stopping.insert(gang, Led { leader: leader.stop(now), info });
+    state.stopping.insert(
+        gang,
+        Led {
+            leader: leader.stop(now),
+            info,
+        },
+    );
 }
 
 /// Stops the tasks of all members; each reports back once its workers have stopped.
 fn stop_members(state: &State, gang: GangId, info: &LedInfo, reason: ErrorKind) {
     for (agent, addr) in &info.agents {
-        let call = Call::StopGang(StopGang { gang, epoch: None, reason, release: false });
+        let call = Call::StopGang(StopGang {
+            gang,
+            epoch: None,
+            reason,
+            release: false,
+        });
         let cx = Arc::clone(&state.cx);
         let (agent, addr) = (agent.clone(), *addr);
         tokio::spawn(async move {
@@ -247,7 +331,9 @@
 
 /// Records that a member stopped; the gang ends with its last member.
 pub(crate) fn member_stopped(state: &mut State, gang: GangId, agent: &str, now: Instant) {
-    let Some(led) = state.stopping.get_mut(&gang) else { return };
+    let Some(led) = state.stopping.get_mut(&gang) else {
+        return;
+    };
     led.leader.stopped(agent);
     if led.leader.is_over(now) {
         finish(state, gang);
@@ -256,10 +342,17 @@
 
 /// Releases all members and reports the end to the owner.
 fn finish(state: &mut State, gang: GangId) {
-    let Some(led) = state.stopping.swap_remove(&gang) else { return };
+    let Some(led) = state.stopping.swap_remove(&gang) else {
+        return;
+    };
     let info = led.info;
     for (_, addr) in &info.agents {
-        let call = Call::StopGang(StopGang { gang, epoch: None, reason: ErrorKind::Cancelled, release: true });
+        let call = Call::StopGang(StopGang {
+            gang,
+            epoch: None,
+            reason: ErrorKind::Cancelled,
+            release: true,
+        });
         let cx = Arc::clone(&state.cx);
         let addr = *addr;
         tokio::spawn(async move {
@@ -273,14 +366,24 @@
         result:% = info.error.as_ref().map_or("answered", |error| error.kind.as_str());
         "gang_ended"
     );
-    let ended = GangEnded { gang, error: info.error, failed_workers: info.failed_workers };
+    let ended = GangEnded {
+        gang,
+        error: info.error,
+        failed_workers: info.failed_workers,
+    };
     tokio::spawn(report_end(Arc::clone(&state.cx), ended));
 }
 
 async fn report_end(cx: Arc<Context>, ended: GangEnded) {
     let call = Call::GangEnded(ended);
     for _ in 0..REPORT_TRIES {
-        let owner = cx.board.owner.load().as_ref().as_ref().map(|owner| owner.addr);
+        let owner = cx
+            .board
+            .owner
+            .load()
+            .as_ref()
+            .as_ref()
+            .map(|owner| owner.addr);
         if let Some(addr) = owner
             && cx.peers.call(addr, &call, MEMBER_TIMEOUT).await.is_ok()
         {
--- a/components/agent/src/gangs/member.rs
+++ b/components/agent/src/gangs/member.rs
@@ -11,8 +11,8 @@
 use model::{GangId, WorkerId};
 use wire::{ArmGang, Call, MemberFailed, Packet, Pulse, PulseAck, Reserve, StopGang};
 
-use crate::gangs::state::{Gang, State};
 use crate::gangs::ReplyTo;
+use crate::gangs::state::{Gang, State};
 use crate::tasks;
 
 /// When an owner may ask again for a slot of a busy endpoint.
@@ -26,16 +26,24 @@
         return Err(Error::not_run(ErrorKind::Draining, "the agent is shutting down").report());
     }
     let known = state.gangs.contains_key(&reserve.gang);
-    let slot = match reserve.slot && !known {
-        true => Some(state.cx.slots.try_take().ok_or_else(no_slot)?),
-        false => None,
+    let slot = if reserve.slot && !known {
+        Some(state.cx.slots.try_take().ok_or_else(no_slot)?)
+    } else {
+        None
     };
     let parts: Arc<[Part]> = reserve
         .members
         .iter()
-        .map(|member| Part { worker: member.worker.clone(), total: member.total() })
+        .map(|member| Part {
+            worker: member.worker.clone(),
+            total: member.total(),
+        })
         .collect();
-    let order = ReserveParts { gang: reserve.gang, epoch: reserve.epoch, parts };
+    let order = ReserveParts {
+        gang: reserve.gang,
+        epoch: reserve.epoch,
+        parts,
+    };
     state.reservations.reserve(&mut state.fence, order, now)?;
     if !known {
         let gang = Gang {
@@ -60,9 +68,14 @@
 
 /// Extends the reservation to the gang lease.
 pub(crate) fn arm(state: &mut State, arm: ArmGang, now: Instant) -> Result<PulseAck> {
-    let ack = state
-        .reservations
-        .arm(&Arm { gang: arm.gang, epoch: arm.epoch, stamp: arm.stamp }, now)?;
+    let ack = state.reservations.arm(
+        &Arm {
+            gang: arm.gang,
+            epoch: arm.epoch,
+            stamp: arm.stamp,
+        },
+        now,
+    )?;
     if let Some(gang) = state.gangs.get_mut(&arm.gang) {
         gang.leader = Some(arm.leader);
         gang.request = Some(arm.request);
@@ -77,9 +90,14 @@
 
 /// Starts the tasks at the first pulse of the leader and keeps them running at later ones.
 pub(crate) fn pulse(state: &mut State, from: SocketAddr, pulse: &Pulse, now: Instant) {
-    let renewal = state
-        .reservations
-        .pulse(&LeaderPulse { gang: pulse.gang, stamp: pulse.stamp, echo: pulse.echo }, now);
+    let renewal = state.reservations.pulse(
+        &LeaderPulse {
+            gang: pulse.gang,
+            stamp: pulse.stamp,
+            echo: pulse.echo,
+        },
+        now,
+    );
     // The gang ended here; the leader notices the missing answer.
     let Ok(renewal) = renewal else { return };
     if let Some(gang) = state.gangs.get_mut(&pulse.gang) {
@@ -101,22 +119,33 @@
 /// Stops the tasks of a gang and answers once the workers have stopped them.
 pub(crate) fn stop(state: &mut State, stop: &StopGang, tx: ReplyTo<()>, now: Instant) {
     let sender = stop.epoch.map_or(Sender::Leader, Sender::Owner);
-    let result = match stop.release {
-        true => state.reservations.release(&mut state.fence, stop.gang, sender, now),
-        false => state.reservations.stop(&mut state.fence, stop.gang, sender, now),
+    let result = if stop.release {
+        state
+            .reservations
+            .release(&mut state.fence, stop.gang, sender, now)
+    } else {
+        state
+            .reservations
+            .stop(&mut state.fence, stop.gang, sender, now)
     };
     if let Err(report) = result {
         let _ = tx.send(Err(report));
         return;
     }
-    let running = state.gangs.get_mut(&stop.gang).filter(|gang| gang.run_until.is_some());
+    let running = state
+        .gangs
+        .get_mut(&stop.gang)
+        .filter(|gang| gang.run_until.is_some());
     let Some(gang) = running else {
         let _ = tx.send(Ok(()));
         return;
     };
     gang.run_until = None;
     let checkpoint = stop.reason == ErrorKind::Stopped
-        && gang.request.as_ref().is_some_and(|request| request.stoppable);
+        && gang
+            .request
+            .as_ref()
+            .is_some_and(|request| request.stoppable);
     tasks::stop(&state.cx, stop.gang, gang, checkpoint, Some(tx));
 }
 
@@ -134,7 +163,9 @@
 }
 
 fn stop_tasks(state: &mut State, id: GangId) {
-    let Some(gang) = state.gangs.get_mut(&id) else { return };
+    let Some(gang) = state.gangs.get_mut(&id) else {
+        return;
+    };
     if gang.run_until.take().is_some() {
         tasks::stop(&state.cx, id, gang, false, None);
     }
@@ -142,13 +173,19 @@
 
 /// Tells the leader that a worker of this agent failed a task.
 pub(crate) fn task_failed(state: &mut State, id: GangId, worker: WorkerId, message: Box<str>) {
-    let Some(leader) = state.gangs.get(&id).and_then(|gang| gang.leader) else { return };
+    let Some(leader) = state.gangs.get(&id).and_then(|gang| gang.leader) else {
+        return;
+    };
     log::warn!(
         target: "limpethook",
         gang:% = format_args!("{id:032x}"), worker:% = worker, message:% = message;
         "task_failed"
     );
-    let call = Call::MemberFailed(MemberFailed { gang: id, worker, message });
+    let call = Call::MemberFailed(MemberFailed {
+        gang: id,
+        worker,
+        message,
+    });
     let cx = Arc::clone(&state.cx);
     tokio::spawn(async move {
         // A lost report is made up for by the gang lease, which this member no longer renews.
--- a/components/agent/src/gangs/mod.rs
+++ b/components/agent/src/gangs/mod.rs
@@ -3,7 +3,7 @@
 mod controller;
 mod leading;
 mod member;
-mod state;
+pub(crate) mod state;
 
 use std::net::SocketAddr;
 
@@ -24,7 +24,10 @@
 #[derive(Debug)]
 pub(crate) enum GangEvent {
     /// A new owner was found; its epoch is adopted before the agent reports to it.
-    Adopt { epoch: Epoch, tx: oneshot::Sender<()> },
+    Adopt {
+        epoch: Epoch,
+        tx: oneshot::Sender<()>,
+    },
     /// The owner reserves members.
     Reserve { reserve: Reserve, tx: ReplyTo<()> },
     /// The owner lets a gang run that this agent leads.
@@ -32,7 +35,11 @@
     /// The leader arms this agent's members.
     Arm { arm: ArmGang, tx: ReplyTo<PulseAck> },
     /// A member answered `ArmGang`.
-    Armed { gang: GangId, agent: AgentId, result: Result<PulseAck> },
+    Armed {
+        gang: GangId,
+        agent: AgentId,
+        result: Result<PulseAck>,
+    },
     /// The leader renews the gang lease.
     Pulse { from: SocketAddr, pulse: Pulse },
     /// A member answered a pulse.
@@ -42,11 +49,18 @@
     /// A member stopped its part of a gang that this agent leads.
     MemberStopped { gang: GangId, agent: AgentId },
     /// A worker of this agent failed a task.
-    TaskFailed { gang: GangId, worker: WorkerId, message: Box<str> },
+    TaskFailed {
+        gang: GangId,
+        worker: WorkerId,
+        message: Box<str>,
+    },
     /// A worker of another member failed a task.
     MemberFailed { failed: MemberFailed },
     /// The request of a gang that this agent leads wants to run.
-    Claim { gang: GangId, tx: ReplyTo<ClaimedGang> },
+    Claim {
+        gang: GangId,
+        tx: ReplyTo<ClaimedGang>,
+    },
     /// The request of a gang ended.
     RequestEnded { gang: GangId, error: Option<Error> },
     /// Time passed.
--- a/components/agent/src/gangs/state.rs
+++ b/components/agent/src/gangs/state.rs
@@ -6,9 +6,9 @@
 
 use errors::Error;
 use indexmap::IndexMap;
+use membership::Reservations;
 use membership::fencing::Fence;
 use membership::leader::{Arming, Leader, Leading, Stopping};
-use membership::Reservations;
 use model::{AgentId, Epoch, GangId, JobId, Member, Request, WorkerId};
 use tokio_util::sync::CancellationToken;
 use wire::HeldGang;
@@ -66,7 +66,11 @@
 impl<S> Led<S> {
     /// Returns the address of a member.
     pub(crate) fn addr(&self, agent: &str) -> Option<SocketAddr> {
-        self.info.agents.iter().find(|(id, _)| **id == *agent).map(|(_, addr)| *addr)
+        self.info
+            .agents
+            .iter()
+            .find(|(id, _)| **id == *agent)
+            .map(|(_, addr)| *addr)
     }
 }
 
@@ -74,7 +78,9 @@
     /// Returns what the owner needs to know of all gangs here.
     pub(crate) fn view(&self) -> Vec<HeldGang> {
         let gangs = self.gangs.iter();
-        gangs.map(|(id, gang)| held_gang(*id, gang, self.leads(*id))).collect()
+        gangs
+            .map(|(id, gang)| held_gang(*id, gang, self.leads(*id)))
+            .collect()
     }
 
     fn leads(&self, gang: GangId) -> bool {
--- a/components/agent/src/link.rs
+++ b/components/agent/src/link.rs
@@ -43,7 +43,10 @@
 async fn link(cx: &Context) -> Result<OwnerRecord> {
     let owner = cx.locator.owner(&cx.settings.cell).await?;
     let (tx, rx) = oneshot::channel();
-    let _ = cx.gangs.send(GangEvent::Adopt { epoch: owner.epoch, tx });
+    let _ = cx.gangs.send(GangEvent::Adopt {
+        epoch: owner.epoch,
+        tx,
+    });
     let _ = rx.await;
     let call = Call::Announce(announce(cx).await);
     match cx.peers.call(owner.addr, &call, ANNOUNCE_TIMEOUT).await? {
@@ -89,7 +92,9 @@
 }
 
 async fn send_heartbeat(cx: &Context, owner: &OwnerRecord) {
-    cx.datagrams.send(owner.addr, Packet::Heartbeat(heartbeat(cx))).await;
+    cx.datagrams
+        .send(owner.addr, Packet::Heartbeat(heartbeat(cx)))
+        .await;
 }
 
 /// Fetches the configuration sections that the owner has and this agent does not.
--- a/components/agent/src/metrics.rs
+++ b/components/agent/src/metrics.rs
@@ -33,14 +33,30 @@
         registry.register(Box::new(dispatches.clone()))?;
         Ok(Self {
             slots_free: gauge(&registry, "slots_free", "Free slots of the endpoint.")?,
-            queued: gauge(&registry, "queued_requests", "Requests that wait for a slot.")?,
+            queued: gauge(
+                &registry,
+                "queued_requests",
+                "Requests that wait for a slot.",
+            )?,
             gangs: gauge(&registry, "gangs", "Gangs with a reservation here.")?,
-            config_revision: gauge(&registry, "config_revision", "Configuration revision in force.")?,
+            config_revision: gauge(
+                &registry,
+                "config_revision",
+                "Configuration revision in force.",
+            )?,
             datagrams_sent: gauge(&registry, "datagrams_sent", "Datagrams sent.")?,
             datagram_bytes: gauge(&registry, "datagram_sent_bytes", "Bytes sent in datagrams.")?,
-            datagrams_foreign: gauge(&registry, "datagrams_foreign", "Datagrams with a wrong key.")?,
+            datagrams_foreign: gauge(
+                &registry,
+                "datagrams_foreign",
+                "Datagrams with a wrong key.",
+            )?,
             datagrams_repeated: gauge(&registry, "datagrams_repeated", "Repeated datagrams.")?,
-            refused_epochs: counter(&registry, "refused_epochs_total", "Calls with a stale epoch.")?,
+            refused_epochs: counter(
+                &registry,
+                "refused_epochs_total",
+                "Calls with a stale epoch.",
+            )?,
             dispatches,
             registry,
         })
@@ -48,7 +64,10 @@
 
     /// Counts a dispatch.
     pub(crate) fn count_dispatch(&self, result: &Result<Answer>) {
-        let result = result.as_ref().map_or_else(|report| report.current_context().kind.as_str(), |_| "answered");
+        let result = result.as_ref().map_or_else(
+            |report| report.current_context().kind.as_str(),
+            |_| "answered",
+        );
         self.dispatches.with_label_values(&[result]).inc();
     }
 
@@ -57,7 +76,8 @@
         self.slots_free.set(i64::from(cx.slots.free()));
         self.queued.set(i64::from(cx.slots.waiting()));
         self.gangs.set(signed(cx.board.gangs.load().len() as u64));
-        self.config_revision.set(signed(cx.board.config.load().revision));
+        self.config_revision
+            .set(signed(cx.board.config.load().revision));
         let counts = cx.datagrams.counts();
         self.datagrams_sent.set(signed(counts.sent()));
         self.datagram_bytes.set(signed(counts.sent_bytes()));
--- a/components/agent/src/requests.rs
+++ b/components/agent/src/requests.rs
@@ -18,28 +18,37 @@
 #[derive(Debug)]
 pub(crate) enum RequestEvent {
     /// A request is about to run and can be cancelled with the token.
-    Register { request: RequestId, cancel: CancellationToken },
+    Register {
+        request: RequestId,
+        cancel: CancellationToken,
+    },
     /// A request no longer runs.
     Unregister { request: RequestId },
     /// The caller gave up.
     Cancel { request: RequestId },
     /// A non-idempotent request asks for the right to call the endpoint.
-    Begin { id: AttemptId, epoch: Epoch, tx: oneshot::Sender<Result<Permit>> },
+    Begin {
+        id: AttemptId,
+        epoch: Epoch,
+        tx: oneshot::Sender<Result<Permit>>,
+    },
     /// The call of the endpoint ended.
     Finish { permit: Permit },
     /// The endpoint was never called.
     Abandon { permit: Permit },
     /// A dispatch is turned away; a late copy of it must be refused as well.
-    Refuse { id: AttemptId, tx: oneshot::Sender<Report<Error>> },
+    Refuse {
+        id: AttemptId,
+        tx: oneshot::Sender<Report<Error>>,
+    },
     /// The attempts that began, for the owner.
-    Recorded { tx: oneshot::Sender<Vec<RecordedAttempt>> },
+    Recorded {
+        tx: oneshot::Sender<Vec<RecordedAttempt>>,
+    },
 }
 
 /// Runs the controller until its last sender is gone.
-pub(crate) async fn run(
-    mut rx: mpsc::UnboundedReceiver<RequestEvent>,
-    incarnation: u64,
-) {
+pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<RequestEvent>, incarnation: u64) {
     let mut attempts = Attempts::start(incarnation, RECORD_LIMIT);
     let mut running: IndexMap<RequestId, CancellationToken> = IndexMap::new();
     while let Some(event) = rx.recv().await {
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -6,13 +6,15 @@
 use config::AgentSettings;
 use discovery::Locator;
 use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
+use model::WorkerId;
 use store::{HttpStore, HttpStoreSettings};
 use timer::Timer;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{Datagrams, Key, Peers, Server};
-use workers::HttpWorkers;
+use workers::{HttpWorkers, HttpWorkersSettings, WorkerPlatform};
 
 use crate::context::{AgentBoard, Context};
 use crate::endpoint::EndpointClient;
@@ -28,7 +30,9 @@
 /// Runs an agent until `shutdown` is cancelled and its work has ended; returns whether all work ended.
 pub async fn run(settings: AgentSettings, shutdown: CancellationToken) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
-    let listener = TcpListener::bind(settings.peer_listen).await.map_err(|e| cannot_listen(&settings, &e))?;
+    let listener = TcpListener::bind(settings.peer_listen)
+        .await
+        .map_err(|e| cannot_listen(&settings, &e))?;
     let (gang_tx, gang_rx) = mpsc::unbounded_channel();
     let (request_tx, request_rx) = mpsc::unbounded_channel();
     let (config_updates, config_rx) = distribution::updates();
@@ -36,17 +40,30 @@
         .await
         .map_err(|e| cannot_listen(&settings, &e))?;
     let incarnation = datagrams.incarnation();
-    let cx = Arc::new(context(settings, key.clone(), datagrams, gang_tx, request_tx, config_updates)?);
+    let cx = Arc::new(context(
+        settings,
+        key.clone(),
+        datagrams,
+        gang_tx,
+        request_tx,
+        config_updates,
+    )?);
 
     tokio::spawn(gangs::run(gang_rx, Arc::clone(&cx)));
     tokio::spawn(requests::run(request_rx, incarnation));
-    tokio::spawn(distribution::run_controller(config_rx, Arc::clone(&cx), |cx| &cx.board.config));
+    tokio::spawn(distribution::run_controller(
+        config_rx,
+        Arc::clone(&cx),
+        |cx| &cx.board.config,
+    ));
     let (ack_tx, ack_rx) = mpsc::channel(ACK_QUEUE);
     tokio::spawn(serve::receive(Arc::clone(&cx), ack_tx));
     tokio::spawn(link::run(Arc::clone(&cx), ack_rx));
     if let Some(addr) = cx.settings.metrics_listen {
         let metrics_cx = Arc::clone(&cx);
-        tokio::spawn(telemetry::serve_metrics(addr, move || metrics_cx.metrics.text(&metrics_cx)));
+        tokio::spawn(telemetry::serve_metrics(addr, move || {
+            metrics_cx.metrics.text(&metrics_cx)
+        }));
     }
     let stop = CancellationToken::new();
     let handler_cx = Arc::clone(&cx);
@@ -78,13 +95,21 @@
     requests: mpsc::UnboundedSender<requests::RequestEvent>,
     config_updates: distribution::Updates,
 ) -> Result<Context> {
-    let store = Arc::new(HttpStore::new(HttpStoreSettings::new(&settings.store_url))?);
+    let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
+        settings.store_url.clone(),
+    ))?);
     let peers = Peers::new(key);
     let locator = Locator::new(store, peers.clone(), &settings.seeds);
-    let urls = settings.workers.iter().map(|worker| (worker.id.clone(), worker.url.clone()));
-    let platform = Arc::new(HttpWorkers::new(urls)?);
-    let endpoint = settings.endpoint.as_ref().map(EndpointClient::new).transpose()?;
-    let (slots, backlog) = settings.endpoint.as_ref().map_or((0, 0), |e| (e.slots, e.backlog));
+    let platforms = worker_platforms(&settings)?;
+    let endpoint = settings
+        .endpoint
+        .as_ref()
+        .map(EndpointClient::new)
+        .transpose()?;
+    let (slots, backlog) = settings
+        .endpoint
+        .as_ref()
+        .map_or((0, 0), |e| (e.slots, e.backlog));
     let metrics = Metrics::new()
         .map_err(|e| Error::not_run(ErrorKind::Internal, format!("metrics: {e}")).report())?;
     Ok(Context {
@@ -94,7 +119,7 @@
         peers,
         datagrams,
         locator,
-        platform,
+        platforms,
         endpoint,
         slots: Slots::new(slots, backlog),
         gangs,
@@ -105,7 +130,29 @@
     })
 }
 
+/// Returns the platform interface of each worker; workers at one address share a client.
+fn worker_platforms(
+    settings: &AgentSettings,
+) -> Result<IndexMap<WorkerId, Arc<dyn WorkerPlatform>>> {
+    let mut clients: IndexMap<&str, Arc<dyn WorkerPlatform>> = IndexMap::new();
+    let mut platforms = IndexMap::new();
+    for worker in &settings.workers {
+        let client = match clients.get(&*worker.url) {
+            Some(client) => Arc::clone(client),
+            None => Arc::new(HttpWorkers::new(&HttpWorkersSettings::new(
+                worker.url.clone(),
+            ))?),
+        };
+        clients.insert(&worker.url, Arc::clone(&client));
+        platforms.insert(worker.id.clone(), client);
+    }
+    Ok(platforms)
+}
+
 fn cannot_listen(settings: &AgentSettings, e: &std::io::Error) -> error_stack::Report<Error> {
-    let message = format!("key peer_listen: cannot listen on {}: {e}", settings.peer_listen);
+    let message = format!(
+        "key peer_listen: cannot listen on {}: {e}",
+        settings.peer_listen
+    );
     Error::not_run(ErrorKind::Unavailable, message).report()
 }
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -47,21 +47,32 @@
             let _ = cx.requests.send(RequestEvent::Cancel { request });
             Ok(Reply::Done)
         }
-        Call::Reserve(reserve) => ask(cx, |tx| GangEvent::Reserve { reserve, tx }).await.map(|()| Reply::Done),
-        Call::StartGang(start) => ask(cx, |tx| GangEvent::Start { start, tx }).await.map(|()| Reply::Done),
-        Call::ArmGang(arm) => ask(cx, |tx| GangEvent::Arm { arm, tx }).await.map(Reply::Armed),
-        Call::StopGang(stop) => ask(cx, |tx| GangEvent::Stop { stop, tx }).await.map(|()| Reply::Done),
+        Call::Reserve(reserve) => ask(cx, |tx| GangEvent::Reserve { reserve, tx })
+            .await
+            .map(|()| Reply::Done),
+        Call::StartGang(start) => ask(cx, |tx| GangEvent::Start { start, tx })
+            .await
+            .map(|()| Reply::Done),
+        Call::ArmGang(arm) => ask(cx, |tx| GangEvent::Arm { arm, tx })
+            .await
+            .map(Reply::Armed),
+        Call::StopGang(stop) => ask(cx, |tx| GangEvent::Stop { stop, tx })
+            .await
+            .map(|()| Reply::Done),
         Call::MemberFailed(failed) => {
             let _ = cx.gangs.send(GangEvent::MemberFailed { failed });
             Ok(Reply::Done)
         }
-        Call::SectionsAfter(after) => {
-            Ok(Reply::Sections(distribution::sections_after(&cx.board.config.load(), after)))
-        }
-        Call::WhoOwns(cell) if cell == cx.settings.cell => {
+        Call::SectionsAfter(after) => Ok(Reply::Sections(distribution::sections_after(
+            &cx.board.config.load(),
+            after,
+        ))),
+        Call::WhoOwns(name) if name == cx.settings.cell => {
             Ok(Reply::Owner(Option::clone(&cx.board.owner.load())))
         }
-        _ => Err(Error::not_run(ErrorKind::NotFound, "an agent does not answer this call").report()),
+        _ => {
+            Err(Error::not_run(ErrorKind::NotFound, "an agent does not answer this call").report())
+        }
     }
 }
 
--- a/components/agent/src/slots.rs
+++ b/components/agent/src/slots.rs
@@ -27,7 +27,12 @@
     /// Creates free slots and a queue of `backlog` places.
     pub(crate) fn new(total: u32, backlog: u32) -> Self {
         let free = Arc::new(Semaphore::new(total as usize));
-        Self { free, total, waiting: AtomicU32::new(0), backlog }
+        Self {
+            free,
+            total,
+            waiting: AtomicU32::new(0),
+            backlog,
+        }
     }
 
     /// Returns the number of free slots.
@@ -61,13 +66,11 @@
             return Ok(slot);
         }
         let _place = self.queue()?;
-        match timeout(limit, Arc::clone(&self.free).acquire_owned()).await {
-            Ok(Ok(slot)) => Ok(slot),
-            Ok(Err(_)) | Err(_) => {
-                let message = "the deadline passed in the queue of the endpoint";
-                Err(Error::not_run(ErrorKind::Timeout, message).report())
-            }
-        }
+        let Ok(Ok(slot)) = timeout(limit, Arc::clone(&self.free).acquire_owned()).await else {
+            let message = "the deadline passed in the queue of the endpoint";
+            return Err(Error::not_run(ErrorKind::Timeout, message).report());
+        };
+        Ok(slot)
     }
 
     fn queue(&self) -> Result<Place<'_>> {
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use errors::Result;
 use indexmap::IndexMap;
 use model::{GangId, Member, Request, WorkerId};
 use tokio::time::timeout;
@@ -29,12 +30,28 @@
 }
 
 async fn start_one(cx: Arc<Context>, gang: GangId, worker: WorkerId, task: StartTask) {
-    let Err(report) = cx.platform.start_task(&worker, &task).await else { return };
+    let Err(report) = try_start(&cx, &worker, &task).await else {
+        return;
+    };
     let message = report.current_context().message.clone();
-    let _ = cx.gangs.send(GangEvent::TaskFailed { gang, worker, message });
+    let _ = cx.gangs.send(GangEvent::TaskFailed {
+        gang,
+        worker,
+        message,
+    });
+}
+
+async fn try_start(cx: &Context, worker: &str, task: &StartTask) -> Result<()> {
+    cx.platform(worker)?.start_task(worker, task).await
 }
 
-fn start_task(id: GangId, member: &Member, number: u32, request: &Request, lease: Duration) -> StartTask {
+fn start_task(
+    id: GangId,
+    member: &Member,
+    number: u32,
+    request: &Request,
+    lease: Duration,
+) -> StartTask {
     StartTask {
         task: task_id(id, &member.worker, number),
         gang: id,
@@ -57,12 +74,19 @@
 pub(crate) fn renew(state: &State, now: Instant) {
     let mut batches: IndexMap<WorkerId, (Duration, Vec<(GangId, TaskId)>)> = IndexMap::new();
     for (id, gang) in &state.gangs {
-        let Some(left) = gang.run_until.and_then(|until| until.checked_duration_since(now)) else { continue };
+        let Some(left) = gang
+            .run_until
+            .and_then(|until| until.checked_duration_since(now))
+        else {
+            continue;
+        };
         if left < MIN_RENEWAL {
             continue;
         }
         for member in &gang.members {
-            let (lease, tasks) = batches.entry(member.worker.clone()).or_insert((left, Vec::new()));
+            let (lease, tasks) = batches
+                .entry(member.worker.clone())
+                .or_insert((left, Vec::new()));
             *lease = left.min(*lease);
             tasks.extend(task_ids(*id, member).map(|task| (*id, task)));
         }
@@ -72,24 +96,51 @@
     }
 }
 
-async fn renew_worker(cx: Arc<Context>, worker: WorkerId, lease: Duration, tasks: Vec<(GangId, TaskId)>) {
+async fn renew_worker(
+    cx: Arc<Context>,
+    worker: WorkerId,
+    lease: Duration,
+    tasks: Vec<(GangId, TaskId)>,
+) {
     let ids: Vec<TaskId> = tasks.iter().map(|(_, task)| task.clone()).collect();
     // A worker that does not answer lets its tasks lapse, which a later renewal reports.
-    let Ok(renewed) = cx.platform.renew_tasks(&worker, &ids, lease).await else { return };
+    let Ok(platform) = cx.platform(&worker) else {
+        return;
+    };
+    let Ok(renewed) = platform.renew_tasks(&worker, &ids, lease).await else {
+        return;
+    };
     for ended in renewed.ended {
-        let Some((gang, _)) = tasks.iter().find(|(_, task)| *task == ended.task) else { continue };
+        let Some((gang, _)) = tasks.iter().find(|(_, task)| *task == ended.task) else {
+            continue;
+        };
         let message = format!("task {} ended: {:?}", ended.task, ended.end);
-        let failed = GangEvent::TaskFailed { gang: *gang, worker: worker.clone(), message: message.into() };
+        let failed = GangEvent::TaskFailed {
+            gang: *gang,
+            worker: worker.clone(),
+            message: message.into(),
+        };
         let _ = cx.gangs.send(failed);
     }
 }
 
 /// Stops the tasks of a gang, with a bounded checkpoint first if asked, and then answers.
-pub(crate) fn stop(cx: &Arc<Context>, id: GangId, gang: &Gang, checkpoint: bool, tx: Option<ReplyTo<()>>) {
+pub(crate) fn stop(
+    cx: &Arc<Context>,
+    id: GangId,
+    gang: &Gang,
+    checkpoint: bool,
+    tx: Option<ReplyTo<()>>,
+) {
     let mut stops = tokio::task::JoinSet::new();
     for member in &gang.members {
         for task in task_ids(id, member) {
-            stops.spawn(stop_one(Arc::clone(cx), member.worker.clone(), task, checkpoint));
+            stops.spawn(stop_one(
+                Arc::clone(cx),
+                member.worker.clone(),
+                task,
+                checkpoint,
+            ));
         }
     }
     tokio::spawn(async move {
@@ -106,9 +157,12 @@
 }
 
 async fn stop_one(cx: Arc<Context>, worker: WorkerId, task: TaskId, checkpoint: bool) -> bool {
+    let Ok(platform) = cx.platform(&worker) else {
+        return false;
+    };
     if checkpoint {
         // Without a checkpoint in time the job starts again from its last one.
-        let _ = timeout(CHECKPOINT_TIMEOUT, cx.platform.checkpoint_task(&worker, &task)).await;
+        let _ = timeout(CHECKPOINT_TIMEOUT, platform.checkpoint_task(&worker, &task)).await;
     }
-    cx.platform.stop_task(&worker, &task).await.is_ok()
+    platform.stop_task(&worker, &task).await.is_ok()
 }
--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub use section::Section;
 pub use sections::{
-    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue, SectionText,
+    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
+    SectionText,
 };
 
 /// All sections of one process.
--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -31,7 +31,11 @@
 impl Locator {
     /// Creates a locator.
     pub fn new(store: Arc<dyn KvStore>, peers: Peers, seeds: &[SocketAddr]) -> Self {
-        Self { store, peers, seeds: seeds.into() }
+        Self {
+            store,
+            peers,
+            seeds: seeds.into(),
+        }
     }
 
     /// Returns the last known owner of a cell; it may have lost the cell since.
@@ -57,9 +61,9 @@
     async fn ask_peers(&self, cell: &CellId) -> Option<OwnerRecord> {
         let mut best: Option<OwnerRecord> = None;
         for seed in self.seeds.iter() {
-            let call = Call::WhoOwns(cell.clone());
+            let question = Call::WhoOwns(cell.clone());
             if let Ok(Reply::Owner(Some(record))) =
-                self.peers.call(*seed, &call, PEER_TIMEOUT).await
+                self.peers.call(*seed, &question, PEER_TIMEOUT).await
                 && best.as_ref().is_none_or(|best| best.epoch < record.epoch)
             {
                 best = Some(record);
@@ -77,5 +81,9 @@
 }
 
 fn no_owner(cell: &str) -> error_stack::Report<Error> {
-    Error::not_run(ErrorKind::Unavailable, format!("cell {cell} has no owner yet")).report()
+    Error::not_run(
+        ErrorKind::Unavailable,
+        format!("cell {cell} has no owner yet"),
+    )
+    .report()
 }
--- a/components/distribution/src/watch.rs
+++ b/components/distribution/src/watch.rs
@@ -23,7 +23,10 @@
 pub async fn read_store(store: &dyn KvStore) -> Result<Sections> {
     let listing = store.list(CONFIG_PREFIX).await?;
     let sections = listing.entries.iter().filter_map(section);
-    Ok(Sections { revision: listing.revision, sections: sections.collect() })
+    Ok(Sections {
+        revision: listing.revision,
+        sections: sections.collect(),
+    })
 }
 
 /// Passes every change in the store on, until the receiver is gone.
@@ -55,7 +58,10 @@
         Watched::Compacted { .. } => Ok(None),
         Watched::Changes { changes, revision } => {
             let sections = changes.iter().filter_map(changed_section);
-            Ok(Some(Sections { revision, sections: sections.collect() }))
+            Ok(Some(Sections {
+                revision,
+                sections: sections.collect(),
+            }))
         }
     }
 }
@@ -65,7 +71,11 @@
         Change::Put(entry) => section(entry),
         Change::Deleted { key, revision } => {
             let name = key.strip_prefix(CONFIG_PREFIX)?;
-            Some(Section { name: name.into(), revision: *revision, text: None })
+            Some(Section {
+                name: name.into(),
+                revision: *revision,
+                text: None,
+            })
         }
     }
 }
@@ -73,5 +83,9 @@
 fn section(entry: &Entry) -> Option<Section> {
     let name = entry.key.strip_prefix(CONFIG_PREFIX)?;
     let text = std::str::from_utf8(&entry.value).ok()?;
-    Some(Section { name: name.into(), revision: entry.revision, text: Some(text.into()) })
+    Some(Section {
+        name: name.into(),
+        revision: entry.revision,
+        text: Some(text.into()),
+    })
 }
--- /dev/null
+++ b/components/entry/src/call.rs
@@ -0,0 +1,267 @@
+//! The life cycle of a request at its entry: received, admitted, dispatched, answered.
+
+use std::time::{Duration, Instant};
+
+use board::ConfigSnapshot;
+use bytes::Bytes;
+use config::verify_token;
+use errors::{Error, ErrorKind, Result};
+use model::{Account, AccountId, Attempt, Request, RequestId, Service, ServiceId, Shape};
+use wire::Answer;
+
+/// The longest timeout that a caller may ask for.
+const MAX_TIMEOUT: Duration = Duration::from_hours(24);
+
+/// A request in one state of its life cycle.
+#[derive(Debug)]
+pub(crate) struct Call<S> {
+    /// When the entry received it.
+    pub(crate) received: Instant,
+    /// What is known in this state.
+    pub(crate) state: S,
+}
+
+/// What the caller sent.
+#[derive(Debug, Default)]
+pub(crate) struct Received {
+    pub(crate) service: ServiceId,
+    pub(crate) credentials: Option<Box<str>>,
+    pub(crate) shape: Option<Box<str>>,
+    pub(crate) idempotent: Option<Box<str>>,
+    pub(crate) stoppable: Option<Box<str>>,
+    pub(crate) timeout_ms: Option<Box<str>>,
+    pub(crate) run_time_ms: Option<Box<str>>,
+    pub(crate) idempotency_key: Option<Box<str>>,
+}
+
+/// The client account is known and the request is well formed.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    pub(crate) request: Request,
+    pub(crate) body: Bytes,
+    /// Whether the id is derived from an idempotency key.
+    pub(crate) keyed: bool,
+}
+
+/// An agent has the request.
+#[derive(Debug)]
+pub(crate) struct Dispatched {
+    pub(crate) request: RequestId,
+    pub(crate) attempt: Attempt,
+}
+
+/// The whole answer is here.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) answer: Answer,
+}
+
+impl Call<Received> {
+    /// Starts the life cycle.
+    pub(crate) fn receive(received: Received, now: Instant) -> Self {
+        Self {
+            received: now,
+            state: received,
+        }
+    }
+
+    /// Returns the client account that the credentials prove.
+    pub(crate) fn authenticate(&self, config: &ConfigSnapshot) -> Result<AccountId> {
+        authenticate(self.state.credentials.as_deref(), config)
+    }
+
+    /// Returns the service that the caller names.
+    pub(crate) fn service<'a>(&self, config: &'a ConfigSnapshot) -> Result<&'a Service> {
+        config
+            .document
+            .services
+            .get(&self.state.service)
+            .ok_or_else(|| {
+                let message = format!("there is no service {:?}", self.state.service);
+                Error::not_run(ErrorKind::NotFound, message).report()
+            })
+    }
+
+    /// Admits the request of an authenticated client account.
+    pub(crate) fn admit(
+        self,
+        account: AccountId,
+        service: &Service,
+        body: Bytes,
+    ) -> Result<Call<Admitted>> {
+        let sent = &self.state;
+        let keyed = sent.idempotency_key.is_some();
+        let id = match &sent.idempotency_key {
+            Some(key) => keyed_id(&account, key),
+            None => fastrand::u128(..),
+        };
+        let request = Request {
+            id,
+            service: sent.service.clone(),
+            shape: sent.shape.as_deref().map(parse_shape).transpose()?,
+            idempotent: parse_flag("Limpethook-Idempotent", sent.idempotent.as_deref())?
+                .unwrap_or(service.idempotent),
+            stoppable: parse_flag("Limpethook-Stoppable", sent.stoppable.as_deref())?
+                .unwrap_or(false),
+            timeout: parse_timeout(sent.timeout_ms.as_deref())?.unwrap_or(service.timeout()),
+            declared_run_time: parse_millis("Limpethook-Run-Time-Ms", sent.run_time_ms.as_deref())?,
+            account,
+        };
+        Ok(Call {
+            received: self.received,
+            state: Admitted {
+                request,
+                body,
+                keyed,
+            },
+        })
+    }
+}
+
+impl Call<Admitted> {
+    /// Returns the time left until the deadline, or the error of a request that missed it before it ran.
+    pub(crate) fn remaining(&self, now: Instant) -> Result<Duration> {
+        let deadline = self.received + self.state.request.timeout;
+        match deadline.checked_duration_since(now) {
+            Some(left) if !left.is_zero() => Ok(left),
+            _ => Err(Error::not_run(
+                ErrorKind::Timeout,
+                "the deadline passed before the request ran",
+            )
+            .report()),
+        }
+    }
+
+    /// Returns the request with the remaining time as its timeout.
+    pub(crate) fn request(&self, now: Instant) -> Result<Request> {
+        Ok(Request {
+            timeout: self.remaining(now)?,
+            ..self.state.request.clone()
+        })
+    }
+
+    /// Records that an agent has the request.
+    pub(crate) fn dispatch(&self, attempt: Attempt) -> Call<Dispatched> {
+        let state = Dispatched {
+            request: self.state.request.id,
+            attempt,
+        };
+        Call {
+            received: self.received,
+            state,
+        }
+    }
+}
+
+impl Call<Dispatched> {
+    /// Checks that the answer is whole and belongs to this attempt of this request.
+    pub(crate) fn answer(self, answer: Answer) -> Result<Call<Answered>> {
+        let expected = (self.state.request, self.state.attempt);
+        if (answer.request, answer.attempt) != expected {
+            return Err(corrupt("the answer belongs to another request"));
+        }
+        if answer.length != answer.body.len() as u64 {
+            return Err(corrupt("the answer was cut off"));
+        }
+        if blake3::hash(&answer.body) != answer.digest {
+            return Err(corrupt("the answer was changed on its way"));
+        }
+        Ok(Call {
+            received: self.received,
+            state: Answered { answer },
+        })
+    }
+}
+
+fn corrupt(message: &str) -> error_stack::Report<Error> {
+    Error::ran(ErrorKind::Corrupt, message).report()
+}
+
+/// Returns the client account that credentials of the form `<account>:<token>` prove.
+pub(crate) fn authenticate(
+    credentials: Option<&str>,
+    config: &ConfigSnapshot,
+) -> Result<AccountId> {
+    let refused = || {
+        let message =
+            "the Authorization header must be Bearer <account>:<token> of a client account";
+        Error::not_run(ErrorKind::Unauthenticated, message).report()
+    };
+    let credentials = credentials
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(refused)?;
+    let (id, token) = credentials.split_once(':').ok_or_else(refused)?;
+    let unknown = Account::default();
+    let account = config.document.accounts.get(id);
+    // An unknown account takes the same path, so that the response does not tell which accounts exist.
+    if !verify_token(account.unwrap_or(&unknown), token) {
+        return Err(refused());
+    }
+    Ok(id.into())
+}
+
+/// Derives the id of a request, so that every entry derives the same id from the same key.
+fn keyed_id(account: &str, key: &str) -> RequestId {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(&(account.len() as u64).to_le_bytes())
+        .update(account.as_bytes())
+        .update(key.as_bytes());
+    let mut id = [0; 16];
+    id.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    RequestId::from_le_bytes(id)
+}
+
+fn parse_shape(text: &str) -> Result<Shape> {
+    let invalid = |reason: String| {
+        Error::not_run(
+            ErrorKind::InvalidRequest,
+            format!("header Limpethook-Shape: {reason}"),
+        )
+        .report()
+    };
+    let shape: Shape = serde_json::from_str(text).map_err(|e| invalid(e.to_string()))?;
+    match shape.fault() {
+        Some(fault) => Err(invalid(fault.into())),
+        None => Ok(shape),
+    }
+}
+
+fn parse_flag(header: &str, value: Option<&str>) -> Result<Option<bool>> {
+    match value {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(other) => Err(invalid_header(header, other, "true or false")),
+    }
+}
+
+fn parse_timeout(value: Option<&str>) -> Result<Option<Duration>> {
+    let header = "Limpethook-Timeout-Ms";
+    let timeout = parse_millis(header, value)?;
+    match timeout {
+        Some(timeout) if timeout.is_zero() || timeout > MAX_TIMEOUT => Err(invalid_header(
+            header,
+            value.unwrap_or_default(),
+            "1 to 86400000 ms",
+        )),
+        timeout => Ok(timeout),
+    }
+}
+
+fn parse_millis(header: &str, value: Option<&str>) -> Result<Option<Duration>> {
+    let Some(value) = value else { return Ok(None) };
+    match value.parse() {
+        Ok(millis) => Ok(Some(Duration::from_millis(millis))),
+        Err(_) => Err(invalid_header(
+            header,
+            value,
+            "a whole number of milliseconds",
+        )),
+    }
+}
+
+fn invalid_header(header: &str, value: &str, allowed: &str) -> error_stack::Report<Error> {
+    let message = format!("header {header}: {value:?} is not {allowed}");
+    Error::not_run(ErrorKind::InvalidRequest, message).report()
+}
--- /dev/null
+++ b/components/entry/src/context.rs
@@ -0,0 +1,67 @@
+//! What all parts of the entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use board::{Board, Membership, Section};
+use config::EntrySettings;
+use discovery::Locator;
+use indexmap::IndexMap;
+use model::CellId;
+use owner::Owner;
+use store::KvStore;
+use timer::Timer;
+use tokio_util::sync::CancellationToken;
+use wire::{Datagrams, OwnerRecord, Peers};
+
+use crate::metrics::Metrics;
+
+/// The sections that only an entry has; one controller writes each.
+#[derive(Debug, Default)]
+pub(crate) struct EntryBoard {
+    /// The endpoints of all cells; written by the directory controller.
+    pub(crate) directory: Section<Membership>,
+    /// The owners of all cells; written by the directory controller.
+    pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
+}
+
+/// The shared parts of the entry.
+pub(crate) struct Context {
+    pub(crate) settings: EntrySettings,
+    /// The board of the process; its cell sections are empty unless this process owns the cell.
+    pub(crate) board: Arc<Board>,
+    pub(crate) entry_board: EntryBoard,
+    pub(crate) timer: Timer,
+    pub(crate) peers: Peers,
+    pub(crate) datagrams: Arc<Datagrams>,
+    pub(crate) store: Arc<dyn KvStore>,
+    pub(crate) locator: Locator,
+    pub(crate) owner: Option<Owner>,
+    pub(crate) config_updates: distribution::Updates,
+    /// Cancelled when the shutdown begins.
+    pub(crate) drain: CancellationToken,
+    pub(crate) in_flight: AtomicU32,
+    pub(crate) metrics: Metrics,
+}
+
+impl Context {
+    /// Returns whether the entry is shutting down and takes no new requests.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.drain.is_cancelled()
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub(crate) fn enter(&self) -> InFlight<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(&self.in_flight)
+    }
+}
+
+/// A request in progress.
+pub(crate) struct InFlight<'a>(&'a AtomicU32);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/components/entry/src/directory.rs
@@ -0,0 +1,152 @@
+//! The directory controller: the endpoints of all cells, as their owners report them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::Membership;
+use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
+use model::{Announced, CellId, Endpoint};
+use tokio::sync::mpsc;
+use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
+
+use crate::context::Context;
+
+/// How often the store is asked for cells that are new.
+const CELLS_INTERVAL: Duration = Duration::from_secs(5);
+/// The owner answers within 1 s even without a change.
+const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bounds of the pause after a failed call, in milliseconds.
+const RETRY_DELAY_MS: std::ops::Range<u64> = 100..300;
+
+/// What a subscription to one cell learned.
+struct Learned {
+    cell: CellId,
+    owner: OwnerRecord,
+    directory: Directory,
+}
+
+/// Follows all cells until the process ends.
+pub(crate) async fn run(cx: Arc<Context>) {
+    let (tx, rx) = mpsc::channel(16);
+    tokio::spawn(merge(Arc::clone(&cx), rx));
+    let mut followed: Vec<CellId> = Vec::new();
+    let mut ticks = cx.timer.subscribe_every(CELLS_INTERVAL);
+    loop {
+        for cell in cells(&cx).await {
+            if !followed.contains(&cell) {
+                followed.push(cell.clone());
+                tokio::spawn(follow(Arc::clone(&cx), cell, tx.clone()));
+            }
+        }
+        ticks.recv().await;
+    }
+}
+
+/// Returns the entry's own cell and all cells in the store.
+async fn cells(cx: &Context) -> Vec<CellId> {
+    let mut cells = vec![cx.settings.cell.clone()];
+    if let Ok(owners) = cx.locator.owners().await {
+        cells.extend(owners.into_iter().map(|(cell, _)| cell));
+    }
+    cells
+}
+
+async fn follow(cx: Arc<Context>, cell: CellId, tx: mpsc::Sender<Learned>) {
+    loop {
+        if let Ok(owner) = cx.locator.owner(&cell).await {
+            follow_owner(&cx, &cell, &owner, &tx).await;
+        }
+        let delay = Duration::from_millis(fastrand::u64(RETRY_DELAY_MS));
+        cx.timer.subscribe_after(delay).recv().await;
+    }
+}
+
+/// Asks one owner again and again; ends when it no longer answers as the owner.
+async fn follow_owner(
+    cx: &Context,
+    cell: &CellId,
+    owner: &OwnerRecord,
+    tx: &mpsc::Sender<Learned>,
+) {
+    let mut after = 0;
+    while let Ok(directory) = ask(cx, owner, after).await {
+        after = directory.version;
+        fetch_newer_config(cx, owner, directory.revision).await;
+        let learned = Learned {
+            cell: cell.clone(),
+            owner: owner.clone(),
+            directory,
+        };
+        if tx.send(learned).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn ask(cx: &Context, owner: &OwnerRecord, after: u64) -> Result<Directory> {
+    match cx
+        .peers
+        .call(owner.addr, &Call::Directory { after }, DIRECTORY_TIMEOUT)
+        .await?
+    {
+        Reply::Directory(directory) => Ok(directory),
+        _ => Err(Error::not_run(ErrorKind::Internal, "unexpected reply to Directory").report()),
+    }
+}
+
+async fn fetch_newer_config(cx: &Context, owner: &OwnerRecord, revision: model::Revision) {
+    let own = cx.board.config.load().revision;
+    if revision > own
+        && let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await
+    {
+        let _ = cx.config_updates.send(sections).await;
+    }
+}
+
+/// Merges the directories of all cells into one section.
+async fn merge(cx: Arc<Context>, mut rx: mpsc::Receiver<Learned>) {
+    let mut directories: IndexMap<CellId, Directory> = IndexMap::new();
+    while let Some(learned) = rx.recv().await {
+        cx.entry_board.owners.update(|owners| {
+            owners.insert(learned.cell.clone(), learned.owner);
+        });
+        directories.insert(learned.cell, learned.directory);
+        cx.entry_board
+            .directory
+            .publish(membership(&directories, timer::now()));
+    }
+}
+
+fn membership(directories: &IndexMap<CellId, Directory>, now: Instant) -> Membership {
+    let mut membership = Membership::default();
+    for entry in directories
+        .values()
+        .flat_map(|directory| &directory.endpoints)
+    {
+        let endpoint = announced(entry, now).serve(entry.free, now);
+        if entry.draining {
+            membership
+                .draining
+                .insert(entry.id.clone(), Arc::new(endpoint.drain(now)));
+        } else {
+            membership
+                .serving
+                .insert(entry.id.clone(), Arc::new(endpoint));
+        }
+    }
+    membership
+}
+
+fn announced(entry: &EndpointEntry, now: Instant) -> Endpoint<Announced> {
+    Endpoint {
+        id: entry.id.clone(),
+        agent: entry.agent.clone(),
+        agent_addr: entry.agent_addr,
+        incarnation: entry.incarnation,
+        service: entry.service.clone(),
+        place: entry.place.clone(),
+        slots: entry.slots,
+        state: Announced { at: now },
+    }
+}
--- /dev/null
+++ b/components/entry/src/http/errors.rs
@@ -0,0 +1,55 @@
+//! Errors as callers see them.
+
+use errors::{Error, ErrorKind};
+use salvo::http::header::RETRY_AFTER;
+use salvo::http::{HeaderValue, StatusCode};
+use salvo::prelude::{Json, Response};
+use serde::Serialize;
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorFields<'a> {
+    verdict: errors::Verdict,
+    kind: ErrorKind,
+    message: &'a str,
+}
+
+/// Writes an error with its verdict into the response.
+pub(crate) fn render(res: &mut Response, error: &Error) {
+    res.status_code(status(error.kind));
+    if let Some(after) = error.retry_after {
+        let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            res.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    let fields = ErrorFields {
+        verdict: error.verdict,
+        kind: error.kind,
+        message: &error.message,
+    };
+    res.render(Json(ErrorBody { error: fields }));
+}
+
+fn status(kind: ErrorKind) -> StatusCode {
+    match kind {
+        ErrorKind::InvalidRequest => StatusCode::BAD_REQUEST,
+        ErrorKind::Unauthenticated => StatusCode::UNAUTHORIZED,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::Conflict | ErrorKind::Cancelled => StatusCode::CONFLICT,
+        ErrorKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ErrorKind::Infeasible => StatusCode::UNPROCESSABLE_ENTITY,
+        ErrorKind::Overloaded
+        | ErrorKind::Draining
+        | ErrorKind::Unavailable
+        | ErrorKind::StaleEpoch
+        | ErrorKind::Stopped => StatusCode::SERVICE_UNAVAILABLE,
+        ErrorKind::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        ErrorKind::Failed | ErrorKind::Corrupt => StatusCode::BAD_GATEWAY,
+        ErrorKind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/components/entry/src/http/requests.rs
@@ -0,0 +1,142 @@
+//! Synchronous requests.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use errors::{Error, ErrorKind, Result};
+use fastrace::Span;
+use fastrace::future::FutureExt;
+use fastrace::prelude::SpanContext;
+use salvo::http::header::{AUTHORIZATION, CONTENT_TYPE};
+use salvo::http::{HeaderValue, ParseError, StatusCode};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
+use wire::Answer;
+
+use crate::call::{Admitted, Answered, Call, Received};
+use crate::context::Context;
+use crate::http::errors::render;
+use crate::route;
+
+/// The largest body that any service may allow.
+pub(crate) const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Handles `POST /v1/services/{service}/requests`.
+pub(crate) struct Submit {
+    cx: Arc<Context>,
+}
+
+impl Submit {
+    pub(crate) fn new(cx: &Arc<Context>) -> Self {
+        Self { cx: Arc::clone(cx) }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Submit {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let _in_flight = self.cx.enter();
+        let span = root_span(req);
+        let result = submit(&self.cx, req).in_span(span).await;
+        self.cx.metrics.count_request(&result);
+        match result {
+            Ok(call) => render_answer(res, call.state.answer),
+            Err(report) => {
+                let error = report.current_context();
+                log::info!(
+                    target: "limpethook",
+                    service:% = req.param::<&str>("service").unwrap_or_default(),
+                    verdict:% = error.verdict, kind:% = error.kind, error:% = error.message;
+                    "request_refused"
+                );
+                render(res, error);
+            }
+        }
+    }
+}
+
+/// Starts the span of a request under the trace that the caller passes in.
+fn root_span(req: &Request) -> Span {
+    match header(req, "traceparent").and_then(|value| telemetry::parse_traceparent(&value)) {
+        Some(parent) => Span::root("entry_request", parent.context()),
+        None => Span::root("entry_request", SpanContext::random().sampled(false)),
+    }
+}
+
+async fn submit(cx: &Context, req: &mut Request) -> Result<Call<Answered>> {
+    let admitted = admit(cx, req).await?;
+    route::run(cx, &admitted).await
+}
+
+/// Authenticates the caller before it reads the body.
+pub(crate) async fn admit(cx: &Context, req: &mut Request) -> Result<Call<Admitted>> {
+    if cx.is_draining() {
+        return Err(Error::not_run(ErrorKind::Draining, "the entry is shutting down").report());
+    }
+    let call = Call::receive(received(req), timer::now());
+    let config = cx.board.config.snapshot();
+    let account = call.authenticate(&config)?;
+    let service = call.service(&config)?;
+    let body = read_body(req, service.max_body_bytes.min(MAX_BODY_BYTES)).await?;
+    call.admit(account, service, body)
+}
+
+fn received(req: &Request) -> Received {
+    Received {
+        service: req.param::<String>("service").unwrap_or_default().into(),
+        credentials: header(req, AUTHORIZATION.as_str()),
+        shape: header(req, "limpethook-shape"),
+        idempotent: header(req, "limpethook-idempotent"),
+        stoppable: header(req, "limpethook-stoppable"),
+        timeout_ms: header(req, "limpethook-timeout-ms"),
+        run_time_ms: header(req, "limpethook-run-time-ms"),
+        idempotency_key: header(req, "idempotency-key"),
+    }
+}
+
+fn header(req: &Request, name: &str) -> Option<Box<str>> {
+    req.headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .map(Into::into)
+}
+
+async fn read_body(req: &mut Request, limit: u64) -> Result<Bytes> {
+    let too_large = || {
+        Error::not_run(
+            ErrorKind::TooLarge,
+            format!("the body is larger than {limit} bytes"),
+        )
+        .report()
+    };
+    let max = usize::try_from(limit).unwrap_or(usize::MAX);
+    match req.payload_with_max_size(max).await {
+        Ok(body) => Ok(body.clone()),
+        Err(ParseError::PayloadTooLarge) => Err(too_large()),
+        Err(e) => Err(Error::not_run(
+            ErrorKind::InvalidRequest,
+            format!("cannot read the body: {e}"),
+        )
+        .report()),
+    }
+}
+
+fn render_answer(res: &mut Response, answer: Answer) {
+    res.status_code(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    let headers = res.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(&format!("{:032x}", answer.request)) {
+        headers.insert("limpethook-request-id", value);
+    }
+    headers.insert("limpethook-attempt", HeaderValue::from(answer.attempt));
+    headers.insert("limpethook-verdict", HeaderValue::from_static("ran"));
+    // The body was checked as a whole, so it leaves as a whole.
+    let _ = res.write_body(answer.body);
+}
--- /dev/null
+++ b/components/entry/src/run.rs
@@ -0,0 +1,150 @@
+//! Starting and ending the entry.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+
+use board::Board;
+use config::{Duty, EntrySettings};
+use discovery::Locator;
+use errors::{Error, ErrorKind, Result};
+use owner::{Owner, OwnerSettings, Shared};
+use salvo::conn::TcpListener as HttpListener;
+use salvo::prelude::{Listener, Server as HttpServer};
+use store::{HttpStore, HttpStoreSettings, KvStore};
+use timer::Timer;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use wire::{Datagrams, Key, Peers, Server};
+
+use crate::context::{Context, EntryBoard};
+use crate::metrics::Metrics;
+use crate::{directory, drain, http, ready, serve};
+
+/// Time for the last responses to leave after the drain.
+const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs an entry until `shutdown` is cancelled and its requests have ended; returns whether all requests ended.
+pub async fn run(settings: EntrySettings, shutdown: CancellationToken) -> Result<bool> {
+    let key = Key::from_secret(settings.peer_key.as_str());
+    let peer_addr = settings.peer_listen;
+    let listener = TcpListener::bind(peer_addr)
+        .await
+        .map_err(|e| cannot_listen("peer_listen", &e))?;
+    let datagrams = Datagrams::bind(peer_addr, key.clone(), &settings.id)
+        .await
+        .map_err(|e| cannot_listen("peer_listen", &e))?;
+    let (config_updates, config_rx) = distribution::updates();
+    let cx = Arc::new(context(settings, key.clone(), datagrams, config_updates)?);
+
+    tokio::spawn(distribution::run_controller(
+        config_rx,
+        Arc::clone(&cx),
+        |cx| &cx.board.config,
+    ));
+    if cx.settings.duties.contains(&Duty::Relay) {
+        let watch = distribution::watch_store(
+            Arc::clone(&cx.store),
+            cx.timer.clone(),
+            cx.config_updates.clone(),
+        );
+        tokio::spawn(watch);
+    }
+    tokio::spawn(serve::receive(Arc::clone(&cx)));
+    tokio::spawn(directory::run(Arc::clone(&cx)));
+    let stop = CancellationToken::new();
+    let handler_cx = Arc::clone(&cx);
+    let server = Server::new(listener, key).serve(
+        move |call_cx, call| serve::answer(Arc::clone(&handler_cx), call_cx, call),
+        stop.clone(),
+    );
+    tokio::spawn(server);
+    let early_end = shutdown
+        .clone()
+        .run_until_cancelled_owned(ready::wait_for_config(&cx))
+        .await;
+    if early_end.is_none() {
+        return Ok(true);
+    }
+
+    let acceptor = HttpListener::new(cx.settings.http_listen)
+        .try_bind()
+        .await
+        .map_err(|e| cannot_listen("http_listen", &e))?;
+    let http = HttpServer::new(acceptor);
+    let handle = http.handle();
+    let serving = tokio::spawn(http.serve(http::router(&cx)));
+    log::info!(
+        target: "limpethook",
+        entry:% = cx.settings.id, http:% = cx.settings.http_listen, peers:% = peer_addr,
+        config_revision = cx.board.config.load().revision;
+        "entry_started"
+    );
+
+    shutdown.cancelled().await;
+    let ended = drain::drain(&cx).await;
+    handle.stop_graceful(FLUSH_LIMIT);
+    let _ = serving.await;
+    stop.cancel();
+    telemetry::flush_spans();
+    Ok(ended)
+}
+
+fn context(
+    settings: EntrySettings,
+    key: Key,
+    datagrams: Datagrams,
+    config_updates: distribution::Updates,
+) -> Result<Context> {
+    let store: Arc<dyn KvStore> = Arc::new(HttpStore::new(&HttpStoreSettings::new(
+        settings.store_url.clone(),
+    ))?);
+    let peers = Peers::new(key);
+    let timer = Timer::start();
+    let board = Arc::new(Board::default());
+    let datagrams = Arc::new(datagrams);
+    let owner = settings.duties.contains(&Duty::Owner).then(|| {
+        let shared = Shared {
+            board: Arc::clone(&board),
+            store: Arc::clone(&store),
+            peers: peers.clone(),
+            datagrams: Arc::clone(&datagrams),
+            timer: timer.clone(),
+        };
+        Owner::start(owner_settings(&settings), shared)
+    });
+    let metrics = Metrics::new()
+        .map_err(|e| Error::not_run(ErrorKind::Internal, format!("metrics: {e}")).report())?;
+    Ok(Context {
+        board,
+        entry_board: EntryBoard::default(),
+        timer,
+        locator: Locator::new(Arc::clone(&store), peers.clone(), &settings.seeds),
+        peers,
+        datagrams,
+        store,
+        owner,
+        config_updates,
+        drain: CancellationToken::new(),
+        in_flight: AtomicU32::new(0),
+        metrics,
+        settings,
+    })
+}
+
+fn owner_settings(settings: &EntrySettings) -> OwnerSettings {
+    OwnerSettings {
+        id: settings.id.clone(),
+        cell: settings.cell.clone(),
+        region: settings.region.clone(),
+        addr: settings.peer_listen,
+    }
+}
+
+fn cannot_listen(key: &str, e: &dyn std::fmt::Display) -> error_stack::Report<Error> {
+    Error::not_run(
+        ErrorKind::Unavailable,
+        format!("key {key}: cannot listen: {e}"),
+    )
+    .report()
+}
--- /dev/null
+++ b/components/entry/src/serve.rs
@@ -0,0 +1,47 @@
+//! Answering calls and datagrams of peers.
+
+use std::sync::Arc;
+
+use errors::{Error, ErrorKind, Result};
+use fastrace::Span;
+use fastrace::future::FutureExt;
+use wire::{Call, CallContext, Packet, Reply};
+
+use crate::context::Context;
+
+/// Answers one call.
+pub(crate) async fn answer(cx: Arc<Context>, call_cx: CallContext, call: Call) -> Result<Reply> {
+    let span = match call_cx.parent {
+        Some(parent) => Span::root("owner_call", parent.context()),
+        None => Span::noop(),
+    };
+    handle(&cx, call).in_span(span).await
+}
+
+async fn handle(cx: &Context, call: Call) -> Result<Reply> {
+    match (call, &cx.owner) {
+        (Call::SectionsAfter(after), _) => Ok(Reply::Sections(distribution::sections_after(
+            &cx.board.config.load(),
+            after,
+        ))),
+        (Call::WhoOwns(name), _) => {
+            let owner = cx.entry_board.owners.load().get(&name).cloned();
+            Ok(Reply::Owner(owner))
+        }
+        (call, Some(owner)) => owner.answer(call).await,
+        (_, None) => {
+            let message = "this entry does not take the duty of an owner";
+            Err(Error::not_run(ErrorKind::Unavailable, message).report())
+        }
+    }
+}
+
+/// Hands heartbeats to the owner.
+pub(crate) async fn receive(cx: Arc<Context>) {
+    loop {
+        let (from, packet) = cx.datagrams.recv().await;
+        if let (Packet::Heartbeat(heartbeat), Some(owner)) = (packet, &cx.owner) {
+            owner.heartbeat(from, heartbeat);
+        }
+    }
+}
--- a/components/membership/src/attempts.rs
+++ b/components/membership/src/attempts.rs
@@ -117,8 +117,10 @@
     }
 
     /// Records that the endpoint was never called, such as after a refused connection; consumes the right to call it.
+    #[expect(clippy::needless_pass_by_value, reason = "a permit is used once")]
     pub fn abandon(&mut self, permit: Permit, now: Instant) {
-        let key = (permit.request, permit.attempt);
+        let Permit { request, attempt } = permit;
+        let key = (request, attempt);
         self.records.insert(key, Record::Refused);
         self.ended_order.push_back((now, key));
     }
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -20,6 +20,7 @@
         id: "p".into(),
         agent: "a".into(),
         agent_addr: addr,
+        incarnation: 1,
         service: "s".into(),
         place: Place {
             region: "r".into(),
--- a/components/membership/tests/reservation.rs
+++ b/components/membership/tests/reservation.rs
@@ -67,7 +67,7 @@
 #[test]
 fn reserve_refuses_after_restart() {
     let (mut agent, mut fence, now) = agent();
-    let early = now - Duration::from_millis(1);
+    let early = now.checked_sub(Duration::from_millis(1)).unwrap();
     let error = agent.reserve(&mut fence, order(1, 1), early).unwrap_err();
     let error = error.current_context();
     assert_eq!(error.verdict, Verdict::NotRun);
--- a/components/owner/src/actions.rs
+++ b/components/owner/src/actions.rs
@@ -29,7 +29,9 @@
         Action::Start(gang) => drop(tokio::spawn(start(cx, gang))),
         Action::Release(gang) => drop(tokio::spawn(release(cx, gang))),
         Action::Stop { gang, reason } => drop(tokio::spawn(stop(cx, gang, reason))),
-        Action::Refuse { job, error } => drop(cx.scheduler.send(SchedulerEvent::Refused { job, error })),
+        Action::Refuse { job, error } => {
+            drop(cx.scheduler.send(SchedulerEvent::Refused { job, error }));
+        }
         Action::Free { .. } => {}
     }
 }
@@ -55,14 +57,21 @@
     }
     let refused = calls.join_all().await.into_iter().find_map(Result::err);
     let event = match refused {
-        None => Event::Reserved { gang: gang.id, epoch },
+        None => Event::Reserved {
+            gang: gang.id,
+            epoch,
+        },
         Some((agent, error)) => {
             log::info!(
                 target: "limpethook",
                 gang:% = hex(gang.id), agent:% = agent, error:% = error;
                 "reservation_refused"
             );
-            Event::ReservationRefused { gang: gang.id, agent, error }
+            Event::ReservationRefused {
+                gang: gang.id,
+                agent,
+                error,
+            }
         }
     };
     let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
@@ -73,14 +82,25 @@
     let mut agents: IndexMap<AgentId, Vec<Member>> = IndexMap::new();
     agents.insert(gang.endpoint_agent.clone(), Vec::new());
     for member in &gang.members {
-        agents.entry(member.agent.clone()).or_default().push(member.clone());
+        agents
+            .entry(member.agent.clone())
+            .or_default()
+            .push(member.clone());
     }
     agents
 }
 
-async fn call_agent(cx: &Context, agent: &AgentId, call: &Call, limit: Duration) -> Result<(), Error> {
+async fn call_agent(
+    cx: &Context,
+    agent: &AgentId,
+    call: &Call,
+    limit: Duration,
+) -> Result<(), Error> {
     let addr = addr_of(cx, agent).ok_or_else(|| {
-        Error::not_run(ErrorKind::Unavailable, format!("agent {agent} is not known"))
+        Error::not_run(
+            ErrorKind::Unavailable,
+            format!("agent {agent} is not known"),
+        )
     })?;
     match cx.peers.call(addr, call, limit).await {
         Ok(_) => Ok(()),
@@ -95,20 +115,33 @@
 }
 
 fn addr_of(cx: &Context, agent: &AgentId) -> Option<SocketAddr> {
-    cx.board.membership.load().agents.get(agent).map(|agent| agent.addr)
+    cx.board
+        .membership
+        .load()
+        .agents
+        .get(agent)
+        .map(|agent| agent.addr)
 }
 
 /// Asks the leader to let the gang run, and tells the entry.
 async fn start(cx: Arc<Context>, gang: Arc<Gang<Running>>) {
-    let Some(job) = cx.board.queue.load().active.get(&gang.job).cloned() else { return };
+    let Some(job) = cx.board.queue.load().active.get(&gang.job).cloned() else {
+        return;
+    };
     let agents = members_by_agent(&gang);
-    let agents = agents.into_keys().filter_map(|agent| addr_of(&cx, &agent).map(|addr| (agent, addr)));
+    let agents = agents
+        .into_keys()
+        .filter_map(|agent| addr_of(&cx, &agent).map(|addr| (agent, addr)));
     let call = Call::StartGang(StartGang {
         epoch: gang.state.epoch,
         gang: gang.id,
         attempt: gang.attempt,
         agents: agents.collect(),
-        workers: gang.members.iter().map(|member| member.worker.clone()).collect(),
+        workers: gang
+            .members
+            .iter()
+            .map(|member| member.worker.clone())
+            .collect(),
         request: model::Request::clone(&job.request),
     });
     match call_agent(&cx, &gang.endpoint_agent, &call, START_TIMEOUT).await {
@@ -119,8 +152,13 @@
 
 fn started(cx: &Context, gang: &Gang<Running>) {
     let membership = cx.board.membership.load();
-    let Some(agent) = membership.agents.get(&gang.endpoint_agent) else { return };
-    let incarnation = membership.serving.get(&gang.endpoint).map(|endpoint| endpoint.incarnation);
+    let Some(agent) = membership.agents.get(&gang.endpoint_agent) else {
+        return;
+    };
+    let incarnation = membership
+        .serving
+        .get(&gang.endpoint)
+        .map(|endpoint| endpoint.incarnation);
     let placed = Placed {
         gang: gang.id,
         epoch: gang.state.epoch,
@@ -128,7 +166,11 @@
         agent: gang.endpoint_agent.clone(),
         agent_addr: agent.addr,
         incarnation: incarnation.unwrap_or_default(),
-        workers: gang.members.iter().map(|member| member.worker.clone()).collect(),
+        workers: gang
+            .members
+            .iter()
+            .map(|member| member.worker.clone())
+            .collect(),
     };
     log::info!(
         target: "limpethook",
@@ -136,7 +178,10 @@
         members = gang.members.len();
         "gang_started"
     );
-    let _ = cx.scheduler.send(SchedulerEvent::Started { job: gang.job, placed });
+    let _ = cx.scheduler.send(SchedulerEvent::Started {
+        job: gang.job,
+        placed,
+    });
 }
 
 /// Ends a gang that did not start; its request was not dispatched, because no entry was told.
@@ -146,7 +191,10 @@
         stop_members(cx, gang, ErrorKind::Cancelled).await;
         cx.timer.subscribe_after(2 * GANG_LEASE_TERM).recv().await;
     }
-    let event = Event::Ended { gang: gang.id, end: GangEnd::NeverRan };
+    let event = Event::Ended {
+        gang: gang.id,
+        end: GangEnd::NeverRan,
+    };
     let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
 }
 
@@ -176,5 +224,10 @@
 }
 
 fn stop_call(cx: &Context, gang: GangId, reason: ErrorKind) -> StopGang {
-    StopGang { gang, epoch: Some(cx.epoch()), reason, release: true }
+    StopGang {
+        gang,
+        epoch: Some(cx.epoch()),
+        reason,
+        release: true,
+    }
 }
--- a/components/owner/src/duty.rs
+++ b/components/owner/src/duty.rs
@@ -64,10 +64,17 @@
             Step::TakeHolder(duty, lease) => {
                 let value = Bytes::from(cx.settings.id.to_string());
                 // The next read tells what became of the write.
-                let _ = cx.store.put(&holder_key(cx), value, Expect::Absent, Some(lease)).await;
+                let _ = cx
+                    .store
+                    .put(&holder_key(cx), value, Expect::Absent, Some(lease))
+                    .await;
                 duty
             }
-            Step::RaiseEpoch { duty, record, expected } => {
+            Step::RaiseEpoch {
+                duty,
+                record,
+                expected,
+            } => {
                 raise_epoch(cx, &record, expected).await;
                 duty
             }
@@ -76,7 +83,11 @@
 }
 
 async fn raise_epoch(cx: &Context, record: &CellRecord, expected: u64) {
-    let expect = if expected == 0 { Expect::Absent } else { Expect::Revision(expected) };
+    let expect = if expected == 0 {
+        Expect::Absent
+    } else {
+        Expect::Revision(expected)
+    };
     let value = OwnerRecord {
         owner: record.owner.clone(),
         addr: cx.settings.addr,
@@ -85,7 +96,10 @@
     };
     if let Ok(value) = serde_json::to_vec(&value) {
         // The next read tells what became of the write.
-        let _ = cx.store.put(&cell_key(&cx.settings.cell), value.into(), expect, None).await;
+        let _ = cx
+            .store
+            .put(&cell_key(&cx.settings.cell), value.into(), expect, None)
+            .await;
     }
 }
 
@@ -113,7 +127,11 @@
 
 fn cell_record(entry: &Entry) -> Option<(CellRecord, u64)> {
     let record: OwnerRecord = serde_json::from_slice(&entry.value).ok()?;
-    let record = CellRecord { epoch: record.epoch, owner: record.owner, lease: record.lease };
+    let record = CellRecord {
+        epoch: record.epoch,
+        owner: record.owner,
+        lease: record.lease,
+    };
     Some((record, entry.revision))
 }
 
@@ -140,7 +158,10 @@
     end(cx, epoch);
 }
 
-async fn renew(cx: &Context, duty: Duty<Holder>) -> std::result::Result<Duty<Holder>, model::EntryId> {
+async fn renew(
+    cx: &Context,
+    duty: Duty<Holder>,
+) -> std::result::Result<Duty<Holder>, model::EntryId> {
     let asked = timer::now();
     let renewal = match cx.store.renew_lease(duty.lease()).await {
         Ok(true) => Renewal::Renewed,
@@ -176,4 +197,3 @@
 fn lost(message: &str) -> error_stack::Report<Error> {
     Error::not_run(ErrorKind::Unavailable, message).report()
 }
-
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -27,9 +27,15 @@
     /// The process owns the cell at a new epoch, or no longer owns it (0).
     Reset { epoch: Epoch },
     /// An agent reports everything it has.
-    Announced { announce: Announce, tx: oneshot::Sender<Result<Epoch>> },
+    Announced {
+        announce: Box<Announce>,
+        tx: oneshot::Sender<Result<Epoch>>,
+    },
     /// An agent is alive.
-    Heartbeat { from: SocketAddr, heartbeat: Heartbeat },
+    Heartbeat {
+        from: SocketAddr,
+        heartbeat: Heartbeat,
+    },
 }
 
 /// Hands a heartbeat to the controller.
@@ -49,14 +55,19 @@
         let now = timer::now();
         let mut membership = Membership::clone(&cx.board.membership.load());
         let before = Shape::of(&membership);
-        let replies: Vec<_> = batch.drain(..).filter_map(|event| apply(&cx, &mut membership, event, now)).collect();
+        let replies: Vec<_> = batch
+            .drain(..)
+            .filter_map(|event| apply(&cx, &mut membership, event, now))
+            .collect();
         for gone in liveness::sweep(&mut membership, now) {
             agent_gone(&cx, &gone.agent);
         }
         let changed = before != Shape::of(&membership) || !replies.is_empty();
         cx.board.membership.publish(membership);
         if changed {
-            let _ = cx.scheduler.send(SchedulerEvent::Placement(Event::MembershipChanged));
+            let _ = cx
+                .scheduler
+                .send(SchedulerEvent::Placement(Event::MembershipChanged));
         }
         // An agent hears that it is known only after the section shows it.
         for (tx, result) in replies {
@@ -87,14 +98,22 @@
 
 type Answer = (oneshot::Sender<Result<Epoch>>, Result<Epoch>);
 
-fn apply(cx: &Arc<Context>, membership: &mut Membership, event: MemberEvent, now: Instant) -> Option<Answer> {
+fn apply(
+    cx: &Arc<Context>,
+    membership: &mut Membership,
+    event: MemberEvent,
+    now: Instant,
+) -> Option<Answer> {
     match event {
         MemberEvent::Reset { epoch } => {
-            *membership = Membership { epoch, ..Membership::default() };
+            *membership = Membership {
+                epoch,
+                ..Membership::default()
+            };
             None
         }
         MemberEvent::Announced { announce, tx } => {
-            let result = announced(cx, membership, announce, now);
+            let result = announced(cx, membership, *announce, now);
             Some((tx, result))
         }
         MemberEvent::Heartbeat { from, heartbeat } => {
@@ -104,9 +123,16 @@
     }
 }
 
-fn announced(cx: &Context, membership: &mut Membership, announce: Announce, now: Instant) -> Result<Epoch> {
+fn announced(
+    cx: &Context,
+    membership: &mut Membership,
+    announce: Announce,
+    now: Instant,
+) -> Result<Epoch> {
     if membership.epoch == 0 {
-        return Err(Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report());
+        return Err(
+            Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report(),
+        );
     }
     log::info!(
         target: "limpethook",
@@ -121,11 +147,15 @@
         heard: now,
         config_revision: 0,
     };
-    let endpoint = announce.endpoint.map(|entry| announced_endpoint(entry, now));
+    let endpoint = announce
+        .endpoint
+        .map(|entry| announced_endpoint(entry, now));
     liveness::announce(membership, agent, endpoint);
     for gang in announce.gangs {
         let agent = announce.agent.clone();
-        let _ = cx.scheduler.send(SchedulerEvent::GangReported { agent, gang });
+        let _ = cx
+            .scheduler
+            .send(SchedulerEvent::GangReported { agent, gang });
     }
     Ok(membership.epoch)
 }
@@ -143,7 +173,13 @@
     }
 }
 
-fn beat(cx: &Arc<Context>, membership: &mut Membership, from: SocketAddr, heartbeat: &Heartbeat, now: Instant) {
+fn beat(
+    cx: &Arc<Context>,
+    membership: &mut Membership,
+    from: SocketAddr,
+    heartbeat: &Heartbeat,
+    now: Instant,
+) {
     if membership.epoch == 0 {
         return;
     }
@@ -169,9 +205,21 @@
 }
 
 fn endpoint_of(membership: &Membership, agent: &AgentId) -> Option<model::EndpointId> {
-    let announced = membership.announced.values().find(|e| e.agent == *agent).map(|e| &e.id);
-    let serving = membership.serving.values().find(|e| e.agent == *agent).map(|e| &e.id);
-    let draining = membership.draining.values().find(|e| e.agent == *agent).map(|e| &e.id);
+    let announced = membership
+        .announced
+        .values()
+        .find(|e| e.agent == *agent)
+        .map(|e| &e.id);
+    let serving = membership
+        .serving
+        .values()
+        .find(|e| e.agent == *agent)
+        .map(|e| &e.id);
+    let draining = membership
+        .draining
+        .values()
+        .find(|e| e.agent == *agent)
+        .map(|e| &e.id);
     announced.or(serving).or(draining).cloned()
 }
 
@@ -179,12 +227,18 @@
 fn agent_gone(cx: &Arc<Context>, agent: &AgentId) {
     log::warn!(target: "limpethook", agent:% = agent; "agent_lost");
     let fleet = cx.board.fleet.load();
-    let led = fleet.running.values().filter(|gang| gang.endpoint_agent == *agent);
+    let led = fleet
+        .running
+        .values()
+        .filter(|gang| gang.endpoint_agent == *agent);
     for gang in led.map(|gang| gang.id) {
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
             cx.timer.subscribe_after(GANG_LEASE_TERM).recv().await;
-            let event = Event::Ended { gang, end: GangEnd::MemberLost };
+            let event = Event::Ended {
+                gang,
+                end: GangEnd::MemberLost,
+            };
             let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
         });
     }
--- a/components/owner/src/scheduler.rs
+++ b/components/owner/src/scheduler.rs
@@ -92,7 +92,13 @@
     }
 }
 
-fn submit(cx: &Context, waiting: &mut Waiting, request: Arc<Request>, tx: Waiter, events: &mut Vec<Event>) {
+fn submit(
+    cx: &Context,
+    waiting: &mut Waiting,
+    request: Arc<Request>,
+    tx: Waiter,
+    events: &mut Vec<Event>,
+) {
     if cx.epoch() == 0 {
         let error = Error::not_run(ErrorKind::Unavailable, "this process does not own the cell");
         let _ = tx.send(Err(error.report()));
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -21,13 +21,17 @@
 /// Answers a call, or refuses it if this process does not own the cell.
 pub(crate) async fn answer(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     if cx.epoch() == 0 {
-        return Err(Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report());
+        return Err(
+            Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report(),
+        );
     }
     match call {
         Call::Announce(announce) => announced(cx, announce).await,
         Call::Place(place) => placed(cx, place).await,
         Call::Cancel(cancel) => {
-            let _ = cx.scheduler.send(SchedulerEvent::Placement(Event::Cancelled(cancel.job)));
+            let _ = cx
+                .scheduler
+                .send(SchedulerEvent::Placement(Event::Cancelled(cancel.job)));
             Ok(Reply::Done)
         }
         Call::GangEnded(ended) => {
@@ -35,31 +39,40 @@
             Ok(Reply::Done)
         }
         Call::Directory { after } => directory(cx, after).await,
-        _ => Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report()),
+        _ => {
+            Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report())
+        }
     }
 }
 
 async fn announced(cx: &Context, announce: Announce) -> Result<Reply> {
     let (tx, rx) = oneshot::channel();
-    let _ = cx.members.send(MemberEvent::Announced { announce, tx });
-    rx.await.unwrap_or_else(|_| Err(internal())).map(Reply::Epoch)
+    let _ = cx.members.send(MemberEvent::Announced {
+        announce: Box::new(announce),
+        tx,
+    });
+    rx.await
+        .unwrap_or_else(|_| Err(internal()))
+        .map(Reply::Epoch)
 }
 
 async fn placed(cx: &Arc<Context>, place: Place) -> Result<Reply> {
     let (tx, rx) = oneshot::channel();
     let request = Arc::new(place.request);
-    let mut cancel = CancelOnDrop { cx, job: Some(request.id) };
+    let mut cancel = CancelOnDrop {
+        cx,
+        job: Some(request.id),
+    };
     let limit = request.timeout;
     let _ = cx.scheduler.send(SchedulerEvent::Submit { request, tx });
-    let result = match timeout(limit, rx).await {
-        Ok(result) => result.unwrap_or_else(|_| Err(superseded())),
-        Err(_) => {
-            let message = "the deadline passed in the queue of the cell";
-            return Err(Error::not_run(ErrorKind::Timeout, message).report());
-        }
+    let Ok(result) = timeout(limit, rx).await else {
+        let message = "the deadline passed in the queue of the cell";
+        return Err(Error::not_run(ErrorKind::Timeout, message).report());
     };
     cancel.job = None;
-    result.map(Reply::Placed)
+    result
+        .unwrap_or_else(|_| Err(superseded()))
+        .map(Reply::Placed)
 }
 
 /// Cancels a job whose entry no longer waits for it.
@@ -71,7 +84,10 @@
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(job) = self.job {
-            let _ = self.cx.scheduler.send(SchedulerEvent::Placement(Event::Cancelled(job)));
+            let _ = self
+                .cx
+                .scheduler
+                .send(SchedulerEvent::Placement(Event::Cancelled(job)));
         }
     }
 }
@@ -82,7 +98,10 @@
         Some(error) if error.kind == ErrorKind::Stopped => GangEnd::Stopped,
         Some(error) => GangEnd::Failed(error),
     };
-    let event = Event::Ended { gang: ended.gang, end };
+    let event = Event::Ended {
+        gang: ended.gang,
+        end,
+    };
     let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
 }
 
@@ -101,12 +120,18 @@
         epoch: membership.epoch,
         revision: cx.board.config.load().revision,
         endpoints: entries(&membership),
-        free: fleet.free.iter().fold(Resources::default(), |sum, free| sum.plus(*free)),
+        free: fleet
+            .free
+            .iter()
+            .fold(Resources::default(), |sum, free| sum.plus(*free)),
     }))
 }
 
 fn entries(membership: &Membership) -> Vec<EndpointEntry> {
-    let serving = membership.serving.values().map(|e| entry(e, e.state.free, false));
+    let serving = membership
+        .serving
+        .values()
+        .map(|e| entry(e, e.state.free, false));
     let draining = membership.draining.values().map(|e| entry(e, 0, true));
     serving.chain(draining).collect()
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -9,15 +9,23 @@
 /// Returns all metrics of a registry in the text format.
 pub fn metrics_text(registry: &Registry) -> String {
     // Encoding fails only for metrics without a name, which cannot be registered.
-    TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default()
+    TextEncoder::new()
+        .encode_to_string(&registry.gather())
+        .unwrap_or_default()
 }
 
 struct Metrics<F>(F);
 
 #[async_trait]
 impl<F: Fn() -> String + Send + Sync + 'static> Handler for Metrics<F> {
-    async fn handle(&self, _req: &mut Request, _depot: &mut Depot, res: &mut Response, _ctrl: &mut FlowCtrl) {
-        res.render(Text::plain((self.0)()));
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.render(Text::Plain((self.0)()));
     }
 }
 
@@ -26,6 +34,8 @@
     let router = Router::with_path("metrics").get(Metrics(text));
     match TcpListener::new(addr).try_bind().await {
         Ok(acceptor) => Server::new(acceptor).serve(router).await,
-        Err(e) => log::error!(target: "limpethook", addr:% = addr, error:% = e; "metrics_not_served"),
+        Err(e) => {
+            log::error!(target: "limpethook", addr:% = addr, error:% = e; "metrics_not_served");
+        }
     }
 }
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -77,19 +77,37 @@
     };
     let (tx, rx) = mpsc::channel(WRITE_QUEUE);
     tokio::spawn(write_all(rx, writer));
+    // A caller whose connection ended waits for nothing any more.
+    let open = CancellationToken::new();
+    let _close = open.clone().drop_guard();
     while let Some((id, trace, call)) = reader.next::<Incoming>().await {
         let parent = trace.map(|(trace, span)| TraceParent { trace, span });
-        let handler = Arc::clone(&handler);
-        let tx = tx.clone();
-        tokio::spawn(async move {
-            let result = handler(CallContext { peer, parent }, call).await;
-            let reply =
-                result.unwrap_or_else(|report| Reply::Failed(report.current_context().clone()));
-            if let Ok(message) = encode(&(id, reply)) {
-                // The caller may have closed the connection; it then learns nothing.
-                let _ = tx.send(message).await;
-            }
-        });
+        let reply = reply_to(
+            Arc::clone(&handler),
+            CallContext { peer, parent },
+            id,
+            call,
+            tx.clone(),
+        );
+        tokio::spawn(open.clone().run_until_cancelled_owned(reply));
+    }
+}
+
+async fn reply_to<H, F>(
+    handler: Arc<H>,
+    cx: CallContext,
+    id: u64,
+    call: Call,
+    tx: mpsc::Sender<Vec<u8>>,
+) where
+    H: Fn(CallContext, Call) -> F + Send + Sync + 'static,
+    F: Future<Output = Result<Reply>> + Send + 'static,
+{
+    let result = handler(cx, call).await;
+    let reply = result.unwrap_or_else(|report| Reply::Failed(report.current_context().clone()));
+    if let Ok(message) = encode(&(id, reply)) {
+        // The caller may have closed the connection; it then learns nothing.
+        let _ = tx.send(message).await;
     }
 }
 
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,77 @@
+//! Arguments of the command line.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+/// Schedules gang jobs on adjacent accelerators under client account guarantees.
+///
+/// Exit codes: 0 success; 1 the work did not run or a check failed; 2 wrong arguments; 3 the work may have run;
+/// 4 a shutdown cut off work in progress.
+#[derive(Debug, Parser)]
+#[command(version, propagate_version = true)]
+pub(crate) struct Cli {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Run an entry: take callers' requests, admit, route and answer them.
+    Entry {
+        /// Settings file in JSON.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Run an agent beside an endpoint: reserve its slots and its workers.
+    Agent {
+        /// Settings file in JSON.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Check, show, compare or apply the operators' configuration document.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Show the cells, owners and endpoints that an entry knows.
+    Status {
+        /// Base URL of an entry, such as `http://127.0.0.1:8080`.
+        #[arg(long, value_name = "URL")]
+        entry: Box<str>,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum ConfigCommand {
+    /// Check a document and report all faults at once.
+    Check {
+        /// Document in JSON.
+        file: PathBuf,
+    },
+    /// Print the document in the store.
+    Show {
+        /// URL of the key-value service.
+        #[arg(long, value_name = "URL")]
+        store: Box<str>,
+    },
+    /// Print the sections that differ between a document and the store.
+    Diff {
+        /// Document in JSON.
+        file: PathBuf,
+        /// URL of the key-value service.
+        #[arg(long, value_name = "URL")]
+        store: Box<str>,
+    },
+    /// Write the sections that differ, each only if nobody else changed it meanwhile.
+    Apply {
+        /// Document in JSON.
+        file: PathBuf,
+        /// URL of the key-value service.
+        #[arg(long, value_name = "URL")]
+        store: Box<str>,
+        /// Only these sections, such as `accounts/faro`; all by default.
+        #[arg(long, value_name = "SECTION")]
+        section: Vec<Box<str>>,
+    },
+    /// Make the salted hash of a token for the document; reads the token from standard input.
+    Token,
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,19 @@
+//! `limpethook entry`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use config::EntrySettings;
+use errors::Result;
+
+use crate::cmd::{block_on, ended, init_telemetry, shutdown};
+
+/// Runs an entry until a signal ends it.
+pub(crate) fn run(path: &Path) -> Result<ExitCode> {
+    let settings: EntrySettings = config::load_settings(path)?;
+    init_telemetry(&settings.id, &settings.log_level)?;
+    block_on(async {
+        let shutdown = shutdown::on_signal()?;
+        entry::run(settings, shutdown).await.map(ended)
+    })
+}
