Serve requests end to end with separate processes

Cause: the parts had not been run together. The harness starts the stand-in platform, entries and agents as processes on loopback.

--- /dev/null
+++ b/components/harness/src/fixtures.rs
@@ -0,0 +1,53 @@
+//! Plans that several tests use.
+
+use model::{Account, AccountLimits, Document, Resources, Service};
+
+use crate::plan::{AgentPlan, Plan, WorkerPlan};
+
+/// The token of every client account of a fixture.
+pub const TOKEN: &str = "token-of-a-test-account";
+
+/// Returns a document with the client accounts `faro` and `puerto` and the service `workshop`.
+pub fn document() -> Document {
+    let account = || Account {
+        tokens: vec![config::new_token_hash(TOKEN)],
+        guarantees: Vec::new(),
+        limits: AccountLimits::default(),
+    };
+    let mut document = Document::default();
+    document.accounts.insert("faro".into(), account());
+    document.accounts.insert("puerto".into(), account());
+    document
+        .services
+        .insert("workshop".into(), Service::default());
+    document
+}
+
+/// Returns a plan with one region and as many entries and agents as asked; each agent has one worker with 8 GPUs.
+pub fn one_region(entries: usize, agents: usize) -> Plan {
+    Plan {
+        entries: vec!["caribe".into(); entries],
+        agents: (0..agents).map(|number| agent("caribe", number)).collect(),
+        document: document(),
+        log_level: "info".into(),
+    }
+}
+
+/// Returns an agent with an endpoint of 8 slots and one worker, three agents to a rack.
+pub fn agent(region: &str, number: usize) -> AgentPlan {
+    AgentPlan {
+        region: region.into(),
+        data_centre: format!("{region}-1").into(),
+        rack: format!("{region}-1-rack-{}", number / 3).into(),
+        service: Some("workshop".into()),
+        slots: 8,
+        workers: vec![WorkerPlan {
+            id: format!("{region}-worker-{number}").into(),
+            capacity: Resources {
+                accelerators: 8,
+                cores: 64,
+                memory_mb: 131_072,
+            },
+        }],
+    }
+}
--- /dev/null
+++ b/components/harness/src/process.rs
@@ -0,0 +1,100 @@
+//! One child process.
+
+use std::fs::File;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::Result;
+
+/// How often the end of a process is checked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A running program; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// The name in logs.
+    pub name: Box<str>,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program that writes its output to a log file.
+    pub fn start(name: &str, program: &Path, args: &[&str], log: &Path) -> Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("cannot start {}: {e}", program.display()))?;
+        Ok(Self {
+            name: name.into(),
+            child,
+        })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
+    pub fn signal(&self, signal: &str) -> Result<()> {
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.id().to_string())
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(format!("cannot send {signal} to {}", self.name).into())
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Waits for the end of the process.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Err(format!("{} did not end within {limit:?}", self.name).into())
+    }
+
+    /// Returns the resident memory in kilobytes.
+    pub fn resident_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Returns the processor time used so far.
+    pub fn cpu_time(&self) -> Option<Duration> {
+        const TICKS_PER_SECOND: u64 = 100;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let user: u64 = fields.get(11)?.parse().ok()?;
+        let system: u64 = fields.get(12)?.parse().ok()?;
+        Some(Duration::from_millis(
+            (user + system) * 1000 / TICKS_PER_SECOND,
+        ))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -3,7 +3,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use config::{Change, ChangeKind, assemble_sections, diff_documents, parse_document, split_sections};
+use config::{
+    Change, ChangeKind, assemble_sections, diff_documents, parse_document, split_sections,
+};
 use distribution::CONFIG_PREFIX;
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
