Add admission, retry budgets, history, blame and routing

Cause: the request path needs limits per client account, bounded retries and a choice of endpoint; placement needs run times bounded by history and the workers and jobs that are at fault.

Ruled out: two counters for requests and bytes, because a refused byte count would hold a request for a moment and refuse others wrongly. Subtracting all requests in flight from the free slots, because the heartbeat already counts them. Charging each gang member a fraction, because neighbours of a bad worker collect the same charge; the common suspect of several gangs is used instead. A property test showed that a burst of jobs that fail everywhere could put a whole cell of six in quarantine and then go on without end: quarantines now stop at half of the workers, and a job ends after twelve failures in all.

Change: the policy crate; the limits and routes sections; p10 and the ratio of true to declared run times in the estimates.

--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -1,8 +1,12 @@
 //! The blackboard: immutable snapshots that one controller each writes and everyone reads.
 
+mod limits;
+mod routes;
 mod section;
 mod sections;
 
+pub use limits::{Allowance, Limits, RETRY_WINDOW_SLOTS, Usage};
+pub use routes::{Routes, ServiceRoutes, Target};
 pub use section::Section;
 pub use sections::{
     Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
@@ -23,4 +27,8 @@
     pub history: Section<History>,
     /// Quarantined workers and condemned jobs; written by the blame controller.
     pub blame: Section<Blame>,
+    /// Admission limits and request counters; written by the limits controller.
+    pub limits: Section<Limits>,
+    /// Endpoints by service; written by the routing controller.
+    pub routes: Section<Routes>,
 }
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -83,8 +83,12 @@
     pub runs: u32,
     /// Mean run time.
     pub mean: Duration,
-    /// Run time that nine of ten runs stay under.
+    /// Run time that one of ten recent runs stays under.
+    pub p10: Duration,
+    /// Run time that nine of ten recent runs stay under.
     pub p90: Duration,
+    /// Geometric mean of true over declared run times, if any were declared.
+    pub declared_ratio: Option<f64>,
 }
 
 /// Run times and attained service, learned from runs.
--- /dev/null
+++ b/components/policy/src/limits.rs
@@ -0,0 +1,126 @@
+//! Admission control: the requests and the bytes that each client account may have in flight.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, Instant};
+
+use board::{Allowance, Board, Limits, Usage};
+use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
+use model::{AccountId, Document};
+
+use crate::retry;
+
+/// When a refused caller should try again; `Retry-After` counts whole seconds.
+const ADMISSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Requests and bytes share one atomic, so that one exchange admits or refuses both.
+const BYTE_BITS: u32 = 44;
+const ONE_REQUEST: u64 = 1 << BYTE_BITS;
+const BYTES_MASK: u64 = ONE_REQUEST - 1;
+const MAX_REQUESTS: u64 = u64::MAX >> BYTE_BITS;
+
+/// Brings the limits in line with the configuration; counters of an account survive the change.
+pub fn apply_limits(board: &Board, now: Instant) {
+    let config = board.config.load();
+    board
+        .limits
+        .update(|limits| replace_limits(limits, &config.document, now));
+}
+
+fn replace_limits(limits: &mut Limits, document: &Document, now: Instant) {
+    let mut known: IndexMap<AccountId, Arc<Usage>> = std::mem::take(&mut limits.removed);
+    let before = limits.accounts.drain(..);
+    known.extend(before.map(|(id, allowance)| (id, Arc::clone(&allowance.usage))));
+    for (id, account) in &document.accounts {
+        let usage = known.swap_remove(id);
+        let allowance = Allowance {
+            limits: account.limits.clone(),
+            usage: usage.unwrap_or_else(|| Arc::new(Usage::new(now))),
+        };
+        limits.accounts.insert(id.clone(), Arc::new(allowance));
+    }
+    known.retain(|_, usage| usage.in_flight.load(Relaxed) != 0);
+    limits.removed = known;
+}
+
+/// The right of one request to be in flight; dropping it gives the request and its bytes back.
+#[derive(Debug)]
+pub struct Admission {
+    allowance: Arc<Allowance>,
+    bytes: u64,
+}
+
+impl Admission {
+    /// Admits further bytes of a body whose length was not known.
+    pub fn extend(&mut self, bytes: u64) -> Result<()> {
+        take(&self.allowance, 0, bytes)?;
+        self.bytes += bytes;
+        Ok(())
+    }
+
+    /// Returns the limits and counters of the account, for the retry budget.
+    pub fn allowance(&self) -> &Allowance {
+        &self.allowance
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        let held = ONE_REQUEST + self.bytes;
+        self.allowance.usage.in_flight.fetch_sub(held, Relaxed);
+    }
+}
+
+/// Admits a request with a body of `bytes`, or refuses it as not run.
+pub fn admit(limits: &Limits, account: &str, bytes: u64, now: Instant) -> Result<Admission> {
+    let Some(allowance) = limits.accounts.get(account) else {
+        let message = format!("account {account} is not in the configuration");
+        return Err(Error::not_run(ErrorKind::NotFound, message).report());
+    };
+    take(allowance, 1, bytes)?;
+    retry::record_request(&allowance.usage, now);
+    Ok(Admission {
+        allowance: Arc::clone(allowance),
+        bytes,
+    })
+}
+
+/// Returns the requests and the bytes that an account has in flight.
+pub fn in_flight(usage: &Usage) -> (u64, u64) {
+    unpack(usage.in_flight.load(Relaxed))
+}
+
+fn unpack(packed: u64) -> (u64, u64) {
+    (packed >> BYTE_BITS, packed & BYTES_MASK)
+}
+
+/// Relaxed ordering is enough: the counter guards no other memory.
+fn take(allowance: &Allowance, requests: u64, bytes: u64) -> Result<()> {
+    let limits = &allowance.limits;
+    let max_requests = u64::from(limits.requests).min(MAX_REQUESTS);
+    let max_bytes = limits.bytes.min(BYTES_MASK);
+    if bytes > max_bytes {
+        let message = format!("body exceeds the account limit of {max_bytes} bytes in flight");
+        return Err(Error::not_run(ErrorKind::TooLarge, message).report());
+    }
+    let add = |packed: u64| {
+        let (held_requests, held_bytes) = unpack(packed);
+        let too_many = requests > 0 && held_requests + requests > max_requests;
+        let too_large = bytes > 0 && held_bytes + bytes > max_bytes;
+        (!too_many && !too_large).then(|| packed + requests * ONE_REQUEST + bytes)
+    };
+    let counter = &allowance.usage.in_flight;
+    match counter.fetch_update(Relaxed, Relaxed, add) {
+        Ok(_) => Ok(()),
+        Err(packed) => Err(overloaded(packed, max_requests, max_bytes).report()),
+    }
+}
+
+fn overloaded(packed: u64, max_requests: u64, max_bytes: u64) -> Error {
+    let (requests, bytes) = unpack(packed);
+    let message = format!(
+        "account limit reached: {requests} of {max_requests} requests and {bytes} of {max_bytes} bytes in flight"
+    );
+    Error::not_run(ErrorKind::Overloaded, message).retry_after(ADMISSION_RETRY_AFTER)
+}
--- /dev/null
+++ b/components/policy/tests/routing.rs
@@ -0,0 +1,143 @@
+//! Tests of the choice of an endpoint.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::{Board, Membership};
+use fastrand::Rng;
+use model::{Endpoint, Place, Serving};
+use policy::routing::{Route, choose_endpoint, refresh_routes};
+
+fn endpoint(id: &str, region: &str, free: u32, heard: Instant) -> Endpoint<Serving> {
+    let place = Place {
+        region: region.into(),
+        data_centre: "d".into(),
+        rack: "r".into(),
+    };
+    Endpoint {
+        id: id.into(),
+        agent: id.into(),
+        agent_addr: ([127, 0, 0, 1], 1).into(),
+        service: "prism".into(),
+        place,
+        slots: 8,
+        state: Serving { free, heard },
+    }
+}
+
+fn publish(board: &Board, endpoints: &[(&str, &str, u32)], heard: Instant) {
+    let serving = endpoints.iter().map(|(id, region, free)| {
+        let endpoint = endpoint(id, region, *free, heard);
+        (endpoint.id.clone(), Arc::new(endpoint))
+    });
+    board.membership.publish(Membership {
+        serving: serving.collect(),
+        ..Membership::default()
+    });
+    refresh_routes(board, "caribe");
+}
+
+fn choose(board: &Board, tried: &[&str], rng: &mut Rng) -> Option<Route> {
+    let tried: Vec<_> = tried.iter().map(|id| Box::from(*id)).collect();
+    choose_endpoint(&board.routes.load(), "prism", &tried, rng)
+}
+
+/// Guards against requests that cross the region link while the own region has a free slot.
+#[test]
+fn choose_endpoint_fills_own_region_first() {
+    let (board, now, mut rng) = (Board::default(), Instant::now(), Rng::with_seed(7));
+    publish(
+        &board,
+        &[
+            ("near", "caribe", 3),
+            ("full", "caribe", 0),
+            ("far", "pacifico", 2),
+        ],
+        now,
+    );
+    let routes: Vec<_> = (0..6)
+        .map(|_| choose(&board, &[], &mut rng).unwrap())
+        .collect();
+    let ids: Vec<_> = routes.iter().map(|route| &*route.endpoint.id).collect();
+    assert_eq!(ids[..5], ["near", "near", "near", "far", "far"]);
+    assert_ne!(
+        ids[5], "far",
+        "when all are full, the own region's agents queue"
+    );
+    drop(routes);
+    assert_eq!(&*choose(&board, &[], &mut rng).unwrap().endpoint.id, "near");
+}
+
+/// Guards against a retry at an endpoint that refused, and against endless choices.
+#[test]
+fn choose_endpoint_skips_tried() {
+    let (board, now, mut rng) = (Board::default(), Instant::now(), Rng::with_seed(7));
+    publish(
+        &board,
+        &[
+            ("a", "caribe", 8),
+            ("b", "caribe", 1),
+            ("far", "pacifico", 8),
+        ],
+        now,
+    );
+    assert_eq!(&*choose(&board, &["a"], &mut rng).unwrap().endpoint.id, "b");
+    assert_eq!(
+        &*choose(&board, &["a", "b"], &mut rng).unwrap().endpoint.id,
+        "far"
+    );
+    assert!(choose(&board, &["a", "b", "far"], &mut rng).is_none());
+    assert!(choose_endpoint(&board.routes.load(), "other", &[], &mut rng).is_none());
+}
+
+/// Guards against new work for an endpoint that leaves.
+#[test]
+fn choose_endpoint_skips_draining() {
+    let (board, now, mut rng) = (Board::default(), Instant::now(), Rng::with_seed(7));
+    publish(&board, &[("a", "caribe", 8), ("b", "caribe", 1)], now);
+    board.membership.update(|membership| {
+        let leaving = membership.serving.shift_remove("a").unwrap();
+        let leaving = Endpoint::clone(&leaving).drain(now);
+        membership.draining.insert("a".into(), Arc::new(leaving));
+    });
+    refresh_routes(&board, "caribe");
+    let chosen = (0..20).map(|_| choose(&board, &[], &mut rng).unwrap());
+    assert!(chosen.into_iter().all(|route| &*route.endpoint.id == "b"));
+}
+
+/// Guards against slots that are counted twice: as taken in the heartbeat and as in flight here.
+#[test]
+fn refresh_routes_counts_slots_once() {
+    let (board, now, mut rng) = (Board::default(), Instant::now(), Rng::with_seed(7));
+    let later = now + Duration::from_secs(1);
+    publish(
+        &board,
+        &[("near", "caribe", 8), ("far", "pacifico", 8)],
+        now,
+    );
+    let held: Vec<_> = (0..5)
+        .map(|_| choose(&board, &[], &mut rng).unwrap())
+        .collect();
+    publish(
+        &board,
+        &[("near", "caribe", 3), ("far", "pacifico", 8)],
+        later,
+    );
+    refresh_routes(&board, "caribe");
+    let rest: Vec<_> = (0..4)
+        .map(|_| choose(&board, &[], &mut rng).unwrap())
+        .collect();
+    let ids: Vec<_> = rest.iter().map(|route| &*route.endpoint.id).collect();
+    assert_eq!(ids, ["near", "near", "near", "far"]);
+    drop((held, rest));
+}
+
+/// Guards against a choice that ignores the load: the worse of two is taken only when it is drawn twice, never here.
+#[test]
+fn choose_endpoint_takes_better_of_two() {
+    let (board, now, mut rng) = (Board::default(), Instant::now(), Rng::with_seed(7));
+    publish(&board, &[("a", "caribe", 2), ("b", "caribe", 8)], now);
+    for _ in 0..50 {
+        assert_eq!(&*choose(&board, &[], &mut rng).unwrap().endpoint.id, "b");
+    }
+}
