--- a/components/board/src/limits.rs
+++ b/components/board/src/limits.rs
@@ -11,7 +11,11 @@
 pub const RETRY_WINDOW_SLOTS: usize = 10;
 
 /// Counters of one client account; they outlive a change of its limits.
+///
+/// The alignment keeps accounts out of each other's cache lines: with 8 threads on 8 accounts an admission took 333 to
+/// 365 ns without it and 192 to 323 ns with it (medians of repeated runs on a busy machine).
 #[derive(Debug)]
+#[repr(align(128))]
 pub struct Usage {
     /// Requests and bytes in flight, packed by `policy::limits`.
     pub in_flight: AtomicU64,
@@ -32,8 +36,9 @@
     }
 }
 
-/// The limits of a client account with its counters.
+/// The limits of a client account with its counters, aligned for the reason given at [`Usage`].
 #[derive(Debug, Clone)]
+#[repr(align(128))]
 pub struct Allowance {
     /// The limits in force.
     pub limits: AccountLimits,
--- a/components/config/src/checker.rs
+++ b/components/config/src/checker.rs
@@ -142,6 +142,11 @@
         items.iter().enumerate().map(item).collect()
     }
 
+    /// Returns the length of the value as JSON text.
+    pub(crate) fn size(&self) -> usize {
+        self.value.map_or(0, |value| value.to_string().len())
+    }
+
     pub(crate) fn text(&self) -> Box<str> {
         let Some(text) = self.value.and_then(Value::as_str) else {
             self.expected("a text");
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -14,6 +14,9 @@
 const MAX_REQUESTS: u32 = 1_000_000;
 const MAX_BYTES: u64 = 1 << 40;
 
+/// The largest value of the key-value service, which stores each section under one key.
+const MAX_SECTION_BYTES: usize = 1_000_000;
+
 /// Reads the document and reports all its faults at once.
 pub fn parse_document(file_name: &str, text: &str) -> Result<Document> {
     let value = Faults::new(file_name).parse(text)?;
@@ -55,6 +58,11 @@
         if !is_id(id) {
             entry.fault(format_args!("the name must be {ID_RULE}"));
         }
+        if entry.size() > MAX_SECTION_BYTES {
+            entry.fault(format_args!(
+                "must have at most {MAX_SECTION_BYTES} bytes as JSON"
+            ));
+        }
         check(&entry);
     }
 }
--- a/components/config/tests/document.rs
+++ b/components/config/tests/document.rs
@@ -47,6 +47,17 @@
     assert_eq!(message(&text), expected.join("\n"));
 }
 
+/// Guards against a section that the store refuses after the document was accepted.
+#[test]
+fn check_document_refuses_large_section() {
+    let mut document = document();
+    let token = new_token_hash("token");
+    document.accounts["faro"].tokens = vec![token; 11_000];
+    let report = check_document(&document).unwrap_err();
+    let expected = "document: accounts.faro: must have at most 1000000 bytes as JSON";
+    assert_eq!(&*report.current_context().message, expected);
+}
+
 /// Guards against the silent loss of one of two accounts with the same name.
 #[test]
 fn parse_document_refuses_repeated_key() {
--- a/components/policy/tests/blame.rs
+++ b/components/policy/tests/blame.rs
@@ -136,6 +136,19 @@
     assert_eq!(scene.condemned(), [1]);
 }
 
+/// Guards against jobs that are charged again for a bad worker once it is repaired.
+#[test]
+fn observe_keeps_jobs_excused_after_probe() {
+    let mut scene = Scene::new();
+    for job in 1..=3 {
+        scene.fail(job, &["bad"]);
+    }
+    scene.succeed(4, &["bad"]);
+    scene.fail(1, &["a"]);
+    scene.fail(1, &["b"]);
+    assert!(scene.condemned().is_empty());
+}
+
 /// Guards against good workers lost to a burst of jobs that fail everywhere, and against such jobs never ending.
 #[test]
 fn observe_frees_workers_of_condemned_jobs() {
@@ -175,6 +188,19 @@
     }
 }
 
+/// Guards against jobs that go on without end because the workers which they put in quarantine excuse them.
+#[test]
+fn observe_ends_excused_jobs() {
+    let mut scene = Scene::new();
+    for worker in ["a", "b", "c", "d", "e", "f"].repeat(2) {
+        for job in 1..=8 {
+            scene.fail(job, &[worker]);
+        }
+    }
+    assert_eq!(scene.condemned().len(), 8);
+    assert!(scene.quarantined().is_empty());
+}
+
 /// Guards against one bad worker that stays hidden in gangs or takes good members and jobs down with it.
 #[test]
 fn observe_finds_bad_gang_member() {
