--- a/components/standin/src/fleet.rs
+++ b/components/standin/src/fleet.rs
@@ -2,8 +2,9 @@
 
 mod faults;
 mod handler;
+mod task;
 mod tasks;
 
 pub use faults::{FailMode, Vanish, WorkerFaults};
 pub use handler::start_workers;
-pub use tasks::TaskRecord;
+pub use task::TaskRecord;
--- a/components/standin/src/kv/handler.rs
+++ b/components/standin/src/kv/handler.rs
@@ -36,6 +36,13 @@
         self.data.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits while calls get no answer.
+    pub(crate) async fn answered(&self) -> Arc<ActiveFaults> {
+        self.faults
+            .wait_until(|faults| faults.outage != Some(Outage::Hang))
+            .await
+    }
+
     /// Changes the data and wakes the watches if the revision rose.
     pub(crate) fn change<T>(&self, f: impl FnOnce(&mut Data) -> T) -> T {
         let mut data = self.data();
@@ -85,11 +92,7 @@
             return refuse(res, StatusCode::NOT_FOUND, "no such path");
         };
         self.0.calls.add(kind);
-        let faults = self
-            .0
-            .faults
-            .wait_until(|faults| faults.outage != Some(Outage::Hang))
-            .await;
+        let faults = self.0.answered().await;
         if faults.outage.is_some() {
             return refuse(res, StatusCode::SERVICE_UNAVAILABLE, "outage");
         }
--- a/components/standin/src/kv/routes.rs
+++ b/components/standin/src/kv/routes.rs
@@ -121,6 +121,7 @@
             tokio::select! {
                 _ = revisions.changed() => {}
                 _ = faults.changed() => if self.faults.load().outage.is_some() {
+                    self.answered().await;
                     return refuse(res, StatusCode::SERVICE_UNAVAILABLE, "outage");
                 },
                 _ = deadline.recv() => waiting = false,
--- /dev/null
+++ b/components/standin/tests/store.rs
@@ -0,0 +1,111 @@
+//! The key-value service of the stand-in over loopback: faults and counts.
+
+use std::time::{Duration, Instant};
+
+use reqwest::{Client, RequestBuilder};
+use standin::{Outage, Selection, Server, StoreFaults, StoreSettings, start_store};
+use store::CallCounts;
+use timer::Timer;
+
+async fn start() -> (Server, Client) {
+    let server = start_store(&StoreSettings::default(), &Timer::start()).await;
+    let client = Client::builder().no_proxy().build().unwrap();
+    (server.unwrap(), client)
+}
+
+async fn set_faults(server: &Server, client: &Client, faults: &StoreFaults) {
+    let url = format!("{}/control/faults", server.base());
+    let sent = client.post(url).json(faults).send().await;
+    assert!(sent.unwrap().status().is_success());
+}
+
+fn put(server: &Server, client: &Client) -> RequestBuilder {
+    client
+        .put(format!("{}/v1/kv?key=a", server.base()))
+        .body("1")
+}
+
+fn watch(server: &Server, client: &Client) -> RequestBuilder {
+    let url = format!("{}/v1/watch?prefix=&after=0&wait_ms=5000", server.base());
+    client.get(url).timeout(Duration::from_millis(500))
+}
+
+/// Guards against lost answers by share that differ between two runs with one seed.
+#[tokio::test]
+async fn lost_answers_repeat_with_seed() {
+    const WRITES: usize = 100;
+    let (server, client) = start().await;
+    let faults = StoreFaults {
+        lost_answers: Some(Selection {
+            share: Some(0.3),
+            seed: 7,
+            ..Selection::default()
+        }),
+        ..StoreFaults::default()
+    };
+    let mut rounds = Vec::new();
+    for _ in 0..2 {
+        set_faults(&server, &client, &faults).await;
+        let mut lost = Vec::new();
+        for _ in 0..WRITES {
+            lost.push(put(&server, &client).send().await.is_err());
+        }
+        rounds.push(lost);
+    }
+    assert_eq!(rounds[0], rounds[1]);
+    let lost = rounds[0].iter().filter(|lost| **lost).count();
+    assert!((15..45).contains(&lost), "lost {lost} of {WRITES}");
+}
+
+/// Guards against calls that are counted twice, under another kind, or not at all while the service is down.
+#[tokio::test]
+async fn counts_include_refused_calls() {
+    let (server, client) = start().await;
+    put(&server, &client).send().await.unwrap();
+    let refuse = StoreFaults {
+        outage: Some(Outage::Refuse),
+        ..StoreFaults::default()
+    };
+    set_faults(&server, &client, &refuse).await;
+    let refused = put(&server, &client).send().await.unwrap();
+    assert_eq!(refused.status(), 503);
+    let url = format!("{}/control/counts", server.base());
+    let answer = client.get(url).send().await.unwrap();
+    let expected = CallCounts {
+        put: 2,
+        ..CallCounts::default()
+    };
+    assert_eq!(answer.json::<CallCounts>().await.unwrap(), expected);
+}
+
+/// Guards against a watch that waits on through an outage as if the store were up.
+#[tokio::test]
+async fn outage_ends_waiting_watches() {
+    let (server, client) = start().await;
+    for (outage, answered) in [(Outage::Refuse, true), (Outage::Hang, false)] {
+        let waiting = tokio::spawn(watch(&server, &client).send());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let faults = StoreFaults {
+            outage: Some(outage),
+            ..StoreFaults::default()
+        };
+        set_faults(&server, &client, &faults).await;
+        let status = waiting.await.unwrap().map(|answer| answer.status());
+        assert_eq!(status.is_ok_and(|status| status == 503), answered);
+        set_faults(&server, &client, &StoreFaults::default()).await;
+    }
+}
+
+/// Guards against a slow service that answers at full speed.
+#[tokio::test]
+async fn slow_delays_each_answer() {
+    let (server, client) = start().await;
+    let slow = StoreFaults {
+        slow_ms: 100,
+        ..StoreFaults::default()
+    };
+    set_faults(&server, &client, &slow).await;
+    let started = Instant::now();
+    put(&server, &client).send().await.unwrap();
+    assert!(started.elapsed() >= Duration::from_millis(100));
+}
--- a/components/store/src/confirm.rs
+++ b/components/store/src/confirm.rs
@@ -22,6 +22,10 @@
     pub expect: Expect,
     /// The lease of the key.
     pub lease: Option<LeaseId>,
+    /// A revision of the store before the write, from a listing, a watch or an earlier write; 0 if none is known.
+    ///
+    /// The later it is, the more likely the history still reaches back to it.
+    pub since: Revision,
 }
 
 /// What is known about a write after the read-back.
@@ -112,21 +116,24 @@
         return ReadBack::Known(Confirmed::Written { revision });
     }
     let current = current.map(|entry| entry.revision);
-    match (req.expect, current) {
-        (Expect::Any, _) | (Expect::Absent, None) => ReadBack::Unchanged,
-        (Expect::Revision(expected), Some(found)) if expected == found => ReadBack::Unchanged,
-        (Expect::Revision(expected), _) => search_history(store, req, expected, current).await,
-        (Expect::Absent, Some(_)) => search_history(store, req, 0, current).await,
+    let unchanged = match req.expect {
+        Expect::Any => true,
+        Expect::Absent => current.is_none(),
+        Expect::Revision(expected) => current == Some(expected),
+    };
+    if unchanged {
+        return ReadBack::Unchanged;
     }
+    search_history(store, req, current).await
 }
 
-/// Looks for the write among the changes since `after`: another writer may have replaced it already.
+/// Looks for the write among the changes since it was sent: another writer may have replaced it already.
 async fn search_history(
     store: &dyn KvStore,
     req: &PutRequest,
-    after: Revision,
     current: Option<Revision>,
 ) -> ReadBack {
+    let after = sent_after(req);
     let Ok(Watched::Changes { changes, .. }) = store.watch(&req.key, after, Duration::ZERO).await
     else {
         return ReadBack::Unclear;
@@ -142,9 +149,14 @@
 }
 
 fn is_own(entry: &Entry, req: &PutRequest) -> bool {
-    let newer = match req.expect {
-        Expect::Revision(expected) => entry.revision > expected,
-        Expect::Any | Expect::Absent => true,
-    };
+    let newer = entry.revision > sent_after(req);
     newer && entry.key == req.key && entry.value == req.value && entry.lease == req.lease
 }
+
+/// Returns the latest revision that is known to lie before the write.
+fn sent_after(req: &PutRequest) -> Revision {
+    match req.expect {
+        Expect::Revision(expected) => expected.max(req.since),
+        Expect::Any | Expect::Absent => req.since,
+    }
+}
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -7,10 +7,10 @@
 use errors::{Error, ErrorKind, Result, Verdict};
 use model::Revision;
 use reqwest::header::{HeaderMap, IF_MATCH, IF_NONE_MATCH};
-use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url};
-use serde::de::DeserializeOwned;
+use reqwest::{Client, Method, RequestBuilder, StatusCode, Url};
 
 use crate::calls::{CallCounts, CallKind, Calls};
+use crate::exchange::{parse, send};
 use crate::frames::decode_frames;
 use crate::kv::{
     Change, Entry, Expect, KvStore, LeaseId, Listing, MAX_VALUE_BYTES, PutOutcome, Watched,
@@ -211,65 +211,6 @@
     }
 }
 
-/// Sends a request; `lost` is the verdict when it was sent and no whole answer came back.
-async fn send(req: RequestBuilder, lost: Verdict) -> Result<(StatusCode, HeaderMap, Bytes)> {
-    let mut answer = req.send().await.map_err(|e| failed(&e, lost))?;
-    let status = answer.status();
-    let headers = std::mem::take(answer.headers_mut());
-    if status.is_success() || is_outcome(status) {
-        let body = answer.bytes().await.map_err(|e| failed(&e, lost))?;
-        return Ok((status, headers, body));
-    }
-    Err(refused(answer, status, lost).await.report())
-}
-
-/// Returns whether the status is one of the answers that a caller handles.
-fn is_outcome(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED | StatusCode::GONE
-    )
-}
-
-async fn refused(answer: Response, status: StatusCode, lost: Verdict) -> Error {
-    // The status decides; the text only explains it.
-    let text = answer.text().await.unwrap_or_default();
-    let message = format!("key-value service answered {status}: {text}");
-    match status {
-        StatusCode::PAYLOAD_TOO_LARGE => Error::not_run(ErrorKind::TooLarge, message),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            Error::not_run(ErrorKind::Unavailable, message)
-        }
-        _ if status.is_client_error() => Error::not_run(ErrorKind::InvalidRequest, message),
-        _ => Error::new(lost, ErrorKind::Unavailable, message),
-    }
-}
-
-fn failed(e: &reqwest::Error, lost: Verdict) -> error_stack::Report<Error> {
-    let sent = !(e.is_connect() || e.is_builder());
-    let verdict = if sent { lost } else { Verdict::NotRun };
-    let message = format!("call to the key-value service failed: {}", causes(e));
-    Error::new(verdict, ErrorKind::Unavailable, message).report()
-}
-
-/// Joins an error with its causes, because the outermost one seldom names the fault.
-fn causes(e: &dyn std::error::Error) -> String {
-    let mut text = e.to_string();
-    let mut cause = e.source();
-    while let Some(inner) = cause {
-        text = format!("{text}: {inner}");
-        cause = inner.source();
-    }
-    text
-}
-
-fn parse<T: DeserializeOwned>(body: &[u8], verdict: Verdict) -> Result<T> {
-    serde_json::from_slice(body).map_err(|e| {
-        let message = format!("answer of the key-value service: {e}");
-        Error::new(verdict, ErrorKind::Corrupt, message).report()
-    })
-}
-
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod confirm;
+mod exchange;
 mod frames;
 mod http;
 mod kv;
--- a/components/store/tests/http.rs
+++ b/components/store/tests/http.rs
@@ -11,6 +11,10 @@
 };
 use timer::Timer;
 
+use doubles::{First, Interfering};
+
+mod doubles;
+
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 async fn start() -> (Server, HttpStore) {
@@ -51,6 +55,7 @@
         value: Bytes::from_static(value.as_bytes()),
         expect,
         lease: None,
+        since: 0,
     }
 }
 
@@ -223,6 +228,44 @@
     assert_eq!(done.unwrap(), Confirmed::Conflict { current: Some(1) });
 }
 
+/// Guards against an own write that another writer replaced at once being reported as a lost race.
+#[tokio::test]
+async fn put_confirmed_finds_replaced_write_in_history() {
+    let (server, store) = start().await;
+    put(&store, "cells/a", "old", Expect::Any).await;
+    let hasty = Interfering::new(connect(&server.base()), First::Replaced);
+    set_faults(&server, &lose_next(1)).await;
+    let done = put_confirmed(&hasty, &request("me", Expect::Revision(1))).await;
+    assert_eq!(done.unwrap(), Confirmed::Written { revision: 2 });
+}
+
+/// Guards against a guess when the history no longer tells who won.
+#[tokio::test]
+async fn put_confirmed_stays_unknown_after_compaction() {
+    let settings = StoreSettings {
+        history: 1,
+        ..StoreSettings::default()
+    };
+    let (server, store) = start_with(&settings).await;
+    put(&store, "cells/a", "old", Expect::Any).await;
+    let hasty = Interfering::new(connect(&server.base()), First::Replaced);
+    set_faults(&server, &lose_next(1)).await;
+    let done = put_confirmed(&hasty, &request("me", Expect::Revision(1))).await;
+    assert!(matches!(done.unwrap(), Confirmed::Unknown(_)));
+}
+
+/// Guards against a conditional write being given up as unknown although it never arrived.
+#[tokio::test]
+async fn put_confirmed_repeats_write_that_never_arrived() {
+    let (server, store) = start().await;
+    let lossy = Interfering::new(store, First::NeverArrives);
+    let done = put_confirmed(&lossy, &request("me", Expect::Absent)).await;
+    assert_eq!(done.unwrap(), Confirmed::Written { revision: 1 });
+    let lossy = Interfering::new(connect(&server.base()), First::NeverArrives);
+    let done = put_confirmed(&lossy, &request("other", Expect::Any)).await;
+    assert!(matches!(done.unwrap(), Confirmed::Unknown(_)));
+}
+
 /// Guards against a guess when the store cannot be read after the write.
 #[tokio::test]
 async fn put_confirmed_stays_unknown_without_read_back() {
@@ -258,3 +301,23 @@
     set_faults(&server, &StoreFaults::default()).await;
     assert!(connect(&server.base()).get("a").await.unwrap().is_none());
 }
+
+/// Guards against a stopped service that still answers on open connections, and against a port that stays taken.
+#[tokio::test]
+async fn get_fails_while_service_is_stopped() {
+    let (server, store) = start().await;
+    put(&store, "a", "1", Expect::Any).await;
+    let listen = server.addr();
+    server.stop();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let failed = store.get("a").await.unwrap_err();
+    assert_eq!(failed.current_context().kind, ErrorKind::Unavailable);
+    let settings = StoreSettings {
+        listen,
+        ..StoreSettings::default()
+    };
+    let _server = start_store(&settings, &Timer::start()).await.unwrap();
+    assert!(store.get("a").await.unwrap().is_none());
+    let seen = store.watch("", 1, Duration::ZERO).await.unwrap();
+    assert_eq!(seen, Watched::Compacted { revision: 0 });
+}
