Bound the stand-in's memory and decode ids in its paths

Cause: the history of the store held up to 10,000 values of 1 MB; a worker or task id with a reserved character named another object in a path than in a body; requests that a freeze held on all connections kept a test from lifting the freeze; an answer with a wrong length left a task behind; HttpStore took "localhost:2379" as an address and failed only with its calls.

Ruled out: restricting ids to unreserved characters, because ids come from settings of the operators.

Change: the history is bounded by 64 MiB, path segments are decoded, four connections above the limit of an endpoint remain for control calls, a connection with a wrong length ends with its caller, and HttpStore checks the address. The example store_load measures the store.

--- /dev/null
+++ b/components/standin/examples/store_load.rs
@@ -0,0 +1,68 @@
+//! Measures how fast `HttpStore` and the key-value service of the stand-in work over loopback.
+//!
+//! `cargo run --release -p standin --example store_load -- [CALLERS] [CALLS per caller] [VALUE BYTES]`
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use standin::{StoreSettings, start_store};
+use store::{Expect, HttpStore, HttpStoreSettings, KvStore};
+use timer::Timer;
+
+#[tokio::main]
+async fn main() {
+    let mut args = std::env::args().skip(1).filter_map(|arg| arg.parse().ok());
+    let callers = args.next().unwrap_or(1);
+    let calls = args.next().unwrap_or(5_000);
+    let value = Bytes::from(vec![7; args.next().unwrap_or(1_000)]);
+    let server = start_store(&StoreSettings::default(), &Timer::start())
+        .await
+        .expect("the service starts");
+    for write in [true, false] {
+        let started = Instant::now();
+        let mut load = tokio::task::JoinSet::new();
+        for caller in 0..callers {
+            let store = HttpStore::new(&HttpStoreSettings::new(server.base()));
+            let store = store.expect("the address is a URL");
+            load.spawn(call(
+                store,
+                write,
+                format!("k/{caller}"),
+                calls,
+                value.clone(),
+            ));
+        }
+        let mut times = load.join_all().await.concat();
+        let elapsed = started.elapsed();
+        times.sort();
+        println!(
+            "write={write} callers={callers} bytes={} per_second={} p50_us={} p99_us={}",
+            value.len(),
+            times.len() as u128 * 1_000_000 / elapsed.as_micros().max(1),
+            times[times.len() / 2].as_micros(),
+            times[times.len() * 99 / 100].as_micros(),
+        );
+    }
+}
+
+/// Makes calls one after the other and returns their times.
+async fn call(
+    store: HttpStore,
+    write: bool,
+    key: String,
+    calls: usize,
+    value: Bytes,
+) -> Vec<Duration> {
+    let mut times = Vec::with_capacity(calls);
+    for _ in 0..calls {
+        let sent = Instant::now();
+        if write {
+            let put = store.put(&key, value.clone(), Expect::Any, None).await;
+            put.expect("the write is answered");
+        } else {
+            store.get(&key).await.expect("the read is answered");
+        }
+        times.push(sent.elapsed());
+    }
+    times
+}
--- a/components/standin/src/endpoint/handler.rs
+++ b/components/standin/src/endpoint/handler.rs
@@ -28,6 +28,12 @@
 /// The time in which the first half of a truncated answer leaves before the connection closes.
 const TRUNCATE_DELAY: Duration = Duration::from_millis(20);
 
+/// How often a connection that is kept open on purpose is checked for its end.
+const OPEN_CHECK: Duration = Duration::from_millis(100);
+
+/// Connections beyond the limit for control calls, which otherwise could not lift a freeze that fills all connections.
+const CONTROL_CONNECTIONS: usize = 4;
+
 /// The bytes that a wrong length promises beyond the body.
 const WRONG_LENGTH_EXCESS: u64 = 16;
 
@@ -74,7 +80,8 @@
         timer: timer.clone(),
     };
     let handler = EndpointHandler(Arc::new(endpoint));
-    serve(settings.listen, Some(settings.connections), handler).await
+    let connections = settings.connections + CONTROL_CONNECTIONS;
+    serve(settings.listen, Some(connections), handler).await
 }
 
 struct EndpointHandler(Arc<Endpoint>);
@@ -141,7 +148,7 @@
         match fault {
             Some(AnswerFault::CloseAfter) => return close(res),
             Some(AnswerFault::Truncate) => self.send_half(&text, res),
-            Some(AnswerFault::WrongLength) => send_short(text, res),
+            Some(AnswerFault::WrongLength) => self.send_short(text, res),
             _ => raw(res, StatusCode::OK, "application/json", text),
         }
         if let Ok(id) = HeaderValue::from_str(&echo.request) {
@@ -149,6 +156,20 @@
         }
     }
 
+    /// Promises more than the text and keeps the connection open until the caller closes it.
+    fn send_short(&self, text: Bytes, res: &mut Response) {
+        let (mut tx, body) = ResBody::channel();
+        promise(res, text.len() as u64 + WRONG_LENGTH_EXCESS, body);
+        let timer = self.timer.clone();
+        tokio::spawn(async move {
+            // A failed send means that the connection is closed already.
+            let _ = tx.send_data(text).await;
+            while !tx.is_closed() {
+                pause(&timer, OPEN_CHECK).await;
+            }
+        });
+    }
+
     /// Promises the whole text, sends half of it and closes the connection.
     fn send_half(&self, text: &Bytes, res: &mut Response) {
         let (mut tx, body) = ResBody::channel();
@@ -164,17 +185,6 @@
     }
 }
 
-/// Promises more than the text and keeps the connection open.
-fn send_short(text: Bytes, res: &mut Response) {
-    let (mut tx, body) = ResBody::channel();
-    promise(res, text.len() as u64 + WRONG_LENGTH_EXCESS, body);
-    tokio::spawn(async move {
-        // A failed send means that the connection is closed already.
-        let _ = tx.send_data(text).await;
-        std::future::pending::<()>().await;
-    });
-}
-
 fn promise(res: &mut Response, length: u64, body: ResBody) {
     res.status_code(StatusCode::OK);
     res.headers_mut()
--- a/components/standin/src/fleet/handler.rs
+++ b/components/standin/src/fleet/handler.rs
@@ -16,7 +16,7 @@
 use crate::faults::Faults;
 use crate::fleet::faults::{FailMode, Vanish, WorkerFaults};
 use crate::fleet::tasks::{StartFault, Tasks};
-use crate::reply::{json, parse, pause, refuse};
+use crate::reply::{decode_segment, json, parse, pause, refuse};
 use crate::server::{Server, serve};
 use crate::settings::WorkersSettings;
 
@@ -93,8 +93,11 @@
 #[handler]
 impl FleetHandler {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let path = req.uri().path().to_owned();
-        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        let segments = req.uri().path().split('/').skip(1);
+        let Some(parts) = segments.map(decode_segment).collect::<Option<Vec<_>>>() else {
+            return refuse(res, StatusCode::BAD_REQUEST, "the path is malformed");
+        };
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
         match parts.as_slice() {
             ["control", rest @ ..] => control(&self.0, rest, req, res).await,
             ["v1", "workers", worker, rest @ ..] => {
--- a/components/standin/src/kv/data.rs
+++ b/components/standin/src/kv/data.rs
@@ -9,6 +9,9 @@
 use model::Revision;
 use store::{Change, Entry, Expect, Key, LeaseId, PutOutcome};
 
+/// Bounds the memory of the history, because a change may hold a value of 1 MB.
+const HISTORY_BYTES: usize = 64 * 1024 * 1024;
+
 /// The lease that a write names does not exist.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct UnknownLease;
@@ -30,6 +33,7 @@
     last_lease: LeaseId,
     history: VecDeque<Change>,
     history_limit: usize,
+    history_bytes: usize,
     /// The revision of the newest change that left the history.
     compacted: Revision,
 }
@@ -43,6 +47,7 @@
             last_lease: 0,
             history: VecDeque::new(),
             history_limit,
+            history_bytes: 0,
             compacted: 0,
         }
     }
@@ -189,16 +194,26 @@
 
     fn record(&mut self, change: Change) -> PutOutcome {
         let revision = change.revision();
+        self.history_bytes += size_of(&change);
         self.history.push_back(change);
-        while self.history.len() > self.history_limit {
-            if let Some(oldest) = self.history.pop_front() {
-                self.compacted = oldest.revision();
-            }
+        while self.history.len() > self.history_limit || self.history_bytes > HISTORY_BYTES {
+            let Some(oldest) = self.history.pop_front() else {
+                break;
+            };
+            self.history_bytes -= size_of(&oldest);
+            self.compacted = oldest.revision();
         }
         PutOutcome::Written { revision }
     }
 }
 
+fn size_of(change: &Change) -> usize {
+    match change {
+        Change::Put(entry) => entry.key.len() + entry.value.len(),
+        Change::Deleted { key, .. } => key.len(),
+    }
+}
+
 fn key_of(change: &Change) -> &str {
     match change {
         Change::Put(entry) => &entry.key,
--- a/components/standin/src/reply.rs
+++ b/components/standin/src/reply.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use store::ErrorAnswer;
 
-/// The largest request body, one value of the key-value service and some room.
+/// The largest request body; a service allows 8 MiB unless the operators say otherwise.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Answers with a JSON body.
@@ -63,6 +63,17 @@
     serde_json::from_slice(&body).map_err(|e| e.to_string())
 }
 
+/// Decodes a percent-encoded path segment; nothing if it is malformed.
+pub(crate) fn decode_segment(segment: &str) -> Option<String> {
+    let mut parts = segment.split('%');
+    let mut bytes = parts.next()?.as_bytes().to_vec();
+    for part in parts {
+        bytes.push(u8::from_str_radix(part.get(..2)?, 16).ok()?);
+        bytes.extend_from_slice(&part.as_bytes()[2..]);
+    }
+    String::from_utf8(bytes).ok()
+}
+
 /// Waits on the timer service.
 pub(crate) async fn pause(timer: &timer::Timer, delay: Duration) {
     if !delay.is_zero() {
--- a/components/standin/tests/endpoint.rs
+++ b/components/standin/tests/endpoint.rs
@@ -9,9 +9,12 @@
 };
 use timer::Timer;
 
+const CONNECTIONS: usize = 8;
+
 async fn start() -> (Server, Client) {
     let settings = EndpointSettings {
         slots: 2,
+        connections: CONNECTIONS,
         ..EndpointSettings::default()
     };
     let server = start_endpoint("e1".into(), &settings, &Timer::start()).await;
@@ -118,6 +121,24 @@
     assert_ne!(answer.headers()["limpethook-request-id"], "r1");
 }
 
+/// Guards against a freeze that nobody can lift because requests hold all connections.
+#[tokio::test]
+async fn freeze_leaves_connections_for_control() {
+    let (server, client) = start().await;
+    let freeze = EndpointFaults {
+        freeze: true,
+        ..EndpointFaults::default()
+    };
+    set_faults(&server, &client, &freeze).await;
+    let mut held = tokio::task::JoinSet::new();
+    for _ in 0..CONNECTIONS {
+        held.spawn(post(&server, &client, "r1").send());
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    set_faults(&server, &client, &EndpointFaults::default()).await;
+    assert!(held.join_all().await.iter().all(Result::is_ok));
+}
+
 /// Guards against a frozen endpoint that still runs requests, and one that stays frozen.
 #[tokio::test]
 async fn freeze_holds_requests_until_lifted() {
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -51,10 +51,13 @@
 impl HttpStore {
     /// Creates the adapter; it connects with the first call.
     pub fn new(settings: &HttpStoreSettings) -> Result<Self> {
-        let base = Url::parse(&settings.base).map_err(|e| {
-            let message = format!("store address {:?}: {e}", settings.base);
-            Error::not_run(ErrorKind::InvalidRequest, message).report()
-        })?;
+        let base = Url::parse(&settings.base)
+            .ok()
+            .filter(|url| !url.cannot_be_a_base())
+            .ok_or_else(|| {
+                let message = format!("store address {:?} is not a URL", settings.base);
+                Error::not_run(ErrorKind::InvalidRequest, message).report()
+            })?;
         let client = Client::builder()
             .no_proxy()
             .connect_timeout(settings.connect_timeout)
--- a/components/store/tests/http.rs
+++ b/components/store/tests/http.rs
@@ -192,6 +192,19 @@
     assert!(matches!(seen, Watched::Changes { changes, .. } if changes.len() == 2));
 }
 
+/// Guards against a history of large values that fills the memory.
+#[tokio::test]
+async fn watch_reports_compaction_of_large_values() {
+    let (_server, store) = start().await;
+    let large = Bytes::from(vec![7; store::MAX_VALUE_BYTES]);
+    for _ in 0..70 {
+        let written = store.put("a", large.clone(), Expect::Any, None).await;
+        assert!(matches!(written.unwrap(), PutOutcome::Written { .. }));
+    }
+    let seen = store.watch("", 0, Duration::ZERO).await.unwrap();
+    assert_eq!(seen, Watched::Compacted { revision: 70 });
+}
+
 /// Guards against a lost answer being reported as "not run", which would let a caller write twice.
 #[tokio::test]
 async fn put_reports_lost_answer_as_may_have_run() {
@@ -302,6 +315,15 @@
     assert!(connect(&server.base()).get("a").await.unwrap().is_none());
 }
 
+/// Guards against a malformed address that shows only as failing calls.
+#[test]
+fn new_refuses_address_without_scheme() {
+    for base in ["127.0.0.1:2379", "localhost:2379", ""] {
+        let refused = HttpStore::new(&HttpStoreSettings::new(base)).unwrap_err();
+        assert_eq!(refused.current_context().kind, ErrorKind::InvalidRequest);
+    }
+}
+
 /// Guards against a stopped service that still answers on open connections, and against a port that stays taken.
 #[tokio::test]
 async fn get_fails_while_service_is_stopped() {
--- a/components/workers/tests/http.rs
+++ b/components/workers/tests/http.rs
@@ -86,6 +86,18 @@
     assert_eq!(log[0].end, Some(TaskEnd::Stopped));
 }
 
+/// Guards against ids with reserved characters that name another task or another worker in a path than in a body.
+#[tokio::test]
+async fn stop_task_finds_id_with_reserved_characters() {
+    let (server, workers) = start().await;
+    let (worker, id) = ("rack 1/w%2F1?", "a/0 %41#é");
+    workers.start_task(worker, &task(id)).await.unwrap();
+    workers.stop_task(worker, id).await.unwrap();
+    let log = records(&server).await;
+    assert_eq!((&*log[0].worker, &*log[0].task), (worker, id));
+    assert_eq!(log[0].end, Some(TaskEnd::Stopped));
+}
+
 /// Guards against a worker that takes more than it has.
 #[tokio::test]
 async fn start_task_refuses_beyond_capacity() {
