--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub use section::Section;
 pub use sections::{
-    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
+    Agent, Blame, Claim, ConfigSnapshot, Estimate, Fleet, History, Hold, Membership, Quarantine,
+    Queue,
 };
 
 /// All sections of one process.
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -8,7 +8,7 @@
 use model::{
     AccountId, Active, AgentId, Announced, Document, Draining, Endpoint, EndpointId, Epoch, Gang,
     GangId, Job, JobId, Placed, Planned, Queued, Resources, Revision, Running, SectionName,
-    ServiceId, Serving, Worker, WorkerId,
+    ServiceId, Serving, Shape, Worker, WorkerId,
 };
 
 /// An agent that announced itself.
@@ -52,6 +52,39 @@
     pub document: Document,
 }
 
+/// A guaranteed shape and the capacity that is kept reclaimable for it.
+///
+/// The homes of all claims are disjoint, and work that may not be stopped stays out of the homes of other client
+/// accounts. The homes thus are a packing of all guarantees that needs no new search at each decision.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    /// The client account.
+    pub account: AccountId,
+    /// The guaranteed shape.
+    pub shape: Shape,
+    /// The capacity kept for the claim, by worker index in rising order; empty while no packing is known.
+    pub home: Vec<(usize, Resources)>,
+    /// The part of the home that no gang of the client account uses.
+    pub left: Vec<(usize, Resources)>,
+    /// Number of gangs that run within the claim.
+    pub gangs: u32,
+}
+
+/// Capacity that is reserved for one queued job.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    /// The job.
+    pub job: JobId,
+    /// The gang of its next attempt.
+    pub gang: GangId,
+    /// Tasks by worker index.
+    pub spots: Vec<(usize, u32)>,
+    /// What one task needs.
+    pub per_task: Resources,
+    /// When the capacity is expected to be free.
+    pub at: Instant,
+}
+
 /// Workers, free capacity and gangs of a cell.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
@@ -63,6 +96,18 @@
     pub planned: IndexMap<GangId, Arc<Gang<Planned>>>,
     /// Gangs that run.
     pub running: IndexMap<GangId, Arc<Gang<Running>>>,
+    /// Resources outside all claims that no work holds which may not be stopped, by worker index.
+    pub spare: Vec<Resources>,
+    /// The guaranteed shapes in force.
+    pub claims: Vec<Arc<Claim>>,
+    /// Gangs that run within a claim, with the index of the claim.
+    pub charged: IndexMap<GangId, usize>,
+    /// Capacity reserved for jobs that wait for stopped borrowers.
+    pub holds: IndexMap<JobId, Arc<Hold>>,
+    /// The window that is drained for the oldest blocked large job.
+    pub drain: Option<Arc<Hold>>,
+    /// Running gangs that were told to stop.
+    pub stopping: IndexSet<GangId>,
 }
 
 /// Jobs of a cell by state.
@@ -74,6 +119,8 @@
     pub placed: IndexMap<JobId, Arc<Job<Placed>>>,
     /// Jobs whose gang runs.
     pub active: IndexMap<JobId, Arc<Job<Active>>>,
+    /// Active jobs that the caller cancelled and whose gang has not ended.
+    pub cancelled: IndexSet<JobId>,
 }
 
 /// What past runs of one client account and service tell.
--- a/components/model/src/job.rs
+++ b/components/model/src/job.rs
@@ -17,6 +17,8 @@
     pub attempt: Attempt,
     /// When the owner accepted the job.
     pub accepted: Instant,
+    /// Accelerator seconds that earlier attempts used.
+    pub attained: f64,
     /// What is known in this state.
     pub state: S,
 }
@@ -75,6 +77,7 @@
             request: self.request,
             attempt: self.attempt,
             accepted: self.accepted,
+            attained: self.attained,
             state,
         }
     }
@@ -92,6 +95,7 @@
             request,
             attempt: 1,
             accepted: now,
+            attained: 0.0,
             state: Queued { since: now },
         }
     }
@@ -122,7 +126,10 @@
 impl Job<Active> {
     /// Returns a stopped or failed job to the queue for its next attempt.
     pub fn requeue(self, now: Instant) -> Job<Queued> {
+        let ran = now.saturating_duration_since(self.state.since);
+        let accelerators = self.request.shape.map_or(0, |s| s.total().accelerators);
         let mut job = self.with(Queued { since: now });
+        job.attained += ran.as_secs_f64() * f64::from(accelerators);
         job.attempt += 1;
         job
     }
--- a/components/model/src/resources.rs
+++ b/components/model/src/resources.rs
@@ -51,4 +51,34 @@
             memory_mb: self.memory_mb.checked_sub(other.memory_mb)?,
         })
     }
+
+    /// Returns what is left after `other` is taken, with nothing below zero.
+    #[must_use]
+    pub fn saturating_minus(self, other: Self) -> Self {
+        Self {
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+            cores: self.cores.saturating_sub(other.cores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+        }
+    }
+
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            accelerators: self.accelerators.min(other.accelerators),
+            cores: self.cores.min(other.cores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            accelerators: self.accelerators.max(other.accelerators),
+            cores: self.cores.max(other.cores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+        }
+    }
 }
--- /dev/null
+++ b/components/placement/examples/bench.rs
@@ -0,0 +1,263 @@
+//! Measures decisions on boards of 64, 512 and 3,600 workers; prints median, p99 and the growth of the median.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::{Agent, Board};
+use model::{Account, Adjacency, Endpoint, Place, Request, Resources, Serving, Shape, Worker};
+use placement::{Action, Event, GangEnd, Strategy, step};
+
+const SIZES: [usize; 3] = [64, 512, 3600];
+const ROUNDS: usize = 300;
+const WAVE: usize = 10_000;
+const WORKERS_PER_RACK: usize = 3;
+const WORKERS_PER_DATA_CENTRE: usize = 600;
+const DATA_CENTRES_PER_REGION: usize = 3;
+const TASKS_WITHOUT_ACCELERATOR: u32 = 12;
+
+fn worker(number: usize) -> Worker {
+    let data_centre = number / WORKERS_PER_DATA_CENTRE;
+    Worker {
+        id: format!("w{number:05}").into(),
+        agent: format!("a{number:05}").into(),
+        place: Place {
+            region: format!("r{}", data_centre / DATA_CENTRES_PER_REGION).into(),
+            data_centre: format!("d{data_centre}").into(),
+            rack: format!("k{:05}", number / WORKERS_PER_RACK).into(),
+        },
+        capacity: Resources {
+            accelerators: 8,
+            cores: 128,
+            memory_mb: 512_000,
+        },
+    }
+}
+
+fn board(workers: usize, guarantees: &[Shape], now: Instant) -> Board {
+    let board = Board::default();
+    board.membership.update(|membership| {
+        for number in 0..workers {
+            let worker = worker(number);
+            let agent = Agent {
+                id: worker.agent.clone(),
+                addr: ([127, 0, 0, 1], 1).into(),
+                workers: vec![worker],
+                heard: now,
+                config_revision: 0,
+            };
+            membership.agents.insert(agent.id.clone(), Arc::new(agent));
+        }
+        let endpoint = Endpoint {
+            id: "e".into(),
+            agent: "a00000".into(),
+            agent_addr: ([127, 0, 0, 1], 1).into(),
+            service: "lens".into(),
+            place: worker(0).place,
+            slots: u32::MAX,
+            state: Serving {
+                free: u32::MAX,
+                heard: now,
+            },
+        };
+        membership.serving.insert("e".into(), Arc::new(endpoint));
+    });
+    board.config.update(|config| {
+        let account = Account {
+            guarantees: guarantees.to_vec(),
+            ..Account::default()
+        };
+        config.document.accounts.insert("owner".into(), account);
+        config.document.policy.queue_limit = u32::MAX;
+    });
+    step(
+        &board,
+        Strategy::Guarded,
+        vec![Event::MembershipChanged],
+        now,
+    );
+    board
+}
+
+fn request(id: u128, account: &str, shape: Shape, idempotent: bool) -> Arc<Request> {
+    Arc::new(Request {
+        id: id << 32,
+        account: account.into(),
+        service: "lens".into(),
+        shape: Some(shape),
+        idempotent,
+        stoppable: false,
+        timeout: Duration::from_hours(1),
+        declared_run_time: Some(Duration::from_hours(1)),
+    })
+}
+
+fn gang(tasks: u32, accelerators: u32, cores: u32, adjacency: Adjacency) -> Shape {
+    Shape {
+        tasks,
+        accelerators,
+        cores,
+        memory_mb: 1000,
+        adjacency,
+    }
+}
+
+/// Fills a board with borrowers: on each worker one gang on all accelerators and one of tasks without accelerators.
+fn fill(board: &Board, workers: usize, now: Instant) {
+    let on_accelerators = gang(8, 1, 1, Adjacency::Worker);
+    let on_processors = gang(TASKS_WITHOUT_ACCELERATOR, 0, 10, Adjacency::Worker);
+    let mut events = Vec::new();
+    for number in 0..workers as u128 {
+        for (kind, shape) in [on_accelerators, on_processors].into_iter().enumerate() {
+            let id = 1_000_000 + number * 2 + kind as u128;
+            events.push(Event::Submitted(request(id, "borrower", shape, true)));
+        }
+    }
+    let actions = step(board, Strategy::Guarded, events, now);
+    confirm(board, &actions, now);
+}
+
+fn confirm(board: &Board, actions: &[Action], now: Instant) {
+    let events = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Reserve(gang) => Some(Event::Reserved {
+                gang: gang.id,
+                epoch: 1,
+            }),
+            _ => None,
+        })
+        .collect();
+    step(board, Strategy::Guarded, events, now);
+}
+
+fn median_and_p99(mut times: Vec<Duration>) -> (Duration, Duration) {
+    times.sort_unstable();
+    (times[times.len() / 2], times[times.len() * 99 / 100])
+}
+
+/// Places a gang and frees it again, many times.
+fn place(workers: usize, shape: Shape, half_full: bool) -> (Duration, Duration) {
+    let now = Instant::now();
+    let board = board(workers, &[], now);
+    if half_full {
+        fill(&board, workers / 2, now);
+    }
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        let events = vec![Event::Submitted(request(
+            round as u128 + 1,
+            "plot",
+            shape,
+            false,
+        ))];
+        let start = Instant::now();
+        let actions = step(&board, Strategy::Guarded, events, now);
+        times.push(start.elapsed());
+        let Some(Action::Reserve(gang)) = actions.first() else {
+            panic!("the gang must be placed");
+        };
+        let cancel = vec![Event::Cancelled(gang.job)];
+        step(&board, Strategy::Guarded, cancel, now);
+    }
+    median_and_p99(times)
+}
+
+/// Reclaims a guarantee on a full board and gives the capacity back to borrowers, many times.
+fn reclaim(workers: usize, shape: Shape) -> (Duration, Duration) {
+    let mut now = Instant::now();
+    let board = board(workers, &[shape], now);
+    fill(&board, workers, now);
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        now += Duration::from_mins(1);
+        let job = request(round as u128 + 1, "owner", shape, false);
+        let start = Instant::now();
+        let actions = step(
+            &board,
+            Strategy::Guarded,
+            vec![Event::Submitted(Arc::clone(&job))],
+            now,
+        );
+        times.push(start.elapsed());
+        let stopped: Vec<Event> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::Stop { gang, .. } => Some(Event::Ended {
+                    gang: gang.id,
+                    end: GangEnd::Stopped,
+                }),
+                _ => None,
+            })
+            .collect();
+        assert!(!stopped.is_empty(), "borrowers must be stopped");
+        let actions = step(&board, Strategy::Guarded, stopped, now);
+        let placed = |action: &Action| matches!(action, Action::Reserve(g) if g.job == job.id);
+        assert!(actions.iter().any(placed), "the claim must be placed");
+        let cancel = vec![Event::Cancelled(job.id)];
+        let actions = step(&board, Strategy::Guarded, cancel, now);
+        confirm(&board, &actions, now);
+    }
+    median_and_p99(times)
+}
+
+/// Cancels a wave of queued jobs in one batch.
+fn cancel(jobs: usize) -> (Duration, Duration) {
+    let now = Instant::now();
+    let shape = gang(8, 1, 1, Adjacency::Worker);
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        let board = board(64, &[], now);
+        fill(&board, 64, now);
+        let submit = (1..=jobs as u128)
+            .map(|id| Event::Submitted(request(id, "plot", shape, false)))
+            .collect();
+        step(&board, Strategy::Guarded, submit, now);
+        let wave = (1..=jobs as u128)
+            .map(|id| Event::Cancelled(id << 32))
+            .collect();
+        let start = Instant::now();
+        let actions = step(&board, Strategy::Guarded, wave, now);
+        times.push(start.elapsed());
+        assert_eq!(actions.len(), jobs, "each job is refused once");
+    }
+    median_and_p99(times)
+}
+
+fn report<T: std::fmt::Display + Copy>(
+    name: &str,
+    sizes: &[T],
+    scale: fn(T) -> f64,
+    measure: impl Fn(T) -> (Duration, Duration),
+) {
+    let mut previous: Option<(f64, f64)> = None;
+    for size in sizes {
+        let (median, p99) = measure(*size);
+        let (x, y) = (scale(*size).ln(), median.as_secs_f64().ln());
+        let slope = previous.map_or(String::new(), |(x0, y0)| {
+            format!(" exponent={:.2}", (y - y0) / (x - x0))
+        });
+        println!("case={name} size={size} median={median:?} p99={p99:?}{slope}");
+        previous = Some((x, y));
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "sizes are small")]
+fn as_f64(size: usize) -> f64 {
+    size as f64
+}
+
+fn main() {
+    let small = gang(8, 1, 1, Adjacency::DataCentre);
+    let large = gang(128, 1, 1, Adjacency::DataCentre);
+    report("place_8_idle", &SIZES, as_f64, |n| place(n, small, false));
+    report("place_8_half_full", &SIZES, as_f64, |n| {
+        place(n, small, true)
+    });
+    report("place_128_idle", &SIZES, as_f64, |n| place(n, large, false));
+    report("place_128_half_full", &SIZES, as_f64, |n| {
+        place(n, large, true)
+    });
+    report("reclaim_8", &SIZES, as_f64, |n| reclaim(n, small));
+    report("reclaim_128", &SIZES, as_f64, |n| reclaim(n, large));
+    report("cancel", &[WAVE / 4, WAVE / 2, WAVE], as_f64, cancel);
+}
--- /dev/null
+++ b/components/placement/src/apply.rs
@@ -0,0 +1,180 @@
+//! Applying events to the fleet and the queue.
+
+use std::sync::Arc;
+
+use errors::{Error, ErrorKind};
+use model::{Active, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running};
+
+use crate::actions::{Action, StopReason};
+use crate::cx::Cx;
+use crate::events::{Event, GangEnd};
+use crate::feasible::reason;
+use crate::fleet::{drop_hold, give_back, held_by, is_firm, rebuild, subtract};
+use crate::layout::Layout;
+
+pub(crate) fn apply(cx: &mut Cx, event: Event) {
+    match event {
+        Event::Submitted(request) => submit(cx, request),
+        Event::Cancelled(job) => cancel(cx, job),
+        Event::Reserved { gang, epoch } => start(cx, gang, epoch),
+        Event::ReservationRefused { gang, .. } => refused(cx, gang),
+        Event::Ended { gang, end } => ended(cx, gang, end),
+        Event::Recovered { gang, request } => recover(cx, gang, request),
+        Event::MembershipChanged => {
+            rebuild(&mut cx.fleet, cx.membership);
+            cx.layout = Layout::of(&cx.fleet);
+            cx.infeasible.clear();
+            cx.unsettled = true;
+        }
+        Event::ConfigChanged => cx.unsettled = true,
+        Event::Tick => {}
+    }
+}
+
+fn submit(cx: &mut Cx, request: Arc<Request>) {
+    let job = request.id;
+    let known = cx.is_queued(job)
+        || cx.queue.placed.contains_key(&job)
+        || cx.queue.active.contains_key(&job);
+    if known {
+        return;
+    }
+    let fault = match &request.shape {
+        Some(shape) => cx
+            .infeasible
+            .entry(*shape)
+            .or_insert_with(|| reason(&cx.fleet, &cx.layout, shape))
+            .clone(),
+        None => Some("a request without a shape does not wait in a cell".into()),
+    };
+    if let Some(reason) = fault {
+        cx.refuse(job, Error::not_run(ErrorKind::Infeasible, reason));
+        return;
+    }
+    let waiting = cx.queue.queued.len() - cx.gone.len();
+    if waiting >= cx.document.policy.queue_limit as usize {
+        let error = Error::not_run(ErrorKind::Overloaded, "the queue of the cell is full");
+        cx.refuse(job, error);
+        return;
+    }
+    if cx.gone.contains(&job) {
+        cx.flush();
+    }
+    let accepted = Job::accept(request, cx.now);
+    cx.queue.queued.insert(job, Arc::new(accepted));
+}
+
+fn cancel(cx: &mut Cx, id: JobId) {
+    if cx.is_queued(id) {
+        cx.gone.insert(id);
+        drop_hold(&mut cx.fleet, id);
+        let error = Error::not_run(ErrorKind::Cancelled, "cancelled while queued");
+        cx.refuse(id, error);
+        return;
+    }
+    if let Some(job) = cx.queue.placed.get(&id).cloned() {
+        if let Some(gang) = cx.fleet.planned.get(&job.state.gang).cloned() {
+            cx.unplan(&gang);
+        }
+        cx.queue.placed.swap_remove(&id);
+        let error = Error::not_run(ErrorKind::Cancelled, "cancelled before the start");
+        cx.refuse(id, error);
+        return;
+    }
+    let Some(job) = cx.queue.active.get(&id) else {
+        return;
+    };
+    let Some(gang) = cx.fleet.running.get(&job.state.gang).cloned() else {
+        return;
+    };
+    cx.queue.cancelled.insert(id);
+    if cx.fleet.stopping.insert(gang.id) {
+        cx.actions.push(Action::Stop {
+            gang,
+            reason: StopReason::Cancelled,
+        });
+    }
+}
+
+fn start(cx: &mut Cx, id: GangId, epoch: Epoch) {
+    let Some(planned) = cx.fleet.planned.swap_remove(&id) else {
+        return;
+    };
+    let gang: Gang<Running> = Gang::clone(&planned).reserved(epoch).armed().run(cx.now);
+    let gang = Arc::new(gang);
+    cx.fleet.running.insert(id, Arc::clone(&gang));
+    if let Some(job) = cx.queue.placed.swap_remove(&gang.job) {
+        let job = Job::<Placed>::clone(&job).start(cx.now);
+        cx.queue.active.insert(gang.job, Arc::new(job));
+    }
+    cx.actions.push(Action::Start(gang));
+}
+
+fn refused(cx: &mut Cx, id: GangId) {
+    let Some(gang) = cx.fleet.planned.get(&id).cloned() else {
+        return;
+    };
+    if let Some(job) = cx.unplan(&gang) {
+        cx.enqueue(job.requeue());
+    }
+}
+
+fn recover(cx: &mut Cx, gang: Arc<Gang<Running>>, request: Arc<Request>) {
+    if cx.fleet.running.contains_key(&gang.id) {
+        return;
+    }
+    let state = Active {
+        gang: gang.id,
+        since: gang.state.since,
+    };
+    let job = Job {
+        request,
+        attempt: gang.attempt,
+        accepted: gang.state.since,
+        attained: 0.0,
+        state,
+    };
+    cx.queue.active.insert(gang.job, Arc::new(job));
+    for (worker, amount) in held_by(&cx.fleet, &gang.members) {
+        subtract(&mut cx.fleet.free, worker, amount);
+    }
+    cx.slots.take(cx.membership, &gang.endpoint);
+    cx.fleet.running.insert(gang.id, gang);
+    cx.unsettled = true;
+}
+
+fn ended(cx: &mut Cx, id: GangId, end: GangEnd) {
+    let Some(gang) = cx.fleet.running.swap_remove(&id) else {
+        return;
+    };
+    let firm = is_firm(&cx.queue, gang.job);
+    let room = held_by(&cx.fleet, &gang.members);
+    give_back(&mut cx.fleet, id, firm, &room);
+    cx.fleet.stopping.swap_remove(&id);
+    cx.slots.release(cx.membership, &gang.endpoint);
+    cx.actions.push(Action::Free { gang: id });
+    let cancelled = cx.queue.cancelled.swap_remove(&gang.job);
+    if let Some(job) = cx.queue.active.swap_remove(&gang.job) {
+        finish(cx, &job, end, cancelled);
+    }
+}
+
+fn finish(cx: &mut Cx, job: &Job<Active>, end: GangEnd, cancelled: bool) {
+    let again = job.request.idempotent || job.request.stoppable;
+    match end {
+        GangEnd::Answered => {}
+        GangEnd::Failed(error) => cx.refuse(job.id(), error),
+        GangEnd::Stopped | GangEnd::MemberLost if cancelled => {
+            let error = Error::may_have_run(ErrorKind::Cancelled, "cancelled while running");
+            cx.refuse(job.id(), error);
+        }
+        GangEnd::Stopped | GangEnd::MemberLost if again => {
+            cx.enqueue(job.clone().requeue(cx.now));
+        }
+        GangEnd::Stopped | GangEnd::MemberLost => {
+            let error =
+                Error::may_have_run(ErrorKind::Stopped, "the gang stopped before it answered");
+            cx.refuse(job.id(), error);
+        }
+    }
+}
--- /dev/null
+++ b/components/placement/src/claims.rs
@@ -0,0 +1,232 @@
+//! The claims: guaranteed shapes and the homes in which they can always be reclaimed.
+
+use std::sync::Arc;
+
+use board::{Claim, Fleet, Queue};
+use model::{Document, Policy, Resources, Shape};
+
+use crate::adopt::adopt;
+use crate::fleet::{drop_holds, gangs, is_firm, subtract};
+use crate::layout::{Layout, Room, amounts};
+use crate::score::{Weights, best_fit};
+
+/// Orders of packing that are tried before a claim is reported as a shortfall; packing is heuristic, and moving the
+/// claim that failed to the front solves most orders that fail.
+const PACKING_ORDERS: usize = 8;
+
+/// Brings the claims in line with the document, the workers and the gangs.
+pub(crate) fn settle(fleet: &mut Fleet, layout: &Layout, queue: &Queue, document: &Document) {
+    drop_holds(fleet);
+    match_document(fleet, document);
+    keep_used_homes(fleet);
+    let uncharged: Vec<_> = gangs(fleet)
+        .into_iter()
+        .filter(|(id, _, _)| !fleet.charged.contains_key(id))
+        .map(|(id, job, room)| (id, job, is_firm(queue, job), room))
+        .collect();
+    for (_, _, _, room) in uncharged.iter().filter(|(_, _, firm, _)| *firm) {
+        subtract_all(&mut fleet.spare, room);
+    }
+    let mut adopted = fleet.clone();
+    let missing = home_unused(fleet, layout);
+    if missing == 0 {
+        return;
+    }
+    // After a takeover the claims that gangs run within are unknown, and gangs outside claims count twice.
+    adopt(&mut adopted, layout, queue, &uncharged);
+    if home_unused(&mut adopted, layout) < missing {
+        *fleet = adopted;
+    }
+}
+
+/// Keeps the claims that the document still has and adds the new ones.
+fn match_document(fleet: &mut Fleet, document: &Document) {
+    let mut old: Vec<Option<Arc<Claim>>> = std::mem::take(&mut fleet.claims)
+        .into_iter()
+        .map(Some)
+        .collect();
+    let mut renumbered = vec![None; old.len()];
+    for (account, shape) in guarantees(document) {
+        let same = old.iter().position(|claim| {
+            claim
+                .as_ref()
+                .is_some_and(|claim| claim.account == *account && claim.shape == *shape)
+        });
+        let claim = if let Some(at) = same {
+            renumbered[at] = Some(fleet.claims.len());
+            old[at].take()
+        } else {
+            None
+        };
+        fleet.claims.push(claim.unwrap_or_else(|| {
+            Arc::new(Claim {
+                account: account.clone(),
+                shape: *shape,
+                home: Vec::new(),
+                left: Vec::new(),
+                gangs: 0,
+            })
+        }));
+    }
+    fleet.charged = fleet
+        .charged
+        .iter()
+        .filter_map(|(id, claim)| Some((*id, renumbered[*claim]?)))
+        .collect();
+}
+
+/// Returns the guaranteed shapes of a document.
+pub(crate) fn guarantees(document: &Document) -> impl Iterator<Item = (&model::AccountId, &Shape)> {
+    document
+        .accounts
+        .iter()
+        .flat_map(|(id, account)| account.guarantees.iter().map(move |shape| (id, shape)))
+}
+
+/// Recounts the claims in use and takes their homes from the spare capacity.
+fn keep_used_homes(fleet: &mut Fleet) {
+    fleet.spare = fleet.workers.values().map(|w| w.capacity).collect();
+    for claim in &mut fleet.claims {
+        let claim = Arc::make_mut(claim);
+        claim.left.clone_from(&claim.home);
+        claim.gangs = 0;
+    }
+    let charged: Vec<_> = gangs(fleet)
+        .into_iter()
+        .filter_map(|(id, _, room)| Some((id, *fleet.charged.get(&id)?, room)))
+        .collect();
+    fleet.charged.clear();
+    for (id, claim, room) in charged {
+        if inside(&room, &fleet.claims[claim].left) {
+            crate::fleet::charge(fleet, claim, id, &room);
+        }
+    }
+    for claim in fleet.claims.iter().filter(|claim| claim.gangs > 0) {
+        subtract_all(&mut fleet.spare, &claim.home);
+    }
+}
+
+/// Returns whether `part` lies within `whole`.
+pub(crate) fn inside(part: &Room, whole: &Room) -> bool {
+    part.iter().all(|(worker, amount)| {
+        whole
+            .binary_search_by_key(worker, |(worker, _)| *worker)
+            .is_ok_and(|at| whole[at].1.checked_minus(*amount).is_some())
+    })
+}
+
+/// Finds homes for the claims that are not in use and returns how many claims have none.
+fn home_unused(fleet: &mut Fleet, layout: &Layout) -> usize {
+    let mut order: Vec<usize> = (0..fleet.claims.len())
+        .filter(|index| fleet.claims[*index].gangs == 0)
+        .collect();
+    order.sort_by_key(|index| {
+        let shape = &fleet.claims[*index].shape;
+        let total = shape.total();
+        (
+            shape.adjacency,
+            std::cmp::Reverse((total.accelerators, total.cores, total.memory_mb)),
+        )
+    });
+    let mut best = pack(fleet, layout, &order, true);
+    for _ in 0..PACKING_ORDERS {
+        let Some(failed) = best.missing.first().copied() else {
+            break;
+        };
+        order.retain(|index| *index != failed);
+        order.insert(0, failed);
+        let packing = pack(fleet, layout, &order, false);
+        if packing.missing.len() < best.missing.len() {
+            best = packing;
+        }
+    }
+    fleet.spare = best.spare;
+    for (index, home) in best.homes {
+        let claim = Arc::make_mut(&mut fleet.claims[index]);
+        claim.left.clone_from(&home);
+        claim.home = home;
+    }
+    fleet.claims.iter().filter(|claim| !is_whole(claim)).count()
+}
+
+struct Packing {
+    spare: Vec<Resources>,
+    homes: Vec<(usize, Room)>,
+    missing: Vec<usize>,
+}
+
+fn pack(fleet: &Fleet, layout: &Layout, order: &[usize], keep: bool) -> Packing {
+    let mut packing = Packing {
+        spare: fleet.spare.clone(),
+        homes: Vec::new(),
+        missing: Vec::new(),
+    };
+    for index in order {
+        let claim = &fleet.claims[*index];
+        let room: Room = packing.spare.iter().copied().enumerate().collect();
+        let home = if keep && is_whole(claim) && inside(&claim.home, &room) {
+            Some(claim.home.clone())
+        } else {
+            find_home(layout, &room, &claim.shape)
+        };
+        if home.is_none() {
+            packing.missing.push(*index);
+        }
+        let home = home.unwrap_or_default();
+        subtract_all(&mut packing.spare, &home);
+        packing.homes.push((*index, home));
+    }
+    packing
+}
+
+/// Returns room for a guaranteed shape.
+pub(crate) fn find_home(layout: &Layout, room: &Room, shape: &Shape) -> Option<Room> {
+    let weights = Weights::new(&Policy::default(), None);
+    let spots = best_fit(layout, room, shape, &weights)?;
+    let mut home = amounts(&spots, shape.per_task());
+    home.sort_by_key(|(worker, _)| *worker);
+    Some(home)
+}
+
+/// Returns whether the home of a claim holds its whole shape.
+pub(crate) fn is_whole(claim: &Claim) -> bool {
+    let per_task = claim.shape.per_task();
+    let tasks: u64 = claim
+        .home
+        .iter()
+        .map(|(_, amount)| u64::from(amount.times(per_task)))
+        .sum();
+    tasks >= u64::from(claim.shape.tasks)
+}
+
+pub(crate) fn subtract_all(pool: &mut [Resources], room: &Room) {
+    for (worker, amount) in room {
+        subtract(pool, *worker, *amount);
+    }
+}
+
+pub(crate) fn add_all(pool: &mut [Resources], room: &Room) {
+    for (worker, amount) in room {
+        pool[*worker] = pool[*worker].plus(*amount);
+    }
+}
+
+/// Moves the home of a claim that is not in use.
+pub(crate) fn move_home(fleet: &mut Fleet, index: usize, home: Room) {
+    let old = fleet.claims[index].home.clone();
+    add_all(&mut fleet.spare, &old);
+    subtract_all(&mut fleet.spare, &home);
+    let claim = Arc::make_mut(&mut fleet.claims[index]);
+    claim.left.clone_from(&home);
+    claim.home = home;
+}
+
+/// Exchanges the homes of two claims of the same shape that are not in use.
+pub(crate) fn swap_homes(fleet: &mut Fleet, a: usize, b: usize) {
+    let (home_a, home_b) = (fleet.claims[a].home.clone(), fleet.claims[b].home.clone());
+    for (index, home) in [(a, home_b), (b, home_a)] {
+        let claim = Arc::make_mut(&mut fleet.claims[index]);
+        claim.left.clone_from(&home);
+        claim.home = home;
+    }
+}
--- a/components/placement/src/events.rs
+++ b/components/placement/src/events.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use errors::Error;
-use model::{AgentId, Epoch, GangId, JobId, Request};
+use model::{AgentId, Epoch, Gang, GangId, JobId, Request, Running};
 
 /// An event that may change the fleet or the queue.
 #[derive(Debug, Clone)]
@@ -35,6 +35,13 @@
         /// How it ended.
         end: GangEnd,
     },
+    /// An agent announced a gang that already runs, after a change of the owner.
+    Recovered {
+        /// The gang.
+        gang: Arc<Gang<Running>>,
+        /// The request of its job.
+        request: Arc<Request>,
+    },
     /// The membership section changed.
     MembershipChanged,
     /// The configuration section changed.
--- a/components/placement/src/fit.rs
+++ b/components/placement/src/fit.rs
@@ -1,88 +1,80 @@
 //! Fitting the tasks of a gang on adjacent workers.
 
 use board::Fleet;
-use model::{Adjacency, Member, Resources, Shape, Worker};
+use model::{Member, Resources, Shape};
 
-/// Chooses workers for a gang at the lowest adjacency level that holds it.
+use crate::layout::{LEVELS, Layout, Spots};
+
+/// Chooses the first workers that hold a gang, at the lowest adjacency level that does.
 pub fn fit_gang(fleet: &Fleet, free: &[Resources], shape: &Shape) -> Option<Vec<Member>> {
-    let levels = [
-        Adjacency::Worker,
-        Adjacency::Rack,
-        Adjacency::DataCentre,
-        Adjacency::Region,
-        Adjacency::Any,
-    ];
-    levels
-        .into_iter()
-        .filter(|level| *level <= shape.adjacency)
-        .find_map(|level| fit_at_level(fleet, free, shape, level))
+    let room: Vec<_> = free.iter().copied().enumerate().collect();
+    let spots = first_fit(&Layout::of(fleet), &room, shape)?;
+    Some(members(fleet, &spots, shape.per_task()))
 }
 
-fn fit_at_level(
-    fleet: &Fleet,
-    free: &[Resources],
+/// Returns the first window of the lowest adjacency level that holds a gang.
+pub(crate) fn first_fit(
+    layout: &Layout,
+    room: &[(usize, Resources)],
     shape: &Shape,
-    level: Adjacency,
-) -> Option<Vec<Member>> {
-    let mut start = 0;
-    while start < fleet.workers.len() {
-        let end = window_end(fleet, start, level);
-        if let Some(members) = fill(fleet, free, shape, start..end) {
-            return Some(members);
-        }
-        start = end;
+) -> Option<Spots> {
+    let slots = slots(room, shape);
+    if slots.iter().map(|n| u64::from(*n)).sum::<u64>() < u64::from(shape.tasks) {
+        return None;
     }
-    None
-}
-
-/// Returns the end of the run of workers that share the part of the hierarchy with the worker at `start`.
-fn window_end(fleet: &Fleet, start: usize, level: Adjacency) -> usize {
-    let first = &fleet.workers[start];
-    let rest = fleet.workers.values().skip(start + 1);
-    start
-        + 1
-        + rest
-            .take_while(|worker| same_part(first, worker, level))
-            .count()
+    LEVELS
+        .into_iter()
+        .filter(|level| *level <= shape.adjacency)
+        .find_map(|level| {
+            layout
+                .windows(room, level)
+                .find_map(|window| fill(room, &slots, window, shape.tasks))
+        })
 }
 
-fn same_part(a: &Worker, b: &Worker, level: Adjacency) -> bool {
-    match level {
-        Adjacency::Worker => false,
-        Adjacency::Rack => a.place == b.place,
-        Adjacency::DataCentre => {
-            a.place.region == b.place.region && a.place.data_centre == b.place.data_centre
-        }
-        Adjacency::Region => a.place.region == b.place.region,
-        Adjacency::Any => true,
-    }
+/// Returns how many tasks of a shape each worker holds.
+pub(crate) fn slots(room: &[(usize, Resources)], shape: &Shape) -> Vec<u32> {
+    let per_task = shape.per_task();
+    room.iter()
+        .map(|(_, free)| free.times(per_task).min(shape.tasks))
+        .collect()
 }
 
-fn fill(
-    fleet: &Fleet,
-    free: &[Resources],
-    shape: &Shape,
-    window: std::ops::Range<usize>,
-) -> Option<Vec<Member>> {
-    let per_task = shape.per_task();
-    let mut left = shape.tasks;
-    let mut members = Vec::new();
-    for index in window {
-        let tasks = free[index].times(per_task).min(left);
-        if tasks == 0 {
+/// Takes tasks from the workers in the given order until all are placed.
+pub(crate) fn fill(
+    room: &[(usize, Resources)],
+    counts: &[u32],
+    order: impl IntoIterator<Item = usize>,
+    tasks: u32,
+) -> Option<Spots> {
+    let mut left = tasks;
+    let mut spots = Vec::new();
+    for index in order {
+        let count = counts[index].min(left);
+        if count == 0 {
             continue;
         }
-        let worker = &fleet.workers[index];
-        members.push(Member {
-            agent: worker.agent.clone(),
-            worker: worker.id.clone(),
-            tasks,
-            per_task,
-        });
-        left -= tasks;
+        spots.push((room[index].0, count));
+        left -= count;
         if left == 0 {
-            return Some(members);
+            return Some(spots);
         }
     }
     None
 }
+
+/// Turns worker indexes into members.
+pub(crate) fn members(fleet: &Fleet, spots: &[(usize, u32)], per_task: Resources) -> Vec<Member> {
+    spots
+        .iter()
+        .map(|(index, tasks)| {
+            let worker = &fleet.workers[*index];
+            Member {
+                agent: worker.agent.clone(),
+                worker: worker.id.clone(),
+                tasks: *tasks,
+                per_task,
+            }
+        })
+        .collect()
+}
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -4,16 +4,32 @@
 //! returns the actions that the caller carries out.
 
 mod actions;
+mod adopt;
+mod apply;
+mod baseline;
+mod borrowers;
+mod check;
+mod claims;
+mod cx;
+mod drain;
+mod endpoints;
 mod events;
 mod feasible;
 mod fit;
 mod fleet;
+mod layout;
+mod masks;
+mod order;
+mod reclaim;
+mod repair;
+mod rooms;
 mod schedule;
+mod score;
 mod step;
 
 pub use actions::{Action, StopReason};
+pub use check::{Shortfall, guarantee_faults, guarantee_shortfall, packing_fault};
 pub use events::{Event, GangEnd};
 pub use feasible::infeasible_reason;
 pub use fit::fit_gang;
-pub use schedule::Strategy;
-pub use step::step;
+pub use step::{Strategy, step};
--- /dev/null
+++ b/components/placement/src/order.rs
@@ -0,0 +1,100 @@
+//! The order of the queue and the expected run times.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::{Fleet, History, Queue};
+use model::{AccountId, Active, Gang, Job, Queued, Request, Running, Shape};
+
+use crate::layout::Room;
+
+/// The attained service of the lowest level, in accelerator seconds.
+const LEVEL_BASE: f64 = 3600.0;
+/// The ratio between the limits of successive levels.
+const LEVEL_RATIO: f64 = 4.0;
+const LEVELS: u32 = 12;
+/// Fewer observed runs say too little to correct a declared run time.
+const MIN_RUNS: u32 = 3;
+/// The remaining time assumed of a gang about which nothing is known.
+const UNKNOWN_REMAINING: Duration = Duration::from_hours(1);
+
+/// Returns the queued jobs: within guarantee first, then least attained service, then age.
+pub(crate) fn ordered(fleet: &Fleet, queue: &Queue, history: &History) -> Vec<Arc<Job<Queued>>> {
+    let mut within: HashMap<(&AccountId, Shape), bool> = HashMap::new();
+    let mut keyed: Vec<_> = queue
+        .queued
+        .values()
+        .map(|job| {
+            let shape = job.request.shape.unwrap_or_default();
+            let account = &job.request.account;
+            let covered = *within
+                .entry((account, shape))
+                .or_insert_with(|| may_claim(fleet, account, &shape));
+            let attained = history.attained.get(account).copied().unwrap_or(0.0);
+            (!covered, level(attained + job.attained), job.accepted, job)
+        })
+        .collect();
+    keyed.sort_by_key(|(borrows, level, accepted, _)| (*borrows, *level, *accepted));
+    keyed
+        .into_iter()
+        .map(|(_, _, _, job)| Arc::clone(job))
+        .collect()
+}
+
+/// Returns whether a claim of the client account has enough left for a shape.
+pub(crate) fn may_claim(fleet: &Fleet, account: &AccountId, shape: &Shape) -> bool {
+    fleet
+        .claims
+        .iter()
+        .filter(|claim| claim.account == *account)
+        .any(|claim| total(&claim.left, shape) >= u64::from(shape.tasks))
+}
+
+fn total(room: &Room, shape: &Shape) -> u64 {
+    let per_task = shape.per_task();
+    room.iter()
+        .map(|(_, free)| u64::from(free.times(per_task).min(shape.tasks)))
+        .sum()
+}
+
+fn level(attained: f64) -> u32 {
+    let mut limit = LEVEL_BASE;
+    let mut level = 0;
+    while attained >= limit && level < LEVELS {
+        limit *= LEVEL_RATIO;
+        level += 1;
+    }
+    level
+}
+
+/// Returns the declared run time corrected by the history of the client account and service.
+pub(crate) fn run_time(history: &History, request: &Request) -> Option<Duration> {
+    let key = (request.account.clone(), request.service.clone());
+    match history.estimates.get(&key) {
+        Some(known) if known.runs >= MIN_RUNS => {
+            let upper = known.p90.max(known.mean);
+            let declared = request.declared_run_time.unwrap_or(upper);
+            Some(declared.clamp(known.mean, upper))
+        }
+        _ => request.declared_run_time,
+    }
+}
+
+/// Returns when a running gang is expected to end.
+///
+/// A gang that overran its estimate is expected to run as long again, since its estimate is known to be wrong.
+pub(crate) fn expected_end(
+    history: &History,
+    job: Option<&Job<Active>>,
+    gang: &Gang<Running>,
+    now: Instant,
+) -> Instant {
+    let elapsed = now.saturating_duration_since(gang.state.since);
+    let expected = job.and_then(|job| run_time(history, &job.request));
+    let remaining = match expected {
+        Some(expected) => expected.checked_sub(elapsed).unwrap_or(elapsed),
+        None => UNKNOWN_REMAINING,
+    };
+    now + remaining
+}
--- a/components/placement/src/schedule.rs
+++ b/components/placement/src/schedule.rs
@@ -1,116 +1,184 @@
 //! Choosing which queued jobs get a gang.
 
 use std::sync::Arc;
-use std::time::Instant;
 
-use board::{Fleet, Membership, Queue};
-use model::{AgentId, EndpointId, Gang, Job, Planned, Queued, gang_id};
+use errors::{Error, ErrorKind};
+use model::{Job, JobId, Queued, Resources, Shape};
 
-use crate::actions::Action;
-use crate::fit::fit_gang;
-use crate::fleet::take;
+use crate::cx::Cx;
+use crate::drain::{is_ready, reserve_window, review};
+use crate::fleet::{drop_hold, is_firm};
+use crate::layout::{Room, Spots, amounts};
+use crate::masks::{Masks, probe};
+use crate::order::{may_claim, ordered, run_time};
+use crate::reclaim::{finish_hold, place_within};
+use crate::rooms::{Rooms, Search};
+use crate::score::best_fit;
 
-/// How queued jobs are chosen; daemons use `Guarded`, the others serve as baselines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Strategy {
-    /// First come, first served; the oldest job blocks all later ones.
-    FirstFit,
-    /// Any job that fits runs, without a reservation for blocked ones.
-    Backfill,
-    /// Guarantees, inferred urgency, reservation and reclaim.
-    Guarded,
+/// Searches that fail in one step before the remaining borrowers wait for the next one, so that a long queue of
+/// unlike shapes does not delay the step.
+const MAX_FAILED_SEARCHES: usize = 256;
+
+/// Plans gangs under guarantees, with reclaim, reservation and backfill.
+pub(crate) fn schedule(cx: &mut Cx, masks: Masks) {
+    finish_holds(cx);
+    review(cx);
+    let mut rooms = Rooms::of(cx, masks);
+    finish_drain(cx, &mut rooms);
+    let mut blocked = Vec::new();
+    for job in ordered(&cx.fleet, &cx.queue, cx.history) {
+        if !cx.is_queued(job.id()) || cx.fleet.holds.contains_key(&job.id()) {
+            continue;
+        }
+        if !cx.slots.available(cx.membership, &job.request.service) {
+            continue;
+        }
+        if !place(cx, &mut rooms, &job) {
+            blocked.push(job);
+        }
+    }
+    blocked.retain(|job| cx.is_queued(job.id()));
+    reserve_window(cx, &mut rooms, &blocked);
 }
 
-/// Plans gangs for queued jobs, oldest first.
-pub(crate) fn schedule(
-    fleet: &mut Fleet,
-    queue: &mut Queue,
-    membership: &Membership,
-    strategy: Strategy,
-    now: Instant,
-) -> Vec<Action> {
-    let mut actions = Vec::new();
-    let waiting: Vec<Arc<Job<Queued>>> = queue.queued.values().cloned().collect();
-    for job in waiting {
-        match plan(fleet, membership, &job, now) {
-            Some(gang) => actions.push(reserve(fleet, queue, &job, gang)),
-            None if strategy == Strategy::FirstFit => break,
-            None => {}
+fn finish_holds(cx: &mut Cx) {
+    let held: Vec<JobId> = cx.fleet.holds.keys().copied().collect();
+    for id in held {
+        match cx.queue.queued.get(&id).cloned() {
+            Some(job) => {
+                finish_hold(cx, &job);
+            }
+            None => drop_hold(&mut cx.fleet, id),
         }
     }
-    actions
 }
 
-fn plan(
-    fleet: &Fleet,
-    membership: &Membership,
-    job: &Job<Queued>,
-    now: Instant,
-) -> Option<Gang<Planned>> {
-    let members = fit_gang(fleet, &fleet.free, job.request.shape.as_ref()?)?;
-    let (endpoint, endpoint_agent) = choose_endpoint(fleet, membership, job)?;
-    Some(Gang {
-        id: gang_id(job.id(), job.attempt),
-        job: job.id(),
-        attempt: job.attempt,
-        members,
-        endpoint_agent,
-        endpoint,
-        state: Planned { at: now },
+fn finish_drain(cx: &mut Cx, rooms: &mut Rooms) {
+    let Some(hold) = cx.fleet.drain.clone() else {
+        return;
+    };
+    let Some(job) = cx.queue.queued.get(&hold.job).cloned() else {
+        return;
+    };
+    if is_ready(cx, rooms, &hold) && cx.reserve(&job, &hold.spots) {
+        rooms.hold(&amounts(&hold.spots, hold.per_task));
+        cx.fleet.drain = None;
+        rooms.note_drain(cx);
+    }
+}
+
+fn place(cx: &mut Cx, rooms: &mut Rooms, job: &Arc<Job<Queued>>) -> bool {
+    let Some(shape) = job.request.shape else {
+        return false;
+    };
+    let account = &job.request.account;
+    if may_claim(&cx.fleet, account, &shape) {
+        let firm = is_firm(&cx.queue, job.id());
+        let key = (account.clone(), shape, firm);
+        if !rooms.failed_claims.contains(&key) {
+            if place_within(cx, rooms, job, &shape) {
+                return true;
+            }
+            rooms.failed_claims.insert(key);
+        }
+    }
+    borrow(cx, rooms, job, &shape)
+}
+
+/// Places a job outside the claims of its client account.
+fn borrow(cx: &mut Cx, rooms: &mut Rooms, job: &Job<Queued>, shape: &Shape) -> bool {
+    let search = Search {
+        shape: *shape,
+        firm: is_firm(&cx.queue, job.id()),
+        idempotent: job.request.idempotent,
+        in_drain: may_use_drain(cx, job),
+    };
+    if rooms.failed.len() >= MAX_FAILED_SEARCHES || rooms.failed.contains(&search) {
+        return false;
+    }
+    let Some(spots) = find(cx, rooms, &search) else {
+        rooms.failed.insert(search);
+        return false;
+    };
+    if !cx.reserve(job, &spots) {
+        return false;
+    }
+    rooms.hold(&amounts(&spots, shape.per_task()));
+    if cx
+        .fleet
+        .drain
+        .as_ref()
+        .is_some_and(|drain| drain.job == job.id())
+    {
+        cx.fleet.drain = None;
+        rooms.note_drain(cx);
+    }
+    true
+}
+
+/// Returns whether a job may use the drained window: it is the one reserved for, or it ends before that one starts.
+fn may_use_drain(cx: &Cx, job: &Job<Queued>) -> bool {
+    cx.fleet.drain.as_ref().is_none_or(|drain| {
+        let ends = run_time(cx.history, &job.request).map(|run_time| cx.now + run_time);
+        drain.job == job.id() || ends.is_some_and(|ends| ends <= drain.at)
     })
 }
 
-/// Returns the endpoint of the service with the most slots that no gang uses.
-fn choose_endpoint(
-    fleet: &Fleet,
-    membership: &Membership,
-    job: &Job<Queued>,
-) -> Option<(EndpointId, AgentId)> {
-    membership
-        .serving
-        .values()
-        .filter(|endpoint| endpoint.service == job.request.service)
-        .map(|endpoint| {
-            (
-                endpoint
-                    .slots
-                    .saturating_sub(slots_used(fleet, &endpoint.id)),
-                endpoint,
-            )
-        })
-        .filter(|(free, _)| *free > 0)
-        .max_by_key(|(free, _)| *free)
-        .map(|(_, endpoint)| (endpoint.id.clone(), endpoint.agent.clone()))
+fn find(cx: &Cx, rooms: &mut Rooms, search: &Search) -> Option<Spots> {
+    let shape = &search.shape;
+    if search.idempotent
+        && let Some(spots) = probe(cx, shape)
+    {
+        let open = |(worker, tasks): &(usize, u32)| {
+            let need = shape.per_task().scaled(*tasks);
+            rooms.open[*worker].checked_minus(need).is_some()
+        };
+        if spots.iter().all(open) {
+            return Some(spots);
+        }
+    }
+    let needs_proven = rooms.masks.needs_proven(cx, shape, search.firm);
+    let room: Room = (0..rooms.open.len())
+        .filter(|worker| rooms.masks.allows(*worker, needs_proven))
+        .map(|worker| (worker, amount(cx, rooms, search, worker)))
+        .collect();
+    best_fit(&cx.layout, &room, shape, &rooms.weights)
 }
 
-fn slots_used(fleet: &Fleet, endpoint: &EndpointId) -> u32 {
-    let planned = fleet
-        .planned
-        .values()
-        .filter(|gang| gang.endpoint == *endpoint)
-        .count();
-    let running = fleet
-        .running
-        .values()
-        .filter(|gang| gang.endpoint == *endpoint)
-        .count();
-    u32::try_from(planned + running).unwrap_or(u32::MAX)
+fn amount(cx: &Cx, rooms: &Rooms, search: &Search, worker: usize) -> Resources {
+    let mut amount = rooms.open[worker];
+    if search.firm {
+        amount = amount.min(cx.fleet.spare[worker]);
+    }
+    if !search.in_drain {
+        amount = amount.saturating_minus(rooms.drained[worker]);
+    }
+    amount
 }
 
-fn reserve(
-    fleet: &mut Fleet,
-    queue: &mut Queue,
-    job: &Arc<Job<Queued>>,
-    gang: Gang<Planned>,
-) -> Action {
-    for member in &gang.members {
-        take(fleet, member);
+/// Refuses the jobs that the blame section condemned.
+pub(crate) fn refuse_condemned(cx: &mut Cx) {
+    for (id, reason) in &cx.blame.condemned {
+        let attempt = if let Some(job) = cx.queue.queued.get(id) {
+            let attempt = job.attempt;
+            cx.gone.insert(*id);
+            drop_hold(&mut cx.fleet, *id);
+            attempt
+        } else if let Some(placed) = cx.queue.placed.get(id) {
+            let (gang, attempt) = (placed.state.gang, placed.attempt);
+            if let Some(gang) = cx.fleet.planned.get(&gang).cloned() {
+                cx.unplan(&gang);
+            }
+            attempt
+        } else {
+            continue;
+        };
+        let error = if attempt > 1 {
+            Error::may_have_run(ErrorKind::Failed, reason.clone())
+        } else {
+            Error::not_run(ErrorKind::Failed, reason.clone())
+        };
+        cx.refuse(*id, error);
     }
-    let gang = Arc::new(gang);
-    fleet.planned.insert(gang.id, Arc::clone(&gang));
-    queue.queued.shift_remove(&job.id());
-    queue
-        .placed
-        .insert(job.id(), Arc::new(Job::clone(job).place(gang.id)));
-    Action::Reserve(gang)
+    cx.flush();
 }
--- /dev/null
+++ b/components/placement/tests/common/mod.rs
@@ -0,0 +1,183 @@
+//! Boards and requests for tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use board::{Agent, Board};
+use model::{
+    Account, Adjacency, Endpoint, Gang, Place, Request, Resources, Running, Serving, Shape, Worker,
+};
+use placement::{Action, Event, GangEnd, StopReason, Strategy, step};
+
+pub(crate) const HOUR: Duration = Duration::from_hours(1);
+
+/// A board with a step function at a time that tests set.
+pub(crate) struct Cell {
+    pub(crate) board: Board,
+    pub(crate) now: Instant,
+    pub(crate) strategy: Strategy,
+    next: u128,
+}
+
+pub(crate) fn shape(tasks: u32, accelerators: u32, adjacency: Adjacency) -> Shape {
+    Shape {
+        tasks,
+        accelerators,
+        cores: accelerators.max(1),
+        memory_mb: 1,
+        adjacency,
+    }
+}
+
+pub(crate) fn worker(number: usize) -> Worker {
+    let text = |prefix: &str, n: usize| -> Box<str> { format!("{prefix}{n:05}").into() };
+    Worker {
+        id: text("w", number),
+        agent: text("a", number),
+        place: Place {
+            region: text("r", number / 24),
+            data_centre: text("d", number / 12),
+            rack: text("k", number / 3),
+        },
+        capacity: Resources {
+            accelerators: 8,
+            cores: 64,
+            memory_mb: 1000,
+        },
+    }
+}
+
+impl Cell {
+    /// Creates a cell of 8-accelerator workers, three to a rack, twelve to a data centre, 24 to a region.
+    pub(crate) fn new(workers: usize) -> Self {
+        let mut cell = Self {
+            board: Board::default(),
+            now: Instant::now(),
+            strategy: Strategy::Guarded,
+            next: 1,
+        };
+        cell.set_workers(&(0..workers).collect::<Vec<_>>());
+        cell
+    }
+
+    pub(crate) fn set_workers(&mut self, numbers: &[usize]) -> Vec<Action> {
+        let now = self.now;
+        self.board.membership.update(|membership| {
+            membership.agents.clear();
+            for number in numbers {
+                let worker = worker(*number);
+                let agent = Agent {
+                    id: worker.agent.clone(),
+                    addr: ([127, 0, 0, 1], 1).into(),
+                    workers: vec![worker],
+                    heard: now,
+                    config_revision: 0,
+                };
+                membership.agents.insert(agent.id.clone(), Arc::new(agent));
+            }
+            let endpoint = Endpoint {
+                id: "e".into(),
+                agent: "a00000".into(),
+                agent_addr: ([127, 0, 0, 1], 1).into(),
+                service: "lens".into(),
+                place: worker(0).place,
+                slots: 100_000,
+                state: Serving {
+                    free: 100_000,
+                    heard: now,
+                },
+            };
+            membership.serving.insert("e".into(), Arc::new(endpoint));
+        });
+        self.step(vec![Event::MembershipChanged])
+    }
+
+    pub(crate) fn guarantee(&mut self, account: &str, shapes: &[Shape]) -> Vec<Action> {
+        self.board.config.update(|config| {
+            let guarantees = shapes.to_vec();
+            let account_cfg = Account {
+                guarantees,
+                ..Account::default()
+            };
+            let accounts = &mut config.document.accounts;
+            accounts.insert(account.into(), account_cfg);
+        });
+        self.step(vec![Event::ConfigChanged])
+    }
+
+    pub(crate) fn step(&mut self, events: Vec<Event>) -> Vec<Action> {
+        step(&self.board, self.strategy, events, self.now)
+    }
+
+    /// Returns a request that may not be stopped.
+    pub(crate) fn request(&mut self, account: &str, shape: Shape) -> Request {
+        self.next += 1;
+        Request {
+            id: self.next << 32,
+            account: account.into(),
+            service: "lens".into(),
+            shape: Some(shape),
+            idempotent: false,
+            stoppable: false,
+            timeout: HOUR,
+            declared_run_time: Some(HOUR),
+        }
+    }
+
+    pub(crate) fn submit(&mut self, request: Request) -> Vec<Action> {
+        self.step(vec![Event::Submitted(Arc::new(request))])
+    }
+
+    /// Submits a job, confirms its reservation and returns its running gang.
+    pub(crate) fn run(&mut self, request: Request) -> Arc<Gang<Running>> {
+        let actions = self.submit(request);
+        self.confirm(&actions);
+        let fleet = self.board.fleet.load();
+        let (_, gang) = fleet.running.last().expect("the job must get a gang");
+        Arc::clone(gang)
+    }
+
+    /// Confirms every reservation among the actions.
+    pub(crate) fn confirm(&mut self, actions: &[Action]) -> Vec<Action> {
+        let events = reserved(actions)
+            .into_iter()
+            .map(|gang| Event::Reserved { gang, epoch: 1 })
+            .collect();
+        self.step(events)
+    }
+
+    pub(crate) fn end(&mut self, gang: u128, end: GangEnd) -> Vec<Action> {
+        self.step(vec![Event::Ended { gang, end }])
+    }
+}
+
+/// Returns the gangs to reserve.
+pub(crate) fn reserved(actions: &[Action]) -> Vec<u128> {
+    let gang = |action: &Action| match action {
+        Action::Reserve(gang) => Some(gang.id),
+        _ => None,
+    };
+    actions.iter().filter_map(gang).collect()
+}
+
+/// Returns the jobs that get a gang.
+pub(crate) fn placed(actions: &[Action]) -> Vec<u128> {
+    let job = |action: &Action| match action {
+        Action::Reserve(gang) => Some(gang.job),
+        _ => None,
+    };
+    actions.iter().filter_map(job).collect()
+}
+
+/// Returns the gangs to stop for a guarantee.
+pub(crate) fn reclaimed(actions: &[Action]) -> Vec<u128> {
+    let gang = |action: &Action| match action {
+        Action::Stop {
+            gang,
+            reason: StopReason::Reclaimed,
+        } => Some(gang.id),
+        _ => None,
+    };
+    actions.iter().filter_map(gang).collect()
+}
--- /dev/null
+++ b/components/placement/tests/invariant.rs
@@ -0,0 +1,235 @@
+//! Random events on random fleets.
+
+mod common;
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use common::{Cell, reclaimed, shape};
+use errors::{Error, ErrorKind};
+use model::{Adjacency, Resources, Shape};
+use placement::{
+    Action, Event, GangEnd, Strategy, guarantee_faults, guarantee_shortfall, packing_fault,
+};
+
+const ACCOUNTS: [&str; 3] = ["faro", "plot", "seed"];
+
+/// Jobs by what is known of them outside the cell.
+#[derive(Default)]
+struct Seen {
+    submitted: HashSet<u128>,
+    ended: HashSet<u128>,
+}
+
+fn any_shape(u: &mut Unstructured) -> Result<Shape> {
+    let levels = [
+        Adjacency::Worker,
+        Adjacency::Rack,
+        Adjacency::DataCentre,
+        Adjacency::Any,
+    ];
+    let accelerators = u.int_in_range(0..=4)?;
+    let mut shape = shape(u.int_in_range(1..=8)?, accelerators, *u.choose(&levels)?);
+    shape.cores = u.int_in_range(1..=16)?;
+    Ok(shape)
+}
+
+fn any_event(u: &mut Unstructured, cell: &mut Cell, seen: &mut Seen) -> Result<Event> {
+    let fleet = cell.board.fleet.snapshot();
+    let planned: Vec<u128> = fleet.planned.keys().copied().collect();
+    let running: Vec<u128> = fleet.running.keys().copied().collect();
+    Ok(match u.int_in_range(0..=9)? {
+        0..=3 => {
+            let mut request = cell.request(u.choose(&ACCOUNTS)?, any_shape(u)?);
+            request.idempotent = u.arbitrary()?;
+            request.stoppable = u.arbitrary()?;
+            request.declared_run_time = u
+                .arbitrary::<Option<u16>>()?
+                .map(|s| Duration::from_secs(s.into()));
+            seen.submitted.insert(request.id);
+            Event::Submitted(Arc::new(request))
+        }
+        4 if !seen.submitted.is_empty() => {
+            let mut jobs: Vec<u128> = seen.submitted.iter().copied().collect();
+            jobs.sort_unstable();
+            Event::Cancelled(*u.choose(&jobs)?)
+        }
+        5 | 6 if !planned.is_empty() => Event::Reserved {
+            gang: *u.choose(&planned)?,
+            epoch: 1,
+        },
+        7 if !planned.is_empty() => Event::ReservationRefused {
+            gang: *u.choose(&planned)?,
+            agent: "a".into(),
+            error: Error::not_run(ErrorKind::Overloaded, "busy"),
+        },
+        8 | 9 if !running.is_empty() => {
+            let end = match u.int_in_range(0..=3)? {
+                0 => GangEnd::Answered,
+                1 => GangEnd::Failed(Error::ran(ErrorKind::Failed, "failed")),
+                2 => GangEnd::MemberLost,
+                _ => GangEnd::Stopped,
+            };
+            let gang = *u.choose(&running)?;
+            let job = fleet.running[&gang].job;
+            if end == GangEnd::Answered {
+                seen.ended.insert(job);
+            }
+            Event::Ended { gang, end }
+        }
+        _ => Event::Tick,
+    })
+}
+
+/// Checks what must hold after every step.
+fn check(cell: &Cell, seen: &mut Seen, actions: &[Action]) {
+    let (fleet, queue) = (cell.board.fleet.load(), cell.board.queue.load());
+    let mut free: Vec<Resources> = fleet.workers.values().map(|w| w.capacity).collect();
+    let planned = fleet.planned.values().map(|gang| (gang.job, &gang.members));
+    let running = fleet.running.values().map(|gang| (gang.job, &gang.members));
+    for (job, members) in planned.chain(running) {
+        let request = queue.placed.get(&job).map(|job| &job.request);
+        let request = request.or_else(|| queue.active.get(&job).map(|job| &job.request));
+        let shape = request.expect("a gang has a job").shape.unwrap();
+        let tasks: u32 = members.iter().map(|member| member.tasks).sum();
+        assert_eq!(tasks, shape.tasks, "a gang is never partial");
+        for member in members {
+            if let Some(at) = fleet.workers.get_index_of(&member.worker) {
+                let left = free[at].checked_minus(member.total());
+                free[at] = left.expect("no worker is oversubscribed");
+            }
+        }
+    }
+    assert_eq!(free, fleet.free, "free capacity is counted right");
+    for action in actions {
+        if let Action::Refuse { job, .. } = action {
+            assert!(seen.ended.insert(*job), "job {job} has one outcome");
+        }
+    }
+    for job in &seen.submitted {
+        let states = [
+            queue.queued.contains_key(job),
+            queue.placed.contains_key(job),
+            queue.active.contains_key(job),
+            seen.ended.contains(job),
+        ];
+        let count = states.iter().filter(|state| **state).count();
+        assert_eq!(count, 1, "job {job} is in one state");
+    }
+}
+
+fn random_guarantees(u: &mut Unstructured, cell: &mut Cell) -> Result<()> {
+    for account in ACCOUNTS {
+        let mut shapes = Vec::new();
+        for _ in 0..u.int_in_range(0..=2)? {
+            shapes.push(any_shape(u)?);
+        }
+        let mut document = cell.board.config.load().document.clone();
+        let entry = document.accounts.entry(account.into()).or_default();
+        entry.guarantees.clone_from(&shapes);
+        if guarantee_faults(&cell.board.fleet.load(), &document).is_empty() {
+            cell.guarantee(account, &shapes);
+        }
+    }
+    Ok(())
+}
+
+fn run(u: &mut Unstructured, strategy: Strategy, lose_workers: bool) -> Result<()> {
+    let workers = u.int_in_range(1..=14)?;
+    let mut cell = Cell::new(workers);
+    cell.strategy = strategy;
+    random_guarantees(u, &mut cell)?;
+    let mut seen = Seen::default();
+    for _ in 0..u.int_in_range(1..=60)? {
+        cell.now += Duration::from_secs(u.int_in_range(0..=600)?);
+        if lose_workers && u.ratio(1, 10)? {
+            let kept: Vec<usize> = (0..workers)
+                .filter(|_| u.ratio(4, 5).unwrap_or(true))
+                .collect();
+            let actions = cell.set_workers(&kept);
+            check(&cell, &mut seen, &actions);
+        }
+        let event = any_event(u, &mut cell, &mut seen)?;
+        let actions = cell.step(vec![event]);
+        check(&cell, &mut seen, &actions);
+        if strategy == Strategy::Guarded && !lose_workers {
+            let (fleet, queue) = (cell.board.fleet.load(), cell.board.queue.load());
+            let document = &cell.board.config.load().document;
+            assert_eq!(packing_fault(&fleet, &queue), None);
+            assert_eq!(guarantee_shortfall(&fleet, &queue, document), vec![]);
+        }
+    }
+    Ok(())
+}
+
+/// Lets borrowers fill a fleet, then claims every guarantee at once and expects that all of them run.
+fn claim_all(u: &mut Unstructured) -> Result<()> {
+    let mut cell = Cell::new(u.int_in_range(2..=14)?);
+    random_guarantees(u, &mut cell)?;
+    for _ in 0..u.int_in_range(0..=40)? {
+        let mut request = cell.request("borrower", any_shape(u)?);
+        request.idempotent = u.ratio(2, 3)?;
+        cell.now += Duration::from_secs(u.int_in_range(0..=600)?);
+        let actions = cell.submit(request);
+        cell.confirm(&actions);
+    }
+    let document = cell.board.config.load().document.clone();
+    let mut events = Vec::new();
+    let mut claimed = Vec::new();
+    for (account, shapes) in &document.accounts {
+        for shape in &shapes.guarantees {
+            let request = cell.request(account, *shape);
+            claimed.push(request.id);
+            events.push(Event::Submitted(Arc::new(request)));
+        }
+    }
+    let mut actions = cell.step(events);
+    for _ in 0..4 {
+        let mut events: Vec<Event> = Vec::new();
+        for gang in reclaimed(&actions) {
+            let end = GangEnd::Stopped;
+            events.push(Event::Ended { gang, end });
+        }
+        for gang in common::reserved(&actions) {
+            events.push(Event::Reserved { gang, epoch: 1 });
+        }
+        actions = cell.step(events);
+    }
+    let queue = cell.board.queue.load();
+    for job in claimed {
+        assert!(queue.active.contains_key(&job), "job {job} must run");
+    }
+    Ok(())
+}
+
+// Guards against a guarantee that is held back by work of other client accounts.
+#[test]
+fn step_reclaims_every_guarantee_at_once() {
+    arbtest(claim_all).budget_ms(8_000);
+}
+
+// Guards against decisions after which a guarantee cannot be reclaimed, a worker is oversubscribed, a gang is partial
+// or a job is lost.
+#[test]
+fn step_keeps_guarantees_on_random_events() {
+    arbtest(|u| run(u, Strategy::Guarded, false)).budget_ms(10_000);
+}
+
+// Guards against wrong counts when workers leave and return while gangs hold them.
+#[test]
+fn step_counts_right_when_workers_come_and_go() {
+    arbtest(|u| run(u, Strategy::Guarded, true)).budget_ms(8_000);
+}
+
+// Guards against lost jobs and oversubscription in the strategies that replay compares with.
+#[test]
+fn step_keeps_counts_in_baselines() {
+    arbtest(|u| {
+        let strategy = *u.choose(&[Strategy::FirstFit, Strategy::Backfill])?;
+        run(u, strategy, true)
+    })
+    .budget_ms(4_000);
+}
--- /dev/null
+++ b/components/placement/tests/reclaim.rs
@@ -0,0 +1,149 @@
+//! Guarantees and their reclaim.
+
+mod common;
+
+use common::{Cell, HOUR, placed, reclaimed, reserved, shape};
+use model::Adjacency;
+use placement::{GangEnd, guarantee_faults, guarantee_shortfall};
+
+// Guards against configurations whose guarantees cannot all be honoured.
+#[test]
+fn guarantee_faults_names_sections() {
+    let mut cell = Cell::new(2);
+    cell.guarantee("faro", &[shape(2, 8, Adjacency::Rack)]);
+    let mut document = cell.board.config.load().document.clone();
+    let fleet = cell.board.fleet.load();
+    assert!(guarantee_faults(&fleet, &document).is_empty());
+    let more = model::Account {
+        guarantees: vec![shape(1, 1, Adjacency::Worker)],
+        ..model::Account::default()
+    };
+    document.accounts.insert("plot".into(), more);
+    let faults = guarantee_faults(&fleet, &document);
+    assert!(!faults.is_empty() && faults.iter().all(|name| name.starts_with("accounts/")));
+}
+
+// Guards against work that may not be stopped on capacity that a guarantee needs.
+#[test]
+fn step_keeps_firm_work_off_guarantee() {
+    let mut cell = Cell::new(3);
+    cell.guarantee("faro", &[shape(2, 8, Adjacency::Rack)]);
+    let first = cell.request("plot", shape(1, 8, Adjacency::Worker));
+    assert_eq!(placed(&cell.submit(first)).len(), 1);
+    let second = cell.request("plot", shape(1, 8, Adjacency::Worker));
+    assert!(placed(&cell.submit(second)).is_empty());
+    let mut third = cell.request("plot", shape(1, 8, Adjacency::Worker));
+    third.idempotent = true;
+    assert_eq!(placed(&cell.submit(third)).len(), 1);
+}
+
+// Guards against freed capacity that another job takes before the one it was reclaimed for.
+#[test]
+fn reclaim_reserves_freed_capacity() {
+    let mut cell = Cell::new(1);
+    let whole = shape(1, 8, Adjacency::Worker);
+    cell.guarantee("faro", &[whole]);
+    let mut borrower = cell.request("plot", whole);
+    borrower.idempotent = true;
+    let running = cell.run(borrower.clone());
+    let claim = cell.request("faro", whole);
+    let claimant = claim.id;
+    let actions = cell.submit(claim);
+    assert_eq!(reclaimed(&actions), [running.id]);
+    borrower.id += 1;
+    cell.now += HOUR;
+    assert!(reclaimed(&cell.submit(borrower)).is_empty());
+    let actions = cell.end(running.id, GangEnd::Stopped);
+    assert_eq!(placed(&actions), [claimant]);
+    let queue = cell.board.queue.load();
+    assert_eq!(queue.queued.first().map(|(id, _)| *id), Some(running.job));
+}
+
+// Guards against stops that lose more work than needed.
+#[test]
+fn reclaim_stops_cheapest_borrower() {
+    let mut cell = Cell::new(3);
+    let whole = shape(1, 8, Adjacency::Worker);
+    cell.guarantee("faro", &[whole]);
+    let mut gangs = Vec::new();
+    for stoppable in [false, true, false] {
+        let mut request = cell.request("plot", whole);
+        request.idempotent = true;
+        request.stoppable = stoppable;
+        gangs.push(cell.run(request).id);
+        cell.now += HOUR / 2;
+    }
+    let claim = cell.request("faro", whole);
+    let actions = cell.submit(claim);
+    assert_eq!(reclaimed(&actions), [gangs[1]]);
+}
+
+// Guards against stops where free capacity or an equal unused guarantee serves as well.
+#[test]
+fn reclaim_prefers_free_capacity() {
+    let mut cell = Cell::new(2);
+    let whole = shape(1, 8, Adjacency::Worker);
+    cell.guarantee("faro", &[whole]);
+    cell.guarantee("plot", &[whole]);
+    let mut borrower = cell.request("seed", whole);
+    borrower.idempotent = true;
+    cell.run(borrower);
+    for (account, stops) in [("faro", 0), ("plot", 1)] {
+        let claim = cell.request(account, whole);
+        let actions = cell.submit(claim);
+        assert_eq!(reclaimed(&actions).len(), stops);
+        cell.confirm(&actions);
+    }
+}
+
+// Guards against several small jobs that each use up a whole guarantee.
+#[test]
+fn reclaim_shares_one_guarantee_between_jobs() {
+    let mut cell = Cell::new(1);
+    cell.guarantee("faro", &[shape(8, 1, Adjacency::Worker)]);
+    for _ in 0..8 {
+        let request = cell.request("faro", shape(1, 1, Adjacency::Worker));
+        assert_eq!(reserved(&cell.submit(request)).len(), 1);
+    }
+    assert_eq!(cell.board.fleet.load().charged.len(), 8);
+}
+
+// Guards against a cancelled claim that keeps its reservation, and a cancelled job that starts again.
+#[test]
+fn cancel_frees_reserved_capacity() {
+    let mut cell = Cell::new(1);
+    let whole = shape(1, 8, Adjacency::Worker);
+    cell.guarantee("faro", &[whole]);
+    let mut borrower = cell.request("plot", whole);
+    borrower.idempotent = true;
+    let running = cell.run(borrower);
+    let claim = cell.request("faro", whole);
+    let claimant = claim.id;
+    cell.submit(claim);
+    cell.step(vec![
+        placement::Event::Cancelled(claimant),
+        placement::Event::Cancelled(running.job),
+    ]);
+    cell.end(running.id, GangEnd::Stopped);
+    let (fleet, queue) = (cell.board.fleet.load(), cell.board.queue.load());
+    assert!(queue.queued.is_empty() && fleet.holds.is_empty() && fleet.charged.is_empty());
+    assert_eq!(fleet.free[0].accelerators, 8);
+}
+
+// Guards against a loss of workers that goes unreported.
+#[test]
+fn guarantee_shortfall_reports_lost_workers() {
+    let mut cell = Cell::new(3);
+    let two = shape(2, 8, Adjacency::Rack);
+    cell.guarantee("faro", &[two]);
+    cell.set_workers(&[1, 2]);
+    let shortfall = |cell: &Cell| {
+        let document = &cell.board.config.load().document;
+        guarantee_shortfall(&cell.board.fleet.load(), &cell.board.queue.load(), document)
+    };
+    assert!(shortfall(&cell).is_empty());
+    cell.set_workers(&[2]);
+    assert_eq!(shortfall(&cell).len(), 1);
+    cell.set_workers(&[0, 2]);
+    assert!(shortfall(&cell).is_empty());
+}
