Decide by one rule whether a request may be stopped and run again

Cause: a stopped request is dispatched to an endpoint again, so a non-idempotent request that can checkpoint would have run twice. A job whose attempt failed with a retryable verdict keeps its place at the owner, and the entry cancels it when it gives up. Ruled out: resuming the endpoint's call, which the HTTP interface of endpoints cannot express.

--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -5,16 +5,16 @@
 mod section;
 mod sections;
 
+use std::sync::Arc;
+
 pub use limits::{Allowance, Limits, RETRY_WINDOW_SLOTS, Usage};
 pub use routes::{Routes, ServiceRoutes, Target};
 pub use section::Section;
 pub use sections::{
-    Agent, Blame, ConfigSnapshot, Estimate, Fleet, History, Membership, Quarantine, Queue,
-    SectionText,
+    Agent, Blame, Claim, ConfigSnapshot, Estimate, Fleet, History, Hold, Membership, Quarantine,
+    Queue, SectionText,
 };
 
-use std::sync::Arc;
-
 /// All sections of one process or of one duty.
 ///
 /// A process that owns a cell has a second board for the cell; both share the configuration section.
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -1,8 +1,11 @@
 //! Requests with a shape: the owner of a cell places them first.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use errors::{Error, ErrorKind, Result};
-use model::CellId;
-use wire::{Call as PeerCall, Cancel, OwnerRecord, Place, Placed, Reply};
+use model::{CellId, JobId};
+use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
@@ -11,23 +14,47 @@
 
 /// Placements of one request before its error goes to the caller.
 const MAX_PLACEMENTS: u32 = 8;
+/// How long an owner may take to hear of a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs a request once its gang runs.
 pub(crate) async fn run(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
-    let mut last = None;
-    for tries in 1..=MAX_PLACEMENTS {
+    let result = run_placements(cx, call).await;
+    if result.is_err() {
+        // The owner may have queued the job again after a failed attempt.
+        cancel_everywhere(cx, call.state.request.id);
+    }
+    result
+}
+
+async fn run_placements(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
         let report = match place_and_dispatch(cx, call).await {
             Ok(answered) => return Ok(answered),
             Err(report) => report,
         };
-        if !is_useful(report.current_context())
+        if tries == MAX_PLACEMENTS
+            || !is_useful(report.current_context())
             || !pause_before_retry(cx, call, report.current_context(), tries).await
         {
             return Err(report);
         }
-        last = Some(report);
     }
-    Err(last.unwrap_or_else(no_cell))
+}
+
+fn cancel_everywhere(cx: &Context, job: JobId) {
+    for (_, owner) in owners(cx) {
+        send_cancel(&cx.peers, owner.addr, job);
+    }
+}
+
+/// An owner that does not hear this ends the gang when nobody claims it.
+fn send_cancel(peers: &Peers, addr: SocketAddr, job: JobId) {
+    let peers = peers.clone();
+    let cancel = PeerCall::Cancel(Cancel { job });
+    tokio::spawn(async move { peers.call(addr, &cancel, CANCEL_TIMEOUT).await });
 }
 
 async fn place_and_dispatch(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
@@ -116,23 +143,13 @@
 struct CancelOnDrop<'a> {
     cx: &'a Context,
     owner: &'a OwnerRecord,
-    job: Option<model::JobId>,
+    job: Option<JobId>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        let Some(job) = self.job else { return };
-        let peers = self.cx.peers.clone();
-        let addr = self.owner.addr;
-        tokio::spawn(async move {
-            // An owner that does not hear this ends the gang when nobody claims it.
-            let _ = peers
-                .call(
-                    addr,
-                    &PeerCall::Cancel(Cancel { job }),
-                    std::time::Duration::from_secs(1),
-                )
-                .await;
-        });
+        if let Some(job) = self.job {
+            send_cancel(&self.cx.peers, self.owner.addr, job);
+        }
     }
 }
--- a/components/model/src/request.rs
+++ b/components/model/src/request.rs
@@ -21,10 +21,20 @@
     pub shape: Option<Shape>,
     /// Whether it may run more than once; a stopped idempotent job starts again from its beginning.
     pub idempotent: bool,
-    /// Whether it can checkpoint; a stopped job of this kind continues from its checkpoint.
+    /// Whether its tasks can checkpoint; a stopped idempotent job of this kind continues from its checkpoint.
     pub stoppable: bool,
     /// The time left until its deadline when the request was sent on.
     pub timeout: Duration,
     /// The run time that the caller declares, which is often wrong.
     pub declared_run_time: Option<Duration>,
 }
+
+impl Request {
+    /// Returns whether the request may be stopped while it runs and be run again later.
+    ///
+    /// A stopped request is dispatched to an endpoint again, so a non-idempotent one may not be stopped even if its
+    /// tasks can checkpoint: it would run twice.
+    pub fn may_stop(&self) -> bool {
+        self.idempotent
+    }
+}
