Add the replay of traces through the decision code

Change: the crate replay with the trace format, the replayer, history and blame behind one module, the measures, a seeded generator, two generated traces and the example compare. docs/replay.md describes the format and each measure.

--- /dev/null
+++ b/components/replay/src/membership.rs
@@ -0,0 +1,71 @@
+//! The membership section as the membership controller would publish it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Instant;
+
+use board::{Agent, Membership};
+use indexmap::{IndexMap, IndexSet};
+use model::{AgentId, Endpoint, EndpointId, Epoch, Serving, WorkerId};
+
+use crate::trace::{EndpointSpec, Header};
+
+/// The epoch of the only owner in a replay.
+pub(crate) const EPOCH: Epoch = 1;
+
+/// Returns the agents with the workers that are not lost, and the endpoints.
+pub(crate) fn membership(header: &Header, lost: &IndexSet<WorkerId>, now: Instant) -> Membership {
+    let mut agents: IndexMap<AgentId, Agent> = IndexMap::new();
+    for worker in &header.workers {
+        let agent = agents
+            .entry(worker.agent.clone())
+            .or_insert_with(|| agent(&worker.agent, now));
+        if !lost.contains(&worker.id) {
+            agent.workers.push(worker.clone());
+        }
+    }
+    for spec in &header.endpoints {
+        agents
+            .entry(spec.agent.clone())
+            .or_insert_with(|| agent(&spec.agent, now));
+    }
+    let agents = agents.into_iter().map(|(id, agent)| (id, Arc::new(agent)));
+    Membership {
+        epoch: EPOCH,
+        agents: agents.collect(),
+        announced: IndexMap::new(),
+        serving: header.endpoints.iter().map(|e| serving(e, now)).collect(),
+        draining: IndexMap::new(),
+    }
+}
+
+fn agent(id: &AgentId, now: Instant) -> Agent {
+    Agent {
+        id: id.clone(),
+        addr: unused_addr(),
+        workers: Vec::new(),
+        heard: now,
+        config_revision: 1,
+    }
+}
+
+fn serving(spec: &EndpointSpec, now: Instant) -> (EndpointId, Arc<Endpoint<Serving>>) {
+    let endpoint = Endpoint {
+        id: spec.id.clone(),
+        agent: spec.agent.clone(),
+        agent_addr: unused_addr(),
+        service: spec.service.clone(),
+        place: spec.place.clone(),
+        slots: spec.slots,
+        state: Serving {
+            free: spec.slots,
+            heard: now,
+        },
+    };
+    (spec.id.clone(), Arc::new(endpoint))
+}
+
+/// Returns an address that nothing calls, because a replay sends no messages.
+fn unused_addr() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- /dev/null
+++ b/components/replay/src/windows.rs
@@ -0,0 +1,40 @@
+//! Adjacent workers: runs of workers that share a part of the hierarchy.
+
+use std::ops::Range;
+
+use board::Fleet;
+use model::{Adjacency, Resources, Shape, Worker};
+
+/// Returns the widest windows that an adjacency allows; the workers of a fleet are sorted by place.
+pub(crate) fn windows(fleet: &Fleet, level: Adjacency) -> Vec<Range<usize>> {
+    let count = fleet.workers.len();
+    let mut found = Vec::new();
+    let mut start = 0;
+    for end in 1..=count {
+        if end == count || !adjacent(&fleet.workers[start], &fleet.workers[end], level) {
+            found.push(start..end);
+            start = end;
+        }
+    }
+    found
+}
+
+/// Returns whether two workers may hold tasks of one gang.
+pub(crate) fn adjacent(a: &Worker, b: &Worker, level: Adjacency) -> bool {
+    let (a, b) = (&a.place, &b.place);
+    match level {
+        Adjacency::Worker => false,
+        Adjacency::Rack => a == b,
+        Adjacency::DataCentre => a.region == b.region && a.data_centre == b.data_centre,
+        Adjacency::Region => a.region == b.region,
+        Adjacency::Any => true,
+    }
+}
+
+/// Returns how many tasks of a shape fit in a window.
+pub(crate) fn task_room(free: &[Resources], shape: &Shape) -> u32 {
+    let per_task = shape.per_task();
+    free.iter().fold(0, |sum: u32, free| {
+        sum.saturating_add(free.times(per_task).min(Shape::MAX_TASKS))
+    })
+}
