Time the worker losses of the traces to follow bursts

Cause: a trial mutant of the placement step that runs non-idempotent jobs again after the loss of a worker changed nothing on the guild trace, because no loss met such a job.

Ruled out: a stricter check; it is right, the trace did not reach it.

The scaled trace of the example asks for a load of 1.6, because its long jobs run past the last submission and no queue formed at 0.85.

--- a/components/replay/examples/generate.rs
+++ b/components/replay/examples/generate.rs
@@ -11,6 +11,8 @@
 /// Jobs a day and hours of a scaled trace, as at the target size.
 const SCALED_JOBS: u32 = 2_500;
 const SCALED_HOURS: u32 = 24;
+/// Most of these jobs run for hours and past the last submission, so queues form only at a load above 1.
+const SCALED_LOAD: f64 = 1.6;
 
 fn main() -> Result<(), Box<dyn Error>> {
     let mut args = std::env::args().skip(1);
@@ -22,6 +24,7 @@
         scale.tens_of_workers = tens;
         scale.jobs = SCALED_JOBS;
         scale.hours = SCALED_HOURS;
+        scale.load = SCALED_LOAD;
     }
     for deployment in [Deployment::Guild, Deployment::Plotshare] {
         let trace = generate(deployment, seed, &scale);
--- a/components/replay/src/generate/workload.rs
+++ b/components/replay/src/generate/workload.rs
@@ -23,7 +23,8 @@
     failing: WorkerId,
     fails: u64,
     repaired: u64,
-    /// Worker, loss and return; never two at a time, so that every drawn shape stays possible.
+    /// Worker, loss and return; never two at a time, so that every drawn shape stays possible. The losses follow bursts
+    /// closely, so that they meet work that cannot be interrupted.
     losses: [(WorkerId, u64, u64); 3],
 }
 
@@ -33,9 +34,9 @@
         fails: 35,
         repaired: 60,
         losses: [
-            (worker_id(deployment, 0, 1), 20, 30),
-            (worker_id(deployment, 1, 0), 70, 78),
-            (worker_id(deployment, 0, 4), 84, 85),
+            (worker_id(deployment, 0, 0), 18, 28),
+            (worker_id(deployment, 1, 0), 65, 73),
+            (worker_id(deployment, 0, 1), 77, 78),
         ],
     }
 }
