Replay with the controllers of policy, and find cells by a watch

Cause: the replay had its own copies of the history and blame rules, and an entry looked for new cells every 5 s. The replay now feeds the controllers that the daemons use; a failed task has the verdict that agents report. An entry watches the cells in the store.

--- a/components/discovery/src/lib.rs
+++ b/components/discovery/src/lib.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result};
-use model::CellId;
+use model::{CellId, Revision};
 use store::KvStore;
 use wire::{Call, OwnerRecord, Peers, Reply};
 
@@ -47,15 +47,21 @@
         }
     }
 
-    /// Returns the last known owners of all cells.
-    pub async fn owners(&self) -> Result<Vec<(CellId, OwnerRecord)>> {
+    /// Returns the names of all cells, waiting up to `wait` for a change after a known revision.
+    pub async fn cells(
+        &self,
+        known: Option<Revision>,
+        wait: Duration,
+    ) -> Result<(Vec<CellId>, Revision)> {
+        if let Some(after) = known {
+            self.store.watch(CELLS_PREFIX, after, wait).await?;
+        }
         let listing = self.store.list(CELLS_PREFIX).await?;
-        let owners = listing.entries.iter().filter_map(|entry| {
-            let cell: CellId = entry.key.strip_prefix(CELLS_PREFIX)?.into();
-            let record = parse_owner(&cell, &entry.value).ok()?;
-            Some((cell, record))
-        });
-        Ok(owners.collect())
+        let names = listing
+            .entries
+            .iter()
+            .filter_map(|entry| entry.key.strip_prefix(CELLS_PREFIX));
+        Ok((names.map(Into::into).collect(), listing.revision))
     }
 
     async fn ask_peers(&self, cell: &CellId) -> Option<OwnerRecord> {
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -6,15 +6,15 @@
 use board::Membership;
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
-use model::{Announced, CellId, Endpoint};
+use model::{Announced, CellId, Endpoint, Revision};
 use policy::routing::refresh_routes;
 use tokio::sync::mpsc;
 use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
 
 use crate::context::Context;
 
-/// How often the store is asked for cells that are new.
-const CELLS_INTERVAL: Duration = Duration::from_secs(5);
+/// How long one watch for new cells waits at the store.
+const CELLS_WAIT: Duration = Duration::from_secs(20);
 /// The owner answers within 1 s even without a change.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bounds of the pause after a failed call, in milliseconds.
@@ -32,25 +32,33 @@
     let (tx, rx) = mpsc::channel(16);
     tokio::spawn(merge(Arc::clone(&cx), rx));
     let mut followed: Vec<CellId> = Vec::new();
-    let mut ticks = cx.timer.subscribe_every(CELLS_INTERVAL);
+    let mut known = None;
     loop {
-        for cell in cells(&cx).await {
+        let (cells, revision) = cells(&cx, known).await;
+        known = revision;
+        for cell in cells {
             if !followed.contains(&cell) {
                 followed.push(cell.clone());
                 tokio::spawn(follow(Arc::clone(&cx), cell, tx.clone()));
             }
         }
-        ticks.recv().await;
     }
 }
 
-/// Returns the entry's own cell and all cells in the store.
-async fn cells(cx: &Context) -> Vec<CellId> {
+/// Returns the entry's own cell and all cells in the store, once that changed since the known revision.
+async fn cells(cx: &Context, known: Option<Revision>) -> (Vec<CellId>, Option<Revision>) {
     let mut cells = vec![cx.settings.cell.clone()];
-    if let Ok(owners) = cx.locator.owners().await {
-        cells.extend(owners.into_iter().map(|(cell, _)| cell));
+    if let Ok((names, revision)) = cx.locator.cells(known, CELLS_WAIT).await {
+        cells.extend(names);
+        return (cells, Some(revision));
     }
-    cells
+    pause(cx).await;
+    (cells, None)
+}
+
+async fn pause(cx: &Context) {
+    let delay = Duration::from_millis(fastrand::u64(RETRY_DELAY_MS));
+    cx.timer.subscribe_after(delay).recv().await;
 }
 
 async fn follow(cx: Arc<Context>, cell: CellId, tx: mpsc::Sender<Learned>) {
@@ -58,8 +66,7 @@
         if let Ok(owner) = cx.locator.owner(&cell).await {
             follow_owner(&cx, &cell, &owner, &tx).await;
         }
-        let delay = Duration::from_millis(fastrand::u64(RETRY_DELAY_MS));
-        cx.timer.subscribe_after(delay).recv().await;
+        pause(&cx).await;
     }
 }
 
--- a/components/replay/src/carry_out.rs
+++ b/components/replay/src/carry_out.rs
@@ -7,6 +7,7 @@
 use placement::{Action, StopReason};
 
 use crate::engine::Replay;
+use crate::occurrences::workers;
 use crate::timeline::Due;
 
 impl Replay<'_> {
@@ -19,6 +20,8 @@
             }
             Action::Start(gang) => {
                 self.jobs.start(gang.job, at);
+                self.learner
+                    .started(&self.board, gang.job, workers(gang), self.origin + at);
                 if let Some(job) = self.jobs.open.get(&gang.job) {
                     let id = gang.id;
                     let ends = self
--- a/components/replay/src/engine.rs
+++ b/components/replay/src/engine.rs
@@ -144,9 +144,10 @@
         }
     }
 
-    pub(crate) fn publish_membership(&self, at: Duration) {
+    pub(crate) fn publish_membership(&mut self, at: Duration) {
         let now = self.origin + at;
         let membership = membership(&self.trace.header, &self.platform.lost, now);
         self.board.membership.publish(membership);
+        self.learner.membership_changed(&self.board, now);
     }
 }
--- a/components/replay/src/execution.rs
+++ b/components/replay/src/execution.rs
@@ -55,7 +55,7 @@
             Self::Answered => GangEnd::Answered,
             Self::Failed(worker) => {
                 let message = format!("a task failed on worker {worker}");
-                GangEnd::Failed(Error::ran(ErrorKind::Failed, message))
+                GangEnd::Failed(Error::may_have_run(ErrorKind::Failed, message))
             }
             Self::MemberLost | Self::Stopped(StopReason::MemberLost) => GangEnd::MemberLost,
             Self::Stopped(StopReason::Reclaimed) => GangEnd::Stopped,
--- a/components/replay/src/fleet_check.rs
+++ b/components/replay/src/fleet_check.rs
@@ -145,6 +145,6 @@
 /// Returns the line of a job that cannot be interrupted.
 fn fixed_line(jobs: &Jobs, id: JobId) -> Option<usize> {
     let job = jobs.open.get(&id)?;
-    let fixed = !job.submit.idempotent && !job.submit.stoppable;
+    let fixed = !job.submit.idempotent;
     fixed.then_some(job.line)
 }
--- a/components/replay/src/guarantee_check.rs
+++ b/components/replay/src/guarantee_check.rs
@@ -94,7 +94,7 @@
 }
 
 fn interruptible(request: &Request) -> bool {
-    request.idempotent || request.stoppable
+    request.may_stop()
 }
 
 fn accelerators(members: &[Member]) -> u32 {
--- a/components/replay/src/jobs.rs
+++ b/components/replay/src/jobs.rs
@@ -100,7 +100,7 @@
         };
         job.starts += 1;
         job.first_start.get_or_insert(at);
-        if !job.submit.idempotent && job.starts > 1 + job.continued {
+        if !job.submit.idempotent && job.starts > 1 {
             let fault = Fault::new(job.line, at, "a non-idempotent job ran more than once");
             self.faults.push(fault);
         }
--- a/components/replay/src/membership.rs
+++ b/components/replay/src/membership.rs
@@ -54,6 +54,7 @@
         id: spec.id.clone(),
         agent: spec.agent.clone(),
         agent_addr: unused_addr(),
+        incarnation: 1,
         service: spec.service.clone(),
         place: spec.place.clone(),
         slots: spec.slots,
--- a/components/replay/src/occurrences.rs
+++ b/components/replay/src/occurrences.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind};
-use model::{GangId, JobOutcome, Request};
+use model::{Gang, GangId, JobOutcome, Request, Running, WorkerId};
 use placement::Event;
 
 use crate::engine::Replay;
@@ -56,7 +56,6 @@
                 for (gang, ends) in self.platform.lose(worker, at) {
                     self.timeline.add(ends, Due::End(gang));
                 }
-                self.learner.worker_left(&self.board, worker);
                 self.timeline
                     .add(at + self.options.detection_delay, Due::Membership);
                 None
@@ -81,16 +80,7 @@
         self.jobs
             .open
             .insert(id, Record::new(line, submit, at, covered));
-        Event::Submitted(Arc::new(Request {
-            id,
-            account: submit.account.clone(),
-            service: submit.service.clone(),
-            shape: Some(submit.shape),
-            idempotent: submit.idempotent,
-            stoppable: submit.stoppable,
-            timeout: NO_DEADLINE,
-            declared_run_time: submit.declared_ms.map(Duration::from_millis),
-        }))
+        Event::Submitted(Arc::new(request(submit)))
     }
 
     fn answer_reservation(&mut self, id: GangId, at: Duration) -> Option<Event> {
@@ -123,17 +113,14 @@
     fn ended(&mut self, run: &Execution<RunOutcome>, at: Duration) -> Event {
         let id = run.gang.job;
         if let Some(job) = self.jobs.open.get(&id) {
+            let request = request(job.submit);
             let finished = FinishedRun {
-                gang: run.gang.id,
-                job: id,
-                account: job.submit.account.clone(),
-                service: job.submit.service.clone(),
-                members: run.gang.members.clone(),
+                request: &request,
+                workers: workers(&run.gang),
                 ran: at.saturating_sub(run.started),
                 end: run_end(&run.state),
             };
-            self.learner
-                .record(&self.board, &finished, self.origin + at);
+            self.learner.record(&self.board, finished, self.origin + at);
         }
         if run.state == RunOutcome::Answered {
             self.jobs.close(id, JobOutcome::Answered, at);
@@ -145,6 +132,28 @@
     }
 }
 
+/// Returns the request that a line of the trace stands for.
+fn request(submit: &Submit) -> Request {
+    Request {
+        id: job_id(submit.job),
+        account: submit.account.clone(),
+        service: submit.service.clone(),
+        shape: Some(submit.shape),
+        idempotent: submit.idempotent,
+        stoppable: submit.stoppable,
+        timeout: NO_DEADLINE,
+        declared_run_time: submit.declared_ms.map(Duration::from_millis),
+    }
+}
+
+/// Returns the workers of a gang.
+pub(crate) fn workers(gang: &Gang<Running>) -> Vec<WorkerId> {
+    gang.members
+        .iter()
+        .map(|member| member.worker.clone())
+        .collect()
+}
+
 fn run_end(outcome: &RunOutcome) -> RunEnd {
     match outcome {
         RunOutcome::Answered => RunEnd::Answered,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 
 /// Schedules gang jobs on adjacent accelerators under client account guarantees.
 ///
@@ -32,6 +32,20 @@
     /// Check, show, compare or apply the operators' configuration document.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Replay recorded traces through the decision code in virtual time.
+    ///
+    /// Exits with 1 when a stated outcome or an invariant does not hold, and names the event.
+    Replay {
+        /// Traces as JSON lines; the format is described in docs/replay.md.
+        #[arg(required = true, value_name = "TRACE")]
+        traces: Vec<PathBuf>,
+        /// Policies to compare; all by default.
+        #[arg(long, value_enum)]
+        policy: Vec<PolicyArg>,
+        /// Format of the report.
+        #[arg(long, value_enum, default_value = "text")]
+        format: ReportFormat,
+    },
     /// Show the cells, owners and endpoints that an entry knows.
     Status {
         /// Base URL of an entry, such as `http://127.0.0.1:8080`.
@@ -40,6 +54,26 @@
     },
 }
 
+/// A scheduling policy.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub(crate) enum PolicyArg {
+    /// First come, first served, at the first place that fits.
+    FirstFit,
+    /// Any job that fits runs, without a reservation for blocked ones.
+    Backfill,
+    /// Guarantees, inferred urgency, reservation and reclaim, as the daemons decide.
+    Guarded,
+}
+
+/// A format of reports.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub(crate) enum ReportFormat {
+    /// A table for people.
+    Text,
+    /// One JSON document a trace.
+    Json,
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum ConfigCommand {
     /// Check a document and report all faults at once.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod config;
 mod entry;
+mod replay;
 mod shutdown;
 mod status;
 
@@ -24,6 +25,11 @@
         Command::Entry { settings } => entry::run(&settings),
         Command::Agent { settings } => agent::run(&settings),
         Command::Config(command) => config::run(command),
+        Command::Replay {
+            traces,
+            policy,
+            format,
+        } => replay::run(&traces, &policy, format),
         Command::Status { entry } => status::run(&entry),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,6 @@
 pub use membership;
 pub use model;
 pub use placement;
+pub use policy;
+pub use replay;
 pub use timer;
