Handle requests on threads with a runtime each

Cause: with one runtime and work stealing, most of the processor time of the request path went into waking threads: each of its steps ran on another thread. Ruled out: fewer threads in one runtime (2 and 3 threads were slower with 16 callers), and a lock around the connection writer (no locks on the path). Change: entry and agent accept on several threads that each have a runtime, their own peer connections and their own HTTP client; the board and its atomics are what they share.

--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -23,28 +23,29 @@
 /// A client of the endpoint beside the agent.
 #[derive(Debug, Clone)]
 pub(crate) struct EndpointClient {
-    http: reqwest::Client,
+    /// One client for each shard, so that a call wakes no other thread.
+    clients: Vec<reqwest::Client>,
     url: Box<str>,
 }
 
 impl EndpointClient {
-    /// Creates a client that keeps up to the configured number of connections.
-    pub(crate) fn new(settings: &EndpointSettings) -> Result<Self> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_max_idle_per_host(settings.connections as usize)
-            .tcp_nodelay(true)
-            .build()
-            .map_err(|e| {
-                Error::not_run(ErrorKind::Internal, format!("HTTP client: {e}")).report()
-            })?;
+    /// Creates clients for as many shards, which keep up to the configured number of connections together.
+    pub(crate) fn new(settings: &EndpointSettings, shards: u32) -> Result<Self> {
+        let connections = settings.connections.div_ceil(shards.max(1));
+        let clients = (0..=shards).map(|_| client(connections as usize));
+        let clients = clients.collect::<reqwest::Result<Vec<_>>>().map_err(|e| {
+            Error::not_run(ErrorKind::Internal, format!("HTTP client: {e}")).report()
+        })?;
         Ok(Self {
-            http,
+            clients,
             url: settings.url.clone(),
         })
     }
 
+    fn client(&self) -> &reqwest::Client {
+        &self.clients[shards::current() % self.clients.len()]
+    }
+
     /// Sends a request and returns the whole answer with its digest.
     pub(crate) async fn call(
         &self,
@@ -53,7 +54,7 @@
         limit: Duration,
     ) -> Result<Answer> {
         let mut req = self
-            .http
+            .client()
             .post(&*self.url)
             .timeout(limit)
             .header(REQUEST_ID_HEADER, format!("{:032x}", dispatch.request.id))
@@ -83,6 +84,15 @@
     }
 }
 
+fn client(connections: usize) -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_max_idle_per_host(connections)
+        .tcp_nodelay(true)
+        .build()
+}
+
 fn answer(dispatch: &Dispatch, status: u16, content_type: Box<str>, body: Bytes) -> Answer {
     Answer {
         request: dispatch.request.id,
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -1,6 +1,7 @@
 //! Starting and ending the agent.
 
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use config::AgentSettings;
@@ -10,7 +11,6 @@
 use model::WorkerId;
 use store::{HttpStore, HttpStoreSettings};
 use timer::Timer;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{Datagrams, Key, Peers, Server};
@@ -30,9 +30,6 @@
 /// Runs an agent until `shutdown` is cancelled and its work has ended; returns whether all work ended.
 pub async fn run(settings: AgentSettings, shutdown: CancellationToken) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
-    let listener = TcpListener::bind(settings.peer_listen)
-        .await
-        .map_err(|e| cannot_listen(&settings, &e))?;
     let (gang_tx, gang_rx) = mpsc::unbounded_channel();
     let (request_tx, request_rx) = mpsc::unbounded_channel();
     let (config_updates, config_rx) = distribution::updates();
@@ -66,12 +63,7 @@
         }));
     }
     let stop = CancellationToken::new();
-    let handler_cx = Arc::clone(&cx);
-    let server = Server::new(listener, key).serve(
-        move |call_cx, call| serve::answer(Arc::clone(&handler_cx), call_cx, call),
-        stop.clone(),
-    );
-    tokio::spawn(server);
+    let threads = serve_on_shards(&cx, &key, &stop)?;
     log::info!(
         target: "limpethook",
         agent:% = cx.settings.id, addr:% = cx.addr(), workers = cx.settings.workers.len(),
@@ -83,10 +75,38 @@
     let ended = drain::drain(Arc::clone(&cx)).await;
     cx.timer.subscribe_after(FLUSH_DELAY).recv().await;
     stop.cancel();
+    // Joining blocks, which a thread of the shared runtime must not do while it drives others.
+    let joined =
+        tokio::task::spawn_blocking(move || threads.into_iter().for_each(|t| drop(t.join())));
+    let _ = joined.await;
     telemetry::flush_spans();
     Ok(ended)
 }
 
+/// Answers calls on several threads until `stop` is cancelled.
+fn serve_on_shards(
+    cx: &Arc<Context>,
+    key: &Key,
+    stop: &CancellationToken,
+) -> Result<Vec<JoinHandle<()>>> {
+    let (cx, key, stop) = (Arc::clone(cx), key.clone(), stop.clone());
+    shards::spawn(cx.settings.threads as usize, "agent", move |_| {
+        serve_shard(Arc::clone(&cx), key.clone(), stop.clone())
+    })
+}
+
+async fn serve_shard(cx: Arc<Context>, key: Key, stop: CancellationToken) {
+    match shards::listen(cx.addr()) {
+        Ok(listener) => {
+            let handler = move |call_cx, call| serve::answer(Arc::clone(&cx), call_cx, call);
+            Server::new(listener, key).serve(handler, stop).await;
+        }
+        Err(report) => {
+            log::error!(target: "limpethook", error:% = report.current_context(); "shard_not_started");
+        }
+    }
+}
+
 fn context(
     settings: AgentSettings,
     key: Key,
@@ -104,7 +124,7 @@
     let endpoint = settings
         .endpoint
         .as_ref()
-        .map(EndpointClient::new)
+        .map(|endpoint| EndpointClient::new(endpoint, settings.threads))
         .transpose()?;
     let (slots, backlog) = settings
         .endpoint
--- a/components/config/src/read.rs
+++ b/components/config/src/read.rs
@@ -15,6 +15,12 @@
 
 const DEFAULT_CONNECTIONS: u32 = 1024;
 
+/// Entry VMs are thin; more threads than cores only add switches between them.
+const DEFAULT_ENTRY_THREADS: u32 = 4;
+
+/// An agent has a small part of the VM of its endpoint.
+const DEFAULT_AGENT_THREADS: u32 = 2;
+
 const LOG_LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
 fn parse_with<T>(file: &str, text: &str, read: fn(&Node<'_>) -> T) -> Result<T> {
@@ -52,6 +58,7 @@
         "seeds",
         "drain_timeout_ms",
         "connections",
+        "threads",
     ]);
     let region = node.field("region").id();
     EntrySettings {
@@ -71,6 +78,7 @@
             .field("connections")
             .given()
             .map_or(DEFAULT_CONNECTIONS, |f| f.small(1..=65_536)),
+        threads: read_threads(node, DEFAULT_ENTRY_THREADS),
     }
 }
 
@@ -90,6 +98,7 @@
         "drain_timeout_ms",
         "endpoint",
         "workers",
+        "threads",
     ]);
     let region = node.field("region").id();
     let rack = node.field("rack").id();
@@ -107,10 +116,17 @@
         drain_timeout: read_drain_timeout(node),
         endpoint: node.field("endpoint").given().map(|f| read_endpoint(&f)),
         workers: read_workers(node, &rack),
+        threads: read_threads(node, DEFAULT_AGENT_THREADS),
         rack,
     }
 }
 
+fn read_threads(node: &Node<'_>, default: u32) -> u32 {
+    node.field("threads")
+        .given()
+        .map_or(default, |f| f.small(1..=64))
+}
+
 fn read_cell(node: &Node<'_>, region: &str) -> CellId {
     let cell = node.field("cell").given();
     cell.map_or_else(|| region.into(), |f| f.id())
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -71,6 +71,8 @@
     pub drain_timeout: Option<Duration>,
     /// Caller connections at once.
     pub connections: u32,
+    /// Threads that handle requests.
+    pub threads: u32,
 }
 
 /// Settings of `limpethook agent`.
@@ -104,6 +106,8 @@
     pub endpoint: Option<EndpointSettings>,
     /// The workers that the agent stands for.
     pub workers: Vec<WorkerSettings>,
+    /// Threads that handle requests.
+    pub threads: u32,
 }
 
 /// The endpoint beside an agent.
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use board::Board;
@@ -9,8 +10,8 @@
 use discovery::Locator;
 use errors::{Error, ErrorKind, Result};
 use owner::{Owner, OwnerSettings, Shared};
-use salvo::conn::TcpListener as HttpListener;
-use salvo::prelude::{Listener, Server as HttpServer};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::prelude::Server as HttpServer;
 use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
 use tokio::net::TcpListener;
@@ -68,13 +69,8 @@
         return Ok(true);
     }
 
-    let acceptor = HttpListener::new(cx.settings.http_listen)
-        .try_bind()
-        .await
-        .map_err(|e| cannot_listen("http_listen", &e))?;
-    let http = HttpServer::new(acceptor);
-    let handle = http.handle();
-    let serving = tokio::spawn(http.serve(http::router(&cx)));
+    let http_stop = CancellationToken::new();
+    let threads = serve_on_shards(&cx, &http_stop)?;
     log::info!(
         target: "limpethook",
         entry:% = cx.settings.id, http:% = cx.settings.http_listen, peers:% = peer_addr,
@@ -84,13 +80,47 @@
 
     shutdown.cancelled().await;
     let ended = drain::drain(&cx).await;
-    handle.stop_graceful(FLUSH_LIMIT);
-    let _ = serving.await;
+    http_stop.cancel();
+    // Joining blocks, which a thread of the shared runtime must not do while it drives others.
+    let _ = tokio::task::spawn_blocking(move || join_all(threads)).await;
     stop.cancel();
     telemetry::flush_spans();
     Ok(ended)
 }
 
+/// Serves callers on several threads until `stop` is cancelled.
+fn serve_on_shards(cx: &Arc<Context>, stop: &CancellationToken) -> Result<Vec<JoinHandle<()>>> {
+    let (cx, stop) = (Arc::clone(cx), stop.clone());
+    shards::spawn(cx.settings.threads as usize, "entry", move |_| {
+        serve_shard(Arc::clone(&cx), stop.clone())
+    })
+}
+
+async fn serve_shard(cx: Arc<Context>, stop: CancellationToken) {
+    let acceptor = match shards::listen(cx.settings.http_listen).map(TcpAcceptor::try_from) {
+        Ok(Ok(acceptor)) => acceptor,
+        Ok(Err(e)) => return not_started(&e),
+        Err(report) => return not_started(report.current_context()),
+    };
+    let http = HttpServer::new(acceptor);
+    let handle = http.handle();
+    tokio::spawn(async move {
+        stop.cancelled().await;
+        handle.stop_graceful(FLUSH_LIMIT);
+    });
+    http.serve(http::router(&cx)).await;
+}
+
+fn not_started(error: &dyn std::fmt::Display) {
+    log::error!(target: "limpethook", error:% = error; "shard_not_started");
+}
+
+fn join_all(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        let _ = thread.join();
+    }
+}
+
 fn context(
     settings: EntrySettings,
     key: Key,
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -23,13 +23,16 @@
 /// Calls that wait for the socket of one connection.
 const CALL_QUEUE: usize = 1024;
 
-/// The connections of a process to its peers, one for each address.
+/// The connections of a process to its peers, one for each shard and address.
 #[derive(Clone)]
 pub struct Peers {
     key: Key,
-    slots: Arc<ArcSwap<IndexMap<SocketAddr, Arc<Slot>>>>,
+    slots: Arc<ArcSwap<IndexMap<SlotKey, Arc<Slot>>>>,
 }
 
+/// A shard has connections of its own, so that a call wakes no other thread.
+type SlotKey = (usize, SocketAddr);
+
 #[derive(Default)]
 struct Slot {
     current: ArcSwapOption<Connection>,
@@ -69,22 +72,23 @@
     pub fn forget(&self, addr: SocketAddr) {
         self.slots.rcu(|slots| {
             let mut slots = IndexMap::clone(slots);
-            slots.swap_remove(&addr);
+            slots.retain(|(_, known), _| *known != addr);
             slots
         });
     }
 
     fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
-        if let Some(slot) = self.slots.load().get(&addr) {
+        let key = (shards::current(), addr);
+        if let Some(slot) = self.slots.load().get(&key) {
             return Arc::clone(slot);
         }
         let new = Arc::new(Slot::default());
         self.slots.rcu(|slots| {
             let mut slots = IndexMap::clone(slots);
-            slots.entry(addr).or_insert_with(|| Arc::clone(&new));
+            slots.entry(key).or_insert_with(|| Arc::clone(&new));
             slots
         });
-        self.slots.load().get(&addr).map_or(new, Arc::clone)
+        self.slots.load().get(&key).map_or(new, Arc::clone)
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Arc<Connection>> {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -51,9 +51,13 @@
     }
 }
 
-/// Runs a future on a runtime with one thread for each core.
+/// Threads for everything but requests, which have threads of their own.
+const RUNTIME_THREADS: usize = 2;
+
+/// Runs a future on the shared runtime.
 fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(RUNTIME_THREADS)
         .enable_all()
         .build()
         .map_err(|e| Error::not_run(ErrorKind::Internal, format!("runtime: {e}")).report())?;
