Let only idempotent work borrow guaranteed capacity

The list of borrowers still counted jobs that can checkpoint but are not idempotent; a stopped one would have run twice. It now asks Request::may_stop.

--- a/components/placement/src/borrowers.rs
+++ b/components/placement/src/borrowers.rs
@@ -48,7 +48,7 @@
             let Some(job) = cx.queue.active.get(&gang.job) else {
                 continue;
             };
-            let may_stop = job.request.idempotent || job.request.stoppable;
+            let may_stop = job.request.may_stop();
             if !may_stop || cx.fleet.charged.contains_key(&gang.id) {
                 continue;
             }
