--- a/components/membership/src/attempts.rs
+++ b/components/membership/src/attempts.rs
@@ -7,10 +7,7 @@
 use errors::{Error, ErrorKind, Result};
 use model::{Attempt, Epoch, RequestId};
 
-/// Identifies one life of an agent process.
-///
-/// A restarted agent has lost its record, so it cannot tell what an earlier life did with an attempt.
-pub type Incarnation = u64;
+use crate::orders::Incarnation;
 
 /// How long an attempt is remembered after its end; no message is expected to arrive later than this.
 pub const ATTEMPT_RETENTION: Duration = Duration::from_mins(10);
--- a/components/membership/src/ended.rs
+++ b/components/membership/src/ended.rs
@@ -1,50 +1,52 @@
 //! Gangs that ended at an agent, so that late or repeated messages cannot revive them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use model::GangId;
 
-/// How long an ended gang is remembered; no message is expected to arrive later than this.
+/// How long an ended gang is remembered at least; no message is expected to arrive later than this.
 pub(crate) const ENDED_RETENTION: Duration = Duration::from_mins(10);
 
 /// How many ended gangs are remembered; at the limit the agent takes no further reservations.
 pub(crate) const ENDED_LIMIT: usize = 65_536;
 
-/// The gangs that ended within the retention.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+/// Ended gangs in two generations; the older one is dropped as a whole, so that no time is kept for each gang.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Ended {
-    at: BTreeMap<GangId, Instant>,
-    order: VecDeque<GangId>,
+    current: BTreeSet<GangId>,
+    previous: BTreeSet<GangId>,
+    since: Instant,
 }
 
 impl Ended {
+    pub(crate) fn start(now: Instant) -> Self {
+        Self {
+            current: BTreeSet::new(),
+            previous: BTreeSet::new(),
+            since: now,
+        }
+    }
+
     pub(crate) fn contains(&self, gang: GangId) -> bool {
-        self.at.contains_key(&gang)
+        self.current.contains(&gang) || self.previous.contains(&gang)
     }
 
     pub(crate) fn is_full(&self) -> bool {
-        self.order.len() >= ENDED_LIMIT
+        self.current.len() + self.previous.len() >= ENDED_LIMIT
     }
 
     /// Records an end and returns false if the gang had ended before.
-    pub(crate) fn insert(&mut self, gang: GangId, now: Instant) -> bool {
-        if self.contains(gang) {
-            return false;
-        }
-        self.at.insert(gang, now);
-        self.order.push_back(gang);
-        true
+    pub(crate) fn insert(&mut self, gang: GangId) -> bool {
+        !self.contains(gang) && self.current.insert(gang)
     }
 
-    /// Forgets what ended before the retention.
+    /// Begins a new generation after each retention and forgets the one before the last.
     pub(crate) fn forget(&mut self, now: Instant) {
-        while let Some(gang) = self.order.front() {
-            if self.at[gang] + ENDED_RETENTION > now {
-                break;
-            }
-            self.at.remove(gang);
-            self.order.pop_front();
+        if now < self.since + ENDED_RETENTION {
+            return;
         }
+        self.previous = std::mem::take(&mut self.current);
+        self.since = now;
     }
 }
--- a/components/membership/src/leader.rs
+++ b/components/membership/src/leader.rs
@@ -6,9 +6,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use error_stack::Report;
+use errors::Error;
 use model::{AgentId, Epoch, GangId};
 
+use crate::orders::{Incarnation, refused};
 use crate::reservation::RUN_TERM;
+use crate::reservations::Reservations;
 
 /// How often the leader pulses; a lost pulse is repeated three times within `RUN_TERM`.
 pub const PULSE_INTERVAL: Duration = Duration::from_millis(250);
@@ -20,6 +24,8 @@
     pub gang: GangId,
     /// The epoch of the reservation.
     pub epoch: Epoch,
+    /// The life of the leader's agent.
+    pub life: Incarnation,
     /// The leader's stamp.
     pub stamp: Duration,
 }
@@ -29,6 +35,8 @@
 pub struct Pulse {
     /// The gang.
     pub gang: GangId,
+    /// The life of the leader's agent.
+    pub life: Incarnation,
     /// The leader's stamp.
     pub stamp: Duration,
     /// The receiver's last stamp that the leader heard.
@@ -43,6 +51,8 @@
 pub struct Ack {
     /// The gang.
     pub gang: GangId,
+    /// The life of the leader's agent, which gives the echoed stamp its meaning.
+    pub life: Incarnation,
     /// The leader's stamp that is answered.
     pub echo: Duration,
     /// The member's stamp.
@@ -56,6 +66,7 @@
     pub gang: GangId,
     /// The epoch of the reservations.
     pub epoch: Epoch,
+    life: Incarnation,
     since: Instant,
     members: BTreeMap<AgentId, Option<Heard>>,
     /// What is known in this state.
@@ -92,16 +103,15 @@
     }
 
     /// Records a member's answer; the order of answers does not matter.
-    pub fn acked(&mut self, member: &str, ack: &Ack, now: Instant) {
-        let from_this_life = now
-            .checked_duration_since(self.since)
-            .is_some_and(|age| ack.echo <= age);
+    ///
+    /// An answer to the leader of an earlier life is ignored, because its stamp counts from another moment.
+    pub fn acked(&mut self, member: &str, ack: &Ack) {
+        if ack.life != self.life {
+            return;
+        }
         let Some(heard) = self.members.get_mut(member) else {
             return;
         };
-        if !from_this_life {
-            return;
-        }
         let old = heard.take().unwrap_or(Heard {
             echo: Duration::ZERO,
             stamp: Duration::ZERO,
@@ -125,33 +135,45 @@
         Leader {
             gang: self.gang,
             epoch: self.epoch,
+            life: self.life,
             since: self.since,
             members: self.members,
             state,
         }
     }
 
-    fn stop_at(self, over_at: Instant) -> Leader<Stopping> {
+    /// Ends the leadership; what was heard no longer matters.
+    fn stop_at(mut self, over_at: Instant) -> Leader<Stopping> {
         let waiting = self.members.keys().cloned().collect();
+        self.members.values_mut().for_each(|heard| *heard = None);
         self.with(Stopping { over_at, waiting })
     }
 }
 
 impl Leader<Arming> {
-    /// Begins with the members of `Start`.
+    /// Begins with the members of `Start`, if the leader's own agent holds the gang and has not armed it.
+    ///
+    /// A repeated `Start` to a restarted agent must not lead again: the new leader would give up and release members
+    /// while the task of the agent's earlier life still runs.
     pub fn start(
+        own: &Reservations,
+        life: Incarnation,
         gang: GangId,
         epoch: Epoch,
         members: impl IntoIterator<Item = AgentId>,
         now: Instant,
-    ) -> Self {
-        Self {
+    ) -> Result<Self, Report<Error>> {
+        if !own.is_held(gang, epoch, now) {
+            return Err(refused("the leader's agent does not hold the gang"));
+        }
+        Ok(Self {
             gang,
             epoch,
+            life,
             since: now,
             members: members.into_iter().map(|member| (member, None)).collect(),
             state: Arming,
-        }
+        })
     }
 
     /// Returns the request to send to members that are not armed.
@@ -159,6 +181,7 @@
         Arm {
             gang: self.gang,
             epoch: self.epoch,
+            life: self.life,
             stamp: now - self.since,
         }
     }
@@ -187,6 +210,7 @@
         let pulses = self.members.iter().filter_map(|(member, heard)| {
             let pulse = Pulse {
                 gang: self.gang,
+                life: self.life,
                 stamp: now - self.since,
                 echo: heard.as_ref()?.stamp,
             };
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -3,6 +3,7 @@
 //! Maps are ordered ones from the standard library, so that the model checks can hash whole states.
 
 pub mod attempts;
+pub mod claims;
 mod ended;
 pub mod fencing;
 pub mod leader;
@@ -13,5 +14,5 @@
 mod reservations;
 pub mod revisions;
 
-pub use orders::{Lapse, LapseKind, Renewal, Reserve, Sender};
+pub use orders::{Incarnation, Lapse, LapseKind, Renewal, Reserve, Sender};
 pub use reservations::Reservations;
--- a/components/membership/src/orders.rs
+++ b/components/membership/src/orders.rs
@@ -11,6 +11,11 @@
 use crate::leader::Ack;
 use crate::reservation::Part;
 
+/// Identifies one life of an agent process; no two lives of an agent have the same value.
+///
+/// A restarted agent has lost its memory, so it cannot answer for what an earlier life did.
+pub type Incarnation = u64;
+
 /// An owner's request to reserve the agent's part of a gang.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Reserve {
--- a/components/membership/src/reservation.rs
+++ b/components/membership/src/reservation.rs
@@ -10,6 +10,8 @@
 
 use model::{Epoch, GangId, Resources, WorkerId};
 
+use crate::orders::Incarnation;
+
 /// How long an agent keeps a reservation that nobody arms.
 pub const RESERVATION_TERM: Duration = Duration::from_secs(2);
 
@@ -51,6 +53,8 @@
 /// The leader asked for the gang lease; the task does not run yet.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Armed {
+    /// The life of the leader's agent that armed the gang.
+    pub leader: Incarnation,
     /// The origin of the stamps that this member sends.
     pub since: Instant,
     /// When the accelerators are given back.
@@ -60,6 +64,8 @@
 /// The task runs.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Active {
+    /// The life of the leader's agent that armed the gang.
+    pub leader: Incarnation,
     /// The origin of the stamps that this member sends.
     pub since: Instant,
     /// When the task stops unless a pulse renews it.
@@ -100,8 +106,9 @@
     }
 
     /// Extends the reservation to the gang lease.
-    pub fn arm(self, now: Instant) -> Reservation<Armed> {
+    pub fn arm(self, leader: Incarnation, now: Instant) -> Reservation<Armed> {
         self.with(Armed {
+            leader,
             since: now,
             until: now + GANG_LEASE_TERM,
         })
@@ -118,9 +125,10 @@
 
     /// Starts the task, or hands the reservation back if the echoed stamp is too old or not from this life cycle.
     pub fn go(self, echo: Duration, now: Instant) -> Result<Reservation<Active>, Self> {
-        let since = self.state.since;
+        let Armed { leader, since, .. } = self.state;
         match run_until(since, echo, now) {
             Some(run_until) if now < run_until => Ok(self.with(Active {
+                leader,
                 since,
                 run_until,
                 until: now + GANG_LEASE_TERM,
--- a/components/membership/src/reservations.rs
+++ b/components/membership/src/reservations.rs
@@ -2,15 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use errors::{Error, ErrorKind, Result};
-use model::{GangId, Resources, WorkerId};
+use model::{Epoch, GangId, Resources, WorkerId};
 
 use crate::ended::Ended;
 use crate::fencing::Fence;
 use crate::leader::{Ack, Arm, Pulse};
-use crate::orders::{Lapse, LapseKind, Renewal, Reserve, Sender, check_epoch, refused};
+use crate::orders::{
+    Incarnation, Lapse, LapseKind, Renewal, Reserve, Sender, check_epoch, refused,
+};
 use crate::reservation::{Active, Armed, GANG_LEASE_TERM, Held, Part, Reservation, Stopped};
 
 /// The reservations of an agent by state.
@@ -39,7 +41,7 @@
             armed: BTreeMap::new(),
             active: BTreeMap::new(),
             stopped: BTreeMap::new(),
-            ended: Ended::default(),
+            ended: Ended::start(now),
             lapses: Vec::new(),
         }
     }
@@ -73,52 +75,51 @@
     pub fn arm(&mut self, arm: &Arm, now: Instant) -> Result<Ack> {
         self.expire(now);
         self.check_open(arm.gang)?;
-        if let Some(held) = self.held.get(&arm.gang) {
-            check_epoch(held.epoch, arm.epoch)?;
-        }
-        if let Some(held) = self.held.remove(&arm.gang) {
-            self.armed.insert(arm.gang, held.arm(now));
-        } else if let Some(armed) = self.armed.remove(&arm.gang) {
-            self.armed.insert(arm.gang, armed.rearm(now));
-        } else {
-            return Err(refused("the gang has no reservation to arm"));
-        }
-        let since = self.armed[&arm.gang].state.since;
-        Ok(Ack {
-            gang: arm.gang,
-            echo: arm.stamp,
-            stamp: now - since,
-        })
+        let armed = match (self.held.get(&arm.gang), self.armed.get(&arm.gang)) {
+            (Some(held), _) if held.epoch == arm.epoch => held.clone().arm(arm.life, now),
+            (_, Some(armed)) if armed.state.leader == arm.life => armed.clone().rearm(now),
+            _ => {
+                return Err(refused(
+                    "the gang has no reservation that this leader can arm",
+                ));
+            }
+        };
+        let ack = ack(arm.gang, arm.life, arm.stamp, now - armed.state.since);
+        self.held.remove(&arm.gang);
+        self.armed.insert(arm.gang, armed);
+        Ok(ack)
     }
 
     /// Starts the task at the first pulse and renews the gang lease at later ones.
     pub fn pulse(&mut self, pulse: &Pulse, now: Instant) -> Result<Renewal> {
         self.expire(now);
         self.check_open(pulse.gang)?;
-        let armed = self.armed.remove(&pulse.gang);
-        let starts = armed.is_some();
-        let active = match (armed, self.active.remove(&pulse.gang)) {
-            (Some(armed), _) => armed.go(pulse.echo, now).map_err(|armed| {
-                self.armed.insert(pulse.gang, armed);
-                refused("the pulse echoes an acknowledgement that is too old")
-            })?,
-            (None, Some(active)) => active.renew(pulse.echo, now),
-            (None, None) => return Err(refused("the gang is not armed")),
+        let gang = pulse.gang;
+        let (active, starts) = match (self.armed.get(&gang), self.active.get(&gang)) {
+            (Some(armed), _) if armed.state.leader == pulse.life => {
+                let active = armed.clone().go(pulse.echo, now);
+                let late = |_| refused("the pulse echoes an acknowledgement that is too old");
+                (active.map_err(late)?, true)
+            }
+            (_, Some(active)) if active.state.leader == pulse.life => {
+                (active.clone().renew(pulse.echo, now), false)
+            }
+            _ => return Err(refused("the gang is not armed by this leader")),
         };
         let renewal = Renewal {
-            ack: Ack {
-                gang: pulse.gang,
-                echo: pulse.stamp,
-                stamp: now - active.state.since,
-            },
+            ack: ack(gang, pulse.life, pulse.stamp, now - active.state.since),
             starts,
             run_for: active.state.run_until - now,
         };
-        self.active.insert(pulse.gang, active);
+        self.armed.remove(&gang);
+        self.active.insert(gang, active);
         Ok(renewal)
     }
 
     /// Stops the agent's part of a gang; its accelerators stay reserved until the leader or the lease releases them.
+    ///
+    /// A restarted agent does not confirm that a gang stopped which it does not know: the task of its earlier life may
+    /// run until the end of its lease at the platform.
     pub fn stop(
         &mut self,
         fence: &mut Fence,
@@ -128,9 +129,11 @@
     ) -> Result<()> {
         by.admit(fence)?;
         self.expire(now);
-        let unknown = !self.is_reserved(gang) && !self.ended.is_full();
-        if unknown || self.held.remove(&gang).is_some() {
-            self.end(gang, now);
+        if !self.is_reserved(gang) {
+            return self.stop_unknown(gang, now);
+        }
+        if self.held.remove(&gang).is_some() {
+            self.end(gang);
         } else if let Some(armed) = self.armed.remove(&gang) {
             self.stopped.insert(gang, armed.stop());
         } else if let Some(active) = self.active.remove(&gang) {
@@ -149,7 +152,7 @@
     ) -> Result<()> {
         self.stop(fence, gang, by, now)?;
         if by == Sender::Leader && self.stopped.remove(&gang).is_some() {
-            self.end(gang, now);
+            self.end(gang);
         }
         Ok(())
     }
@@ -180,7 +183,7 @@
                 .map(|(id, _)| id),
         );
         for gang in over {
-            self.end(gang, now);
+            self.end(gang);
         }
         self.ended.forget(now);
     }
@@ -198,6 +201,12 @@
             || self.stopped.contains_key(&gang)
     }
 
+    /// Returns whether the gang is reserved at this epoch and not armed.
+    pub fn is_held(&self, gang: GangId, epoch: Epoch, now: Instant) -> bool {
+        let held = self.held.get(&gang);
+        held.is_some_and(|held| held.epoch == epoch && now < held.state.until)
+    }
+
     /// Returns whether the agent's task of the gang may run at this moment.
     pub fn is_running(&self, gang: GangId, now: Instant) -> bool {
         let active = self.active.get(&gang);
@@ -236,14 +245,25 @@
         Ok(())
     }
 
+    fn stop_unknown(&mut self, gang: GangId, now: Instant) -> Result<()> {
+        if !self.ended.is_full() {
+            self.end(gang);
+        }
+        if now < self.quiet_until {
+            let message = "the agent started just now and does not know the gang";
+            return Err(Error::may_have_run(ErrorKind::Unavailable, message).report());
+        }
+        Ok(())
+    }
+
     fn stop_task(&mut self, active: Reservation<Active>) {
         let (gang, kind) = (active.gang, LapseKind::Stopped);
         self.stopped.insert(gang, active.stop());
         self.lapses.push(Lapse { gang, kind });
     }
 
-    fn end(&mut self, gang: GangId, now: Instant) {
-        if self.ended.insert(gang, now) {
+    fn end(&mut self, gang: GangId) {
+        if self.ended.insert(gang) {
             let kind = LapseKind::Freed;
             self.lapses.push(Lapse { gang, kind });
         }
@@ -255,3 +275,12 @@
         .filter(|part| *part.worker == *worker)
         .fold(Resources::default(), |sum, part| sum.plus(part.total))
 }
+
+fn ack(gang: GangId, life: Incarnation, echo: Duration, stamp: Duration) -> Ack {
+    Ack {
+        gang,
+        life,
+        echo,
+        stamp,
+    }
+}
--- a/components/membership/src/revisions.rs
+++ b/components/membership/src/revisions.rs
@@ -1,87 +1,106 @@
 //! Configuration revisions: a section is applied only when its revision rises.
+//!
+//! VMs have no disks, so a process that applies a revision which nobody else has seen falls back when it restarts during
+//! a store outage. A process therefore first sends a section to its peers, which hold it, and applies it after each peer
+//! holds it or cannot be reached. `HighestRevision` is answered from what a process holds, not from what it applied.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use model::{Revision, SectionName};
 
-/// The revision of each section that a process has in force.
+/// Names a process that holds sections for this one.
+pub type PeerId = Box<str>;
+
+/// The revision of each section that a process holds, and of each that it has in force.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Revisions {
+    held: BTreeMap<SectionName, Revision>,
     applied: BTreeMap<SectionName, Revision>,
 }
 
 impl Revisions {
-    /// Records a section at a revision and returns true if the revision rises; otherwise the section must be ignored.
+    /// Holds a section from a peer or from the store and returns whether its revision rises.
+    pub fn hold(&mut self, section: &str, revision: Revision) -> bool {
+        raise(&mut self.held, section, revision)
+    }
+
+    /// Records that a section is in force and returns true if its revision rises; otherwise it must be ignored.
     pub fn admit(&mut self, section: &str, revision: Revision) -> bool {
-        if revision <= self.of(section) {
-            return false;
-        }
-        self.applied.insert(section.into(), revision);
-        true
+        self.hold(section, revision);
+        raise(&mut self.applied, section, revision)
     }
 
-    /// Returns the revision of a section, 0 if it was never seen.
+    /// Returns the revision of a section in force, 0 if it was never applied.
     pub fn of(&self, section: &str) -> Revision {
         self.applied.get(section).copied().unwrap_or(0)
     }
 
-    /// Returns the highest revision of all sections.
+    /// Returns the highest revision in force.
     pub fn highest(&self) -> Revision {
         self.applied.values().copied().max().unwrap_or(0)
     }
 
-    /// Returns the revision of each section, for `HighestRevision`.
-    pub fn sections(&self) -> impl Iterator<Item = (&SectionName, Revision)> {
-        self.applied
-            .iter()
-            .map(|(name, revision)| (name, *revision))
+    /// Returns the revision of each section that is held, for `HighestRevision`.
+    pub fn held(&self) -> impl Iterator<Item = (&SectionName, Revision)> {
+        self.held.iter().map(|(name, revision)| (name, *revision))
     }
-}
 
-/// Names a process that is asked for, or told of, revisions.
-pub type PeerId = Box<str>;
+    /// Returns the sections that are held and not in force at that revision.
+    pub fn pending(&self) -> BTreeMap<SectionName, Revision> {
+        let pending = self
+            .held()
+            .filter(|(name, revision)| *revision > self.of(name));
+        pending
+            .map(|(name, revision)| (name.clone(), revision))
+            .collect()
+    }
+}
 
-/// A section from the store that this process has not applied yet.
-///
-/// VMs have no disks, so a process that applies a revision which nobody else has seen falls back when it restarts during
-/// a store outage. It therefore first passes the section on to its peers.
+/// Sections that are being sent to the peers and are not yet in force.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Staged {
-    section: SectionName,
-    revision: Revision,
+    sections: BTreeMap<SectionName, Revision>,
     waiting: BTreeSet<PeerId>,
 }
 
 impl Staged {
-    /// Stages a section that is being sent to `peers`.
-    pub fn new(section: &str, revision: Revision, peers: impl IntoIterator<Item = PeerId>) -> Self {
+    /// Stages what `revisions` holds and has not applied.
+    pub fn new(revisions: &Revisions, peers: impl IntoIterator<Item = PeerId>) -> Self {
         Self {
-            section: section.into(),
-            revision,
+            sections: revisions.pending(),
             waiting: peers.into_iter().collect(),
         }
     }
 
-    /// Returns the section and its revision.
-    pub fn section(&self) -> (&str, Revision) {
-        (&self.section, self.revision)
+    /// Returns the sections to send.
+    pub fn sections(&self) -> &BTreeMap<SectionName, Revision> {
+        &self.sections
     }
 
-    /// Records that a peer has this revision or a higher one, or that it cannot be reached.
+    /// Returns the peers that have not answered.
+    pub fn waiting(&self) -> impl Iterator<Item = &PeerId> {
+        self.waiting.iter()
+    }
+
+    /// Records that a peer holds these revisions or higher ones, or that it cannot be reached.
     pub fn settled(&mut self, peer: &str) {
         self.waiting.remove(peer);
     }
 
-    /// Applies the section once every peer has it or cannot be reached, or hands it back.
-    pub fn apply(self, revisions: &mut Revisions) -> Result<bool, Self> {
+    /// Applies the sections once no peer is awaited and returns those that rose, or hands them back.
+    pub fn apply(self, revisions: &mut Revisions) -> Result<Vec<SectionName>, Self> {
         if !self.waiting.is_empty() {
             return Err(self);
         }
-        Ok(revisions.admit(&self.section, self.revision))
+        let risen = self.sections.into_iter().filter_map(|(name, revision)| {
+            let rises = revisions.admit(&name, revision);
+            rises.then_some(name)
+        });
+        Ok(risen.collect())
     }
 }
 
-/// A process that started and does not serve yet.
+/// A process that started and asks its peers for what they hold.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Recovery {
     revisions: Revisions,
@@ -99,17 +118,12 @@
         }
     }
 
-    /// Applies a section from the store or from a peer and returns whether its revision rises.
-    pub fn admit(&mut self, section: &str, revision: Revision) -> bool {
-        self.revisions.admit(section, revision)
-    }
-
-    /// Returns the revisions collected so far, which a peer that recovers too may ask for.
-    pub fn revisions(&self) -> &Revisions {
-        &self.revisions
+    /// Holds a section from the store or from a peer.
+    pub fn hold(&mut self, section: &str, revision: Revision) {
+        self.revisions.hold(section, revision);
     }
 
-    /// Records that all sections of a serving peer were admitted.
+    /// Records that all sections that a peer holds have arrived.
     pub fn answered(&mut self, peer: &str) {
         self.waiting.remove(peer);
         self.answered = true;
@@ -120,17 +134,27 @@
         self.waiting.remove(peer);
     }
 
-    /// Records that all sections in the store were admitted; the store has the highest revisions.
+    /// Records that all sections in the store have arrived; no peer holds a higher revision.
     pub fn read_store(&mut self) {
         self.waiting.clear();
         self.answered = true;
     }
 
-    /// Lets the process serve once the store or every reachable peer answered, or hands the recovery back.
-    pub fn serve(self) -> Result<Revisions, Self> {
+    /// Returns what was collected once the store or every reachable peer answered, or hands the recovery back.
+    ///
+    /// The process serves after it has staged and applied these sections.
+    pub fn collected(self) -> Result<Revisions, Self> {
         if self.answered && self.waiting.is_empty() {
             return Ok(self.revisions);
         }
         Err(self)
     }
 }
+
+fn raise(revisions: &mut BTreeMap<SectionName, Revision>, section: &str, to: Revision) -> bool {
+    if to <= revisions.get(section).copied().unwrap_or(0) {
+        return false;
+    }
+    revisions.insert(section.into(), to);
+    true
+}
--- a/components/membership/tests/ownership.rs
+++ b/components/membership/tests/ownership.rs
@@ -84,21 +84,24 @@
 #[test]
 fn apply_waits_for_peers() {
     let mut revisions = Revisions::default();
-    let staged = Staged::new("policy", 5, ["b".into()]);
+    assert!(revisions.hold("policy", 5));
+    let staged = Staged::new(&revisions, ["b".into()]);
     let mut staged = staged.apply(&mut revisions).unwrap_err();
     assert_eq!(revisions.of("policy"), 0);
     staged.settled("b");
-    assert_eq!(staged.apply(&mut revisions), Ok(true));
+    assert_eq!(staged.apply(&mut revisions), Ok(vec!["policy".into()]));
+    assert_eq!(revisions.of("policy"), 5);
 }
 
 /// Guards against serving after a restart before the peers answered.
 #[test]
-fn serve_waits_for_reachable_peers() {
+fn collected_waits_for_reachable_peers() {
     let recovery = Recovery::start(["b".into(), "c".into()]);
-    let mut recovery = recovery.serve().unwrap_err();
+    let mut recovery = recovery.collected().unwrap_err();
     recovery.unreachable("c");
-    let mut recovery = recovery.serve().unwrap_err();
-    recovery.admit("policy", 5);
+    let mut recovery = recovery.collected().unwrap_err();
+    recovery.hold("policy", 5);
     recovery.answered("b");
-    assert_eq!(recovery.serve().unwrap().of("policy"), 5);
+    let revisions = recovery.collected().unwrap();
+    assert_eq!(revisions.pending()["policy"], 5);
 }
--- a/components/membership/tests/reservation.rs
+++ b/components/membership/tests/reservation.rs
@@ -41,6 +41,7 @@
     Arm {
         gang,
         epoch: 1,
+        life: 1,
         stamp: Duration::ZERO,
     }
 }
@@ -48,6 +49,7 @@
 fn pulse(gang: GangId, echo: Duration) -> Pulse {
     Pulse {
         gang,
+        life: 1,
         stamp: Duration::ZERO,
         echo,
     }
@@ -67,13 +69,24 @@
 #[test]
 fn reserve_refuses_after_restart() {
     let (mut agent, mut fence, now) = agent();
-    let early = now - Duration::from_millis(1);
+    let early = now.checked_sub(Duration::from_millis(1)).unwrap();
     let error = agent.reserve(&mut fence, order(1, 1), early).unwrap_err();
     let error = error.current_context();
     assert_eq!(error.verdict, Verdict::NotRun);
     assert_eq!(error.retry_after, Some(Duration::from_millis(1)));
 }
 
+/// Guards against a restarted agent that confirms the end of a task which its earlier life started.
+#[test]
+fn stop_unconfirmed_after_restart() {
+    let (mut agent, mut fence, now) = agent();
+    let early = now.checked_sub(Duration::from_millis(1)).unwrap();
+    let error = agent.stop(&mut fence, 1, Sender::Leader, early);
+    let verdict = error.unwrap_err().current_context().verdict;
+    assert_eq!(verdict, Verdict::MayHaveRun);
+    assert!(agent.stop(&mut fence, 1, Sender::Leader, now).is_ok());
+}
+
 /// Guards against a late or repeated message that revives an ended reservation.
 #[test]
 fn reserve_refuses_ended_gang() {
@@ -132,14 +145,37 @@
 fn leader_requires_every_member() {
     let (mut agent, mut fence, now) = agent();
     agent.reserve(&mut fence, order(1, 8), now).unwrap();
-    let mut leader = Leader::start(1, 1, ["a".into(), "b".into()], now);
+    let mut leader = Leader::start(&agent, 1, 1, 1, ["a".into(), "b".into()], now).unwrap();
     let ack = agent.arm(&leader.arm(now), now).unwrap();
-    leader.acked("a", &ack, now);
+    leader.acked("a", &ack);
     let mut leader = leader.go(now).unwrap_err();
-    leader.acked("b", &ack, now);
+    leader.acked("b", &ack);
     let leader = leader.go(now).unwrap();
     let (leader, pulses) = leader.pulse(now).unwrap();
     assert_eq!(pulses.len(), 2);
     let stopping = leader.pulse(now + RUN_TERM).unwrap_err();
     assert!(stopping.is_over(now + RUN_TERM));
 }
+
+/// Guards against a repeated `Start` that leads again after a restart and releases members that still run.
+#[test]
+fn leader_start_requires_own_reservation() {
+    let (mut agent, mut fence, now) = agent();
+    let members = ["a".into(), "b".into()];
+    assert!(Leader::start(&agent, 1, 1, 1, members.clone(), now).is_err());
+    agent.reserve(&mut fence, order(1, 8), now).unwrap();
+    agent.arm(&arm(1), now).unwrap();
+    assert!(Leader::start(&agent, 1, 1, 1, members, now).is_err());
+}
+
+/// Guards against an answer to an earlier leader that counts for a later one of the same gang.
+#[test]
+fn acked_ignores_earlier_life() {
+    let (mut agent, mut fence, now) = agent();
+    agent.reserve(&mut fence, order(1, 8), now).unwrap();
+    let mut leader = Leader::start(&agent, 2, 1, 1, ["a".into()], now).unwrap();
+    let ack = agent.arm(&arm(1), now).unwrap();
+    leader.acked("a", &ack);
+    let leader = leader.go(now).unwrap_err();
+    assert!(agent.arm(&leader.arm(now), now).is_err());
+}
