Check ownership and configuration revision

Ruled out: ticks of 500 ms for ownership, which did not end within 60 s; time passes in steps of the lease term. A growing set of late sections, which did not end within 50 s; any section that was passed on may arrive anywhere. A mutant that trusts the first peer after a restart is not kept: since staging hears every peer, removing that wait alone breaks nothing (1,365,387 states, no violation), so it is no guard of its own.

The check of revisions found two faults (15 steps each), mended in membership: a process applies a section only after at least one peer holds it, and an answer to staging tells what the peer holds.

--- a/components/membership/src/revisions.rs
+++ b/components/membership/src/revisions.rs
@@ -2,7 +2,7 @@
 //!
 //! VMs have no disks, so a process that applies a revision which nobody else has seen falls back when it restarts during
 //! a store outage. A process therefore first sends a section to its peers, which hold it, and applies it after each peer
-//! holds it or cannot be reached. `HighestRevision` is answered from what a process holds, not from what it applied.
+//! holds it or cannot be reached, and at least one holds it. `HighestRevision` is answered from what a process holds, not from what it applied.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -61,14 +61,17 @@
 pub struct Staged {
     sections: BTreeMap<SectionName, Revision>,
     waiting: BTreeSet<PeerId>,
+    safe: bool,
 }
 
 impl Staged {
     /// Stages what `revisions` holds and has not applied.
     pub fn new(revisions: &Revisions, peers: impl IntoIterator<Item = PeerId>) -> Self {
+        let waiting: BTreeSet<_> = peers.into_iter().collect();
         Self {
             sections: revisions.pending(),
-            waiting: peers.into_iter().collect(),
+            safe: waiting.is_empty(),
+            waiting,
         }
     }
 
@@ -82,14 +85,24 @@
         self.waiting.iter()
     }
 
-    /// Records that a peer holds these revisions or higher ones, or that it cannot be reached.
-    pub fn settled(&mut self, peer: &str) {
+    /// Records that a peer holds these revisions or higher ones; its answer says what it holds.
+    ///
+    /// The caller first holds what the answer says: a peer that could not be asked during recovery is heard here.
+    pub fn holds(&mut self, peer: &str) {
+        self.safe |= self.waiting.remove(peer);
+    }
+
+    /// Records that a peer cannot be reached.
+    pub fn unreachable(&mut self, peer: &str) {
         self.waiting.remove(peer);
     }
 
     /// Applies the sections once no peer is awaited and returns those that rose, or hands them back.
+    ///
+    /// If no peer could be reached, or the process holds more than was staged, the caller stages again.
     pub fn apply(self, revisions: &mut Revisions) -> Result<Vec<SectionName>, Self> {
-        if !self.waiting.is_empty() {
+        let complete = self.sections == revisions.pending();
+        if !self.safe || !complete || !self.waiting.is_empty() {
             return Err(self);
         }
         let risen = self.sections.into_iter().filter_map(|(name, revision)| {
--- a/components/membership/tests/ownership.rs
+++ b/components/membership/tests/ownership.rs
@@ -85,10 +85,14 @@
 fn apply_waits_for_peers() {
     let mut revisions = Revisions::default();
     assert!(revisions.hold("policy", 5));
-    let staged = Staged::new(&revisions, ["b".into()]);
+    let staged = Staged::new(&revisions, ["b".into(), "c".into()]);
     let mut staged = staged.apply(&mut revisions).unwrap_err();
+    staged.unreachable("c");
+    let mut alone = staged.clone();
+    alone.unreachable("b");
+    assert!(alone.apply(&mut revisions).is_err());
     assert_eq!(revisions.of("policy"), 0);
-    staged.settled("b");
+    staged.holds("b");
     assert_eq!(staged.apply(&mut revisions), Ok(vec!["policy".into()]));
     assert_eq!(revisions.of("policy"), 5);
 }
--- a/components/specs/src/lib.rs
+++ b/components/specs/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod explore;
 pub mod gang;
 pub mod gang_steps;
+pub mod ownership;
+pub mod revisions;
