Carry the life of the leader in gang messages

Cause: the model check of the gang protocol found that an acknowledgement to an earlier life of a leader counted for the later one, and that a repeated start at a restarted leader led the gang again. Change: arm, pulse and acknowledgement name the leader's life, and a leader starts only a gang that its own agent holds. A refused reservation is planned again after 50 to 500 ms; before, a restarted agent that refuses reservations for 2 s was asked without a pause. whole_path and both examples pass.

--- a/components/agent/src/gangs/controller.rs
+++ b/components/agent/src/gangs/controller.rs
@@ -76,7 +76,7 @@
             agent,
             result,
         } => leading::armed(state, gang, &agent, result, now),
-        GangEvent::PulseAck { ack } => leading::pulse_acked(state, &ack, now),
+        GangEvent::PulseAck { ack } => leading::pulse_acked(state, &ack),
         GangEvent::MemberStopped { gang, agent } => {
             leading::member_stopped(state, gang, &agent, now);
         }
--- a/components/agent/src/gangs/leading.rs
+++ b/components/agent/src/gangs/leading.rs
@@ -41,12 +41,28 @@
         return;
     }
     let members = start.agents.iter().map(|(agent, _)| agent.clone());
-    let leader = Leader::start(start.gang, start.epoch, members, now);
+    let life = state.cx.datagrams.incarnation();
+    let led = Leader::start(
+        &state.reservations,
+        life,
+        start.gang,
+        start.epoch,
+        members,
+        now,
+    );
+    let leader = match led {
+        Ok(leader) => leader,
+        Err(report) => {
+            let _ = tx.send(Err(report));
+            return;
+        }
+    };
     let arm = leader.arm(now);
     for (agent, addr) in &start.agents {
         let call = Call::ArmGang(ArmGang {
             gang: arm.gang,
             epoch: arm.epoch,
+            life: arm.life,
             stamp: arm.stamp,
             leader: state.cx.addr(),
             request: start.request.clone(),
@@ -95,11 +111,7 @@
         return;
     };
     let ack = match result {
-        Ok(ack) => Ack {
-            gang,
-            echo: ack.echo,
-            stamp: ack.stamp,
-        },
+        Ok(ack) => member_ack(&ack),
         Err(report) => {
             let cause = report.current_context();
             let message = format!("agent {agent} could not arm its members: {}", cause.message);
@@ -107,7 +119,7 @@
             return;
         }
     };
-    led.leader.acked(agent, &ack, now);
+    led.leader.acked(agent, &ack);
     match led.leader.go(now) {
         Ok(leader) => {
             let mut led = Led {
@@ -133,17 +145,18 @@
 }
 
 /// Records a member's answer to a pulse.
-pub(crate) fn pulse_acked(state: &mut State, ack: &PulseAck, now: Instant) {
+pub(crate) fn pulse_acked(state: &mut State, ack: &PulseAck) {
     if let Some(led) = state.leading.get_mut(&ack.gang) {
-        led.leader.acked(
-            &ack.agent,
-            &Ack {
-                gang: ack.gang,
-                echo: ack.echo,
-                stamp: ack.stamp,
-            },
-            now,
-        );
+        led.leader.acked(&ack.agent, &member_ack(ack));
+    }
+}
+
+fn member_ack(ack: &PulseAck) -> Ack {
+    Ack {
+        gang: ack.gang,
+        life: ack.life,
+        echo: ack.echo,
+        stamp: ack.stamp,
     }
 }
 
@@ -188,6 +201,7 @@
                 };
                 let packet = Packet::Pulse(Pulse {
                     gang: pulse.gang,
+                    life: pulse.life,
                     stamp: pulse.stamp,
                     echo: pulse.echo,
                 });
--- a/components/agent/src/gangs/member.rs
+++ b/components/agent/src/gangs/member.rs
@@ -72,6 +72,7 @@
         &Arm {
             gang: arm.gang,
             epoch: arm.epoch,
+            life: arm.life,
             stamp: arm.stamp,
         },
         now,
@@ -83,6 +84,7 @@
     Ok(PulseAck {
         gang: arm.gang,
         agent: state.cx.settings.id.clone(),
+        life: ack.life,
         echo: ack.echo,
         stamp: ack.stamp,
     })
@@ -93,6 +95,7 @@
     let renewal = state.reservations.pulse(
         &LeaderPulse {
             gang: pulse.gang,
+            life: pulse.life,
             stamp: pulse.stamp,
             echo: pulse.echo,
         },
@@ -109,6 +112,7 @@
     let ack = PulseAck {
         gang: pulse.gang,
         agent: state.cx.settings.id.clone(),
+        life: renewal.ack.life,
         echo: renewal.ack.echo,
         stamp: renewal.ack.stamp,
     };
--- a/components/owner/src/actions.rs
+++ b/components/owner/src/actions.rs
@@ -17,6 +17,10 @@
 
 /// How long an agent may take to reserve; a held reservation lapses after 2 s.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Bounds of the pause before a refused job is planned again; without it, a restarted agent that refuses reservations
+/// for 2 s would be asked a thousand times.
+const MIN_REFUSAL_DELAY: Duration = Duration::from_millis(50);
+const MAX_REFUSAL_DELAY: Duration = Duration::from_millis(500);
 /// How long a gang may take to start, with one lost message.
 const START_TIMEOUT: Duration = Duration::from_millis(1500);
 const STOP_TIMEOUT: Duration = Duration::from_millis(800);
@@ -67,6 +71,9 @@
                 gang:% = hex(gang.id), agent:% = agent, error:% = error;
                 "reservation_refused"
             );
+            let delay = error.retry_after.unwrap_or(MIN_REFUSAL_DELAY);
+            let delay = delay.clamp(MIN_REFUSAL_DELAY, MAX_REFUSAL_DELAY);
+            cx.timer.subscribe_after(delay).recv().await;
             Event::ReservationRefused {
                 gang: gang.id,
                 agent,
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -127,6 +127,8 @@
     pub gang: GangId,
     /// The epoch of the reservation.
     pub epoch: Epoch,
+    /// The life of the leader's agent, which gives the stamps their meaning.
+    pub life: u64,
     /// When the leader sent this, by the leader's clock for this gang.
     pub stamp: Duration,
     /// The address of the leader.
@@ -403,6 +405,8 @@
 pub struct Pulse {
     /// The gang.
     pub gang: GangId,
+    /// The life of the leader's agent.
+    pub life: u64,
     /// The leader's stamp.
     pub stamp: Duration,
     /// The member's last stamp that the leader heard.
@@ -416,6 +420,8 @@
     pub gang: GangId,
     /// The member.
     pub agent: AgentId,
+    /// The life of the leader's agent.
+    pub life: u64,
     /// The leader's stamp that is answered.
     pub echo: Duration,
     /// The member's stamp.
