--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -85,7 +85,15 @@
         gang,
         error: Some(cancelled()),
     };
-    let result = run_recorded(cx, dispatch, &workers, slot, stopped).await;
+    let result = run_recorded(cx, dispatch, &workers, slot, stopped.child_token()).await;
+    let result = result.map_err(|report| {
+        let cancelled = report.current_context().kind == ErrorKind::Cancelled;
+        if cancelled && stopped.is_cancelled() {
+            gang_stopped().report()
+        } else {
+            report
+        }
+    });
     end_gang.end(
         result
             .as_ref()
@@ -164,6 +172,14 @@
     }
 }
 
+/// Returns the error of a request whose gang stopped; unlike a cancelled one it may be tried again if it is idempotent.
+fn gang_stopped() -> Error {
+    Error::may_have_run(
+        ErrorKind::Stopped,
+        "the gang stopped while the endpoint handled the request",
+    )
+}
+
 fn cancelled() -> Error {
     Error::may_have_run(
         ErrorKind::Cancelled,
--- a/components/agent/src/gangs/controller.rs
+++ b/components/agent/src/gangs/controller.rs
@@ -65,6 +65,9 @@
         }
         GangEvent::Pulse { from, pulse } => member::pulse(state, from, &pulse, now),
         GangEvent::Stop { stop, tx } => stop_gang(state, &stop, tx),
+        GangEvent::TaskStarted { gang, worker, task } => {
+            member::task_started(state, gang, worker, task);
+        }
         GangEvent::TaskFailed {
             gang,
             worker,
--- a/components/agent/src/gangs/leading.rs
+++ b/components/agent/src/gangs/leading.rs
@@ -55,7 +55,7 @@
     }
     let info = LedInfo {
         agents: start.agents,
-        workers: start.workers,
+        members: start.members,
         request: start.request,
         started: Some(tx),
         claim_by: now + CLAIM_TERM,
@@ -160,8 +160,8 @@
     for mut led in std::mem::take(&mut state.leading).into_values() {
         if !led.info.claimed && now >= led.info.claim_by {
             let message = "the request did not arrive at the endpoint's agent in time";
-            led.info.error = Some(Error::not_run(ErrorKind::Timeout, message));
-            begin_stop(state, led, ErrorKind::Timeout);
+            led.info.error = Some(Error::not_run(ErrorKind::Unavailable, message));
+            begin_stop(state, led, ErrorKind::Unavailable);
             continue;
         }
         send_pulses(state, led, now);
@@ -226,7 +226,12 @@
     Ok(ClaimedGang {
         slot,
         stopped: led.info.stopped.clone(),
-        workers: led.info.workers.clone(),
+        workers: led
+            .info
+            .members
+            .iter()
+            .map(|member| member.worker.clone())
+            .collect(),
     })
 }
 
@@ -368,6 +373,7 @@
     );
     let ended = GangEnded {
         gang,
+        epoch: state.fence.highest(),
         error: info.error,
         failed_workers: info.failed_workers,
     };
--- a/components/agent/src/gangs/member.rs
+++ b/components/agent/src/gangs/member.rs
@@ -5,12 +5,16 @@
 use std::time::{Duration, Instant};
 
 use errors::{Error, ErrorKind, Result};
+use indexmap::IndexMap;
 use membership::leader::{Arm, Pulse as LeaderPulse};
 use membership::reservation::Part;
 use membership::{LapseKind, Reserve as ReserveParts, Sender};
 use model::{GangId, WorkerId};
+use tokio_util::task::TaskTracker;
 use wire::{ArmGang, Call, MemberFailed, Packet, Pulse, PulseAck, Reserve, StopGang};
 
+use workers::TaskId;
+
 use crate::gangs::ReplyTo;
 use crate::gangs::state::{Gang, State};
 use crate::tasks;
@@ -54,6 +58,8 @@
             slot,
             request: None,
             leader: None,
+            starts: TaskTracker::new(),
+            started: IndexMap::new(),
             run_until: None,
         };
         state.gangs.insert(reserve.gang, gang);
@@ -171,6 +177,13 @@
     }
 }
 
+/// Records a task that a worker started, so that it is renewed.
+pub(crate) fn task_started(state: &mut State, id: GangId, worker: WorkerId, task: TaskId) {
+    if let Some(gang) = state.gangs.get_mut(&id) {
+        gang.started.entry(worker).or_default().push(task);
+    }
+}
+
 /// Tells the leader that a worker of this agent failed a task.
 pub(crate) fn task_failed(state: &mut State, id: GangId, worker: WorkerId, message: Box<str>) {
     let Some(leader) = state.gangs.get(&id).and_then(|gang| gang.leader) else {
--- a/components/agent/src/gangs/mod.rs
+++ b/components/agent/src/gangs/mod.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wire::{ArmGang, MemberFailed, Pulse, PulseAck, Reserve, StartGang, StopGang};
+use workers::TaskId;
 
 use crate::slots::Slot;
 
@@ -48,6 +49,12 @@
     Stop { stop: StopGang, tx: ReplyTo<()> },
     /// A member stopped its part of a gang that this agent leads.
     MemberStopped { gang: GangId, agent: AgentId },
+    /// A worker of this agent started a task.
+    TaskStarted {
+        gang: GangId,
+        worker: WorkerId,
+        task: TaskId,
+    },
     /// A worker of this agent failed a task.
     TaskFailed {
         gang: GangId,
--- a/components/agent/src/gangs/state.rs
+++ b/components/agent/src/gangs/state.rs
@@ -11,7 +11,9 @@
 use membership::leader::{Arming, Leader, Leading, Stopping};
 use model::{AgentId, Epoch, GangId, JobId, Member, Request, WorkerId};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::HeldGang;
+use workers::TaskId;
 
 use crate::context::Context;
 use crate::gangs::ReplyTo;
@@ -38,6 +40,10 @@
     pub(crate) has_slot: bool,
     pub(crate) request: Option<Request>,
     pub(crate) leader: Option<SocketAddr>,
+    /// Starts of tasks in progress.
+    pub(crate) starts: TaskTracker,
+    /// The tasks that the workers started.
+    pub(crate) started: IndexMap<WorkerId, Vec<TaskId>>,
     /// When the tasks stop unless a pulse renews them.
     pub(crate) run_until: Option<Instant>,
 }
@@ -51,7 +57,7 @@
 /// What a leader keeps besides the protocol.
 pub(crate) struct LedInfo {
     pub(crate) agents: Vec<(AgentId, SocketAddr)>,
-    pub(crate) workers: Vec<WorkerId>,
+    pub(crate) members: Vec<Member>,
     pub(crate) request: Request,
     /// Told when the gang runs or cannot run.
     pub(crate) started: Option<ReplyTo<()>>,
@@ -79,14 +85,17 @@
     pub(crate) fn view(&self) -> Vec<HeldGang> {
         let gangs = self.gangs.iter();
         gangs
-            .map(|(id, gang)| held_gang(*id, gang, self.leads(*id)))
+            .map(|(id, gang)| held_gang(*id, gang, self.led_members(*id)))
             .collect()
     }
 
-    fn leads(&self, gang: GangId) -> bool {
-        self.arming.contains_key(&gang)
-            || self.leading.contains_key(&gang)
-            || self.stopping.contains_key(&gang)
+    /// Returns all members of a gang that this agent leads.
+    fn led_members(&self, gang: GangId) -> Option<&[Member]> {
+        let arming = self.arming.get(&gang).map(|led| &led.info);
+        let leading = self.leading.get(&gang).map(|led| &led.info);
+        let stopping = self.stopping.get(&gang).map(|led| &led.info);
+        let info = arming.or(leading).or(stopping)?;
+        Some(&info.members)
     }
 
     /// Returns what a leader keeps of a gang in any state.
@@ -101,14 +110,14 @@
     }
 }
 
-fn held_gang(id: GangId, gang: &Gang, leads: bool) -> HeldGang {
+fn held_gang(id: GangId, gang: &Gang, led: Option<&[Member]>) -> HeldGang {
     HeldGang {
         gang: id,
         epoch: gang.epoch,
         job: gang.job,
-        members: gang.members.clone(),
+        members: led.unwrap_or(&gang.members).to_vec(),
         slot: gang.has_slot,
         request: gang.request.clone(),
-        leads,
+        leads: led.is_some(),
     }
 }
--- a/components/agent/src/link.rs
+++ b/components/agent/src/link.rs
@@ -6,6 +6,7 @@
 use errors::{Error, ErrorKind, Result};
 use membership::liveness::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 use wire::{Ack, Call, OwnerRecord, Packet, Reply};
 
 use crate::announce::{announce, heartbeat};
@@ -14,6 +15,10 @@
 
 /// How long an announcement may take; it grows with the gangs and attempts of the agent.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// When an answer to a heartbeat is overdue and the agent looks for a new owner: ten round trips between regions.
+const ACK_LIMIT: Duration = Duration::from_millis(300);
+/// Bounds a look-up of the owner, which delays the next heartbeat.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bounds of the pause before the owner is looked up again; spread out so that agents do not ask at the same time.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..400;
 
@@ -60,7 +65,9 @@
     let mut ticks = cx.timer.subscribe_every(HEARTBEAT_INTERVAL);
     let mut drain_reported = cx.is_draining();
     let mut heard = timer::now();
+    let mut sent = heard;
     send_heartbeat(cx, owner).await;
+    let mut overdue = cx.timer.subscribe_after(ACK_LIMIT);
     loop {
         tokio::select! {
             _ = ticks.recv() => {
@@ -68,7 +75,15 @@
                     log::warn!(target: "limpethook", owner:% = owner.owner; "owner_silent");
                     return;
                 }
+                sent = timer::now();
                 send_heartbeat(cx, owner).await;
+                overdue = cx.timer.subscribe_after(ACK_LIMIT);
+            }
+            Some(_) = overdue.recv() => {
+                if heard < sent && has_successor(cx, owner).await {
+                    log::info!(target: "limpethook", owner:% = owner.owner; "owner_replaced");
+                    return;
+                }
             }
             // A leaving endpoint is reported at once, so that the owner sends no further work.
             () = cx.drain.cancelled(), if !drain_reported => {
@@ -76,7 +91,9 @@
                 send_heartbeat(cx, owner).await;
             }
             ack = acks.recv() => match ack {
-                Some(ack) if ack.announce || ack.epoch != owner.epoch => return,
+                Some(ack) if ack.announce || ack.epoch > owner.epoch => return,
+                // A frozen owner that continues answers the heartbeats of its time.
+                Some(ack) if ack.epoch < owner.epoch => {}
                 Some(ack) => {
                     heard = timer::now();
                     fetch_newer_config(cx, owner, &ack).await;
@@ -91,6 +108,12 @@
     timer::now().saturating_duration_since(heard) >= SILENCE_LIMIT
 }
 
+/// Returns whether the cell has another owner by now; the agent then reports to it long before `SILENCE_LIMIT`.
+async fn has_successor(cx: &Context, owner: &OwnerRecord) -> bool {
+    let found = timeout(LOOKUP_TIMEOUT, cx.locator.owner(&cx.settings.cell)).await;
+    matches!(found, Ok(Ok(found)) if found.epoch > owner.epoch)
+}
+
 async fn send_heartbeat(cx: &Context, owner: &OwnerRecord) {
     cx.datagrams
         .send(owner.addr, Packet::Heartbeat(heartbeat(cx)))
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -15,6 +15,8 @@
 
 /// Tasks with a shorter remaining term are left to lapse.
 const MIN_RENEWAL: Duration = Duration::from_millis(300);
+/// How long a stop waits for starts in progress; later ones lapse with their leases.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
 /// Bound of a checkpoint when capacity is reclaimed; urgent work must start within 1.1 s of its acceptance.
 const CHECKPOINT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -24,21 +26,26 @@
     for member in &gang.members {
         for number in 0..member.tasks {
             let task = start_task(id, member, number, request, lease);
-            tokio::spawn(start_one(Arc::clone(cx), id, member.worker.clone(), task));
+            let start = start_one(Arc::clone(cx), id, member.worker.clone(), task);
+            gang.starts.spawn(start);
         }
     }
 }
 
 async fn start_one(cx: Arc<Context>, gang: GangId, worker: WorkerId, task: StartTask) {
-    let Err(report) = try_start(&cx, &worker, &task).await else {
-        return;
+    let event = match try_start(&cx, &worker, &task).await {
+        Ok(()) => GangEvent::TaskStarted {
+            gang,
+            worker,
+            task: task.task,
+        },
+        Err(report) => GangEvent::TaskFailed {
+            gang,
+            worker,
+            message: report.current_context().message.clone(),
+        },
     };
-    let message = report.current_context().message.clone();
-    let _ = cx.gangs.send(GangEvent::TaskFailed {
-        gang,
-        worker,
-        message,
-    });
+    let _ = cx.gangs.send(event);
 }
 
 async fn try_start(cx: &Context, worker: &str, task: &StartTask) -> Result<()> {
@@ -83,12 +90,11 @@
         if left < MIN_RENEWAL {
             continue;
         }
-        for member in &gang.members {
-            let (lease, tasks) = batches
-                .entry(member.worker.clone())
-                .or_insert((left, Vec::new()));
+        // A renewal that overtakes the start of its task would find the task unknown.
+        for (worker, started) in &gang.started {
+            let (lease, tasks) = batches.entry(worker.clone()).or_insert((left, Vec::new()));
             *lease = left.min(*lease);
-            tasks.extend(task_ids(*id, member).map(|task| (*id, task)));
+            tasks.extend(started.iter().map(|task| (*id, task.clone())));
         }
     }
     for (worker, (lease, tasks)) in batches {
@@ -132,18 +138,20 @@
     checkpoint: bool,
     tx: Option<ReplyTo<()>>,
 ) {
-    let mut stops = tokio::task::JoinSet::new();
-    for member in &gang.members {
-        for task in task_ids(id, member) {
-            stops.spawn(stop_one(
-                Arc::clone(cx),
-                member.worker.clone(),
-                task,
-                checkpoint,
-            ));
-        }
-    }
+    let tasks: Vec<_> = gang
+        .members
+        .iter()
+        .flat_map(|member| task_ids(id, member).map(|task| (member.worker.clone(), task)))
+        .collect();
+    let (cx, starts) = (Arc::clone(cx), gang.starts.clone());
     tokio::spawn(async move {
+        // A stop that overtakes the start of its task would let the task run after its resources are given back.
+        starts.close();
+        let _ = timeout(START_TIMEOUT, starts.wait()).await;
+        let mut stops = tokio::task::JoinSet::new();
+        for (worker, task) in tasks {
+            stops.spawn(stop_one(Arc::clone(&cx), worker, task, checkpoint));
+        }
         let stopped = stops.join_all().await.into_iter().all(|stopped| stopped);
         let Some(tx) = tx else { return };
         let result = if stopped { Ok(()) } else { Err(not_stopped()) };
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -18,6 +18,8 @@
     pub id: AgentId,
     /// Its address for calls.
     pub addr: SocketAddr,
+    /// When the process started, in milliseconds since 1970; a restart forgets all reservations.
+    pub incarnation: u64,
     /// The workers it stands for.
     pub workers: Vec<Worker>,
     /// When it was last heard.
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -112,6 +112,10 @@
         cx.entry_board.owners.update(|owners| {
             owners.insert(learned.cell.clone(), learned.owner);
         });
+        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
+        if learned.directory.recovering && directories.contains_key(&learned.cell) {
+            continue;
+        }
         directories.insert(learned.cell, learned.directory);
         cx.board
             .membership
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use board::Membership;
 use errors::{Error, ErrorKind, Result};
 use model::{Attempt, GangId, RequestId};
 use wire::{Call as PeerCall, Dispatch, Peers, Reply};
@@ -44,7 +45,11 @@
         gang: target.gang,
         body: call.state.body.clone(),
     });
-    let result = cx.peers.call(target.addr, &message, limit).await;
+    let result = tokio::select! {
+        result = cx.peers.call(target.addr, &message, limit) => result,
+        // A frozen agent keeps its connections open; work that may run twice does not wait for it.
+        () = lost(cx, target), if call.state.request.idempotent => return Err(agent_lost()),
+    };
     cancel.request = None;
     match result? {
         Reply::Answer(answer) => dispatched.answer(answer),
@@ -52,6 +57,30 @@
     }
 }
 
+/// Returns once the directory no longer has the agent that the request was sent to.
+async fn lost(cx: &Context, target: &Target) {
+    let mut changes = cx.board.membership.changes();
+    loop {
+        if !is_known(&cx.board.membership.load(), target) {
+            return;
+        }
+        // The section lives as long as the process.
+        let _ = changes.changed().await;
+    }
+}
+
+fn is_known(membership: &Membership, target: &Target) -> bool {
+    let matches = |addr, incarnation| (addr, incarnation) == (target.addr, target.incarnation);
+    let mut serving = membership.serving.values();
+    let mut draining = membership.draining.values();
+    serving.any(|e| matches(e.agent_addr, e.incarnation))
+        || draining.any(|e| matches(e.agent_addr, e.incarnation))
+}
+
+fn agent_lost() -> error_stack::Report<Error> {
+    Error::may_have_run(ErrorKind::Unavailable, "the agent was lost").report()
+}
+
 /// Returns the error of a reply that does not belong to the call.
 pub(crate) fn unexpected_reply() -> error_stack::Report<Error> {
     Error::may_have_run(ErrorKind::Internal, "unexpected reply of a peer").report()
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -5,6 +5,7 @@
 
 use errors::{Error, ErrorKind, Result};
 use model::{CellId, JobId};
+use tokio::time::timeout;
 use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
 
 use crate::call::{Admitted, Answered, Call};
@@ -14,6 +15,13 @@
 
 /// Placements of one request before its error goes to the caller.
 const MAX_PLACEMENTS: u32 = 8;
+/// How long a request waits for the next owner of a cell: the lease of the old one (3 s), the takeover, and the time
+/// until the directory shows it, with a margin.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(8);
+/// How often the owner is asked again while the directory shows no change.
+const TAKEOVER_INTERVAL: Duration = Duration::from_millis(250);
+/// Keeps frequent changes of the directory from repeating the call at once.
+const TAKEOVER_PAUSE: Duration = Duration::from_millis(50);
 /// How long an owner may take to hear of a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -68,11 +76,33 @@
     dispatch(cx, call, &target).await
 }
 
-/// Asks the owners in turn, the own cell first; another cell is asked only when one cannot take the job.
+/// Places a request, and waits for the next owner while no owner can be reached.
+///
+/// Nothing has been dispatched yet, so this takes nothing from the retry budget.
 async fn place(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
+    let started = timer::now();
+    let mut changes = cx.entry_board.owners.changes();
+    loop {
+        let report = match place_once(cx, call).await {
+            Ok(placed) => return Ok(placed),
+            Err(report) => report,
+        };
+        let waited = timer::now().saturating_duration_since(started);
+        let unavailable = report.current_context().kind == ErrorKind::Unavailable;
+        if !unavailable || waited >= TAKEOVER_LIMIT || call.remaining(timer::now()).is_err() {
+            return Err(report);
+        }
+        // A change of the directory may name the new owner.
+        let _ = timeout(TAKEOVER_INTERVAL, changes.changed()).await;
+        cx.timer.subscribe_after(TAKEOVER_PAUSE).recv().await;
+    }
+}
+
+/// Asks the owners in turn, the own cell first; another cell is asked only when one cannot take the job.
+async fn place_once(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
     let mut last = None;
-    for (_, owner) in owners(cx) {
-        match place_at(cx, call, &owner).await {
+    for (cell, owner) in owners(cx) {
+        match place_at(cx, call, &cell, &owner).await {
             Ok(placed) => return Ok(placed),
             Err(report) if is_elsewhere_possible(report.current_context()) => last = Some(report),
             Err(report) => return Err(report),
@@ -98,7 +128,12 @@
     )
 }
 
-async fn place_at(cx: &Context, call: &Call<Admitted>, owner: &OwnerRecord) -> Result<Placed> {
+async fn place_at(
+    cx: &Context,
+    call: &Call<Admitted>,
+    home: &CellId,
+    owner: &OwnerRecord,
+) -> Result<Placed> {
     let request = call.request(timer::now())?;
     let limit = request.timeout;
     let mut cancel = CancelOnDrop {
@@ -110,10 +145,12 @@
         request,
         entry: cx.settings.id.clone(),
     };
-    let result = cx
-        .peers
-        .call(owner.addr, &PeerCall::Place(place), limit)
-        .await;
+    let place = PeerCall::Place(place);
+    let result = tokio::select! {
+        result = cx.peers.call(owner.addr, &place, limit) => result,
+        // A frozen owner keeps its connections open and never answers.
+        () = superseded(cx, home, owner) => Err(moved()),
+    };
     cancel.job = None;
     match result {
         Ok(Reply::Placed(placed)) => Ok(placed),
@@ -123,6 +160,23 @@
     }
 }
 
+/// Returns once the cell has a newer owner.
+async fn superseded(cx: &Context, cell: &CellId, owner: &OwnerRecord) {
+    let mut changes = cx.entry_board.owners.changes();
+    loop {
+        let newest = cx.entry_board.owners.load().get(cell).map(|new| new.epoch);
+        if newest.is_some_and(|epoch| epoch > owner.epoch) {
+            return;
+        }
+        // The section lives as long as the process.
+        let _ = changes.changed().await;
+    }
+}
+
+fn moved() -> error_stack::Report<Error> {
+    Error::not_run(ErrorKind::Unavailable, "the ownership of the cell moved").report()
+}
+
 fn not_run(error: &Error) -> error_stack::Report<Error> {
     Error {
         verdict: errors::Verdict::NotRun,
--- a/components/harness/src/deployment.rs
+++ b/components/harness/src/deployment.rs
@@ -14,6 +14,8 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_INTERVAL: Duration = Duration::from_millis(50);
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// When this variable is set, settings and logs of temporary deployments stay.
+const KEEP_LOGS: &str = "LIMPETHOOK_KEEP_LOGS";
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
 /// Where the programs are.
@@ -274,7 +276,8 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        if self.remove_dir && !std::thread::panicking() {
+        let keep = std::env::var_os(KEEP_LOGS).is_some() || std::thread::panicking();
+        if self.remove_dir && !keep {
             let _ = std::fs::remove_dir_all(&self.dir);
         }
     }
--- a/components/harness/src/fixtures.rs
+++ b/components/harness/src/fixtures.rs
@@ -2,6 +2,9 @@
 
 use model::{Account, AccountLimits, Document, Resources, Service};
 
+use serde_json::{Value, json};
+
+use crate::caller::Submission;
 use crate::plan::{AgentPlan, Plan, WorkerPlan};
 
 /// The token of every client account of a fixture.
@@ -23,6 +26,37 @@
     document
 }
 
+/// Returns a short request of the client account `faro` with a body.
+pub fn request(body: Value) -> Submission {
+    Submission {
+        service: "workshop".into(),
+        account: "faro".into(),
+        token: TOKEN.into(),
+        timeout_ms: Some(20_000),
+        body,
+        ..Submission::default()
+    }
+}
+
+/// Returns a request that needs tasks with one accelerator each, on workers of one data centre.
+pub fn gang(tasks: u32, body: Value) -> Submission {
+    let shape = json!({
+        "tasks": tasks, "accelerators": 1, "cores": 2, "memory_mb": 512, "adjacency": "data_centre",
+    });
+    Submission {
+        shape: Some(shape),
+        ..request(body)
+    }
+}
+
+/// Returns a request that may run again after a failure.
+pub fn idempotent(submission: Submission) -> Submission {
+    Submission {
+        idempotent: Some(true),
+        ..submission
+    }
+}
+
 /// Returns a plan with one region and as many entries and agents as asked; each agent has one worker with 8 GPUs.
 pub fn one_region(entries: usize, agents: usize) -> Plan {
     Plan {
--- a/components/harness/src/lib.rs
+++ b/components/harness/src/lib.rs
@@ -1,17 +1,22 @@
 //! Starts a whole deployment as separate processes on loopback, for examples and tests.
 
+pub mod audit;
 mod caller;
+mod control;
 mod deployment;
 pub mod fixtures;
 mod plan;
 mod ports;
 mod process;
+mod tally;
 
 pub use caller::{Caller, Outcome, Submission};
+pub use control::{OwnerView, wait_until};
 pub use deployment::{Deployment, Programs};
 pub use plan::{AgentPlan, Plan, WorkerPlan};
 pub use ports::free_addr;
 pub use process::Process;
+pub use tally::{Finished, Tally};
 
 /// The error type of the harness, which only people read.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
--- a/components/membership/src/liveness.rs
+++ b/components/membership/src/liveness.rs
@@ -75,6 +75,14 @@
     gone.collect()
 }
 
+/// Extends the time of all agents by a pause in which this process heard nobody.
+pub fn excuse_silence(membership: &mut Membership, pause: Duration) {
+    for agent in membership.agents.values_mut() {
+        let agent = Arc::make_mut(agent);
+        agent.heard += pause;
+    }
+}
+
 fn endpoint_heartbeat(membership: &mut Membership, id: &str, beat: &Beat, now: Instant) {
     if beat.draining {
         drain(membership, id, now);
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -12,6 +12,7 @@
     let agent = Agent {
         id: "a".into(),
         addr,
+        incarnation: 1,
         workers: Vec::new(),
         heard: now,
         config_revision: 0,
--- a/components/model/src/job.rs
+++ b/components/model/src/job.rs
@@ -15,6 +15,8 @@
     pub request: Arc<Request>,
     /// The current try, from 1.
     pub attempt: Attempt,
+    /// Earlier tries whose gang was started; a refused reservation is a try without a run.
+    pub runs: u32,
     /// When the owner accepted the job.
     pub accepted: Instant,
     /// Accelerator seconds that earlier attempts used.
@@ -76,6 +78,7 @@
         Job {
             request: self.request,
             attempt: self.attempt,
+            runs: self.runs,
             accepted: self.accepted,
             attained: self.attained,
             state,
@@ -94,6 +97,7 @@
         Self {
             request,
             attempt: 1,
+            runs: 0,
             accepted: now,
             attained: 0.0,
             state: Queued { since: now },
@@ -129,6 +133,7 @@
         let ran = now.saturating_duration_since(self.state.since);
         let accelerators = self.request.shape.map_or(0, |s| s.total().accelerators);
         let mut job = self.with(Queued { since: now });
+        job.runs += 1;
         job.attained += ran.as_secs_f64() * f64::from(accelerators);
         job.attempt += 1;
         job
--- a/components/owner/src/actions.rs
+++ b/components/owner/src/actions.rs
@@ -13,12 +13,19 @@
 use wire::{Call, Placed, Reserve, StartGang, StopGang};
 
 use crate::context::Context;
+use crate::records;
+use crate::recovery::LEADER_TERM;
 use crate::scheduler::{SchedulerEvent, hex};
 
 /// How long an agent may take to reserve; a held reservation lapses after 2 s.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a gang may take to start, with one lost message.
 const START_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause before a job whose reservation was refused is placed again; without it an agent that drains or was restarted
+/// is asked again and again until the next heartbeat.
+const REFUSAL_DELAY: Duration = Duration::from_millis(50);
+/// A longer pause would delay urgent work, which must start within 1.1 s.
+const MAX_REFUSAL_DELAY: Duration = Duration::from_millis(200);
 const STOP_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Starts to carry out an action.
@@ -29,10 +36,8 @@
         Action::Start(gang) => drop(tokio::spawn(start(cx, gang))),
         Action::Release(gang) => drop(tokio::spawn(release(cx, gang))),
         Action::Stop { gang, reason } => drop(tokio::spawn(stop(cx, gang, reason))),
-        Action::Refuse { job, error } => {
-            drop(cx.scheduler.send(SchedulerEvent::Refused { job, error }));
-        }
-        Action::Free { .. } => {}
+        // The scheduler answers the waiting entry itself.
+        Action::Refuse { .. } | Action::Free { .. } => {}
     }
 }
 
@@ -67,6 +72,11 @@
                 gang:% = hex(gang.id), agent:% = agent, error:% = error;
                 "reservation_refused"
             );
+            let delay = error.retry_after.unwrap_or(REFUSAL_DELAY);
+            cx.timer
+                .subscribe_after(delay.min(MAX_REFUSAL_DELAY))
+                .recv()
+                .await;
             Event::ReservationRefused {
                 gang: gang.id,
                 agent,
@@ -137,11 +147,7 @@
         gang: gang.id,
         attempt: gang.attempt,
         agents: agents.collect(),
-        workers: gang
-            .members
-            .iter()
-            .map(|member| member.worker.clone())
-            .collect(),
+        members: gang.members.clone(),
         request: model::Request::clone(&job.request),
     });
     match call_agent(&cx, &gang.endpoint_agent, &call, START_TIMEOUT).await {
@@ -178,6 +184,7 @@
         members = gang.members.len();
         "gang_started"
     );
+    records::started(cx, gang);
     let _ = cx.scheduler.send(SchedulerEvent::Started {
         job: gang.job,
         placed,
@@ -198,6 +205,27 @@
     let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
 }
 
+/// Ends a gang of an earlier owner unless its leader reports in time.
+pub(crate) fn end_unled(cx: &Arc<Context>, gang: &Arc<Gang<Running>>) {
+    let (cx, gang) = (Arc::clone(cx), Arc::clone(gang));
+    tokio::spawn(async move {
+        cx.timer.subscribe_after(LEADER_TERM).recv().await;
+        let known = cx.board.fleet.load().running.get(&gang.id).cloned();
+        if known.is_none_or(|known| !known.endpoint.is_empty()) {
+            return;
+        }
+        log::warn!(target: "limpethook", gang:% = hex(gang.id), members = gang.members.len(); "gang_without_leader");
+        stop_members(&cx, &gang, ErrorKind::Cancelled).await;
+        // A leader that is cut off from this owner ends the gang with the stopped members.
+        cx.timer.subscribe_after(GANG_LEASE_TERM).recv().await;
+        let event = Event::Ended {
+            gang: gang.id,
+            end: GangEnd::MemberLost,
+        };
+        let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
+    });
+}
+
 async fn release(cx: Arc<Context>, gang: Arc<Gang<Planned>>) {
     stop_members(&cx, &gang, ErrorKind::Cancelled).await;
 }
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use board::Board;
 use model::{CellId, EntryId, Epoch, RegionId};
@@ -14,6 +14,7 @@
 
 use crate::Shared;
 use crate::members::MemberEvent;
+use crate::records::RecordEvent;
 use crate::scheduler::SchedulerEvent;
 
 /// Settings of the duty.
@@ -39,23 +40,27 @@
     pub(crate) timer: Timer,
     pub(crate) scheduler: mpsc::UnboundedSender<SchedulerEvent>,
     pub(crate) members: mpsc::UnboundedSender<MemberEvent>,
+    pub(crate) records: mpsc::UnboundedSender<RecordEvent>,
     pub(crate) resigning: CancellationToken,
     /// Tells the duty that an agent has seen a higher epoch.
     pub(crate) superseded: mpsc::UnboundedSender<Epoch>,
     pub(crate) superseded_rx: tokio::sync::Mutex<mpsc::UnboundedReceiver<Epoch>>,
     epoch: AtomicU64,
+    recovering: AtomicBool,
 }
 
 type Parts = (
     Arc<Context>,
     mpsc::UnboundedReceiver<SchedulerEvent>,
     mpsc::UnboundedReceiver<MemberEvent>,
+    mpsc::UnboundedReceiver<RecordEvent>,
 );
 
 impl Context {
     pub(crate) fn new(settings: OwnerSettings, shared: Shared) -> Parts {
         let (scheduler, scheduler_rx) = mpsc::unbounded_channel();
         let (members, members_rx) = mpsc::unbounded_channel();
+        let (records, records_rx) = mpsc::unbounded_channel();
         let (superseded, superseded_rx) = mpsc::unbounded_channel();
         let cx = Self {
             settings,
@@ -66,12 +71,14 @@
             timer: shared.timer,
             scheduler,
             members,
+            records,
             resigning: CancellationToken::new(),
             superseded,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
             epoch: AtomicU64::new(0),
+            recovering: AtomicBool::new(false),
         };
-        (Arc::new(cx), scheduler_rx, members_rx)
+        (Arc::new(cx), scheduler_rx, members_rx, records_rx)
     }
 
     /// Returns the epoch, or 0 while this process does not own the cell.
@@ -83,4 +90,14 @@
     pub(crate) fn set_epoch(&self, epoch: Epoch) {
         self.epoch.store(epoch, Ordering::Release);
     }
+
+    /// Returns whether the owner waits for the announcements of agents after a takeover.
+    pub(crate) fn is_recovering(&self) -> bool {
+        self.recovering.load(Ordering::Acquire)
+    }
+
+    /// Begins or ends the wait for announcements.
+    pub(crate) fn set_recovering(&self, recovering: bool) {
+        self.recovering.store(recovering, Ordering::Release);
+    }
 }
--- a/components/owner/src/duty.rs
+++ b/components/owner/src/duty.rs
@@ -10,10 +10,11 @@
     CellRecord, CellView, Duty, Holder, OWNER_LEASE_TERM, RENEW_INTERVAL, Renewal, Step,
 };
 use store::{Entry, Expect};
-use wire::OwnerRecord;
+use wire::{Ack, OwnerRecord, Packet};
 
 use crate::context::Context;
 use crate::members::MemberEvent;
+use crate::records::RecordEvent;
 use crate::scheduler::SchedulerEvent;
 
 /// The prefix of the keys that exist while a cell has an owner.
@@ -147,6 +148,7 @@
             Some(seen) = superseded.recv() => duty.refused(seen),
             () = cx.resigning.cancelled() => {
                 let _ = cx.store.revoke_lease(duty.lease()).await;
+                dismiss_agents(cx).await;
                 break;
             }
         };
@@ -158,6 +160,21 @@
     end(cx, epoch);
 }
 
+/// Tells the agents to look for the next owner, so that they do not wait until this one is silent.
+async fn dismiss_agents(cx: &Context) {
+    let ack = Ack {
+        epoch: 0,
+        revision: 0,
+        announce: true,
+    };
+    let agents = cx.board.membership.snapshot();
+    for agent in agents.agents.values() {
+        cx.datagrams
+            .send(agent.addr, Packet::Ack(ack.clone()))
+            .await;
+    }
+}
+
 async fn renew(
     cx: &Context,
     duty: Duty<Holder>,
@@ -173,16 +190,25 @@
 
 fn begin(cx: &Context, epoch: u64) {
     log::info!(target: "limpethook", cell:% = cx.settings.cell, epoch = epoch; "cell_owned");
+    // No gang can run before the first owner, so only later ones wait for announcements.
+    let recover = epoch > 1;
+    cx.set_recovering(recover);
     cx.set_epoch(epoch);
+    reset(cx, epoch, recover);
+}
+
+fn reset(cx: &Context, epoch: u64, recover: bool) {
+    // The scheduler forgets the earlier ownership before the membership controller reports gangs to it.
+    let _ = cx.scheduler.send(SchedulerEvent::Reset { recover });
     let _ = cx.members.send(MemberEvent::Reset { epoch });
-    let _ = cx.scheduler.send(SchedulerEvent::Reset);
+    let _ = cx.records.send(RecordEvent::Reset);
 }
 
 fn end(cx: &Context, epoch: u64) {
     log::info!(target: "limpethook", cell:% = cx.settings.cell, epoch = epoch; "cell_released");
     cx.set_epoch(0);
-    let _ = cx.members.send(MemberEvent::Reset { epoch: 0 });
-    let _ = cx.scheduler.send(SchedulerEvent::Reset);
+    cx.set_recovering(false);
+    reset(cx, 0, false);
 }
 
 /// Gives up the ownership.
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -4,6 +4,8 @@
 mod context;
 mod duty;
 mod members;
+mod records;
+mod recovery;
 mod scheduler;
 mod serve;
 
@@ -19,7 +21,7 @@
 
 /// The parts that the owner shares with its process.
 pub struct Shared {
-    /// The board of the process; the owner writes its membership, fleet and queue sections.
+    /// The board of the process; the owner writes its membership, fleet, queue, blame and history sections.
     pub board: Arc<board::Board>,
     /// The key-value service.
     pub store: Arc<dyn store::KvStore>,
@@ -52,7 +54,8 @@
 impl Owner {
     /// Starts the controllers and the attempts to own the cell.
     pub fn start(settings: OwnerSettings, shared: Shared) -> Self {
-        let (cx, scheduler_rx, members_rx) = Context::new(settings, shared);
+        let (cx, scheduler_rx, members_rx, records_rx) = Context::new(settings, shared);
+        tokio::spawn(records::run(records_rx, Arc::clone(&cx)));
         tokio::spawn(scheduler::run(scheduler_rx, Arc::clone(&cx)));
         tokio::spawn(members::run(members_rx, Arc::clone(&cx)));
         tokio::spawn(duty::run(Arc::clone(&cx)));
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -8,16 +8,21 @@
 use errors::{Error, ErrorKind, Result};
 use membership::liveness::{self, Beat};
 use membership::reservation::GANG_LEASE_TERM;
-use model::{AgentId, Announced, Endpoint, Epoch};
+use model::{AgentId, Announced, Endpoint, Epoch, Gang, Running};
 use placement::{Event, GangEnd};
 use tokio::sync::{mpsc, oneshot};
 use wire::{Ack, Announce, EndpointEntry, Heartbeat, Packet};
 
 use crate::context::Context;
+use crate::recovery::Report;
 use crate::scheduler::SchedulerEvent;
 
 /// How often silent agents are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// A longer gap between two sweeps means that this process was paused and heard no heartbeats.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+/// A gang that started this long ago is in the announcement of its leader.
+const START_LIMIT: Duration = Duration::from_secs(5);
 /// Events that share one copy of the membership section.
 const BATCH: usize = 64;
 
@@ -47,6 +52,7 @@
 pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<MemberEvent>, cx: Arc<Context>) {
     let mut sweeps = cx.timer.subscribe_every(SWEEP_INTERVAL);
     let mut batch = Vec::with_capacity(BATCH);
+    let mut last = timer::now();
     loop {
         tokio::select! {
             received = rx.recv_many(&mut batch, BATCH) => if received == 0 { return },
@@ -55,12 +61,18 @@
         let now = timer::now();
         let mut membership = Membership::clone(&cx.board.membership.load());
         let before = Shape::of(&membership);
+        let gap = now.saturating_duration_since(std::mem::replace(&mut last, now));
+        if gap >= PAUSE_LIMIT {
+            log::warn!(target: "limpethook", gap_ms = gap.as_millis(); "owner_paused");
+            liveness::excuse_silence(&mut membership, gap);
+        }
         let replies: Vec<_> = batch
             .drain(..)
             .filter_map(|event| apply(&cx, &mut membership, event, now))
             .collect();
         for gone in liveness::sweep(&mut membership, now) {
-            agent_gone(&cx, &gone.agent);
+            log::warn!(target: "limpethook", agent:% = gone.agent; "agent_lost");
+            end_led_gangs(&cx, &gone.agent, |_| true);
         }
         let changed = before != Shape::of(&membership) || !replies.is_empty();
         cx.board.membership.publish(membership);
@@ -124,7 +136,7 @@
 }
 
 fn announced(
-    cx: &Context,
+    cx: &Arc<Context>,
     membership: &mut Membership,
     announce: Announce,
     now: Instant,
@@ -140,9 +152,11 @@
         gangs = announce.gangs.len();
         "agent_announced"
     );
+    end_forgotten_gangs(cx, membership, &announce, now);
     let agent = Agent {
         id: announce.agent.clone(),
         addr: announce.addr,
+        incarnation: announce.incarnation,
         workers: announce.workers,
         heard: now,
         config_revision: 0,
@@ -150,12 +164,15 @@
     let endpoint = announce
         .endpoint
         .map(|entry| announced_endpoint(entry, now));
+    let endpoint_id = endpoint.as_ref().map(|endpoint| endpoint.id.clone());
     liveness::announce(membership, agent, endpoint);
-    for gang in announce.gangs {
-        let agent = announce.agent.clone();
-        let _ = cx
-            .scheduler
-            .send(SchedulerEvent::GangReported { agent, gang });
+    for held in announce.gangs {
+        let report = Report {
+            agent: announce.agent.clone(),
+            endpoint: endpoint_id.clone(),
+            held,
+        };
+        let _ = cx.scheduler.send(SchedulerEvent::GangReported(report));
     }
     Ok(membership.epoch)
 }
@@ -223,14 +240,29 @@
     announced.or(serving).or(draining).cloned()
 }
 
-/// Ends the gangs that a lost agent led, once its members cannot run any more.
-fn agent_gone(cx: &Arc<Context>, agent: &AgentId) {
-    log::warn!(target: "limpethook", agent:% = agent; "agent_lost");
+/// Ends the gangs that an agent led and no longer has: it was restarted, or its report of the end was lost.
+fn end_forgotten_gangs(
+    cx: &Arc<Context>,
+    membership: &Membership,
+    announce: &Announce,
+    now: Instant,
+) {
+    let known = membership.agents.get(&announce.agent);
+    let restarted = known.is_some_and(|agent| agent.incarnation != announce.incarnation);
+    end_led_gangs(cx, &announce.agent, |gang| {
+        let old = now.saturating_duration_since(gang.state.since) >= START_LIMIT;
+        let reported = announce.gangs.iter().any(|held| held.gang == gang.id);
+        !reported && (restarted || old)
+    });
+}
+
+/// Ends gangs that a lost or restarted agent led, once their members cannot run any more.
+fn end_led_gangs(cx: &Arc<Context>, agent: &AgentId, ends: impl Fn(&Gang<Running>) -> bool) {
     let fleet = cx.board.fleet.load();
     let led = fleet
         .running
         .values()
-        .filter(|gang| gang.endpoint_agent == *agent);
+        .filter(|gang| gang.endpoint_agent == *agent && ends(gang));
     for gang in led.map(|gang| gang.id) {
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
--- a/components/owner/src/scheduler.rs
+++ b/components/owner/src/scheduler.rs
@@ -1,18 +1,19 @@
 //! The placement controller: applies events in batches and hands out actions.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use board::{Fleet, Queue};
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
-use model::{AgentId, GangId, JobId, Request};
-use placement::{Event, Strategy, step};
+use model::{GangId, JobId, Request};
+use placement::{Action, Event, Strategy, step};
 use tokio::sync::{mpsc, oneshot};
-use wire::{HeldGang, Placed};
+use wire::Placed;
 
-use crate::actions::carry_out;
+use crate::actions::{carry_out, end_unled};
 use crate::context::Context;
+use crate::recovery::{Recovery, Report};
 
 /// How often time-dependent decisions are made.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -25,74 +26,130 @@
 /// An event for the placement controller.
 #[derive(Debug)]
 pub(crate) enum SchedulerEvent {
-    /// The ownership began or ended.
-    Reset,
+    /// The ownership began or ended; an owner that takes over waits for the gangs of the earlier one.
+    Reset { recover: bool },
     /// An event for the decisions.
     Placement(Event),
     /// An entry submits a request, or waits again for one that is known.
     Submit { request: Arc<Request>, tx: Waiter },
     /// A gang runs.
     Started { job: JobId, placed: Placed },
-    /// A job is refused.
-    Refused { job: JobId, error: Error },
     /// An agent reports a gang from before this owner.
-    #[expect(dead_code, reason = "placement does not take over reported gangs yet")]
-    GangReported { agent: AgentId, gang: HeldGang },
+    GangReported(Report),
 }
 
 /// The entries that wait for placements.
 #[derive(Default)]
 struct Waiting {
-    waiters: IndexMap<JobId, Waiter>,
+    waiters: IndexMap<JobId, (Arc<Request>, Waiter)>,
     /// Gangs that started while no entry waited.
     ready: IndexMap<JobId, Placed>,
 }
 
+/// What the controller keeps besides the sections that it writes.
+#[derive(Default)]
+struct State {
+    waiting: Waiting,
+    recovery: Recovery,
+}
+
 /// Runs the controller until its last sender is gone.
 pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<SchedulerEvent>, cx: Arc<Context>) {
     let mut ticks = cx.timer.subscribe_every(TICK_INTERVAL);
     let mut config = cx.board.config.changes();
-    let mut waiting = Waiting::default();
+    let mut state = State::default();
     let mut batch = Vec::new();
+    let mut events = Vec::new();
     loop {
-        let mut events = Vec::new();
         tokio::select! {
             received = rx.recv_many(&mut batch, BATCH) => if received == 0 { return },
-            _ = ticks.recv() => events.push(Event::Tick),
+            _ = ticks.recv() => {
+                events.push(Event::Tick);
+                resubmit_ended(&cx, &mut state.waiting, &mut events);
+            }
             Ok(()) = config.changed() => events.push(Event::ConfigChanged),
         }
         for event in batch.drain(..) {
-            apply(&cx, &mut waiting, event, &mut events);
+            apply(&cx, &mut state, event, &mut events);
         }
         if cx.epoch() == 0 {
+            events.clear();
             continue;
         }
-        for action in step(&cx.board, Strategy::Guarded, events, timer::now()) {
-            carry_out(&cx, action);
+        // Events wait until the gangs of earlier owners are known.
+        if !state.recovery.is_waiting(timer::now()) {
+            decide(&cx, &mut state, std::mem::take(&mut events));
         }
     }
 }
 
-fn apply(cx: &Context, waiting: &mut Waiting, event: SchedulerEvent, events: &mut Vec<Event>) {
+fn decide(cx: &Arc<Context>, state: &mut State, mut events: Vec<Event>) {
+    let now = timer::now();
+    if cx.is_recovering() {
+        cx.set_recovering(false);
+        log::info!(target: "limpethook", gangs = events.iter().filter(|e| is_recovered(e)).count(); "cell_recovered");
+    }
+    let unled = state.recovery.take_unled(&cx.board.fleet.load(), now);
+    for event in &unled {
+        if let Event::Recovered { gang, .. } = event {
+            end_unled(cx, gang);
+        }
+    }
+    // Recovered gangs come before new requests for the same jobs.
+    events.splice(..0, unled);
+    for action in step(&cx.board, Strategy::Guarded, events, now) {
+        match action {
+            Action::Refuse { job, error } if is_early(state, &error, now) => {
+                log::info!(target: "limpethook", job:% = hex(job), error:% = error; "refusal_deferred");
+            }
+            Action::Refuse { job, error } => refuse(&mut state.waiting, job, error),
+            action => carry_out(cx, action),
+        }
+    }
+}
+
+/// Returns whether a shape does not fit only because agents have not announced themselves after a takeover.
+fn is_early(state: &State, error: &Error, now: Instant) -> bool {
+    error.kind == ErrorKind::Infeasible && state.recovery.is_settling(now)
+}
+
+fn is_recovered(event: &Event) -> bool {
+    matches!(event, Event::Recovered { .. })
+}
+
+fn apply(cx: &Context, state: &mut State, event: SchedulerEvent, events: &mut Vec<Event>) {
+    let now = timer::now();
     match event {
-        SchedulerEvent::Reset => {
-            *waiting = Waiting::default();
+        SchedulerEvent::Reset { recover } => {
+            *state = State::default();
+            if recover {
+                state.recovery = Recovery::begin(now);
+            }
+            events.clear();
             cx.board.fleet.publish(Fleet::default());
             cx.board.queue.publish(Queue::default());
         }
         SchedulerEvent::Placement(event) => events.push(event),
-        SchedulerEvent::Submit { request, tx } => submit(cx, waiting, request, tx, events),
-        SchedulerEvent::Started { job, placed } => started(waiting, job, placed),
-        SchedulerEvent::Refused { job, error } => {
-            waiting.ready.swap_remove(&job);
-            if let Some(tx) = waiting.waiters.swap_remove(&job) {
-                let _ = tx.send(Err(error.report()));
-            }
+        SchedulerEvent::Submit { request, tx } => {
+            submit(cx, &mut state.waiting, request, tx, events);
         }
-        SchedulerEvent::GangReported { .. } => {}
+        SchedulerEvent::Started { job, placed } => started(&mut state.waiting, job, placed),
+        SchedulerEvent::GangReported(report) => events.extend(state.recovery.report(report, now)),
     }
 }
 
+/// Submits the jobs anew that ended, or did not fit, while an entry waits for them.
+fn resubmit_ended(cx: &Context, waiting: &mut Waiting, events: &mut Vec<Event>) {
+    waiting.waiters.retain(|_, (_, tx)| !tx.is_closed());
+    let queue = cx.board.queue.load();
+    let ended = waiting.waiters.iter().filter(|(job, _)| {
+        !(queue.queued.contains_key(*job)
+            || queue.placed.contains_key(*job)
+            || queue.active.contains_key(*job))
+    });
+    events.extend(ended.map(|(_, (request, _))| Event::Submitted(Arc::clone(request))));
+}
+
 fn submit(
     cx: &Context,
     waiting: &mut Waiting,
@@ -114,14 +171,21 @@
     let known = waiting.waiters.contains_key(&job)
         || queue.queued.contains_key(&job)
         || queue.placed.contains_key(&job);
-    waiting.waiters.insert(job, tx);
+    waiting.waiters.insert(job, (Arc::clone(&request), tx));
     if !known {
         events.push(Event::Submitted(request));
     }
 }
 
+fn refuse(waiting: &mut Waiting, job: JobId, error: Error) {
+    waiting.ready.swap_remove(&job);
+    if let Some((_, tx)) = waiting.waiters.swap_remove(&job) {
+        let _ = tx.send(Err(error.report()));
+    }
+}
+
 fn started(waiting: &mut Waiting, job: JobId, placed: Placed) {
-    let Some(tx) = waiting.waiters.swap_remove(&job) else {
+    let Some((_, tx)) = waiting.waiters.swap_remove(&job) else {
         waiting.ready.insert(job, placed);
         return;
     };
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -13,6 +13,7 @@
 
 use crate::context::Context;
 use crate::members::MemberEvent;
+use crate::records;
 use crate::scheduler::SchedulerEvent;
 
 /// How long a directory call waits for a change before it answers with what there is.
@@ -34,10 +35,7 @@
                 .send(SchedulerEvent::Placement(Event::Cancelled(cancel.job)));
             Ok(Reply::Done)
         }
-        Call::GangEnded(ended) => {
-            gang_ended(cx, ended);
-            Ok(Reply::Done)
-        }
+        Call::GangEnded(ended) => gang_ended(cx, ended),
         Call::Directory { after } => directory(cx, after).await,
         _ => {
             Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report())
@@ -92,7 +90,14 @@
     }
 }
 
-fn gang_ended(cx: &Context, ended: GangEnded) {
+fn gang_ended(cx: &Context, ended: GangEnded) -> Result<Reply> {
+    if ended.epoch > cx.epoch() {
+        // The newer owner counts the gang until it hears of the end.
+        let _ = cx.superseded.send(ended.epoch);
+        let message = "a newer owner must hear of the end of the gang";
+        return Err(Error::not_run(ErrorKind::StaleEpoch, message).report());
+    }
+    records::ended(cx, &ended);
     let end = match ended.error {
         None => GangEnd::Answered,
         Some(error) if error.kind == ErrorKind::Stopped => GangEnd::Stopped,
@@ -103,6 +108,7 @@
         end,
     };
     let _ = cx.scheduler.send(SchedulerEvent::Placement(event));
+    Ok(Reply::Done)
 }
 
 /// Returns the directory once it is newer than `after`.
@@ -119,6 +125,7 @@
         version,
         epoch: membership.epoch,
         revision: cx.board.config.load().revision,
+        recovering: cx.is_recovering(),
         endpoints: entries(&membership),
         free: fleet
             .free
--- a/components/placement/examples/bench.rs
+++ b/components/placement/examples/bench.rs
@@ -41,6 +41,7 @@
             let agent = Agent {
                 id: worker.agent.clone(),
                 addr: ([127, 0, 0, 1], 1).into(),
+                incarnation: 1,
                 workers: vec![worker],
                 heard: now,
                 config_revision: 0,
--- a/components/placement/src/apply.rs
+++ b/components/placement/src/apply.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use errors::{Error, ErrorKind, Verdict};
-use model::{Active, Attempt, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running};
+use model::{Active, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running};
 
 use crate::actions::{Action, StopReason};
 use crate::cx::Cx;
@@ -120,8 +120,22 @@
 }
 
 fn recover(cx: &mut Cx, gang: Arc<Gang<Running>>, request: Arc<Request>) {
-    if cx.fleet.running.contains_key(&gang.id) {
-        return;
+    if let Some(known) = cx.fleet.running.get(&gang.id).cloned() {
+        if known.endpoint == gang.endpoint {
+            return;
+        }
+        // The leader reports the members and the endpoint that the others did not know.
+        forget(cx, &known);
+    }
+    // The gang takes the place of a new attempt that has not started.
+    if cx.is_queued(gang.job) {
+        cx.gone.insert(gang.job);
+        drop_hold(&mut cx.fleet, gang.job);
+    } else if let Some(placed) = cx.queue.placed.get(&gang.job).cloned() {
+        if let Some(planned) = cx.fleet.planned.get(&placed.state.gang).cloned() {
+            cx.unplan(&planned);
+        }
+        cx.queue.placed.swap_remove(&gang.job);
     }
     let state = Active {
         gang: gang.id,
@@ -130,6 +144,7 @@
     let job = Job {
         request,
         attempt: gang.attempt,
+        runs: gang.attempt.saturating_sub(1),
         accepted: gang.state.since,
         attained: 0.0,
         state,
@@ -143,15 +158,21 @@
     cx.unsettled = true;
 }
 
-fn ended(cx: &mut Cx, id: GangId, end: GangEnd) {
-    let Some(gang) = cx.fleet.running.swap_remove(&id) else {
-        return;
-    };
+/// Gives back what a running gang holds.
+fn forget(cx: &mut Cx, gang: &Gang<Running>) {
+    cx.fleet.running.swap_remove(&gang.id);
     let firm = is_firm(&cx.queue, gang.job);
     let room = held_by(&cx.fleet, &gang.members);
-    give_back(&mut cx.fleet, id, firm, &room);
-    cx.fleet.stopping.swap_remove(&id);
+    give_back(&mut cx.fleet, gang.id, firm, &room);
+    cx.fleet.stopping.swap_remove(&gang.id);
     cx.slots.release(cx.membership, &gang.endpoint);
+}
+
+fn ended(cx: &mut Cx, id: GangId, end: GangEnd) {
+    let Some(gang) = cx.fleet.running.get(&id).cloned() else {
+        return;
+    };
+    forget(cx, &gang);
     cx.actions.push(Action::Free { gang: id });
     let cancelled = cx.queue.cancelled.swap_remove(&gang.job);
     if let Some(job) = cx.queue.active.swap_remove(&gang.job) {
@@ -159,8 +180,8 @@
     }
 }
 
-/// Attempts of one job, so that a fault that repeats ends in a refusal.
-const MAX_ATTEMPTS: Attempt = 8;
+/// Gangs that are started for one job, so that a fault that repeats ends in a refusal.
+const MAX_RUNS: u32 = 8;
 
 fn finish(cx: &mut Cx, job: &Job<Active>, end: GangEnd, cancelled: bool) {
     let error = match end {
@@ -178,7 +199,7 @@
             "cancelled while running",
         );
         cx.refuse(job.id(), error);
-    } else if job.attempt < MAX_ATTEMPTS && may_run_again(job, &error) {
+    } else if job.runs + 1 < MAX_RUNS && may_run_again(job, &error) {
         cx.enqueue(job.clone().requeue(cx.now));
     } else {
         cx.refuse(job.id(), error);
--- a/components/placement/src/schedule.rs
+++ b/components/placement/src/schedule.rs
@@ -159,21 +159,21 @@
 /// Refuses the jobs that the blame section condemned.
 pub(crate) fn refuse_condemned(cx: &mut Cx) {
     for (id, reason) in &cx.blame.condemned {
-        let attempt = if let Some(job) = cx.queue.queued.get(id) {
-            let attempt = job.attempt;
+        let runs = if let Some(job) = cx.queue.queued.get(id) {
+            let runs = job.runs;
             cx.gone.insert(*id);
             drop_hold(&mut cx.fleet, *id);
-            attempt
+            runs
         } else if let Some(placed) = cx.queue.placed.get(id) {
-            let (gang, attempt) = (placed.state.gang, placed.attempt);
+            let (gang, runs) = (placed.state.gang, placed.runs);
             if let Some(gang) = cx.fleet.planned.get(&gang).cloned() {
                 cx.unplan(&gang);
             }
-            attempt
+            runs
         } else {
             continue;
         };
-        let error = if attempt > 1 {
+        let error = if runs > 0 {
             Error::may_have_run(ErrorKind::Failed, reason.clone())
         } else {
             Error::not_run(ErrorKind::Failed, reason.clone())
--- a/components/placement/tests/common/mod.rs
+++ b/components/placement/tests/common/mod.rs
@@ -70,6 +70,7 @@
                 let agent = Agent {
                     id: worker.agent.clone(),
                     addr: ([127, 0, 0, 1], 1).into(),
+                    incarnation: 1,
                     workers: vec![worker],
                     heard: now,
                     config_revision: 0,
--- a/components/policy/tests/blame.rs
+++ b/components/policy/tests/blame.rs
@@ -71,6 +71,7 @@
         let agent = Agent {
             id: "agent".into(),
             addr: ([127, 0, 0, 1], 1).into(),
+            incarnation: 1,
             workers: names.iter().map(worker).collect(),
             heard: self.now,
             config_revision: 0,
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -114,8 +114,8 @@
     pub attempt: Attempt,
     /// The agents of the gang with their addresses.
     pub agents: Vec<(AgentId, SocketAddr)>,
-    /// The workers of the gang.
-    pub workers: Vec<WorkerId>,
+    /// All members of the gang.
+    pub members: Vec<Member>,
     /// The request that the gang runs.
     pub request: Request,
 }
@@ -164,6 +164,8 @@
 pub struct GangEnded {
     /// The gang.
     pub gang: GangId,
+    /// The highest epoch that the leader has seen; an older owner must not take the report from a newer one.
+    pub epoch: Epoch,
     /// The error; none if the endpoint answered.
     pub error: Option<Error>,
     /// The workers that failed a task.
@@ -252,7 +254,7 @@
     pub epoch: Epoch,
     /// The job.
     pub job: JobId,
-    /// The members at this agent.
+    /// The members at this agent, or all members if this agent leads the gang.
     pub members: Vec<Member>,
     /// Whether the request runs at this agent's endpoint.
     pub slot: bool,
@@ -303,6 +305,8 @@
     pub epoch: Epoch,
     /// The configuration revision of the owner.
     pub revision: Revision,
+    /// Whether the owner took over just now and still waits for announcements, so that endpoints may be missing.
+    pub recovering: bool,
     /// The endpoints.
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
