--- a/components/agent/src/gangs/leading.rs
+++ b/components/agent/src/gangs/leading.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use errors::{Error, ErrorKind, Result, Verdict};
+use errors::{Error, ErrorKind, Result};
 use membership::leader::{Ack, Leader, Leading};
 use model::{AgentId, GangId};
 use tokio_util::sync::CancellationToken;
@@ -71,7 +71,7 @@
     }
     let info = LedInfo {
         agents: start.agents,
-        workers: start.workers,
+        members: start.members,
         request: start.request,
         started: Some(tx),
         claim_by: now + CLAIM_TERM,
@@ -173,8 +173,8 @@
     for mut led in std::mem::take(&mut state.leading).into_values() {
         if !led.info.claimed && now >= led.info.claim_by {
             let message = "the request did not arrive at the endpoint's agent in time";
-            led.info.error = Some(Error::not_run(ErrorKind::Timeout, message));
-            begin_stop(state, led, ErrorKind::Timeout);
+            led.info.error = Some(Error::not_run(ErrorKind::Unavailable, message));
+            begin_stop(state, led, ErrorKind::Unavailable);
             continue;
         }
         send_pulses(state, led, now);
@@ -212,8 +212,9 @@
         }
         Err(stopping) => {
             let message = "a member of the gang was lost";
+            let verdict = info.verdict();
             info.error
-                .get_or_insert_with(|| Error::may_have_run(ErrorKind::Stopped, message));
+                .get_or_insert_with(|| Error::new(verdict, ErrorKind::Stopped, message));
             info.stopped.cancel();
             stop_members(state, stopping.gang, &info, ErrorKind::Unavailable);
             state.stopping.insert(
@@ -240,7 +241,12 @@
     Ok(ClaimedGang {
         slot,
         stopped: led.info.stopped.clone(),
-        workers: led.info.workers.clone(),
+        workers: led
+            .info
+            .members
+            .iter()
+            .map(|member| member.worker.clone())
+            .collect(),
     })
 }
 
@@ -265,7 +271,7 @@
     }
     let message = format!("worker {} failed a task: {}", failed.worker, failed.message);
     if let Some(mut led) = state.leading.swap_remove(&failed.gang) {
-        led.info.error = Some(Error::may_have_run(ErrorKind::Failed, message));
+        led.info.error = Some(Error::new(led.info.verdict(), ErrorKind::Failed, message));
         begin_stop(state, led, ErrorKind::Failed);
     } else if let Some(led) = state.arming.swap_remove(&failed.gang) {
         give_up(state, led, Error::not_run(ErrorKind::Failed, message), now);
@@ -277,12 +283,7 @@
     state.fence.admit(stop.epoch.unwrap_or_default())?;
     let message = "the owner stopped the gang";
     if let Some(mut led) = state.leading.swap_remove(&stop.gang) {
-        let verdict = if led.info.claimed {
-            Verdict::MayHaveRun
-        } else {
-            Verdict::NotRun
-        };
-        led.info.error = Some(Error::new(verdict, stop.reason, message));
+        led.info.error = Some(Error::new(led.info.verdict(), stop.reason, message));
         begin_stop(state, led, stop.reason);
     } else if let Some(led) = state.arming.swap_remove(&stop.gang) {
         give_up(state, led, Error::not_run(stop.reason, message), now);
@@ -382,6 +383,7 @@
     );
     let ended = GangEnded {
         gang,
+        epoch: state.fence.highest(),
         error: info.error,
         failed_workers: info.failed_workers,
     };
--- a/components/replay/src/membership.rs
+++ b/components/replay/src/membership.rs
@@ -42,6 +42,7 @@
 fn agent(id: &AgentId, now: Instant) -> Agent {
     Agent {
         id: id.clone(),
+        incarnation: 1,
         addr: unused_addr(),
         workers: Vec::new(),
         heard: now,
