Run asynchronous jobs from a durable record to one outcome

Ruled out: - The body in a value of its own. It would keep listings small, but the record would no longer be complete at one revision. Instead a runner drops a body over 64 KB while it waits and reads the record again. - A dispatch whose reply is the answer, as for synchronous requests. The answer would be lost with the connection, and a new owner would need a second path. A detached dispatch is acknowledged at once and every owner, the first one too, reads the outcome with `Attach`. - Result keys without the attempt. A paused owner could replace a chunk of a later attempt.

Change: - `components/jobs`: the record as typestates, its encoding, chunks of answers, compare-and-swap with read-back, and the bounded outcomes that an agent keeps. - `wire`: `Dispatch::detached`, `Call::Attach`, replies `StillRunning` and `AttemptFailed`. - agent: a controller of detached attempts; an unknown attempt is refused for good before "not run" is said. - owner: lists and watches `jobs/<cell>/`, one runner per live job (at most 512), `running` recorded before the dispatch. - entry: submission, state, result and cancellation over HTTP.

--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use board::{ConfigSnapshot, Section};
 use config::AgentSettings;
@@ -16,6 +17,7 @@
 use wire::{Datagrams, HeldGang, OwnerRecord, Peers};
 use workers::WorkerPlatform;
 
+use crate::detached::DetachedEvent;
 use crate::endpoint::EndpointClient;
 use crate::gangs::GangEvent;
 use crate::metrics::Metrics;
@@ -46,6 +48,9 @@
     pub(crate) slots: Slots,
     pub(crate) gangs: mpsc::UnboundedSender<GangEvent>,
     pub(crate) requests: mpsc::UnboundedSender<RequestEvent>,
+    pub(crate) detached: mpsc::UnboundedSender<DetachedEvent>,
+    /// Outcomes of detached attempts that no owner has read yet.
+    pub(crate) unread: AtomicUsize,
     pub(crate) config_updates: Updates,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -19,10 +19,15 @@
 /// Runs a request and returns the whole answer.
 ///
 /// A non-idempotent request that is turned away leaves a record, so that a late copy of it is refused, too.
-pub(crate) async fn dispatch(cx: &Arc<Context>, dispatch: Dispatch) -> Result<Answer> {
+/// `cancel` ends a request without a gang while it waits for a slot or runs.
+pub(crate) async fn dispatch(
+    cx: &Arc<Context>,
+    dispatch: Dispatch,
+    cancel: CancellationToken,
+) -> Result<Answer> {
     let result = match dispatch.gang {
         Some(_) => dispatch_gang(cx, &dispatch).await,
-        None => dispatch_short(cx, &dispatch).await,
+        None => dispatch_short(cx, &dispatch, cancel).await,
     };
     cx.metrics.count_dispatch(&result);
     match result {
@@ -55,9 +60,18 @@
     }
 }
 
-async fn dispatch_short(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
-    let slot = take_slot(cx, dispatch.request.timeout).await?;
-    let cancel = CancellationToken::new();
+async fn dispatch_short(
+    cx: &Arc<Context>,
+    dispatch: &Dispatch,
+    cancel: CancellationToken,
+) -> Result<Answer> {
+    let slot = tokio::select! {
+        slot = take_slot(cx, dispatch.request.timeout) => slot?,
+        () = cancel.cancelled() => {
+            let message = "cancelled in the queue of the endpoint";
+            return Err(Error::not_run(ErrorKind::Cancelled, message).report());
+        }
+    };
     run_recorded(cx, dispatch, &[], slot, cancel).await
 }
 
--- a/components/agent/src/drain.rs
+++ b/components/agent/src/drain.rs
@@ -1,12 +1,15 @@
 //! Graceful shutdown.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::context::Context;
 
 /// How often the end of the last request is checked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long outcomes wait for an owner; a new owner needs its lease term of 3 s and a few calls.
+const READ_LIMIT: Duration = Duration::from_secs(10);
 
 /// Refuses new work, waits until nothing runs any more or the configured time is over, and returns whether all ended.
 pub(crate) async fn drain(cx: Arc<Context>) -> bool {
@@ -26,10 +29,22 @@
         }
         checks.recv().await;
     }
+    wait_for_readers(&cx).await;
     log::info!(target: "limpethook", agent:% = cx.settings.id; "drain_finished");
     true
 }
 
+/// Gives owners a bounded time to read the outcomes of asynchronous jobs, which end with this process.
+async fn wait_for_readers(cx: &Context) {
+    let mut checks = cx.timer.subscribe_every(CHECK_INTERVAL);
+    let started = timer::now();
+    while cx.unread.load(Ordering::Acquire) > 0
+        && timer::now().saturating_duration_since(started) < READ_LIMIT
+    {
+        checks.recv().await;
+    }
+}
+
 fn is_idle(cx: &Context) -> bool {
     cx.slots.used() == 0 && cx.slots.waiting() == 0 && cx.board.gangs.load().is_empty()
 }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod context;
+mod detached;
 mod dispatch;
 mod drain;
 mod endpoint;
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -1,6 +1,7 @@
 //! Starting and ending the agent.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use config::AgentSettings;
@@ -20,7 +21,7 @@
 use crate::endpoint::EndpointClient;
 use crate::metrics::Metrics;
 use crate::slots::Slots;
-use crate::{drain, gangs, link, requests, serve};
+use crate::{detached, drain, gangs, link, requests, serve};
 
 /// Acknowledgements that wait for the owner link.
 const ACK_QUEUE: usize = 16;
@@ -35,6 +36,7 @@
         .map_err(|e| cannot_listen(&settings, &e))?;
     let (gang_tx, gang_rx) = mpsc::unbounded_channel();
     let (request_tx, request_rx) = mpsc::unbounded_channel();
+    let (detached_tx, detached_rx) = mpsc::unbounded_channel();
     let (config_updates, config_rx) = distribution::updates();
     let datagrams = Datagrams::bind(settings.peer_listen, key.clone(), &settings.id)
         .await
@@ -46,11 +48,13 @@
         datagrams,
         gang_tx,
         request_tx,
+        detached_tx,
         config_updates,
     )?);
 
     tokio::spawn(gangs::run(gang_rx, Arc::clone(&cx)));
     tokio::spawn(requests::run(request_rx, incarnation));
+    tokio::spawn(detached::run(detached_rx, Arc::clone(&cx)));
     tokio::spawn(distribution::run_controller(
         config_rx,
         Arc::clone(&cx),
@@ -93,6 +97,7 @@
     datagrams: Datagrams,
     gangs: mpsc::UnboundedSender<gangs::GangEvent>,
     requests: mpsc::UnboundedSender<requests::RequestEvent>,
+    detached: mpsc::UnboundedSender<detached::DetachedEvent>,
     config_updates: distribution::Updates,
 ) -> Result<Context> {
     let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
@@ -124,6 +129,8 @@
         slots: Slots::new(slots, backlog),
         gangs,
         requests,
+        detached,
+        unread: AtomicUsize::new(0),
         config_updates,
         drain: CancellationToken::new(),
         metrics,
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -7,9 +7,11 @@
 use fastrace::Span;
 use fastrace::future::FutureExt;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 use wire::{Ack, Call, CallContext, Packet, Reply};
 
 use crate::context::Context;
+use crate::detached::{self, DetachedEvent};
 use crate::dispatch::dispatch;
 use crate::gangs::{GangEvent, ReplyTo};
 use crate::requests::RequestEvent;
@@ -42,9 +44,14 @@
 
 async fn handle(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     match call {
-        Call::Dispatch(req) => dispatch(cx, req).await.map(Reply::Answer),
+        Call::Dispatch(req) if req.detached => detached::start(cx, req).await,
+        Call::Dispatch(req) => dispatch(cx, req, CancellationToken::new())
+            .await
+            .map(Reply::Answer),
+        Call::Attach(attach) => detached::attach(cx, attach).await,
         Call::CancelRequest(request) => {
             let _ = cx.requests.send(RequestEvent::Cancel { request });
+            let _ = cx.detached.send(DetachedEvent::Cancel { request });
             Ok(Reply::Done)
         }
         Call::Reserve(reserve) => ask(cx, |tx| GangEvent::Reserve { reserve, tx })
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -42,7 +42,6 @@
     pub(crate) body: Bytes,
     pub(crate) admission: Admission,
     /// Whether the id is derived from an idempotency key.
-    #[expect(dead_code, reason = "claims of keyed requests are not sent yet")]
     pub(crate) keyed: bool,
 }
 
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -43,6 +43,7 @@
         incarnation: target.incarnation,
         gang: target.gang,
         body: call.state.body.clone(),
+        detached: false,
     });
     let result = cx.peers.call(target.addr, &message, limit).await;
     cancel.request = None;
--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod errors;
+mod jobs;
 mod requests;
 
 use std::sync::Arc;
@@ -14,6 +15,13 @@
 pub(crate) fn router(cx: &Arc<Context>) -> Router {
     Router::new()
         .push(Router::with_path("v1/services/{service}/requests").post(requests::Submit::new(cx)))
+        .push(Router::with_path("v1/services/{service}/jobs").post(jobs::Jobs::submit(cx)))
+        .push(
+            Router::with_path("v1/jobs/{id}")
+                .get(jobs::Jobs::status(cx))
+                .delete(jobs::Jobs::cancel(cx)),
+        )
+        .push(Router::with_path("v1/jobs/{id}/result").get(jobs::Jobs::result(cx)))
         .push(Router::with_path("v1/status").get(admin::Status::new(cx)))
         .push(Router::with_path("metrics").get(admin::Metrics::new(cx)))
         .push(Router::with_path("health").get(admin::Health::new(cx)))
--- a/components/entry/src/http/requests.rs
+++ b/components/entry/src/http/requests.rs
@@ -103,7 +103,7 @@
     }
 }
 
-fn header(req: &Request, name: &str) -> Option<Box<str>> {
+pub(crate) fn header(req: &Request, name: &str) -> Option<Box<str>> {
     req.headers()
         .get(name)
         .and_then(|value| value.to_str().ok())
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod gang;
 mod http;
+mod jobs;
 mod limits;
 mod metrics;
 mod ready;
--- /dev/null
+++ b/components/jobs/src/stored.rs
@@ -0,0 +1,113 @@
+//! The record as the store holds it.
+
+use bytes::Bytes;
+use errors::{Error, ErrorKind, Result};
+use serde::{Deserialize, Serialize};
+
+use crate::record::{Accepted, Answered, Cancelling, Head, Job, Refused, Running};
+
+/// The version of the encoding, the first byte of each record.
+const VERSION: u8 = 1;
+
+/// A job in any state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Stored {
+    /// It waits.
+    Accepted(Job<Accepted>),
+    /// It runs.
+    Running(Job<Running>),
+    /// It is being stopped.
+    Cancelling(Job<Cancelling>),
+    /// It was answered.
+    Answered(Job<Answered>),
+    /// It ended without an answer.
+    Refused(Job<Refused>),
+}
+
+#[derive(Serialize, Deserialize)]
+enum State {
+    Accepted(Accepted),
+    Running(Running),
+    Cancelling(Cancelling),
+    Answered(Answered),
+    Refused(Refused),
+}
+
+impl Stored {
+    /// Returns what does not change.
+    pub fn head(&self) -> &Head {
+        match self {
+            Self::Accepted(job) => &job.head,
+            Self::Running(job) => &job.head,
+            Self::Cancelling(job) => &job.head,
+            Self::Answered(job) => &job.head,
+            Self::Refused(job) => &job.head,
+        }
+    }
+
+    /// Returns the name of the state.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted(_) => "accepted",
+            Self::Running(_) => "running",
+            Self::Cancelling(_) => "cancelling",
+            Self::Answered(_) => "answered",
+            Self::Refused(_) => "refused",
+        }
+    }
+
+    fn state(&self) -> State {
+        match self {
+            Self::Accepted(job) => State::Accepted(job.state.clone()),
+            Self::Running(job) => State::Running(job.state.clone()),
+            Self::Cancelling(job) => State::Cancelling(job.state.clone()),
+            Self::Answered(job) => State::Answered(job.state.clone()),
+            Self::Refused(job) => State::Refused(job.state.clone()),
+        }
+    }
+}
+
+macro_rules! from_job {
+    ($($state:ident),*) => {$(
+        impl From<Job<$state>> for Stored {
+            fn from(job: Job<$state>) -> Self {
+                Self::$state(job)
+            }
+        }
+    )*};
+}
+
+from_job!(Accepted, Running, Cancelling, Answered, Refused);
+
+/// Encodes a record.
+pub fn encode(job: &Stored) -> Result<Bytes> {
+    postcard::to_stdvec(&(VERSION, job.head(), job.state()))
+        .map(Bytes::from)
+        .map_err(|e| {
+            Error::not_run(
+                ErrorKind::Internal,
+                format!("cannot encode a job record: {e}"),
+            )
+            .report()
+        })
+}
+
+/// Decodes a record.
+pub fn decode(value: &[u8]) -> Result<Stored> {
+    let corrupt = |reason: &dyn std::fmt::Display| {
+        let message = format!("a job record cannot be read: {reason}");
+        Error::may_have_run(ErrorKind::Corrupt, message).report()
+    };
+    if value.first() != Some(&VERSION) {
+        return Err(corrupt(&"unknown version"));
+    }
+    let (_, head, state): (u8, Head, State) =
+        postcard::from_bytes(value).map_err(|e| corrupt(&e))?;
+    Ok(match state {
+        State::Accepted(state) => Job { head, state }.into(),
+        State::Running(state) => Job { head, state }.into(),
+        State::Cancelling(state) => Job { head, state }.into(),
+        State::Answered(state) => Job { head, state }.into(),
+        State::Refused(state) => Job { head, state }.into(),
+    })
+}
--- /dev/null
+++ b/components/jobs/tests/record.rs
@@ -0,0 +1,163 @@
+//! The life cycle, the encoding and the bounds of a job record.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use common::{accepted, run};
+use errors::{Error, ErrorKind, Verdict};
+use jobs::{
+    Answered, CHUNK_BYTES, MAX_ATTEMPTS, MAX_BODY_BYTES, Next, Outcome, Outcomes, Stored,
+    chunk_count, chunks, decode, encode, join_chunks, parse_public_id, public_id,
+};
+
+mod common;
+
+fn answered(body: &[u8]) -> Answered {
+    Answered {
+        attempt: 1,
+        status: 200,
+        content_type: "text/plain".into(),
+        length: body.len() as u64,
+        digest: *blake3::hash(body).as_bytes(),
+        chunks: chunk_count(body.len()),
+        ended: SystemTime::now(),
+    }
+}
+
+fn error(verdict: Verdict) -> Error {
+    Error::new(verdict, ErrorKind::Failed, "x").retry_after(Duration::from_secs(1))
+}
+
+/// Guards against a state that a later owner cannot read, and against a body that is kept after the end.
+#[test]
+fn decode_returns_each_encoded_state() {
+    let now = SystemTime::now();
+    let running = accepted(1, true, "body").start(run(1));
+    let states: [Stored; 5] = [
+        accepted(1, true, "body").into(),
+        running.clone().into(),
+        running.clone().cancel().into(),
+        running.clone().answer(answered(b"a")).into(),
+        running
+            .cancel()
+            .refuse(error(Verdict::MayHaveRun), now)
+            .into(),
+    ];
+    for (n, state) in states.into_iter().enumerate() {
+        let decoded = decode(&encode(&state).unwrap()).unwrap();
+        assert_eq!(decoded, state);
+        assert_eq!(decoded.head().body.is_empty(), n >= 3, "{}", state.name());
+    }
+}
+
+/// Guards against reading a record of another version, or a cut one, as something else.
+#[test]
+fn decode_refuses_foreign_bytes() {
+    let whole = encode(&accepted(1, true, "body").into()).unwrap();
+    let mut foreign = whole.to_vec();
+    foreign[0] = 200;
+    for bad in [&foreign[..], &whole[..whole.len() - 1], b""] {
+        let report = decode(bad).unwrap_err();
+        assert_eq!(report.current_context().kind, ErrorKind::Corrupt);
+    }
+}
+
+/// Guards against a record that exceeds one value of the store.
+#[test]
+fn encode_fits_one_value_with_largest_body() {
+    let job = accepted(1, true, vec![0xff; MAX_BODY_BYTES]).start(run(1));
+    let length = encode(&job.into()).unwrap().len();
+    assert!(length < store::MAX_VALUE_BYTES, "{length}");
+}
+
+/// Guards against a second run that the verdict forbids, and against retries without a bound.
+#[test]
+fn fail_obeys_verdict_and_bound() {
+    let cases = [
+        (Verdict::NotRun, false, 1, true),
+        (Verdict::NotRun, false, MAX_ATTEMPTS, false),
+        (Verdict::MayHaveRun, true, 1, true),
+        (Verdict::MayHaveRun, false, 1, false),
+        (Verdict::MayHaveRun, true, MAX_ATTEMPTS, false),
+        (Verdict::Ran, true, 1, false),
+    ];
+    for (verdict, idempotent, attempt, retried) in cases {
+        let job = accepted(1, idempotent, "b").start(run(attempt));
+        let next = job.fail(error(verdict), SystemTime::now());
+        match next {
+            Next::Retry(job) => assert!(retried && job.state.attempts == attempt),
+            Next::End(job) => {
+                assert!(!retried, "{verdict} {idempotent} {attempt}");
+                assert_eq!(job.state.error.verdict, verdict);
+                assert_eq!(job.state.error.retry_after, None);
+            }
+        }
+    }
+}
+
+/// Guards against a retry after the deadline.
+#[test]
+fn fail_ends_late_job() {
+    let job = accepted(1, true, "b").start(run(1));
+    let late = SystemTime::now() + Duration::from_secs(61);
+    let next = job.fail(error(Verdict::NotRun), late);
+    assert!(matches!(next, Next::End(_)));
+}
+
+/// Guards against a cut, mixed or reordered answer.
+#[test]
+fn join_chunks_refuses_damage() {
+    let numbers = (0u32..).flat_map(u32::to_le_bytes);
+    let body: Bytes = numbers.take(2 * CHUNK_BYTES + 5).collect();
+    let answered = answered(&body);
+    let whole: Vec<Bytes> = chunks(&body).collect();
+    assert_eq!((whole.len(), answered.chunks), (3, 3));
+    assert_eq!(join_chunks(&answered, &whole).unwrap(), body);
+    let swapped = [whole[1].clone(), whole[0].clone(), whole[2].clone()];
+    for damaged in [&whole[..2], &swapped[..]] {
+        let report = join_chunks(&answered, damaged).unwrap_err();
+        assert_eq!(report.current_context().verdict, Verdict::Ran);
+    }
+}
+
+/// Guards against an id that reaches a foreign key of the store.
+#[test]
+fn parse_public_id_accepts_only_its_own_form() {
+    let id = public_id("caribe.1", 255);
+    assert_eq!(parse_public_id(&id), Some(("caribe.1".into(), 255)));
+    let hex = "0".repeat(32);
+    for bad in [
+        "",
+        "caribe",
+        &hex,
+        &format!(".{hex}"),
+        &format!("a/b.{hex}"),
+        "caribe.ff",
+        &format!("c.{}", "F".repeat(32)),
+    ] {
+        assert_eq!(parse_public_id(bad), None, "{bad}");
+    }
+}
+
+/// Guards against unbounded memory at an agent, and against a dropped outcome that is taken for "never ran".
+#[test]
+fn outcomes_expire_by_size_and_time() {
+    let start = Instant::now();
+    let hour = Duration::from_hours(1);
+    let mut outcomes = Outcomes::new(100, hour);
+    for id in 1..=3 {
+        assert!(outcomes.start(id, 1));
+        assert!(!outcomes.start(id, 1), "an attempt runs once");
+        outcomes.end((id, 1), id, 60, start);
+    }
+    assert_eq!(outcomes.get(1, 1), Some(&Outcome::Dropped));
+    assert_eq!(outcomes.get(3, 1), Some(&Outcome::Ended(3)));
+    assert!(
+        !outcomes.start(1, 1),
+        "a dropped outcome still counts as run"
+    );
+    outcomes.expire(start + hour);
+    assert_eq!(outcomes.get(3, 1), Some(&Outcome::Dropped));
+    outcomes.expire(start + 2 * hour);
+    assert_eq!(outcomes.get(3, 1), None);
+}
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use board::Board;
+use board::{Board, Section};
 use model::{CellId, EntryId, Epoch, RegionId};
 use store::KvStore;
 use timer::Timer;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use wire::{Datagrams, Peers};
 
 use crate::Shared;
+use crate::jobs::Jobs;
 use crate::members::MemberEvent;
 use crate::scheduler::SchedulerEvent;
 
@@ -43,7 +44,10 @@
     /// Tells the duty that an agent has seen a higher epoch.
     pub(crate) superseded: mpsc::UnboundedSender<Epoch>,
     pub(crate) superseded_rx: tokio::sync::Mutex<mpsc::UnboundedReceiver<Epoch>>,
+    /// The asynchronous jobs of the cell; written by the jobs controller.
+    pub(crate) jobs: Section<Jobs>,
     epoch: AtomicU64,
+    epochs: watch::Sender<Epoch>,
 }
 
 type Parts = (
@@ -69,7 +73,9 @@
             resigning: CancellationToken::new(),
             superseded,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
+            jobs: Section::default(),
             epoch: AtomicU64::new(0),
+            epochs: watch::Sender::new(0),
         };
         (Arc::new(cx), scheduler_rx, members_rx)
     }
@@ -82,5 +88,11 @@
     /// Sets the epoch; 0 ends the duty.
     pub(crate) fn set_epoch(&self, epoch: Epoch) {
         self.epoch.store(epoch, Ordering::Release);
+        self.epochs.send_replace(epoch);
+    }
+
+    /// Returns a receiver that wakes when the ownership begins or ends.
+    pub(crate) fn epochs(&self) -> watch::Receiver<Epoch> {
+        self.epochs.subscribe()
     }
 }
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod context;
 mod duty;
+mod jobs;
 mod members;
 mod scheduler;
 mod serve;
@@ -55,6 +56,7 @@
         let (cx, scheduler_rx, members_rx) = Context::new(settings, shared);
         tokio::spawn(scheduler::run(scheduler_rx, Arc::clone(&cx)));
         tokio::spawn(members::run(members_rx, Arc::clone(&cx)));
+        tokio::spawn(jobs::run(Arc::clone(&cx)));
         tokio::spawn(duty::run(Arc::clone(&cx)));
         Self { cx }
     }
@@ -64,6 +66,11 @@
         self.cx.epoch()
     }
 
+    /// Returns why no set of workers of the cell can hold the shape, if this process owns the cell and can tell.
+    pub fn infeasible_reason(&self, cell: &str, shape: &model::Shape) -> Option<Box<str>> {
+        jobs::infeasible_reason(&self.cx, cell, shape)
+    }
+
     /// Answers a call for the owner.
     pub async fn answer(&self, call: Call) -> Result<Reply> {
         serve::answer(&self.cx, call).await
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -5,11 +5,11 @@
 
 use board::Membership;
 use errors::{Error, ErrorKind, Result};
-use model::{Endpoint, JobId, Resources};
+use model::{Endpoint, JobId, Request, Resources};
 use placement::{Event, GangEnd};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use wire::{Announce, Call, Directory, EndpointEntry, GangEnded, Place, Reply};
+use wire::{Announce, Call, Directory, EndpointEntry, GangEnded, Placed, Reply};
 
 use crate::context::Context;
 use crate::members::MemberEvent;
@@ -27,7 +27,7 @@
     }
     match call {
         Call::Announce(announce) => announced(cx, announce).await,
-        Call::Place(place) => placed(cx, place).await,
+        Call::Place(call) => place(cx, Arc::new(call.request)).await.map(Reply::Placed),
         Call::Cancel(cancel) => {
             let _ = cx
                 .scheduler
@@ -56,9 +56,9 @@
         .map(Reply::Epoch)
 }
 
-async fn placed(cx: &Arc<Context>, place: Place) -> Result<Reply> {
+/// Queues a request with a shape and returns its gang once it runs; a caller that goes away cancels it.
+pub(crate) async fn place(cx: &Context, request: Arc<Request>) -> Result<Placed> {
     let (tx, rx) = oneshot::channel();
-    let request = Arc::new(place.request);
     let mut cancel = CancelOnDrop {
         cx,
         job: Some(request.id),
@@ -70,9 +70,7 @@
         return Err(Error::not_run(ErrorKind::Timeout, message).report());
     };
     cancel.job = None;
-    result
-        .unwrap_or_else(|_| Err(superseded()))
-        .map(Reply::Placed)
+    result.unwrap_or_else(|_| Err(superseded()))
 }
 
 /// Cancels a job whose entry no longer waits for it.
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -54,6 +54,8 @@
         /// The agent that gets it if it is new.
         agent: AgentId,
     },
+    /// Owner to agent: the outcome of a detached attempt, or that it still runs.
+    Attach(Attach),
 }
 
 /// The reply to a call.
@@ -84,6 +86,10 @@
     },
     /// The call failed.
     Failed(Error),
+    /// A detached attempt still runs.
+    StillRunning,
+    /// A detached attempt ended without an answer; unlike `Failed`, this is the outcome itself.
+    AttemptFailed(Error),
 }
 
 /// A reservation of gang members at one agent.
@@ -183,6 +189,25 @@
     pub gang: Option<GangId>,
     /// The body.
     pub body: Bytes,
+    /// Whether the agent replies at once and runs the request whatever becomes of the connection.
+    pub detached: bool,
+}
+
+/// Asks for the outcome of a detached attempt.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Attach {
+    /// The request.
+    pub request: RequestId,
+    /// The try.
+    pub attempt: Attempt,
+    /// The life of the agent to which the attempt was sent.
+    pub incarnation: u64,
+    /// Whether the request is idempotent; the at-most-once record holds only those that are not.
+    pub idempotent: bool,
+    /// The time since the attempt was recorded; an old attempt may be gone from the at-most-once record.
+    pub age: Duration,
+    /// How long the agent waits for the end before it replies that the attempt still runs.
+    pub wait: Duration,
 }
 
 /// The answer of an endpoint.
