Add the job subcommand

Cause: callers need the asynchronous interface from scripts, with exit codes they can rely on.

Ruled out: a token argument, because other users of the machine can read arguments; the exit code 3 for "no outcome yet", because scripts must tell it from "may have run".

Change: `limpethook job submit|status|result|cancel`. The token comes from a file or from LIMPETHOOK_TOKEN. Exit code 5 says that the job has no outcome yet.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,12 +2,12 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 
 /// Schedules gang jobs on adjacent accelerators under client account guarantees.
 ///
-/// Exit codes: 0 success; 1 the work did not run or a check failed; 2 wrong arguments; 3 the work may have run;
-/// 4 a shutdown cut off work in progress.
+/// Exit codes: 0 success; 1 the work did not run or a check failed; 2 wrong arguments; 3 the work may have run, or ran
+/// without a usable answer; 4 a shutdown cut off work in progress; 5 the job has no outcome yet.
 #[derive(Debug, Parser)]
 #[command(version, propagate_version = true)]
 pub(crate) struct Cli {
@@ -32,6 +32,9 @@
     /// Check, show, compare or apply the operators' configuration document.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Submit, follow or cancel an asynchronous job.
+    #[command(subcommand)]
+    Job(JobCommand),
     /// Show the cells, owners and endpoints that an entry knows.
     Status {
         /// Base URL of an entry, such as `http://127.0.0.1:8080`.
@@ -75,3 +78,79 @@
     /// Make the salted hash of a token for the document; reads the token from standard input.
     Token,
 }
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum JobCommand {
+    /// Submit a job and print its id, or its answer with `--wait`.
+    Submit(Box<SubmitArgs>),
+    /// Print the state of a job as JSON.
+    Status {
+        #[command(flatten)]
+        caller: CallerArgs,
+        /// Id of the job.
+        id: Box<str>,
+    },
+    /// Print the answer of a job.
+    Result {
+        #[command(flatten)]
+        caller: CallerArgs,
+        /// Id of the job.
+        id: Box<str>,
+        /// Wait for the outcome, at most this long (seconds).
+        #[arg(long, value_name = "SECONDS")]
+        wait: Option<u64>,
+    },
+    /// Cancel a job and print its state as JSON.
+    Cancel {
+        #[command(flatten)]
+        caller: CallerArgs,
+        /// Id of the job.
+        id: Box<str>,
+    },
+}
+
+/// Who calls which entry. The token comes from a file or from the environment variable `LIMPETHOOK_TOKEN`.
+#[derive(Debug, Args)]
+pub(crate) struct CallerArgs {
+    /// Base URL of an entry, such as `http://127.0.0.1:8080`.
+    #[arg(long, value_name = "URL")]
+    pub(crate) entry: Box<str>,
+    /// Client account.
+    #[arg(long, value_name = "ACCOUNT")]
+    pub(crate) account: Box<str>,
+    /// File with the token of the account; `LIMPETHOOK_TOKEN` by default.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) token_file: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+pub(crate) struct SubmitArgs {
+    #[command(flatten)]
+    pub(crate) caller: CallerArgs,
+    /// Service that handles the job.
+    #[arg(long, value_name = "SERVICE")]
+    pub(crate) service: Box<str>,
+    /// Shape of the gang in JSON, such as `{"tasks": 4, "accelerators": 2}`; none for a job without a gang.
+    #[arg(long, value_name = "JSON")]
+    pub(crate) shape: Option<Box<str>>,
+    /// Whether the job may run more than once; the service decides by default.
+    #[arg(long, value_name = "BOOL")]
+    pub(crate) idempotent: Option<bool>,
+    /// Whether the tasks of the job can checkpoint.
+    #[arg(long)]
+    pub(crate) stoppable: bool,
+    /// Time from submission in which the job must end (milliseconds).
+    #[arg(long, value_name = "MS")]
+    pub(crate) timeout_ms: Option<u64>,
+    /// Expected run time (milliseconds).
+    #[arg(long, value_name = "MS")]
+    pub(crate) run_time_ms: Option<u64>,
+    /// Key that makes a repeated submission attach to the first one.
+    #[arg(long, value_name = "KEY")]
+    pub(crate) idempotency_key: Option<Box<str>>,
+    /// Wait for the outcome, at most this long, and print the answer (seconds).
+    #[arg(long, value_name = "SECONDS")]
+    pub(crate) wait: Option<u64>,
+    /// File with the body; standard input by default.
+    pub(crate) body: Option<PathBuf>,
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,8 @@
 mod agent;
 mod config;
 mod entry;
+mod job;
+mod job_client;
 mod shutdown;
 mod status;
 
@@ -17,6 +19,8 @@
 const MAY_HAVE_RUN: u8 = 3;
 /// Exit code of a shutdown that cut off work in progress.
 const CUT_OFF: u8 = 4;
+/// Exit code of a job without an outcome.
+const NO_OUTCOME: u8 = 5;
 
 /// Runs a subcommand.
 pub(crate) fn run(command: Command) -> Result<ExitCode> {
@@ -24,6 +28,7 @@
         Command::Entry { settings } => entry::run(&settings),
         Command::Agent { settings } => agent::run(&settings),
         Command::Config(command) => config::run(command),
+        Command::Job(command) => job::run(command),
         Command::Status { entry } => status::run(&entry),
     }
 }
