Bound the jobs of a cell, space their retries, and describe them

Ruled out: counting the jobs in the store at each submission (one listing per submission); the retry budget of the client account, which lives at the entry and not at the owner. The number of attempts bounds the retries instead.

Change: the directory carries the number of jobs without an outcome, and the entry refuses at `policy.queue_limit`. Retries wait 0.5 s to 8 s. Errors of calls on a job say "may have run".

--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -21,6 +21,8 @@
 pub(crate) struct EntryBoard {
     /// The owners of all cells; written by the directory controller.
     pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
+    /// Asynchronous jobs without an outcome in each cell; written by the directory controller.
+    pub(crate) live_jobs: Section<IndexMap<CellId, u32>>,
 }
 
 /// The shared parts of the entry.
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -112,6 +112,9 @@
         cx.entry_board.owners.update(|owners| {
             owners.insert(learned.cell.clone(), learned.owner);
         });
+        cx.entry_board.live_jobs.update(|jobs| {
+            jobs.insert(learned.cell.clone(), learned.directory.live_jobs);
+        });
         directories.insert(learned.cell, learned.directory);
         cx.board
             .membership
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -16,6 +16,8 @@
 
 /// When a caller should try again while the store is down; its outages last long.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// When a caller should try again while the cell has too many jobs, most of which take hours.
+const QUEUE_RETRY_AFTER: Duration = Duration::from_mins(1);
 /// When a caller should ask again for a result that is not there yet.
 const RESULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Changes of the record by others that one cancellation tolerates; a job changes a few times in its life.
@@ -46,6 +48,7 @@
         cx.settings.cell.clone()
     };
     check_feasible(cx, &cell, request.shape.as_ref())?;
+    check_queue(cx, &cell)?;
     let job = Job::<Accepted>::accept(request, body, keyed, SystemTime::now());
     let job = jobs::submit(&*cx.store, &cell, job)
         .await
@@ -67,6 +70,18 @@
     }
 }
 
+/// Refuses a job while the cell has as many as the policy allows; the number is up to a second old.
+fn check_queue(cx: &Context, cell: &str) -> Result<()> {
+    let limit = cx.board.config.load().document.policy.queue_limit;
+    let live = cx.entry_board.live_jobs.load().get(cell).copied();
+    if live.unwrap_or_default() < limit {
+        return Ok(());
+    }
+    let message = format!("cell {cell} has {limit} jobs without an outcome");
+    let error = Error::not_run(ErrorKind::Overloaded, message);
+    Err(error.retry_after(QUEUE_RETRY_AFTER).report())
+}
+
 /// Returns the cell of a job with an idempotency key: that of the entry that saw the key first.
 async fn claim_cell(cx: &Context, id: JobId) -> Result<CellId> {
     let key = key_claim(id);
@@ -113,16 +128,25 @@
     cell: &str,
     id: JobId,
 ) -> Result<(Stored, model::Revision)> {
-    let found = jobs::read(&*cx.store, cell, id)
-        .await
-        .map_err(with_retry_after)?;
+    let found = jobs::read(&*cx.store, cell, id).await.map_err(about_job)?;
     found
         .filter(|(job, _)| job.head().request.account == *account)
         .ok_or_else(not_found)
 }
 
+/// A job that ended long ago is deleted, so its absence does not mean that it did not run.
 fn not_found() -> error_stack::Report<Error> {
-    Error::not_run(ErrorKind::NotFound, "there is no such job").report()
+    Error::may_have_run(ErrorKind::NotFound, "there is no such job").report()
+}
+
+/// A call on a job that fails says nothing about the job itself.
+fn about_job(report: error_stack::Report<Error>) -> error_stack::Report<Error> {
+    let report = with_retry_after(report);
+    Error {
+        verdict: Verdict::MayHaveRun,
+        ..report.current_context().clone()
+    }
+    .report()
 }
 
 /// Asks for the end of a job and returns its state; a job that ended stays as it is.
@@ -141,7 +165,7 @@
             }
         };
         let written = jobs::replace(&*cx.store, &cell, &next, revision).await;
-        if let Written::Done(_) = written.map_err(with_retry_after)? {
+        if let Written::Done(_) = written.map_err(about_job)? {
             return Ok(Visible {
                 id: id.into(),
                 job: next,
@@ -149,7 +173,7 @@
         }
     }
     let message = format!("key {}: changed too often", job_key(&cell, job));
-    Err(Error::not_run(ErrorKind::Conflict, message).report())
+    Err(Error::may_have_run(ErrorKind::Conflict, message).report())
 }
 
 /// What `GET /v1/jobs/{id}/result` finds.
--- a/components/owner/src/jobs/runner.rs
+++ b/components/owner/src/jobs/runner.rs
@@ -1,15 +1,15 @@
 //! The runner of one job: it moves the record from state to state until the job has its one outcome.
 
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use errors::{Error, ErrorKind, Verdict};
 use jobs::{
-    Accepted, Answered, Job, MAX_ANSWER_BYTES, Next, Run, Stored, chunk_count, chunks, result_key,
+    Accepted, Answered, Job, MAX_ANSWER_BYTES, MAX_ATTEMPTS, Next, Run, Stored, chunk_count,
+    chunks, result_key,
 };
 use model::{JobId, Request, Revision};
-use policy::retry::retry_delay;
 use wire::Answer;
 
 use crate::context::Context;
@@ -21,6 +21,9 @@
 /// A larger body is read again when it is needed, so that waiting jobs use little memory.
 const KEPT_BODY_BYTES: usize = 64 * 1024;
 
+/// The delay before the second attempt. All delays together outlast the 3 s after which a dead agent leaves the directory.
+const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// A record with its revision; none after somebody else changed it.
 type Current = Option<(Stored, Revision)>;
 
@@ -48,7 +51,7 @@
 
 fn end(cx: &Context, stored: &Stored, revision: Revision) -> Seen {
     let head = stored.head();
-    if head.request.shape.is_some() {
+    if head.request.shape.is_some() && matches!(stored, Stored::Refused(_)) {
         // The placement may have queued the job again after a failed attempt.
         give_back(cx, head.request.id);
     }
@@ -111,16 +114,18 @@
 async fn wait_for_place(cx: &Context, job: &Job<Accepted>) -> Result<Target, Error> {
     let request = remaining_request(job);
     if job.state.attempts > 0 {
-        let rng = &mut fastrand::Rng::new();
-        let delay = retry_delay(job.state.attempts, request.timeout, rng);
-        cx.timer
-            .subscribe_after(delay.unwrap_or(request.timeout))
-            .recv()
-            .await;
+        let delay = retry_delay(job.state.attempts).min(request.timeout);
+        cx.timer.subscribe_after(delay).recv().await;
     }
     choose(cx, remaining_request(job)).await
 }
 
+/// Doubles with each attempt; the random half keeps jobs that failed together apart.
+fn retry_delay(attempts: u32) -> Duration {
+    let full = FIRST_RETRY_DELAY * (1 << attempts.saturating_sub(1).min(MAX_ATTEMPTS));
+    full.mul_f64(0.5 + 0.5 * fastrand::f64())
+}
+
 fn run_at(cx: &Context, job: &Job<Accepted>, target: &Target) -> Run {
     Run {
         attempt: job.state.attempts + 1,
--- a/components/owner/src/jobs/target.rs
+++ b/components/owner/src/jobs/target.rs
@@ -59,11 +59,16 @@
     }
 }
 
-/// Returns whether the refusal came from a fleet that is not yet known or from a queue that is full.
+/// Returns whether the job may be queued again: the fleet is not yet known, the queue is full, or the refusal is about
+/// the gang of an earlier attempt, whose end the record knows already.
 fn may_change(cx: &Context, error: &Error) -> bool {
     match error.kind {
         ErrorKind::Infeasible => !is_settled(cx),
-        ErrorKind::Overloaded | ErrorKind::Unavailable => true,
+        ErrorKind::Overloaded
+        | ErrorKind::Unavailable
+        | ErrorKind::Draining
+        | ErrorKind::Stopped
+        | ErrorKind::Failed => true,
         _ => false,
     }
 }
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -117,6 +117,7 @@
         version,
         epoch: membership.epoch,
         revision: cx.board.config.load().revision,
+        live_jobs: u32::try_from(cx.jobs.load().live.len()).unwrap_or(u32::MAX),
         endpoints: entries(&membership),
         free: fleet
             .free
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -332,6 +332,8 @@
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
     pub free: Resources,
+    /// Asynchronous jobs without an outcome.
+    pub live_jobs: u32,
 }
 
 /// The owner of a cell, also the value of the key `cells/<cell>`.
