--- /dev/null
+++ b/tests/jobs/failures.rs
@@ -0,0 +1,152 @@
+//! Jobs while processes and the store fail.
+
+use std::time::Duration;
+
+use harness::{Result, Submission};
+use serde_json::json;
+
+use crate::cluster::{Cluster, LIMIT, gang, submission};
+
+/// Guards against a second run or a lost outcome when the owner is killed while jobs run.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_keeps_running_jobs() -> Result<()> {
+    let mut cluster = Cluster::start(2, 3).await?;
+    let (owner, other) = cluster.owner_and_other().await?;
+    let mut ids = Vec::new();
+    for idempotent in [true, false] {
+        for job in [
+            submission(json!({"run_ms": 6000})),
+            gang(json!({"run_ms": 6000})),
+        ] {
+            let job = Submission {
+                idempotent: Some(idempotent),
+                // Smaller than the rack, so that both gangs run at once.
+                shape: job
+                    .shape
+                    .map(|_| json!({"tasks": 8, "accelerators": 1, "adjacency": "rack"})),
+                ..job
+            };
+            ids.push(cluster.accept(other, &job).await?);
+        }
+    }
+    for id in &ids {
+        cluster.wait_until_run(other, id).await?;
+    }
+    // Needs all accelerators, so it waits behind the running gangs.
+    let all = Submission {
+        shape: Some(json!({"tasks": 24, "accelerators": 1, "adjacency": "rack"})),
+        ..submission(json!({"run_ms": 1}))
+    };
+    let queued = cluster.accept(other, &all).await?;
+    ids.push(queued.clone());
+    let name = format!("entry-{owner}");
+    cluster.deployment.entries[&*name].kill()?;
+    for id in &ids {
+        let body = cluster
+            .wait_for(other, id, &["answered", "refused"])
+            .await?;
+        assert_eq!(body["state"], "answered", "{body}");
+        assert_eq!(cluster.result(other, id).await?.status(), 200);
+        assert_eq!(cluster.runs(id).await?, 1, "job {id} ran once");
+        // Reservations that running gangs refuse are no attempts, but a start that times out is one.
+        let attempts = if *id == queued { 1..=5 } else { 1..=1 };
+        assert!(
+            attempts.contains(&body["attempt"].as_u64().unwrap_or_default()),
+            "{body}"
+        );
+    }
+    Ok(())
+}
+
+/// Guards against a false verdict when the agent dies with the jobs: only the idempotent one runs again.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_killed_repeats_only_idempotent_jobs() -> Result<()> {
+    let mut cluster = Cluster::start(1, 1).await?;
+    let job = |idempotent| Submission {
+        idempotent: Some(idempotent),
+        ..submission(json!({"run_ms": 3000}))
+    };
+    let safe = cluster.accept(0, &job(true)).await?;
+    let unsafe_ = cluster.accept(0, &job(false)).await?;
+    cluster.wait_until_run(0, &safe).await?;
+    cluster.wait_until_run(0, &unsafe_).await?;
+    cluster.deployment.agents["agent-0"].kill()?;
+    cluster.deployment.restart("agent-0")?;
+    let body = cluster
+        .wait_for(0, &unsafe_, &["answered", "refused"])
+        .await?;
+    assert_eq!(body["verdict"], "may_have_run", "{body}");
+    let body = cluster.wait_for(0, &safe, &["answered", "refused"]).await?;
+    assert_eq!(
+        (&body["state"], &body["attempt"]),
+        (&json!("answered"), &json!(2)),
+        "{body}"
+    );
+    assert_eq!(
+        (cluster.runs(&safe).await?, cluster.runs(&unsafe_).await?),
+        (2, 1)
+    );
+    Ok(())
+}
+
+/// Guards against a lost outcome or a second run when processes leave gracefully while a job runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_hands_over_running_job() -> Result<()> {
+    let mut cluster = Cluster::start(2, 1).await?;
+    let (owner, other) = cluster.owner_and_other().await?;
+    let id = cluster
+        .accept(other, &submission(json!({"run_ms": 4000})))
+        .await?;
+    cluster.wait_until_run(other, &id).await?;
+    for name in ["agent-0".into(), format!("entry-{owner}")] {
+        let agents = &cluster.deployment.agents;
+        let process = agents
+            .get(&*name)
+            .or(cluster.deployment.entries.get(&*name));
+        process.ok_or("process")?.signal("TERM")?;
+    }
+    let agent = &mut cluster.deployment.agents["agent-0"];
+    assert!(agent.wait(LIMIT).await?.success());
+    let body = cluster
+        .wait_for(other, &id, &["answered", "refused"])
+        .await?;
+    assert_eq!(body["state"], "answered", "{body}");
+    assert_eq!(cluster.runs(&id).await?, 1);
+    Ok(())
+}
+
+/// Guards against an outcome that an outage of the store loses or decides, and against an owner that resumes after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_and_frozen_owner_keep_one_outcome() -> Result<()> {
+    let cluster = Cluster::start(2, 1).await?;
+    let (owner, other) = cluster.owner_and_other().await?;
+    let id = cluster
+        .accept(other, &submission(json!({"run_ms": 1500})))
+        .await?;
+    cluster.wait_until_run(other, &id).await?;
+    cluster.store_faults(json!({"outage": "hang"})).await?;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.store_faults(json!({})).await?;
+    cluster.wait_for(other, &id, &["answered"]).await?;
+
+    let frozen = cluster
+        .accept(other, &submission(json!({"run_ms": 2000})))
+        .await?;
+    cluster.wait_until_run(other, &frozen).await?;
+    let process = &cluster.deployment.entries[&*format!("entry-{owner}")];
+    process.signal("STOP")?;
+    let body = cluster
+        .wait_for(other, &frozen, &["answered", "refused"])
+        .await;
+    process.signal("CONT")?;
+    assert_eq!(body?["state"], "answered");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for id in [&id, &frozen] {
+        let body = cluster.state(other, id).await?;
+        assert_eq!(
+            (&body["state"], cluster.runs(id).await?),
+            (&json!("answered"), 1)
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/jobs/submit.rs
@@ -0,0 +1,182 @@
+//! Submission, result, cancellation and visibility.
+
+use std::time::{Duration, Instant};
+
+use harness::{Result, Submission};
+use reqwest::Method;
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, gang, submission};
+
+/// Guards against a break between submission and result, without and with a gang, and against unbounded store calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_ends_with_whole_answer() -> Result<()> {
+    let cluster = Cluster::start(1, 3).await?;
+    for job in [
+        submission(json!({"run_ms": 100})),
+        gang(json!({"run_ms": 100})),
+    ] {
+        let before = cluster.store_writes().await?;
+        let id = cluster.accept(0, &job).await?;
+        let early = cluster.result(0, &id).await?;
+        assert_eq!(early.status(), 425);
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let after = cluster.store_writes().await?;
+        let body = cluster.wait_for(0, &id, &["answered", "refused"]).await?;
+        assert_eq!(
+            (&body["verdict"], &body["attempt"]),
+            (&json!("ran"), &json!(1)),
+            "{body}"
+        );
+        let result = cluster.result(0, &id).await?;
+        assert_eq!(
+            (
+                result.status().as_u16(),
+                result.headers()["limpethook-verdict"].to_str()?
+            ),
+            (200, "ran")
+        );
+        let echo: Value = result.json().await?;
+        assert_eq!(echo["request"], id.rsplit('.').next().unwrap_or_default());
+        let calls = (after.0 - before.0, after.1 - before.1);
+        println!("store calls of one job: {} get, {} put", calls.0, calls.1);
+        assert!(calls.0 <= 6 && calls.1 <= 4, "{calls:?}");
+    }
+    Ok(())
+}
+
+/// Guards against an answer over one value of the store that is cut, and against a body that is too large.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_stores_large_answer_in_chunks() -> Result<()> {
+    let cluster = Cluster::start(1, 1).await?;
+    let id = cluster
+        .accept(0, &submission(json!({"answer_bytes": 2_500_000})))
+        .await?;
+    cluster.wait_for(0, &id, &["answered"]).await?;
+    let echo: Value = cluster.result(0, &id).await?.json().await?;
+    assert_eq!(echo["filler"].as_str().map(str::len), Some(2_500_000));
+    // A body over 64 KB leaves the owner's memory while the job waits.
+    let body = json!("x".repeat(800_000));
+    let heavy = cluster.accept(0, &submission(body.clone())).await?;
+    cluster.wait_for(0, &heavy, &["answered"]).await?;
+    let echo: Value = cluster.result(0, &heavy).await?.json().await?;
+    let digest = blake3::hash(body.to_string().as_bytes()).to_hex();
+    assert_eq!(echo["digest"], digest.as_str());
+    let large = submission(json!("x".repeat(900_001)));
+    let res = cluster.submit(0, &large).await?;
+    assert_eq!(res.status(), 413);
+    Ok(())
+}
+
+/// Guards against an accepted job without a record, and against a wrong verdict, while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_refuses_while_store_is_down() -> Result<()> {
+    let cluster = Cluster::start(1, 1).await?;
+    cluster.store_faults(json!({"outage": "refuse"})).await?;
+    let res = cluster.submit(0, &submission(json!({}))).await?;
+    assert_eq!(res.status(), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    let body: Value = res.json().await?;
+    assert_eq!(body["error"]["verdict"], "not_run");
+    let sync = cluster
+        .caller
+        .submit(cluster.url(0), &submission(json!({})))
+        .await;
+    assert!(sync.is_answered(), "the synchronous path goes on: {sync:?}");
+    Ok(())
+}
+
+/// Guards against a second job after a lost answer of the store and after a repeated submission.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_survives_lost_answer_and_repetition() -> Result<()> {
+    let cluster = Cluster::start(2, 1).await?;
+    let keyed = Submission {
+        idempotency_key: Some("k-1".into()),
+        ..submission(json!({"run_ms": 50}))
+    };
+    cluster
+        .store_faults(json!({"lost_answers": {"count": 3}}))
+        .await?;
+    let id = cluster.accept(0, &keyed).await?;
+    cluster.store_faults(json!({})).await?;
+    assert_eq!(cluster.accept(1, &keyed).await?, id);
+    cluster.wait_for(0, &id, &["answered"]).await?;
+    assert_eq!(
+        cluster.accept(0, &keyed).await?,
+        id,
+        "an ended job keeps its key"
+    );
+    let other = Submission {
+        body: json!({"run_ms": 51}),
+        ..keyed
+    };
+    assert_eq!(cluster.submit(0, &other).await?.status(), 409);
+    assert_eq!(cluster.runs(&id).await?, 1);
+    Ok(())
+}
+
+/// Guards against a cancelled job that runs on, or that runs after "not run", with and without a gang.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_ends_queued_and_running_jobs() -> Result<()> {
+    let cluster = Cluster::start(1, 2).await?;
+    // Both jobs want all 16 accelerators, so that the second one waits.
+    let running = cluster.accept(0, &gang(json!({"run_ms": 30_000}))).await?;
+    cluster.wait_until_run(0, &running).await?;
+    let queued = cluster.accept(0, &gang(json!({"run_ms": 1}))).await?;
+    let short = cluster
+        .accept(0, &submission(json!({"run_ms": 30_000})))
+        .await?;
+    cluster.wait_until_run(0, &short).await?;
+    for (id, verdict) in [
+        (&queued, "not_run"),
+        (&running, "may_have_run"),
+        (&short, "may_have_run"),
+    ] {
+        let started = Instant::now();
+        for _ in 0..2 {
+            let res = cluster.call_as("faro", 0, Method::DELETE, id).await?;
+            assert_eq!(res.status(), 200, "cancellation is idempotent");
+        }
+        let body = cluster.wait_for(0, id, &["refused", "answered"]).await?;
+        println!("cancelled after {:?}: {body}", started.elapsed());
+        assert_eq!(
+            (&body["state"], &body["verdict"]),
+            (&json!("refused"), &json!(verdict)),
+            "{body}"
+        );
+        assert_eq!(cluster.result(0, id).await?.status(), 409);
+    }
+    assert_eq!(cluster.runs(&queued).await?, 0);
+    let next = cluster.accept(0, &gang(json!({"run_ms": 1}))).await?;
+    cluster.wait_for(0, &next, &["answered"]).await?;
+    Ok(())
+}
+
+/// Guards against one client account that learns of or changes another's job.
+#[tokio::test(flavor = "multi_thread")]
+async fn find_hides_jobs_of_other_accounts() -> Result<()> {
+    let cluster = Cluster::start(1, 1).await?;
+    let id = cluster
+        .accept(0, &submission(json!({"run_ms": 500})))
+        .await?;
+    let unknown = format!("caribe.{}", "0".repeat(32));
+    for (method, path) in [
+        (Method::GET, id.clone()),
+        (Method::GET, format!("{id}/result")),
+        (Method::DELETE, id.clone()),
+        (Method::GET, unknown),
+        (Method::GET, "nonsense".into()),
+    ] {
+        let res = cluster.call_as("puerto", 0, method, &path).await?;
+        let status = res.status();
+        let body: Value = res.json().await?;
+        assert_eq!(
+            (status.as_u16(), &body["error"]["message"]),
+            (404, &json!("there is no such job")),
+            "{path}"
+        );
+    }
+    let body = cluster.wait_for(0, &id, &["answered", "refused"]).await?;
+    assert_eq!(body["state"], "answered");
+    Ok(())
+}
