Read a stored answer without a second copy

Cause: the entry held the chunks and the joined answer at once, 58 MB for the largest answer of 28.8 MB.

Ruled out: streaming the chunks to the caller, because the whole answer is checked before the caller gets a byte.

Change: chunks are appended to one buffer of the recorded length, which is then checked. The job test of damaged answers keeps its cases.

The memory was not measured; 28.8 MB and one chunk follow from the code.

Conclusion: one buffer for each result that is read.

--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, SystemTime};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use errors::{Error, ErrorKind, Result, Verdict};
 use jobs::{
-    Accepted, Answered, Job, MAX_BODY_BYTES, Stored, Written, job_key, join_chunks, key_claim,
-    parse_public_id, public_id, result_key,
+    Accepted, Answered, Job, MAX_ANSWER_BYTES, MAX_BODY_BYTES, Stored, Written, check_answer,
+    job_key, key_claim, parse_public_id, public_id, result_key,
 };
 use model::{AccountId, CellId, JobId};
 use store::{Confirmed, Expect, PutRequest, put_confirmed};
@@ -195,16 +195,17 @@
         Stored::Refused(job) => return Ok(Outcome::Refused(job.state.error)),
         unfinished => return Ok(Outcome::Pending(pending(&unfinished))),
     };
-    let mut chunks = Vec::new();
+    let length = usize::try_from(answered.length).unwrap_or_default();
+    let mut body = BytesMut::with_capacity(length.min(MAX_ANSWER_BYTES));
     for n in 0..answered.chunks {
         let key = result_key(&cell, job_id, answered.attempt, n);
         match cx.store.get(&key).await {
-            Ok(Some(entry)) => chunks.push(entry.value),
+            Ok(Some(entry)) => body.extend_from_slice(&entry.value),
             Ok(None) => break,
             Err(report) => return Err(ran_but_unreadable(report.current_context())),
         }
     }
-    let body = join_chunks(&answered, &chunks)?;
+    let body = check_answer(&answered, body.freeze())?;
     Ok(Outcome::Answer(answered, body))
 }
 
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -15,6 +15,6 @@
     Accepted, Answered, Cancelling, Head, Job, MAX_ATTEMPTS, MAX_BODY_BYTES, Next, Refused, Run,
     Running, fingerprint,
 };
-pub use results::{CHUNK_BYTES, MAX_ANSWER_BYTES, chunk_count, chunks, join_chunks};
+pub use results::{CHUNK_BYTES, MAX_ANSWER_BYTES, check_answer, chunk_count, chunks};
 pub use stored::{Stored, decode, encode};
 pub use write::{Written, read, replace, submit};
--- a/components/jobs/src/results.rs
+++ b/components/jobs/src/results.rs
@@ -1,6 +1,6 @@
 //! Answers in chunks that fit one value of the store.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use errors::{Error, ErrorKind, Result};
 
 use crate::record::Answered;
@@ -21,13 +21,8 @@
     starts.map(|start| body.slice(start..body.len().min(start + CHUNK_BYTES)))
 }
 
-/// Joins the chunks and checks length and digest of the whole.
-pub fn join_chunks(answered: &Answered, chunks: &[Bytes]) -> Result<Bytes> {
-    let mut body = BytesMut::new();
-    for chunk in chunks {
-        body.extend_from_slice(chunk);
-    }
-    let body = body.freeze();
+/// Checks length and digest of a whole answer.
+pub fn check_answer(answered: &Answered, body: Bytes) -> Result<Bytes> {
     if body.len() as u64 != answered.length || *blake3::hash(&body).as_bytes() != answered.digest {
         let message = "the stored answer failed its check of length and digest";
         return Err(Error::ran(ErrorKind::Corrupt, message).report());
--- a/components/jobs/tests/record.rs
+++ b/components/jobs/tests/record.rs
@@ -7,7 +7,7 @@
 use errors::{Error, ErrorKind, Verdict};
 use jobs::{
     Answered, CHUNK_BYTES, MAX_ATTEMPTS, MAX_BODY_BYTES, Next, Outcome, Outcomes, Stored,
-    chunk_count, chunks, decode, encode, join_chunks, parse_public_id, public_id,
+    check_answer, chunk_count, chunks, decode, encode, parse_public_id, public_id,
 };
 
 mod common;
@@ -106,16 +106,19 @@
 
 /// Guards against a cut, mixed or reordered answer.
 #[test]
-fn join_chunks_refuses_damage() {
+fn check_answer_refuses_damage() {
     let numbers = (0u32..).flat_map(u32::to_le_bytes);
     let body: Bytes = numbers.take(2 * CHUNK_BYTES + 5).collect();
     let answered = answered(&body);
     let whole: Vec<Bytes> = chunks(&body).collect();
     assert_eq!((whole.len(), answered.chunks), (3, 3));
-    assert_eq!(join_chunks(&answered, &whole).unwrap(), body);
+    assert_eq!(
+        check_answer(&answered, whole.concat().into()).unwrap(),
+        body
+    );
     let swapped = [whole[1].clone(), whole[0].clone(), whole[2].clone()];
     for damaged in [&whole[..2], &swapped[..]] {
-        let report = join_chunks(&answered, damaged).unwrap_err();
+        let report = check_answer(&answered, damaged.concat().into()).unwrap_err();
         assert_eq!(report.current_context().verdict, Verdict::Ran);
     }
 }
