Name the cancellation as the error of a cancelled job

Cause: a job that was cancelled while it ran ended with the error of its attempt.

Ruled out: a rule in the entry by message or state; the record itself should say how the job ended.

Change: the refusal of a cancelling job has the kind "cancelled" and keeps verdict and message of the attempt.

Conclusion: the kind no longer depends on how an agent names the stop.

--- a/components/jobs/src/record.rs
+++ b/components/jobs/src/record.rs
@@ -224,9 +224,10 @@
 }
 
 impl Job<Cancelling> {
-    /// Ends the job with the error of the stopped attempt.
+    /// Ends the job as cancelled, with the verdict and the message of the stopped attempt.
     pub fn refuse(self, error: Error, ended: SystemTime) -> Job<Refused> {
         let attempt = self.state.run.attempt;
+        let error = Error::new(error.verdict, ErrorKind::Cancelled, error.message);
         self.end(refused(attempt, error, ended))
     }
 
--- a/components/jobs/tests/record.rs
+++ b/components/jobs/tests/record.rs
@@ -95,6 +95,16 @@
     }
 }
 
+/// Guards against a cancelled job whose error names how its attempt was stopped and invites a retry.
+#[test]
+fn refuse_names_cancellation_and_keeps_verdict() {
+    let job = accepted(1, true, "b").start(run(1)).cancel();
+    let error = error(Verdict::MayHaveRun);
+    let refused = job.refuse(error, SystemTime::now()).state.error;
+    let expected = (ErrorKind::Cancelled, Verdict::MayHaveRun);
+    assert_eq!((refused.kind, refused.verdict), expected);
+}
+
 /// Guards against a retry after the deadline.
 #[test]
 fn fail_ends_late_job() {
