--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -123,6 +123,9 @@
         if learned.directory.recovering && directories.contains_key(&learned.cell) {
             continue;
         }
+        cx.entry_board.live_jobs.update(|jobs| {
+            jobs.insert(learned.cell.clone(), learned.directory.live_jobs);
+        });
         directories.insert(learned.cell, learned.directory);
         cx.board
             .membership
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -44,6 +44,7 @@
         incarnation: target.incarnation,
         gang: target.gang,
         body: call.state.body.clone(),
+        detached: false,
     });
     let result = tokio::select! {
         result = cx.peers.call(target.addr, &message, limit) => result,
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod context;
 mod duty;
+mod jobs;
 mod members;
 mod records;
 mod recovery;
@@ -58,6 +59,7 @@
         tokio::spawn(records::run(records_rx, Arc::clone(&cx)));
         tokio::spawn(scheduler::run(scheduler_rx, Arc::clone(&cx)));
         tokio::spawn(members::run(members_rx, Arc::clone(&cx)));
+        tokio::spawn(jobs::run(Arc::clone(&cx)));
         tokio::spawn(duty::run(Arc::clone(&cx)));
         Self { cx }
     }
@@ -67,6 +69,11 @@
         self.cx.epoch()
     }
 
+    /// Returns why no set of workers of the cell can hold the shape, if this process owns the cell and can tell.
+    pub fn infeasible_reason(&self, cell: &str, shape: &model::Shape) -> Option<Box<str>> {
+        jobs::infeasible_reason(&self.cx, cell, shape)
+    }
+
     /// Answers a call for the owner.
     pub async fn answer(&self, call: Call) -> Result<Reply> {
         serve::answer(&self.cx, call).await
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,8 @@
 mod agent;
 mod config;
 mod entry;
+mod job;
+mod job_client;
 mod replay;
 mod shutdown;
 mod status;
@@ -18,6 +20,8 @@
 const MAY_HAVE_RUN: u8 = 3;
 /// Exit code of a shutdown that cut off work in progress.
 const CUT_OFF: u8 = 4;
+/// Exit code of a job without an outcome.
+const NO_OUTCOME: u8 = 5;
 
 /// Runs a subcommand.
 pub(crate) fn run(command: Command) -> Result<ExitCode> {
@@ -30,6 +34,7 @@
             policy,
             format,
         } => replay::run(&traces, &policy, format),
+        Command::Job(command) => job::run(command),
         Command::Status { entry } => status::run(&entry),
     }
 }
