Answer work honestly when agents, workers, endpoints and the store fail

Change: a stopped request returns to the queue of its cell without a retry from the budget; "not run" is told only if it holds for every try; the blame section names the workers that failed a job and placement avoids them; the directory is answered only by the owner of the epoch. The blame section is up to date before the end of a gang is scheduled.

Ruled out: a larger retry budget for all errors, which would not bound retry storms at a failing endpoint.

--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -176,4 +176,6 @@
     pub proven: IndexSet<WorkerId>,
     /// Jobs that failed on several workers, with the reason.
     pub condemned: IndexMap<JobId, Box<str>>,
+    /// Jobs with the workers that failed their tasks; another try goes elsewhere.
+    pub failed_on: IndexMap<JobId, IndexSet<WorkerId>>,
 }
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use errors::{Error, ErrorKind, Result};
+use errors::{Error, ErrorKind, Result, Verdict};
 use model::{CellId, JobId};
 use tokio::time::timeout;
 use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
@@ -11,7 +11,7 @@
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
 use crate::dispatch::{Target, dispatch, unexpected_reply};
-use crate::retry::{is_useful, pause_before_retry};
+use crate::retry::{is_useful, pause_before_requeue, pause_before_retry, with_earlier_tries};
 
 /// Placements of one request before its error goes to the caller.
 const MAX_PLACEMENTS: u32 = 8;
@@ -37,19 +37,26 @@
 
 async fn run_placements(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
     let mut tries = 0;
+    let mut earlier = Verdict::NotRun;
     loop {
         tries += 1;
         let report = match place_and_dispatch(cx, call).await {
             Ok(answered) => return Ok(answered),
-            Err(report) => report,
+            Err(report) => with_earlier_tries(earlier, report),
         };
-        if tries == MAX_PLACEMENTS
-            || !is_useful(report.current_context())
-            || !pause_before_retry(cx, call, report.current_context(), tries).await
-        {
+        let error = report.current_context();
+        if tries == MAX_PLACEMENTS || !is_useful(error) || !pause(cx, call, error, tries).await {
             return Err(report);
         }
+        earlier = error.verdict;
+    }
+}
+
+async fn pause(cx: &Context, call: &Call<Admitted>, error: &Error, tries: u32) -> bool {
+    if error.kind == ErrorKind::Stopped {
+        return pause_before_requeue(cx, call, tries).await;
     }
+    pause_before_retry(cx, call, error, tries).await
 }
 
 fn cancel_everywhere(cx: &Context, job: JobId) {
@@ -179,7 +186,7 @@
 
 fn not_run(error: &Error) -> error_stack::Report<Error> {
     Error {
-        verdict: errors::Verdict::NotRun,
+        verdict: Verdict::NotRun,
         ..error.clone()
     }
     .report()
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -1,6 +1,7 @@
 //! Deciding on another try of a request.
 
-use errors::{Error, ErrorKind};
+use error_stack::Report;
+use errors::{Error, ErrorKind, Verdict};
 use policy::retry::{may_retry, retry_delay};
 
 use crate::call::{Admitted, Call};
@@ -20,6 +21,35 @@
     )
 }
 
+/// Returns the error for the caller: "not run" holds for the request only if it holds for every try.
+pub(crate) fn with_earlier_tries(earlier: Verdict, report: Report<Error>) -> Report<Error> {
+    let error = report.current_context();
+    if earlier == Verdict::NotRun || error.verdict != Verdict::NotRun {
+        return report;
+    }
+    let error = Error {
+        verdict: Verdict::MayHaveRun,
+        ..error.clone()
+    };
+    error.report()
+}
+
+/// Waits until a request whose gang stopped may return to the queue of its cell; false if it may not run again.
+///
+/// The owner stops gangs by its own decision and its queue bounds the work, so this takes nothing from the retry budget.
+pub(crate) async fn pause_before_requeue(cx: &Context, call: &Call<Admitted>, tries: u32) -> bool {
+    let Ok(remaining) = call.remaining(timer::now()) else {
+        return false;
+    };
+    let delay = retry_delay(tries, remaining, &mut fastrand::Rng::new());
+    let Some(delay) = delay.filter(|_| call.state.request.may_stop()) else {
+        return false;
+    };
+    cx.metrics.count_retry();
+    cx.timer.subscribe_after(delay).recv().await;
+    true
+}
+
 /// Waits until another try may be made; false if the verdict, the retry budget or the deadline forbids it.
 pub(crate) async fn pause_before_retry(
     cx: &Context,
--- a/components/entry/src/short.rs
+++ b/components/entry/src/short.rs
@@ -1,13 +1,13 @@
 //! Requests without a shape: an entry sends them straight to an agent.
 
-use errors::{Error, ErrorKind, Result};
+use errors::{Error, ErrorKind, Result, Verdict};
 use model::{Attempt, EndpointId};
 use policy::routing::{Route, choose_endpoint};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
 use crate::dispatch::{Target, dispatch};
-use crate::retry::{is_useful, pause_before_retry};
+use crate::retry::{is_useful, pause_before_retry, with_earlier_tries};
 
 /// Tries of one request before its error goes to the caller.
 const MAX_ATTEMPTS: Attempt = 4;
@@ -16,14 +16,16 @@
 pub(crate) async fn run(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut last = None;
+    let mut earlier = Verdict::NotRun;
     for attempt in 1..=MAX_ATTEMPTS {
         let Some(route) = choose(cx, call, &tried) else {
             break;
         };
         let report = match dispatch(cx, call, &target(&route, attempt)).await {
             Ok(answered) => return Ok(answered),
-            Err(report) => report,
+            Err(report) => with_earlier_tries(earlier, report),
         };
+        earlier = report.current_context().verdict;
         if !is_useful(report.current_context()) {
             return Err(report);
         }
--- a/components/harness/src/caller.rs
+++ b/components/harness/src/caller.rs
@@ -83,7 +83,9 @@
         let url = format!("{entry_url}/v1/services/{}/requests", submission.service);
         match self.request(&url, submission).send().await {
             Ok(res) => read_outcome(res, started).await,
-            Err(_) => broken(started),
+            // Without a connection nothing was sent, so the request was not accepted.
+            Err(e) if e.is_connect() => failed("not_connected", started),
+            Err(_) => failed("connection_broke", started),
         }
     }
 
@@ -149,7 +151,7 @@
     let request = header("limpethook-request-id");
     let ran: Box<str> = header("limpethook-verdict");
     let Ok(body) = res.bytes().await else {
-        return broken(started);
+        return failed("connection_broke", started);
     };
     let (verdict, kind) = if ran.is_empty() {
         error_fields(&body)
@@ -172,11 +174,11 @@
     (field("verdict"), field("kind"))
 }
 
-fn broken(started: Instant) -> Outcome {
+fn failed(kind: &str, started: Instant) -> Outcome {
     Outcome {
         status: 0,
         verdict: "unknown".into(),
-        kind: "connection_broke".into(),
+        kind: kind.into(),
         request: "".into(),
         body: Bytes::new(),
         elapsed: started.elapsed(),
--- a/components/harness/src/control.rs
+++ b/components/harness/src/control.rs
@@ -80,16 +80,21 @@
     /// Returns how often each request id started to run at any endpoint.
     pub async fn runs(&self) -> Result<IndexMap<Box<str>, u64>> {
         let mut sum: IndexMap<Box<str>, u64> = IndexMap::new();
-        for url in &self.endpoint_urls {
-            let page = self.read_control(&format!("{url}/control/runs")).await?;
-            let runs: IndexMap<Box<str>, u64> = serde_json::from_value(page["runs"].clone())?;
-            for (id, count) in runs {
+        for number in 0..self.endpoint_urls.len() {
+            for (id, count) in self.runs_at(number).await? {
                 *sum.entry(id).or_default() += count;
             }
         }
         Ok(sum)
     }
 
+    /// Returns how often each request id started to run at one endpoint.
+    pub async fn runs_at(&self, number: usize) -> Result<IndexMap<Box<str>, u64>> {
+        let url = format!("{}/control/runs", self.endpoint_urls[number]);
+        let page = self.read_control(&url).await?;
+        Ok(serde_json::from_value(page["runs"].clone())?)
+    }
+
     /// Returns the owner of the first cell as an entry sees it.
     pub async fn owner(&self, entry_url: &str) -> Result<OwnerView> {
         let status = self.status(entry_url).await?;
--- a/components/harness/src/fixtures.rs
+++ b/components/harness/src/fixtures.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Returns the submission with a key that makes its request id known in advance.
+pub fn keyed(submission: Submission, number: u64) -> Submission {
+    let mut body = submission.body;
+    body["number"] = number.into();
+    Submission {
+        idempotency_key: Some(format!("key-{number}").into()),
+        body,
+        ..submission
+    }
+}
+
 /// Returns a plan with one region and as many entries and agents as asked; each agent has one worker with 8 GPUs.
 pub fn one_region(entries: usize, agents: usize) -> Plan {
     Plan {
--- a/components/harness/src/tally.rs
+++ b/components/harness/src/tally.rs
@@ -28,6 +28,8 @@
     pub may_have_run: usize,
     /// Errors with the verdict "ran".
     pub ran: usize,
+    /// Requests that were not sent because their entry was gone.
+    pub not_connected: usize,
     /// Broken connections.
     pub broken: usize,
     /// Errors by kind.
@@ -62,6 +64,7 @@
             ("not_run", _) => self.not_run += 1,
             ("may_have_run", _) => self.may_have_run += 1,
             ("ran", _) => self.ran += 1,
+            _ if &*outcome.kind == "not_connected" => self.not_connected += 1,
             _ if outcome.status == 0 => self.broken += 1,
             _ => self.unclear.push(id.clone()),
         }
@@ -92,12 +95,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "answered={} not_run={} may_have_run={} ran={} broken={} doubled={} false_not_run={} foreign={} unclear={} \
+            "answered={} not_run={} may_have_run={} ran={} not_connected={} broken={} doubled={} false_not_run={} foreign={} unclear={} \
              kinds={:?}",
             self.answered,
             self.not_run,
             self.may_have_run,
             self.ran,
+            self.not_connected,
             self.broken,
             self.doubled.len(),
             self.false_not_run.len(),
--- a/components/owner/src/records.rs
+++ b/components/owner/src/records.rs
@@ -7,7 +7,7 @@
 use model::{Gang, GangId, JobId, Running, WorkerId};
 use policy::blame::{BlameController, Observation, TaskEvent};
 use policy::history::{HistoryController, Run, RunEnd};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use wire::GangEnded;
 
 use crate::context::Context;
@@ -24,6 +24,8 @@
     Reset,
     /// Something that the blame section counts.
     Observed(Observation),
+    /// Asks for an answer once all earlier events are in the sections.
+    Flush(oneshot::Sender<()>),
     /// A run that the history section counts.
     Ran(Run),
 }
@@ -43,6 +45,7 @@
             }
         }
         let (mut observations, mut runs) = (Vec::new(), Vec::new());
+        let mut flushes = Vec::new();
         for event in batch.drain(..) {
             match event {
                 RecordEvent::Reset => {
@@ -54,10 +57,14 @@
                 }
                 RecordEvent::Observed(observation) => observations.push(observation),
                 RecordEvent::Ran(run) => runs.push(run),
+                RecordEvent::Flush(tx) => flushes.push(tx),
             }
         }
         blame.observe(&cx.board, &observations, timer::now());
         history.observe_runs(&cx.board, &runs, timer::now());
+        for tx in flushes {
+            let _ = tx.send(());
+        }
     }
 }
 
@@ -66,11 +73,19 @@
     observe(cx, gang.job, workers(gang), TaskEvent::Started);
 }
 
-/// Records the end that a leader reports; the fleet section must still show the gang.
+/// Records the end that a leader reports and waits until the sections show it, so that the next try of the job is placed
+/// by them; the fleet section must still show the gang.
 ///
 /// Only a worker that is known to have failed a task is blamed. An answer clears all workers of the gang; other errors
 /// come from the endpoint, the caller or a lost process and say nothing about workers.
-pub(crate) fn ended(cx: &Context, ended: &GangEnded) {
+pub(crate) async fn ended(cx: &Context, ended: &GangEnded) {
+    note_end(cx, ended);
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.records.send(RecordEvent::Flush(tx));
+    let _ = rx.await;
+}
+
+fn note_end(cx: &Context, ended: &GangEnded) {
     let fleet = cx.board.fleet.load();
     let Some(gang) = fleet.running.get(&ended.gang) else {
         return;
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -35,7 +35,7 @@
                 .send(SchedulerEvent::Placement(Event::Cancelled(cancel.job)));
             Ok(Reply::Done)
         }
-        Call::GangEnded(ended) => gang_ended(cx, ended),
+        Call::GangEnded(ended) => gang_ended(cx, ended).await,
         Call::Directory { after } => directory(cx, after).await,
         _ => {
             Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report())
@@ -90,14 +90,14 @@
     }
 }
 
-fn gang_ended(cx: &Context, ended: GangEnded) -> Result<Reply> {
+async fn gang_ended(cx: &Context, ended: GangEnded) -> Result<Reply> {
     if ended.epoch > cx.epoch() {
         // The newer owner counts the gang until it hears of the end.
         let _ = cx.superseded.send(ended.epoch);
         let message = "a newer owner must hear of the end of the gang";
         return Err(Error::not_run(ErrorKind::StaleEpoch, message).report());
     }
-    records::ended(cx, &ended);
+    records::ended(cx, &ended).await;
     let end = match ended.error {
         None => GangEnd::Answered,
         Some(error) if error.kind == ErrorKind::Stopped => GangEnd::Stopped,
@@ -120,6 +120,10 @@
         Ok(Err(_)) | Err(_) => after,
     };
     let membership = cx.board.membership.load();
+    if membership.epoch != cx.epoch() || membership.epoch == 0 {
+        // The section was emptied with the ownership; the entry must keep the endpoints that it knows.
+        return Err(superseded());
+    }
     let fleet = cx.board.fleet.load();
     Ok(Reply::Directory(Directory {
         version,
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -6,6 +6,7 @@
 mod actions;
 mod adopt;
 mod apply;
+mod avoid;
 mod baseline;
 mod borrowers;
 mod check;
--- a/components/placement/src/rooms.rs
+++ b/components/placement/src/rooms.rs
@@ -34,6 +34,8 @@
     pub(crate) firm: bool,
     pub(crate) idempotent: bool,
     pub(crate) in_drain: bool,
+    /// Workers, in rising order, that the job must not use.
+    pub(crate) avoided: Vec<usize>,
 }
 
 impl Rooms {
--- a/components/placement/src/schedule.rs
+++ b/components/placement/src/schedule.rs
@@ -5,6 +5,7 @@
 use errors::{Error, ErrorKind};
 use model::{Job, JobId, Queued, Resources, Shape};
 
+use crate::avoid::avoided;
 use crate::cx::Cx;
 use crate::drain::{is_ready, reserve_window, review};
 use crate::fleet::{drop_hold, is_firm};
@@ -92,6 +93,7 @@
         firm: is_firm(&cx.queue, job.id()),
         idempotent: job.request.idempotent,
         in_drain: may_use_drain(cx, job),
+        avoided: avoided(cx, job.id(), shape),
     };
     if rooms.failed.len() >= MAX_FAILED_SEARCHES || rooms.failed.contains(&search) {
         return false;
@@ -140,6 +142,7 @@
     let needs_proven = rooms.masks.needs_proven(cx, shape, search.firm);
     let room: Room = (0..rooms.open.len())
         .filter(|worker| rooms.masks.allows(*worker, needs_proven))
+        .filter(|worker| search.avoided.binary_search(worker).is_err())
         .map(|worker| (worker, amount(cx, rooms, search, worker)))
         .collect();
     best_fit(&cx.layout, &room, shape, &rooms.weights)
--- a/components/policy/src/blame.rs
+++ b/components/policy/src/blame.rs
@@ -29,6 +29,9 @@
 /// Condemned jobs that are kept; the oldest is dropped.
 const MAX_CONDEMNED: usize = 4096;
 
+/// Jobs whose failed workers are kept; the oldest is dropped.
+const MAX_FAILED_JOBS: usize = 4096;
+
 /// What happened to a job on its workers.
 #[derive(Debug, Clone)]
 pub struct Observation {
@@ -117,8 +120,18 @@
     fn apply(&mut self, observation: &Observation, now: Instant) {
         match &observation.event {
             TaskEvent::Started => self.start_probes(observation, now),
-            TaskEvent::Succeeded => self.clear_workers(&observation.workers),
+            TaskEvent::Succeeded => {
+                self.changed |= self
+                    .blame
+                    .failed_on
+                    .shift_remove(&observation.job)
+                    .is_some();
+                self.clear_workers(&observation.workers);
+            }
             TaskEvent::Failed { culprit } => {
+                if let Some(culprit) = culprit {
+                    self.note_failed_on(observation.job, culprit);
+                }
                 let suspects = match culprit {
                     Some(culprit) => std::slice::from_ref(culprit),
                     None => &observation.workers,
@@ -128,6 +141,14 @@
         }
     }
 
+    fn note_failed_on(&mut self, job: JobId, worker: &WorkerId) {
+        let failed_on = &mut self.blame.failed_on;
+        self.changed |= failed_on.entry(job).or_default().insert(worker.clone());
+        if failed_on.len() > MAX_FAILED_JOBS {
+            failed_on.shift_remove_index(0);
+        }
+    }
+
     fn clear_workers(&mut self, workers: &[WorkerId]) {
         for worker in workers {
             if self.records.contains_key(worker) {
@@ -173,6 +194,7 @@
 
     fn condemn(&mut self, job: JobId, reason: Box<str>) {
         self.ledger.forget_job(job);
+        self.blame.failed_on.shift_remove(&job);
         self.blame.condemned.insert(job, reason);
         if self.blame.condemned.len() > MAX_CONDEMNED {
             self.blame.condemned.shift_remove_index(0);
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use harness::audit::{overbooked, partial_gangs};
-use harness::fixtures::{gang, idempotent, one_region, request};
-use harness::{Caller, Deployment, Outcome, Programs, Result, Submission};
+use harness::fixtures::{gang, idempotent, keyed, one_region, request};
+use harness::{Caller, Deployment, Load, Outcome, Programs, Result, Submission, Tally, wait_until};
 use serde_json::json;
 use tokio::task::JoinHandle;
 
@@ -173,3 +173,35 @@
     assert!(view.epoch > scene.epoch);
     scene.check().await
 }
+
+/// Guards against requests that a leaving entry cuts off, and against an entry that never ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_entry_under_load() -> Result<()> {
+    let mut scene = Scene::start(2).await?;
+    let load = Load::start(&scene.deployment.entry_urls, 16, |number| {
+        let submission = match number % 4 {
+            0 => gang(2, json!({"run_ms": 300})),
+            _ => request(json!({"run_ms": 100})),
+        };
+        keyed(submission, number)
+    })?;
+    let warm = async || {
+        let runs = scene.deployment.runs().await;
+        runs.is_ok_and(|runs| runs.len() > 100)
+    };
+    wait_until("the load runs", SOON, warm).await?;
+    let owner = scene.owner.clone();
+    scene.deployment.signal(&owner, "TERM")?;
+    let status = scene.deployment.process_mut(&owner)?.wait(SOON).await;
+    // The load goes on at the other entry, which takes the ownership over.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let finished = load.finish().await;
+    let tally = Tally::new(&finished, &scene.deployment.runs().await?);
+    println!("entry drain: {tally}");
+    assert!(status?.success(), "the entry ends with exit code 0");
+    assert!(tally.is_true(), "{tally:?}");
+    let refused = tally.kinds.get("draining").copied().unwrap_or(0);
+    let known = tally.answered + tally.not_connected + refused;
+    assert_eq!(known, finished.len(), "nothing is cut off: {tally}");
+    Ok(())
+}
