--- a/components/placement/tests/invariant.rs
+++ b/components/placement/tests/invariant.rs
@@ -223,11 +223,14 @@
 }
 
 // Guards against two faults that a longer search found: a drained window whose job got reserved capacity elsewhere
-// placed the job there, and a home kept what a gang held on a worker that had left and returned.
+// placed the job there, and a home kept what a gang held on a worker that had left and returned. The last two seeds
+// found a job placed in its drained window outside its claim, and homes that kept an accepted configuration unpacked.
 #[test]
 fn step_keeps_guarantees_on_known_seeds() {
     arbtest(|u| run(u, Strategy::Guarded, false)).seed(0x3084_7b05_0001_0000);
     arbtest(|u| run(u, Strategy::Guarded, true)).seed(0xdd53_e675_0001_0000);
+    arbtest(|u| run(u, Strategy::Guarded, false)).seed(0x6bfd_96e2_0001_0000);
+    arbtest(|u| run(u, Strategy::Guarded, false)).seed(0xaf45_0351_0000_0020);
 }
 
 // Guards against wrong counts when workers leave and return while gangs hold them.
