Move the calls on jobs from the tests into the harness

Change: tests/jobs/cluster.rs becomes harness::jobs. A submission that is not accepted, and a job that does not run, are errors of the harness instead of failed assertions; the tests fail on both as before.

--- a/tests/jobs/cluster.rs
+++ b/components/harness/src/jobs.rs
@@ -1,16 +1,18 @@
-//! A deployment and the calls on jobs.
+//! A deployment with one region and the calls on asynchronous jobs.
 
 use std::time::{Duration, Instant};
 
-use harness::fixtures::{TOKEN, one_region};
-use harness::{Caller, Deployment, Programs, Result, Submission};
 use reqwest::{Method, Response};
 use serde_json::{Value, json};
 
+use crate::fixtures::{TOKEN, one_region};
+use crate::{Caller, Deployment, Programs, Result, Submission};
+
 /// How long a job of a test may take, with a change of the owner.
-pub(crate) const LIMIT: Duration = Duration::from_secs(40);
+pub const LIMIT: Duration = Duration::from_secs(40);
 
-pub(crate) fn submission(body: Value) -> Submission {
+/// Returns a submission of the client account `faro` to the service `workshop`.
+pub fn submission(body: Value) -> Submission {
     Submission {
         service: "workshop".into(),
         account: "faro".into(),
@@ -21,20 +23,26 @@
     }
 }
 
-pub(crate) fn gang(body: Value) -> Submission {
+/// Returns the same with a gang of 16 tasks, which fills two workers.
+pub fn gang(body: Value) -> Submission {
     Submission {
         shape: Some(json!({"tasks": 16, "accelerators": 1, "adjacency": "rack"})),
         ..submission(body)
     }
 }
 
-pub(crate) struct Cluster {
-    pub(crate) deployment: Deployment,
-    pub(crate) caller: Caller,
+/// A deployment with a caller.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The processes.
+    pub deployment: Deployment,
+    /// The caller.
+    pub caller: Caller,
 }
 
 impl Cluster {
-    pub(crate) async fn start(entries: usize, agents: usize) -> Result<Self> {
+    /// Starts a deployment with one region.
+    pub async fn start(entries: usize, agents: usize) -> Result<Self> {
         let plan = one_region(entries, agents);
         Ok(Self {
             deployment: Deployment::start(&plan, &Programs::beside_current()?).await?,
@@ -42,29 +50,34 @@
         })
     }
 
-    pub(crate) fn url(&self, entry: usize) -> &str {
+    /// Returns the base URL of an entry.
+    pub fn url(&self, entry: usize) -> &str {
         &self.deployment.entry_urls[entry]
     }
 
-    pub(crate) async fn submit(&self, entry: usize, submission: &Submission) -> Result<Response> {
+    /// Submits a job.
+    pub async fn submit(&self, entry: usize, submission: &Submission) -> Result<Response> {
         let url = format!("{}/v1/services/workshop/jobs", self.url(entry));
         Ok(self.caller.request(&url, submission).send().await?)
     }
 
     /// Submits a job that must be accepted and returns its id.
-    pub(crate) async fn accept(&self, entry: usize, submission: &Submission) -> Result<String> {
+    pub async fn accept(&self, entry: usize, submission: &Submission) -> Result<String> {
         let res = self.submit(entry, submission).await?;
-        assert_eq!(res.status(), 202);
-        let location = res.headers()["location"].to_str()?.to_owned();
+        let status = res.status();
+        let location = res.headers().get("location").cloned();
         let id = res.json::<Value>().await?["id"]
             .as_str()
             .unwrap_or_default()
             .to_owned();
-        assert_eq!(location, format!("/v1/jobs/{id}"));
-        Ok(id)
+        if status == 202 && location.is_some_and(|at| at == format!("/v1/jobs/{id}")) {
+            return Ok(id);
+        }
+        Err(format!("not accepted: status {status}, id {id:?}").into())
     }
 
-    pub(crate) async fn call_as(
+    /// Makes a call on a job as a client account.
+    pub async fn call_as(
         &self,
         account: &str,
         entry: usize,
@@ -77,12 +90,14 @@
         Ok(req.send().await?)
     }
 
-    pub(crate) async fn state(&self, entry: usize, id: &str) -> Result<Value> {
+    /// Returns the state of a job.
+    pub async fn state(&self, entry: usize, id: &str) -> Result<Value> {
         let res = self.call_as("faro", entry, Method::GET, id).await?;
         Ok(res.json().await?)
     }
 
-    pub(crate) async fn wait_for(&self, entry: usize, id: &str, states: &[&str]) -> Result<Value> {
+    /// Waits until a job is in one of the states.
+    pub async fn wait_for(&self, entry: usize, id: &str, states: &[&str]) -> Result<Value> {
         let started = Instant::now();
         loop {
             let body = self.state(entry, id).await?;
@@ -96,18 +111,20 @@
         }
     }
 
-    pub(crate) async fn result(&self, entry: usize, id: &str) -> Result<Response> {
+    /// Asks for the result of a job.
+    pub async fn result(&self, entry: usize, id: &str) -> Result<Response> {
         self.call_as("faro", entry, Method::GET, &format!("{id}/result"))
             .await
     }
 
-    pub(crate) async fn store_faults(&self, faults: Value) -> Result<()> {
+    /// Sets the faults of the store.
+    pub async fn store_faults(&self, faults: &Value) -> Result<()> {
         let url = format!("{}/control/faults", self.deployment.store_url);
-        self.deployment.control(&url, &faults).await
+        self.deployment.control(&url, faults).await
     }
 
     /// Returns how often the endpoints ran a job.
-    pub(crate) async fn runs(&self, id: &str) -> Result<u64> {
+    pub async fn runs(&self, id: &str) -> Result<u64> {
         let request = id.rsplit('.').next().unwrap_or_default();
         let mut runs = 0;
         for url in &self.deployment.endpoint_urls {
@@ -121,18 +138,20 @@
     }
 
     /// Waits until a job runs at its endpoint.
-    pub(crate) async fn wait_until_run(&self, entry: usize, id: &str) -> Result<()> {
+    pub async fn wait_until_run(&self, entry: usize, id: &str) -> Result<()> {
         self.wait_for(entry, id, &["running"]).await?;
         let started = Instant::now();
         while self.runs(id).await? == 0 {
-            assert!(started.elapsed() < LIMIT, "job {id} does not run");
+            if started.elapsed() > LIMIT {
+                return Err(format!("job {id} does not run").into());
+            }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         Ok(())
     }
 
     /// Returns the number of the entry that owns the cell, and that of the other one.
-    pub(crate) async fn owner_and_other(&self) -> Result<(usize, usize)> {
+    pub async fn owner_and_other(&self) -> Result<(usize, usize)> {
         let status = self.deployment.status(self.url(0)).await?;
         let owner = status["cells"][0]["owner"]
             .as_str()
@@ -142,7 +161,8 @@
         Ok((owner, 1 - owner))
     }
 
-    pub(crate) async fn store_writes(&self) -> Result<(u64, u64)> {
+    /// Returns the reads of single keys and the writes that the store served.
+    pub async fn store_calls(&self) -> Result<(u64, u64)> {
         let url = format!("{}/control/counts", self.deployment.store_url);
         let counts = self.deployment.read_control(&url).await?;
         let count = |name: &str| counts[name].as_u64().unwrap_or_default();
--- a/components/harness/src/lib.rs
+++ b/components/harness/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod deployment;
 pub mod fixtures;
+pub mod jobs;
 mod plan;
 mod ports;
 mod process;
--- a/tests/jobs/attach.rs
+++ b/tests/jobs/attach.rs
@@ -4,12 +4,11 @@
 
 use errors::Verdict;
 use harness::Result;
+use harness::jobs::Cluster;
 use model::Request;
 use serde_json::{Value, json};
 use wire::{Attach, Call, Dispatch, Key, Peers, Reply};
 
-use crate::cluster::Cluster;
-
 const LIMIT: Duration = Duration::from_secs(2);
 
 fn settings(cluster: &Cluster, name: &str) -> Result<Value> {
--- a/tests/jobs/failures.rs
+++ b/tests/jobs/failures.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use harness::jobs::{Cluster, LIMIT, gang, submission};
 use harness::{Result, Submission};
 use serde_json::json;
 
-use crate::cluster::{Cluster, LIMIT, gang, submission};
-
 /// Guards against a second run or a lost outcome when the owner is killed while jobs run.
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_killed_keeps_running_jobs() -> Result<()> {
@@ -124,9 +123,9 @@
         .accept(other, &submission(json!({"run_ms": 1500})))
         .await?;
     cluster.wait_until_run(other, &id).await?;
-    cluster.store_faults(json!({"outage": "hang"})).await?;
+    cluster.store_faults(&json!({"outage": "hang"})).await?;
     tokio::time::sleep(Duration::from_secs(3)).await;
-    cluster.store_faults(json!({})).await?;
+    cluster.store_faults(&json!({})).await?;
     cluster.wait_for(other, &id, &["answered"]).await?;
 
     let frozen = cluster
--- a/tests/jobs/main.rs
+++ b/tests/jobs/main.rs
@@ -1,6 +1,5 @@
 //! Asynchronous jobs through separate processes.
 
 mod attach;
-mod cluster;
 mod failures;
 mod submit;
--- a/tests/jobs/submit.rs
+++ b/tests/jobs/submit.rs
@@ -2,12 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use harness::jobs::{Cluster, gang, submission};
 use harness::{Result, Submission};
 use reqwest::Method;
 use serde_json::{Value, json};
 
-use crate::cluster::{Cluster, gang, submission};
-
 /// Guards against a break between submission and result, without and with a gang, and against unbounded store calls.
 #[tokio::test(flavor = "multi_thread")]
 async fn submit_ends_with_whole_answer() -> Result<()> {
@@ -16,12 +15,12 @@
         submission(json!({"run_ms": 100})),
         gang(json!({"run_ms": 100})),
     ] {
-        let before = cluster.store_writes().await?;
+        let before = cluster.store_calls().await?;
         let id = cluster.accept(0, &job).await?;
         let early = cluster.result(0, &id).await?;
         assert_eq!(early.status(), 425);
         tokio::time::sleep(Duration::from_millis(1500)).await;
-        let after = cluster.store_writes().await?;
+        let after = cluster.store_calls().await?;
         let body = cluster.wait_for(0, &id, &["answered", "refused"]).await?;
         assert_eq!(
             (&body["verdict"], &body["attempt"]),
@@ -72,7 +71,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn submit_refuses_while_store_is_down() -> Result<()> {
     let cluster = Cluster::start(1, 1).await?;
-    cluster.store_faults(json!({"outage": "refuse"})).await?;
+    cluster.store_faults(&json!({"outage": "refuse"})).await?;
     let res = cluster.submit(0, &submission(json!({}))).await?;
     assert_eq!(res.status(), 503);
     assert!(res.headers().contains_key("retry-after"));
@@ -95,10 +94,10 @@
         ..submission(json!({"run_ms": 50}))
     };
     cluster
-        .store_faults(json!({"lost_answers": {"count": 3}}))
+        .store_faults(&json!({"lost_answers": {"count": 3}}))
         .await?;
     let id = cluster.accept(0, &keyed).await?;
-    cluster.store_faults(json!({})).await?;
+    cluster.store_faults(&json!({})).await?;
     assert_eq!(cluster.accept(1, &keyed).await?, id);
     cluster.wait_for(0, &id, &["answered"]).await?;
     assert_eq!(
