--- a/components/harness/src/lib.rs
+++ b/components/harness/src/lib.rs
@@ -5,6 +5,7 @@
 mod control;
 mod deployment;
 pub mod fixtures;
+pub mod jobs;
 mod load;
 mod plan;
 mod ports;
