Run a request once for all submissions with its idempotency key

Cause: Claim and Admitted::keyed existed but were not used, so two submissions with one key at two entries could both run.

Change: the entry claims the request at the owner of its home cell (membership::claims, one controller task at the owner); the agent runs it once and gives all submissions the same outcome (agent::shared, owned by the request controller). A claim leaves an agent only when the attempt surely does not run. After a takeover the entry looks for the request at all endpoint agents of the service, which refuse it under older epochs from then on; until the directories are complete (5 s) a keyed submission is refused as 'not run'. The home cell is chosen among the cells of all regions, because entries of two regions could both be granted otherwise. The owner lets several submissions wait for one placement.

Ruled out: claims that name the first entry, because its death would lose the answer; the store, which is never on this path; rebuilding claims from Announce alone, because the home cell may be another cell than that of the agent.

Conclusion: a key is safe against the loss of the owner, the entry or the agent; losing the home owner and the agent together loses the claim.

--- /dev/null
+++ b/components/agent/src/keyed.rs
@@ -0,0 +1,74 @@
+//! Dispatches of requests with an idempotency key.
+
+use std::sync::Arc;
+
+use errors::{Error, ErrorKind, Result};
+use fastrace::Span;
+use fastrace::future::FutureExt;
+use tokio::sync::{oneshot, watch};
+use wire::{Answer, ClaimTicket, Dispatch, FindRequest, FoundRequest};
+
+use crate::context::Context;
+use crate::dispatch::dispatch;
+use crate::requests::RequestEvent;
+use crate::shared::{Joined, Outcome, Publisher};
+
+/// Runs a request once and gives all its submissions the same outcome.
+///
+/// It goes on when a caller leaves, because the caller may come back with the same key.
+pub(crate) async fn dispatch_keyed(
+    cx: &Arc<Context>,
+    dispatch: Dispatch,
+    ticket: ClaimTicket,
+) -> Result<Answer> {
+    let (tx, rx) = oneshot::channel();
+    let request = dispatch.request.id;
+    let _ = cx.requests.send(RequestEvent::Join {
+        request,
+        ticket,
+        tx,
+    });
+    let joined = rx.await.unwrap_or_else(|_| Err(ended()))?;
+    let outcome = match joined {
+        Joined::Attach(outcome) => outcome,
+        Joined::Run(publisher) => {
+            let outcome = publisher.subscribe();
+            let span = Span::enter_with_local_parent("agent_run");
+            let running = run(Arc::clone(cx), dispatch, publisher).in_span(span);
+            tokio::spawn(running);
+            outcome
+        }
+    };
+    wait(outcome).await
+}
+
+async fn run(cx: Arc<Context>, req: Dispatch, publisher: Publisher) {
+    let request = req.request.id;
+    let result = dispatch(&cx, req).await;
+    let outcome = result.map_err(|report| report.current_context().clone());
+    let _ = cx.requests.send(RequestEvent::Done {
+        request,
+        outcome: Box::new(outcome),
+        publisher,
+    });
+}
+
+async fn wait(mut outcome: watch::Receiver<Option<Outcome>>) -> Result<Answer> {
+    match outcome.wait_for(Option::is_some).await.as_deref() {
+        Ok(Some(Ok(answer))) => Ok(answer.clone()),
+        Ok(Some(Err(error))) => Err(error.clone().report()),
+        Ok(None) | Err(_) => Err(ended()),
+    }
+}
+
+/// Looks for a request that an earlier owner may have sent here.
+pub(crate) async fn find(cx: &Context, find: FindRequest) -> Result<Option<FoundRequest>> {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.requests.send(RequestEvent::Find { find, tx });
+    rx.await.unwrap_or_else(|_| Err(ended()))
+}
+
+fn ended() -> error_stack::Report<Error> {
+    let message = "the request controller ended";
+    Error::may_have_run(ErrorKind::Internal, message).report()
+}
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -6,11 +6,13 @@
 mod drain;
 mod endpoint;
 mod gangs;
+mod keyed;
 mod link;
 mod metrics;
 mod requests;
 mod run;
 mod serve;
+mod shared;
 mod slots;
 mod tasks;
 
--- a/components/agent/src/requests.rs
+++ b/components/agent/src/requests.rs
@@ -9,7 +9,9 @@
 use model::{Epoch, RequestId};
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
-use wire::RecordedAttempt;
+use wire::{ClaimTicket, FindRequest, FoundRequest, RecordedAttempt};
+
+use crate::shared::{Joined, Outcome, Publisher, SharedRequests};
 
 /// Attempts that the record holds, about 20 MB.
 const RECORD_LIMIT: usize = 262_144;
@@ -41,6 +43,23 @@
         id: AttemptId,
         tx: oneshot::Sender<Report<Error>>,
     },
+    /// A submission of a request with an idempotency key arrived.
+    Join {
+        request: RequestId,
+        ticket: ClaimTicket,
+        tx: oneshot::Sender<Result<Joined>>,
+    },
+    /// A request with an idempotency key ended.
+    Done {
+        request: RequestId,
+        outcome: Box<Outcome>,
+        publisher: Publisher,
+    },
+    /// An entry looks for a request that an earlier owner may have sent here.
+    Find {
+        find: FindRequest,
+        tx: oneshot::Sender<Result<Option<FoundRequest>>>,
+    },
     /// The attempts that began, for the owner.
     Recorded {
         tx: oneshot::Sender<Vec<RecordedAttempt>>,
@@ -51,9 +70,42 @@
 pub(crate) async fn run(mut rx: mpsc::UnboundedReceiver<RequestEvent>, incarnation: u64) {
     let mut attempts = Attempts::start(incarnation, RECORD_LIMIT);
     let mut running: IndexMap<RequestId, CancellationToken> = IndexMap::new();
+    let mut shared = SharedRequests::default();
     while let Some(event) = rx.recv().await {
-        apply(event, &mut attempts, &mut running, timer::now());
+        if let Some(event) = apply_shared(event, &mut shared, timer::now()) {
+            apply(event, &mut attempts, &mut running, timer::now());
+        }
+    }
+}
+
+/// Applies an event of a request with an idempotency key, or returns another one.
+fn apply_shared(
+    event: RequestEvent,
+    shared: &mut SharedRequests,
+    now: Instant,
+) -> Option<RequestEvent> {
+    match event {
+        RequestEvent::Join {
+            request,
+            ticket,
+            tx,
+        } => {
+            let _ = tx.send(shared.join(request, &ticket, now));
+        }
+        RequestEvent::Done {
+            request,
+            outcome,
+            publisher,
+        } => {
+            shared.done(request, &outcome, now);
+            publisher.send_replace(Some(*outcome));
+        }
+        RequestEvent::Find { find, tx } => {
+            let _ = tx.send(shared.find(&find, now));
+        }
+        other => return Some(other),
     }
+    None
 }
 
 fn apply(
@@ -88,5 +140,6 @@
             let recorded = recorded.map(|(request, attempt)| RecordedAttempt { request, attempt });
             let _ = tx.send(recorded.collect());
         }
+        RequestEvent::Join { .. } | RequestEvent::Done { .. } | RequestEvent::Find { .. } => {}
     }
 }
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 use crate::dispatch::dispatch;
 use crate::gangs::{GangEvent, ReplyTo};
+use crate::keyed::{dispatch_keyed, find};
 use crate::requests::RequestEvent;
 
 /// Answers one call.
@@ -42,7 +43,11 @@
 
 async fn handle(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     match call {
-        Call::Dispatch(req) => dispatch(cx, req).await.map(Reply::Answer),
+        Call::Dispatch(mut req) => match req.claim.take() {
+            Some(ticket) => dispatch_keyed(cx, req, ticket).await.map(Reply::Answer),
+            None => dispatch(cx, req).await.map(Reply::Answer),
+        },
+        Call::FindRequest(req) => find(cx, req).await.map(Reply::Found),
         Call::CancelRequest(request) => {
             let _ = cx.requests.send(RequestEvent::Cancel { request });
             Ok(Reply::Done)
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -31,6 +31,8 @@
 pub struct Membership {
     /// The epoch of the owner that reports this membership.
     pub epoch: Epoch,
+    /// When that owner began; none at an entry.
+    pub since: Option<Instant>,
     /// The agents.
     pub agents: IndexMap<AgentId, Arc<Agent>>,
     /// Endpoints that have not sent a heartbeat yet.
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -12,6 +12,8 @@
 
 /// The longest timeout that a caller may ask for.
 const MAX_TIMEOUT: Duration = Duration::from_hours(24);
+/// The longest idempotency key.
+const MAX_KEY_BYTES: usize = 255;
 
 /// A request in one state of its life cycle.
 #[derive(Debug)]
@@ -41,16 +43,16 @@
     pub(crate) request: Request,
     pub(crate) body: Bytes,
     pub(crate) admission: Admission,
-    /// Whether the id is derived from an idempotency key.
-    #[expect(dead_code, reason = "claims of keyed requests are not sent yet")]
-    pub(crate) keyed: bool,
+    /// Digest of what must be equal under one idempotency key, if the request has a key.
+    pub(crate) content: Option<u128>,
 }
 
 /// An agent has the request.
 #[derive(Debug)]
 pub(crate) struct Dispatched {
     pub(crate) request: RequestId,
-    pub(crate) attempt: Attempt,
+    /// None with an idempotency key, whose answer may come from the attempt of another submission.
+    pub(crate) attempt: Option<Attempt>,
 }
 
 /// The whole answer is here.
@@ -94,8 +96,10 @@
         admission: Admission,
     ) -> Result<Call<Admitted>> {
         let sent = &self.state;
-        let keyed = sent.idempotency_key.is_some();
         let id = match &sent.idempotency_key {
+            Some(key) if key.len() > MAX_KEY_BYTES => {
+                return Err(invalid_header("Idempotency-Key", key, "at most 255 bytes"));
+            }
             Some(key) => keyed_id(&account, key),
             None => fastrand::u128(..),
         };
@@ -111,13 +115,15 @@
             declared_run_time: parse_millis("Limpethook-Run-Time-Ms", sent.run_time_ms.as_deref())?,
             account,
         };
+        let content = sent.idempotency_key.is_some();
+        let content = content.then(|| content_digest(&request, &body));
         Ok(Call {
             received: self.received,
             state: Admitted {
                 request,
                 body,
                 admission,
-                keyed,
+                content,
             },
         })
     }
@@ -149,7 +155,7 @@
     pub(crate) fn dispatch(&self, attempt: Attempt) -> Call<Dispatched> {
         let state = Dispatched {
             request: self.state.request.id,
-            attempt,
+            attempt: self.state.content.is_none().then_some(attempt),
         };
         Call {
             received: self.received,
@@ -161,8 +167,8 @@
 impl Call<Dispatched> {
     /// Checks that the answer is whole and belongs to this attempt of this request.
     pub(crate) fn answer(self, answer: Answer) -> Result<Call<Answered>> {
-        let expected = (self.state.request, self.state.attempt);
-        if (answer.request, answer.attempt) != expected {
+        let attempt = self.state.attempt.unwrap_or(answer.attempt);
+        if (answer.request, answer.attempt) != (self.state.request, attempt) {
             return Err(corrupt("the answer belongs to another request"));
         }
         if answer.length != answer.body.len() as u64 {
@@ -217,6 +223,20 @@
     RequestId::from_le_bytes(id)
 }
 
+/// Returns the digest of what must be equal when a key is used again.
+fn content_digest(request: &Request, body: &[u8]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    // A shape holds only numbers and names, so it always encodes.
+    let shape = serde_json::to_vec(&request.shape).unwrap_or_default();
+    for part in [request.service.as_bytes(), &shape, body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(digest)
+}
+
 fn parse_shape(text: &str) -> Result<Shape> {
     let invalid = |reason: String| {
         Error::not_run(
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -6,7 +6,7 @@
 use board::{Board, Section};
 use config::EntrySettings;
 use discovery::Locator;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::CellId;
 use owner::Owner;
 use store::KvStore;
@@ -21,6 +21,10 @@
 pub(crate) struct EntryBoard {
     /// The owners of all cells; written by the directory controller.
     pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
+    /// The names of all cells in the store, none before they were read; written by the directory controller.
+    pub(crate) cells: Section<Option<Vec<CellId>>>,
+    /// The cells whose directory lists all their agents; written by the directory controller.
+    pub(crate) settled: Section<IndexSet<CellId>>,
 }
 
 /// The shared parts of the entry.
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -49,6 +49,9 @@
 async fn cells(cx: &Context, known: Option<Revision>) -> (Vec<CellId>, Option<Revision>) {
     let mut cells = vec![cx.settings.cell.clone()];
     if let Ok((names, revision)) = cx.locator.cells(known, CELLS_WAIT).await {
+        if cx.entry_board.cells.load().as_ref() != &Some(names.clone()) {
+            cx.entry_board.cells.publish(Some(names.clone()));
+        }
         cells.extend(names);
         return (cells, Some(revision));
     }
@@ -120,6 +123,9 @@
             owners.insert(learned.cell.clone(), learned.owner);
         });
         directories.insert(learned.cell, learned.directory);
+        let settled = directories.iter().filter(|(_, d)| d.settled);
+        let settled = settled.map(|(cell, _)| cell.clone());
+        cx.entry_board.settled.publish(settled.collect());
         cx.board
             .membership
             .publish(membership(&directories, timer::now()));
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use error_stack::Report;
 use errors::{Error, ErrorKind, Result};
 use model::{Attempt, GangId, RequestId};
-use wire::{Call as PeerCall, Dispatch, Peers, Reply};
+use wire::{Call as PeerCall, ClaimTicket, Dispatch, Peers, Reply};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
@@ -21,6 +22,24 @@
     pub(crate) incarnation: u64,
     pub(crate) attempt: Attempt,
     pub(crate) gang: Option<GangId>,
+    pub(crate) claim: Option<ClaimTicket>,
+}
+
+/// A failed dispatch.
+pub(crate) enum Undone {
+    /// The agent's own decision.
+    Refused(Report<Error>),
+    /// A fault on the way to the agent or back.
+    Lost(Report<Error>),
+}
+
+impl Undone {
+    /// Returns the error of either kind.
+    pub(crate) fn into_report(self) -> Report<Error> {
+        match self {
+            Self::Refused(report) | Self::Lost(report) => report,
+        }
+    }
 }
 
 /// Sends a request and returns the checked answer.
@@ -29,12 +48,24 @@
     call: &Call<Admitted>,
     target: &Target,
 ) -> Result<Call<Answered>> {
-    let request = call.request(timer::now())?;
+    try_dispatch(cx, call, target)
+        .await
+        .map_err(Undone::into_report)
+}
+
+/// Sends a request and says who caused a failure.
+pub(crate) async fn try_dispatch(
+    cx: &Context,
+    call: &Call<Admitted>,
+    target: &Target,
+) -> std::result::Result<Call<Answered>, Undone> {
+    let request = call.request(timer::now()).map_err(Undone::Refused)?;
     let limit = request.timeout + REPLY_GRACE;
     let mut cancel = CancelOnDrop {
         peers: &cx.peers,
         addr: target.addr,
-        request: Some(request.id),
+        // A request with an idempotency key goes on, because its caller may come back.
+        request: target.claim.is_none().then_some(request.id),
     };
     let dispatched = call.dispatch(target.attempt);
     let message = PeerCall::Dispatch(Dispatch {
@@ -42,13 +73,15 @@
         attempt: target.attempt,
         incarnation: target.incarnation,
         gang: target.gang,
+        claim: target.claim.clone(),
         body: call.state.body.clone(),
     });
-    let result = cx.peers.call(target.addr, &message, limit).await;
+    let result = cx.peers.exchange(target.addr, &message, limit).await;
     cancel.request = None;
-    match result? {
-        Reply::Answer(answer) => dispatched.answer(answer),
-        _ => Err(unexpected_reply()),
+    match result.map_err(Undone::Lost)? {
+        Reply::Answer(answer) => dispatched.answer(answer).map_err(Undone::Refused),
+        Reply::Failed(error) => Err(Undone::Refused(error.report())),
+        _ => Err(Undone::Lost(unexpected_reply())),
     }
 }
 
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result};
-use model::{CellId, JobId};
+use model::{CellId, GangId, JobId};
 use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
 
 use crate::call::{Admitted, Answered, Call};
@@ -46,14 +46,29 @@
 
 fn cancel_everywhere(cx: &Context, job: JobId) {
     for (_, owner) in owners(cx) {
-        send_cancel(&cx.peers, owner.addr, job);
+        send_cancel(&cx.peers, owner.addr, job, None);
+    }
+}
+
+/// Cancels the placement of a request with an idempotency key unless another submission waits for it.
+pub(crate) fn cancel_placement(cx: &Context, call: &Call<Admitted>) {
+    if call.state.request.shape.is_none() {
+        return;
+    }
+    for (_, owner) in owners(cx) {
+        send_cancel(
+            &cx.peers,
+            owner.addr,
+            call.state.request.id,
+            Some(fastrand::u64(..)),
+        );
     }
 }
 
 /// An owner that does not hear this ends the gang when nobody claims it.
-fn send_cancel(peers: &Peers, addr: SocketAddr, job: JobId) {
+fn send_cancel(peers: &Peers, addr: SocketAddr, job: JobId, waiter: Option<u64>) {
     let peers = peers.clone();
-    let cancel = PeerCall::Cancel(Cancel { job });
+    let cancel = PeerCall::Cancel(Cancel { job, waiter });
     tokio::spawn(async move { peers.call(addr, &cancel, CANCEL_TIMEOUT).await });
 }
 
@@ -64,6 +79,7 @@
         incarnation: placed.incarnation,
         attempt: placed.attempt,
         gang: Some(placed.gang),
+        claim: None,
     };
     dispatch(cx, call, &target).await
 }
@@ -72,7 +88,7 @@
 async fn place(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
     let mut last = None;
     for (_, owner) in owners(cx) {
-        match place_at(cx, call, &owner).await {
+        match place_at(cx, call, &owner, None).await {
             Ok(placed) => return Ok(placed),
             Err(report) if is_elsewhere_possible(report.current_context()) => last = Some(report),
             Err(report) => return Err(report),
@@ -81,7 +97,7 @@
     Err(last.unwrap_or_else(no_cell))
 }
 
-fn owners(cx: &Context) -> Vec<(CellId, OwnerRecord)> {
+pub(crate) fn owners(cx: &Context) -> Vec<(CellId, OwnerRecord)> {
     let owners = cx.entry_board.owners.load();
     let mut owners: Vec<_> = owners
         .iter()
@@ -91,24 +107,33 @@
     owners
 }
 
-fn is_elsewhere_possible(error: &Error) -> bool {
+pub(crate) fn is_elsewhere_possible(error: &Error) -> bool {
     matches!(
         error.kind,
         ErrorKind::Infeasible | ErrorKind::Overloaded | ErrorKind::Unavailable
     )
 }
 
-async fn place_at(cx: &Context, call: &Call<Admitted>, owner: &OwnerRecord) -> Result<Placed> {
+pub(crate) async fn place_at(
+    cx: &Context,
+    call: &Call<Admitted>,
+    owner: &OwnerRecord,
+    ended: Option<GangId>,
+) -> Result<Placed> {
     let request = call.request(timer::now())?;
     let limit = request.timeout;
+    let waiter = fastrand::u64(..);
     let mut cancel = CancelOnDrop {
         cx,
         owner,
         job: Some(request.id),
+        waiter: call.state.content.map(|_| waiter),
     };
     let place = Place {
         request,
         entry: cx.settings.id.clone(),
+        waiter,
+        ended,
     };
     let result = cx
         .peers
@@ -131,7 +156,7 @@
     .report()
 }
 
-fn no_cell() -> error_stack::Report<Error> {
+pub(crate) fn no_cell() -> error_stack::Report<Error> {
     Error::not_run(
         ErrorKind::Unavailable,
         "no cell has an owner that can be reached",
@@ -144,12 +169,14 @@
     cx: &'a Context,
     owner: &'a OwnerRecord,
     job: Option<JobId>,
+    /// Set if others may wait for the job as well.
+    waiter: Option<u64>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(job) = self.job {
-            send_cancel(&self.cx.peers, self.owner.addr, job);
+            send_cancel(&self.cx.peers, self.owner.addr, job, self.waiter);
         }
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,12 +1,14 @@
 //! The entry daemon: it takes callers' requests, admits and routes them, and returns the answers.
 
 mod call;
+mod claim;
 mod context;
 mod directory;
 mod dispatch;
 mod drain;
 mod gang;
 mod http;
+mod keyed;
 mod limits;
 mod metrics;
 mod ready;
--- a/components/entry/src/short.rs
+++ b/components/entry/src/short.rs
@@ -37,7 +37,7 @@
     Err(last.unwrap_or_else(|| no_endpoint(call)))
 }
 
-fn choose(cx: &Context, call: &Call<Admitted>, tried: &[EndpointId]) -> Option<Route> {
+pub(crate) fn choose(cx: &Context, call: &Call<Admitted>, tried: &[EndpointId]) -> Option<Route> {
     let mut rng = fastrand::Rng::new();
     choose_endpoint(
         &cx.board.routes.load(),
@@ -53,10 +53,11 @@
         incarnation: route.endpoint.incarnation,
         attempt,
         gang: None,
+        claim: None,
     }
 }
 
-fn no_endpoint(call: &Call<Admitted>) -> error_stack::Report<Error> {
+pub(crate) fn no_endpoint(call: &Call<Admitted>) -> error_stack::Report<Error> {
     let message = format!(
         "no endpoint of service {} is available",
         call.state.request.service
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -3,6 +3,7 @@
 //! Maps are ordered ones from the standard library, so that the model checks can hash whole states.
 
 pub mod attempts;
+pub mod claims;
 mod ended;
 pub mod fencing;
 pub mod leader;
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -13,6 +13,7 @@
 use wire::{Datagrams, Peers};
 
 use crate::Shared;
+use crate::claims::ClaimEvent;
 use crate::members::MemberEvent;
 use crate::scheduler::SchedulerEvent;
 
@@ -39,6 +40,7 @@
     pub(crate) timer: Timer,
     pub(crate) scheduler: mpsc::UnboundedSender<SchedulerEvent>,
     pub(crate) members: mpsc::UnboundedSender<MemberEvent>,
+    pub(crate) claims: mpsc::UnboundedSender<ClaimEvent>,
     pub(crate) resigning: CancellationToken,
     /// Tells the duty that an agent has seen a higher epoch.
     pub(crate) superseded: mpsc::UnboundedSender<Epoch>,
@@ -50,12 +52,14 @@
     Arc<Context>,
     mpsc::UnboundedReceiver<SchedulerEvent>,
     mpsc::UnboundedReceiver<MemberEvent>,
+    mpsc::UnboundedReceiver<ClaimEvent>,
 );
 
 impl Context {
     pub(crate) fn new(settings: OwnerSettings, shared: Shared) -> Parts {
         let (scheduler, scheduler_rx) = mpsc::unbounded_channel();
         let (members, members_rx) = mpsc::unbounded_channel();
+        let (claims, claims_rx) = mpsc::unbounded_channel();
         let (superseded, superseded_rx) = mpsc::unbounded_channel();
         let cx = Self {
             settings,
@@ -66,12 +70,13 @@
             timer: shared.timer,
             scheduler,
             members,
+            claims,
             resigning: CancellationToken::new(),
             superseded,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
             epoch: AtomicU64::new(0),
         };
-        (Arc::new(cx), scheduler_rx, members_rx)
+        (Arc::new(cx), scheduler_rx, members_rx, claims_rx)
     }
 
     /// Returns the epoch, or 0 while this process does not own the cell.
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -1,6 +1,7 @@
 //! The duty of a cell owner: it decides which gangs run where, and keeps the membership of its cell.
 
 mod actions;
+mod claims;
 mod context;
 mod duty;
 mod members;
@@ -52,9 +53,10 @@
 impl Owner {
     /// Starts the controllers and the attempts to own the cell.
     pub fn start(settings: OwnerSettings, shared: Shared) -> Self {
-        let (cx, scheduler_rx, members_rx) = Context::new(settings, shared);
+        let (cx, scheduler_rx, members_rx, claims_rx) = Context::new(settings, shared);
         tokio::spawn(scheduler::run(scheduler_rx, Arc::clone(&cx)));
         tokio::spawn(members::run(members_rx, Arc::clone(&cx)));
+        tokio::spawn(claims::run(claims_rx, Arc::clone(&cx)));
         tokio::spawn(duty::run(Arc::clone(&cx)));
         Self { cx }
     }
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -108,6 +108,7 @@
         MemberEvent::Reset { epoch } => {
             *membership = Membership {
                 epoch,
+                since: Some(now),
                 ..Membership::default()
             };
             None
--- a/components/owner/src/scheduler.rs
+++ b/components/owner/src/scheduler.rs
@@ -30,7 +30,14 @@
     /// An event for the decisions.
     Placement(Event),
     /// An entry submits a request, or waits again for one that is known.
-    Submit { request: Arc<Request>, tx: Waiter },
+    Submit {
+        request: Arc<Request>,
+        waiter: u64,
+        ended: Option<GangId>,
+        tx: Waiter,
+    },
+    /// A submission no longer waits for a placement; without any other, a job that does not run is cancelled.
+    Abandoned { job: JobId, waiter: u64 },
     /// A gang runs.
     Started { job: JobId, placed: Placed },
     /// A job is refused.
@@ -43,9 +50,12 @@
 /// The entries that wait for placements.
 #[derive(Default)]
 struct Waiting {
-    waiters: IndexMap<JobId, Waiter>,
+    /// Several wait for a request that was submitted twice with one idempotency key.
+    waiters: IndexMap<JobId, Vec<(u64, Waiter)>>,
     /// Gangs that started while no entry waited.
     ready: IndexMap<JobId, Placed>,
+    /// Gangs of which an entry was told and that have not ended.
+    told: IndexMap<JobId, Placed>,
 }
 
 /// Runs the controller until its last sender is gone.
@@ -80,13 +90,30 @@
             cx.board.fleet.publish(Fleet::default());
             cx.board.queue.publish(Queue::default());
         }
-        SchedulerEvent::Placement(event) => events.push(event),
-        SchedulerEvent::Submit { request, tx } => submit(cx, waiting, request, tx, events),
+        SchedulerEvent::Placement(event) => {
+            if let Event::Ended { gang, .. } = &event {
+                waiting.told.retain(|_, placed| placed.gang != *gang);
+            }
+            events.push(event);
+        }
+        SchedulerEvent::Submit {
+            request,
+            waiter,
+            ended,
+            tx,
+        } => {
+            let told = waiting.told.get(&request.id);
+            match told.filter(|placed| Some(placed.gang) != ended) {
+                Some(placed) => drop(tx.send(Ok(placed.clone()))),
+                None => submit(cx, waiting, request, (waiter, tx), events),
+            }
+        }
+        SchedulerEvent::Abandoned { job, waiter } => abandoned(cx, waiting, job, waiter, events),
         SchedulerEvent::Started { job, placed } => started(waiting, job, placed),
         SchedulerEvent::Refused { job, error } => {
             waiting.ready.swap_remove(&job);
-            if let Some(tx) = waiting.waiters.swap_remove(&job) {
-                let _ = tx.send(Err(error.report()));
+            for (_, tx) in waiting.waiters.swap_remove(&job).unwrap_or_default() {
+                let _ = tx.send(Err(error.clone().report()));
             }
         }
         SchedulerEvent::GangReported { .. } => {}
@@ -97,7 +124,7 @@
     cx: &Context,
     waiting: &mut Waiting,
     request: Arc<Request>,
-    tx: Waiter,
+    (waiter, tx): (u64, Waiter),
     events: &mut Vec<Event>,
 ) {
     if cx.epoch() == 0 {
@@ -107,26 +134,53 @@
     }
     let job = request.id;
     if let Some(placed) = waiting.ready.swap_remove(&job) {
-        let _ = tx.send(Ok(placed));
+        let _ = tx.send(Ok(placed.clone()));
+        waiting.told.insert(job, placed);
         return;
     }
     let queue = cx.board.queue.load();
     let known = waiting.waiters.contains_key(&job)
         || queue.queued.contains_key(&job)
         || queue.placed.contains_key(&job);
-    waiting.waiters.insert(job, tx);
+    waiting.waiters.entry(job).or_default().push((waiter, tx));
     if !known {
         events.push(Event::Submitted(request));
     }
 }
 
 fn started(waiting: &mut Waiting, job: JobId, placed: Placed) {
-    let Some(tx) = waiting.waiters.swap_remove(&job) else {
-        waiting.ready.insert(job, placed);
-        return;
+    let waiters = waiting.waiters.swap_remove(&job).unwrap_or_default();
+    let mut told = false;
+    for (_, tx) in waiters {
+        told |= tx.send(Ok(placed.clone())).is_ok();
+    }
+    let gangs = if told {
+        &mut waiting.told
+    } else {
+        &mut waiting.ready
     };
-    if let Err(Ok(placed)) = tx.send(Ok(placed)) {
-        waiting.ready.insert(job, placed);
+    gangs.insert(job, placed);
+}
+
+fn abandoned(
+    cx: &Context,
+    waiting: &mut Waiting,
+    job: JobId,
+    waiter: u64,
+    events: &mut Vec<Event>,
+) {
+    let mut untold = waiting.ready.swap_remove(&job).is_some();
+    if let Some(waiters) = waiting.waiters.get_mut(&job) {
+        waiters.retain(|(id, tx)| *id != waiter && !tx.is_closed());
+        if !waiters.is_empty() {
+            return;
+        }
+        waiting.waiters.swap_remove(&job);
+        untold = true;
+    }
+    // The gang of a job whose placement an entry was told belongs to that entry's request.
+    if untold || !cx.board.queue.load().active.contains_key(&job) {
+        events.push(Event::Cancelled(job));
     }
 }
 
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -1,16 +1,18 @@
 //! Answering calls for the owner.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use board::Membership;
 use errors::{Error, ErrorKind, Result};
+use membership::liveness::SILENCE_LIMIT;
 use model::{Endpoint, JobId, Resources};
 use placement::{Event, GangEnd};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use wire::{Announce, Call, Directory, EndpointEntry, GangEnded, Place, Reply};
+use wire::{Announce, Call, Cancel, Directory, EndpointEntry, GangEnded, Place, Reply};
 
+use crate::claims;
 use crate::context::Context;
 use crate::members::MemberEvent;
 use crate::scheduler::SchedulerEvent;
@@ -18,6 +20,9 @@
 /// How long a directory call waits for a change before it answers with what there is.
 const DIRECTORY_WAIT: Duration = Duration::from_secs(1);
 
+/// Agents notice the silence of the earlier owner within `SILENCE_LIMIT` and then look for the new one.
+const SETTLE_TERM: Duration = SILENCE_LIMIT.saturating_add(Duration::from_secs(2));
+
 /// Answers a call, or refuses it if this process does not own the cell.
 pub(crate) async fn answer(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     if cx.epoch() == 0 {
@@ -29,11 +34,10 @@
         Call::Announce(announce) => announced(cx, announce).await,
         Call::Place(place) => placed(cx, place).await,
         Call::Cancel(cancel) => {
-            let _ = cx
-                .scheduler
-                .send(SchedulerEvent::Placement(Event::Cancelled(cancel.job)));
+            cancelled(cx, &cancel);
             Ok(Reply::Done)
         }
+        Call::Claim(claim) => claims::ask(cx, claim).await.map(Reply::Claimed),
         Call::GangEnded(ended) => {
             gang_ended(cx, ended);
             Ok(Reply::Done)
@@ -56,15 +60,31 @@
         .map(Reply::Epoch)
 }
 
+fn cancelled(cx: &Context, cancel: &Cancel) {
+    let event = match cancel.waiter {
+        Some(waiter) => SchedulerEvent::Abandoned {
+            job: cancel.job,
+            waiter,
+        },
+        None => SchedulerEvent::Placement(Event::Cancelled(cancel.job)),
+    };
+    let _ = cx.scheduler.send(event);
+}
+
 async fn placed(cx: &Arc<Context>, place: Place) -> Result<Reply> {
     let (tx, rx) = oneshot::channel();
     let request = Arc::new(place.request);
     let mut cancel = CancelOnDrop {
         cx,
-        job: Some(request.id),
+        job: Some((request.id, place.waiter)),
     };
     let limit = request.timeout;
-    let _ = cx.scheduler.send(SchedulerEvent::Submit { request, tx });
+    let _ = cx.scheduler.send(SchedulerEvent::Submit {
+        request,
+        waiter: place.waiter,
+        ended: place.ended,
+        tx,
+    });
     let Ok(result) = timeout(limit, rx).await else {
         let message = "the deadline passed in the queue of the cell";
         return Err(Error::not_run(ErrorKind::Timeout, message).report());
@@ -78,16 +98,16 @@
 /// Cancels a job whose entry no longer waits for it.
 struct CancelOnDrop<'a> {
     cx: &'a Context,
-    job: Option<JobId>,
+    job: Option<(JobId, u64)>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        if let Some(job) = self.job {
+        if let Some((job, waiter)) = self.job {
             let _ = self
                 .cx
                 .scheduler
-                .send(SchedulerEvent::Placement(Event::Cancelled(job)));
+                .send(SchedulerEvent::Abandoned { job, waiter });
         }
     }
 }
@@ -124,9 +144,18 @@
             .free
             .iter()
             .fold(Resources::default(), |sum, free| sum.plus(*free)),
+        settled: is_settled(&membership, timer::now()),
     }))
 }
 
+/// Returns whether every agent that is alive had the time to announce itself to this owner.
+fn is_settled(membership: &Membership, now: Instant) -> bool {
+    membership.epoch == 1
+        || membership
+            .since
+            .is_some_and(|since| now.saturating_duration_since(since) >= SETTLE_TERM)
+}
+
 fn entries(membership: &Membership) -> Vec<EndpointEntry> {
     let serving = membership
         .serving
--- a/components/replay/src/membership.rs
+++ b/components/replay/src/membership.rs
@@ -31,6 +31,7 @@
     }
     let agents = agents.into_iter().map(|(id, agent)| (id, Arc::new(agent)));
     Membership {
+        since: None,
         epoch: EPOCH,
         agents: agents.collect(),
         announced: IndexMap::new(),
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -58,13 +58,18 @@
 
     /// Calls a peer and returns its reply; a `Failed` reply becomes the error.
     pub async fn call(&self, addr: SocketAddr, call: &Call, limit: Duration) -> Result<Reply> {
-        let connection = self.connect(addr).await?;
-        match connection.call(call, limit).await? {
+        match self.exchange(addr, call, limit).await? {
             Reply::Failed(error) => Err(error.report()),
             reply => Ok(reply),
         }
     }
 
+    /// Calls a peer; an error is a fault of the connection, a `Failed` reply is the peer's own decision.
+    pub async fn exchange(&self, addr: SocketAddr, call: &Call, limit: Duration) -> Result<Reply> {
+        let connection = self.connect(addr).await?;
+        connection.call(call, limit).await
+    }
+
     /// Drops the connection to a peer that left; calls in progress still get their replies.
     pub fn forget(&self, addr: SocketAddr) {
         self.slots.rcu(|slots| {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -14,8 +14,9 @@
 pub use client::Peers;
 pub use datagram::{DatagramCounts, Datagrams};
 pub use messages::{
-    Ack, Announce, Answer, ArmGang, Call, Cancel, Directory, Dispatch, EndpointEntry, GangEnded,
-    Heartbeat, HeldGang, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck,
-    RecordedAttempt, Reply, Reserve, Section, Sections, StartGang, StopGang,
+    Ack, Announce, Answer, ArmGang, Call, Cancel, Claim, ClaimHolder, ClaimTicket, Claimed,
+    Directory, Dispatch, EndpointEntry, FindRequest, FoundRequest, GangEnded, Heartbeat, HeldGang,
+    LeaveClaim, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck, RecordedAttempt,
+    Reply, Reserve, Section, Sections, StartGang, StopGang,
 };
 pub use server::{CallContext, Server};
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use errors::{Error, ErrorKind};
 use model::{
-    AgentId, Attempt, CellId, EndpointId, EntryId, Epoch, GangId, JobId, Member, Place as Position,
-    Request, RequestId, Resources, Revision, SectionName, ServiceId, Worker, WorkerId,
+    AccountId, AgentId, Attempt, CellId, EndpointId, EntryId, Epoch, GangId, JobId, Member,
+    Place as Position, Request, RequestId, Resources, Revision, SectionName, ServiceId, Worker,
+    WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -47,13 +48,10 @@
     WhoOwns(CellId),
     /// Any process to any other: the sections above a revision.
     SectionsAfter(Revision),
-    /// Entry to owner: which agent has the request, or this one if none has it.
-    Claim {
-        /// The request.
-        request: RequestId,
-        /// The agent that gets it if it is new.
-        agent: AgentId,
-    },
+    /// Entry to owner: where a request with an idempotency key is, or this place if it is nowhere.
+    Claim(Claim),
+    /// Entry to agent: is the request known; otherwise refuse it under older epochs.
+    FindRequest(FindRequest),
 }
 
 /// The reply to a call.
@@ -75,13 +73,10 @@
     Directory(Directory),
     /// Configuration sections.
     Sections(Sections),
-    /// The agent that holds a claimed request; `new` if the claim was granted to the caller.
-    Claimed {
-        /// The agent.
-        agent: AgentId,
-        /// Whether this call made the claim.
-        new: bool,
-    },
+    /// Where a claimed request is.
+    Claimed(Claimed),
+    /// The request, if the agent knows it.
+    Found(Option<FoundRequest>),
     /// The call failed.
     Failed(Error),
 }
@@ -181,10 +176,103 @@
     pub incarnation: u64,
     /// The gang that runs for it.
     pub gang: Option<GangId>,
+    /// The claim under which it is sent, if it has an idempotency key.
+    pub claim: Option<ClaimTicket>,
     /// The body.
     pub body: Bytes,
 }
 
+/// What an agent needs to know of the claim of a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ClaimTicket {
+    /// Digest of everything that must be equal under one key.
+    pub content: u128,
+    /// The epoch of the owner that keeps the claim.
+    pub epoch: Epoch,
+    /// How long that owner keeps it.
+    pub keep: Duration,
+}
+
+/// A question for the owner of the home cell of a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Claim {
+    /// The request.
+    pub request: RequestId,
+    /// Its client account.
+    pub account: AccountId,
+    /// Digest of everything that must be equal under one key.
+    pub content: u128,
+    /// The time left until its deadline.
+    pub timeout: Duration,
+    /// The cell that places it; none for a request without a shape.
+    pub cell: Option<CellId>,
+    /// The agent that gets it if no other agent has it.
+    pub holder: Option<ClaimHolder>,
+    /// Why the present place is not used.
+    pub leave: Option<LeaveClaim>,
+}
+
+/// The agent that has a claimed request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimHolder {
+    /// The agent.
+    pub agent: AgentId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// When it started, in milliseconds since 1970.
+    pub incarnation: u64,
+    /// The gang that runs for the request.
+    pub gang: Option<GangId>,
+}
+
+/// Why a claim may leave its present place.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum LeaveClaim {
+    /// The agent refused this attempt for good, or the request may run again.
+    Ended(Attempt),
+    /// The asking entry did not send this attempt.
+    Unsent(Attempt),
+    /// The cell cannot place the request.
+    Cell,
+}
+
+/// Where a claimed request is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Claimed {
+    /// The epoch of the owner.
+    pub epoch: Epoch,
+    /// The attempt to dispatch; 0 while no agent has the request.
+    pub attempt: Attempt,
+    /// The cell that places it.
+    pub cell: Option<CellId>,
+    /// The agent that has it.
+    pub holder: Option<ClaimHolder>,
+    /// Whether this call put it there.
+    pub new: bool,
+    /// How long the claim is still kept.
+    pub keep: Duration,
+    /// Whether the owner is too new to know the claims of earlier owners.
+    pub incomplete: bool,
+}
+
+/// Asks an agent for a request that an earlier owner may have sent there.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FindRequest {
+    /// The request.
+    pub request: RequestId,
+    /// Dispatches under older epochs are refused from now on.
+    pub epoch: Epoch,
+    /// How long the refusal is kept.
+    pub keep: Duration,
+}
+
+/// A request that an agent knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FoundRequest {
+    /// Digest of everything that must be equal under one key.
+    pub content: u128,
+}
+
 /// The answer of an endpoint.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Answer {
@@ -307,6 +395,8 @@
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
     pub free: Resources,
+    /// Whether every agent that is alive had the time to announce itself to this owner.
+    pub settled: bool,
 }
 
 /// The owner of a cell, also the value of the key `cells/<cell>`.
@@ -329,6 +419,10 @@
     pub request: Request,
     /// The entry that waits.
     pub entry: EntryId,
+    /// Tells apart the submissions that wait for one job.
+    pub waiter: u64,
+    /// The gang of the last placement, which this submission knows to have ended.
+    pub ended: Option<GangId>,
 }
 
 /// A gang that runs.
@@ -355,6 +449,8 @@
 pub struct Cancel {
     /// The job.
     pub job: JobId,
+    /// The submission that no longer waits for the placement of a job that others may wait for; none to end the job.
+    pub waiter: Option<u64>,
 }
 
 /// A message over UDP.
--- /dev/null
+++ b/tests/idempotency.rs
@@ -0,0 +1,193 @@
+//! Requests that are submitted more than once with one idempotency key.
+
+use harness::fixtures::{TOKEN, agent, one_region};
+use harness::{Caller, Deployment, Outcome, Programs, Result, Submission};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+fn keyed(key: &str, body: Value) -> Submission {
+    Submission {
+        service: "workshop".into(),
+        account: "faro".into(),
+        token: TOKEN.into(),
+        timeout_ms: Some(10_000),
+        idempotent: Some(false),
+        idempotency_key: Some(key.into()),
+        body,
+        ..Submission::default()
+    }
+}
+
+/// Returns how often the requests ran at all endpoints.
+async fn runs(deployment: &Deployment) -> Result<u64> {
+    let mut sum = 0;
+    for url in &deployment.endpoint_urls {
+        let counts = deployment
+            .read_control(&format!("{url}/control/runs"))
+            .await?;
+        let runs = counts["runs"].as_object().ok_or("no runs")?.values();
+        sum += runs.filter_map(Value::as_u64).sum::<u64>();
+    }
+    Ok(sum)
+}
+
+fn assert_same_answer(outcomes: &[Outcome]) {
+    for outcome in outcomes {
+        assert!(outcome.is_answered(), "{outcome:?}");
+        assert_eq!(outcome.body, outcomes[0].body);
+    }
+}
+
+/// Guards against a second run when a caller submits a key at both entries at once and again later.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_runs_once_at_both_entries() -> Result<()> {
+    let deployment = Deployment::start(&one_region(2, 3), &Programs::beside_current()?).await?;
+    let caller = Caller::new()?;
+    let request = keyed("order-1", json!({"run_ms": 300, "answer_bytes": 2000}));
+    let urls = &deployment.entry_urls;
+    let (a, b, c) = tokio::join!(
+        caller.submit(&urls[0], &request),
+        caller.submit(&urls[1], &request),
+        caller.submit(&urls[0], &request),
+    );
+    let later = caller.submit(&urls[1], &request).await;
+    assert_same_answer(&[a, b, c, later]);
+    assert_eq!(runs(&deployment).await?, 1);
+    let other_account = Submission {
+        account: "puerto".into(),
+        ..request
+    };
+    let other = caller.submit(&urls[0], &other_account).await;
+    assert!(other.is_answered(), "{other:?}");
+    assert_eq!(runs(&deployment).await?, 2, "a key belongs to one account");
+    Ok(())
+}
+
+/// Guards against a second gang when a request with a shape is submitted twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_runs_once_with_gang() -> Result<()> {
+    let deployment = Deployment::start(&one_region(2, 3), &Programs::beside_current()?).await?;
+    let caller = Caller::new()?;
+    let request = Submission {
+        shape: Some(json!({"tasks": 8, "accelerators": 1, "adjacency": "rack"})),
+        ..keyed("gang-1", json!({"run_ms": 300}))
+    };
+    let urls = &deployment.entry_urls;
+    let (a, b) = tokio::join!(
+        caller.submit(&urls[0], &request),
+        caller.submit(&urls[1], &request),
+    );
+    let later = caller.submit(&urls[1], &request).await;
+    assert_same_answer(&[a, b, later]);
+    assert_eq!(runs(&deployment).await?, 1);
+    let tasks = format!("{}/control/tasks", deployment.workers_url);
+    let started = deployment.read_control(&tasks).await?;
+    assert_eq!(started.as_array().map_or(0, Vec::len), 8, "{started}");
+    Ok(())
+}
+
+/// Guards against an answer to another request: a key with other content is refused and does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_refuses_key_with_other_content() -> Result<()> {
+    let mut plan = one_region(2, 1);
+    plan.document
+        .services
+        .insert("other".into(), model::Service::default());
+    let deployment = Deployment::start(&plan, &Programs::beside_current()?).await?;
+    let caller = Caller::new()?;
+    let first = keyed("order-2", json!({"run_ms": 1}));
+    let answered = caller.submit(&deployment.entry_urls[0], &first).await;
+    assert!(answered.is_answered(), "{answered:?}");
+    let others = [
+        keyed("order-2", json!({"run_ms": 2})),
+        Submission {
+            service: "other".into(),
+            ..first.clone()
+        },
+        Submission {
+            shape: Some(json!({"tasks": 1, "accelerators": 1})),
+            ..first.clone()
+        },
+    ];
+    for other in others {
+        let refused = caller.submit(&deployment.entry_urls[1], &other).await;
+        assert_eq!(
+            (refused.status, &*refused.verdict, &*refused.kind),
+            (409, "not_run", "conflict"),
+            "{other:?}"
+        );
+    }
+    assert_eq!(runs(&deployment).await?, 1);
+    Ok(())
+}
+
+/// Guards against a lost claim: after the owner and first entry dies, retries get the answers of the first runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_attaches_after_owner_is_killed() -> Result<()> {
+    let mut deployment = Deployment::start(&one_region(2, 3), &Programs::beside_current()?).await?;
+    let caller = Caller::new()?;
+    // A retry that picks an agent at random meets the right one in one of three cases, hence several requests.
+    let requests: Vec<_> = (0..6)
+        .map(|number| keyed(&format!("order-{number}"), json!({"run_ms": 1000})))
+        .collect();
+    let urls = deployment.entry_urls.clone();
+    let owner = deployment.status(&urls[0]).await?["cells"][0]["owner"].clone();
+    let owner = owner.as_str().ok_or("no owner")?;
+    let survivor = usize::from(owner == "entry-0");
+    let first = requests
+        .iter()
+        .map(|request| caller.submit(&urls[1 - survivor], request));
+    let (broken, killed) = tokio::join!(futures::future::join_all(first), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let entry = deployment.entries.get_mut(owner).ok_or("no entry")?;
+        entry.kill()
+    });
+    killed?;
+    assert!(broken.iter().all(|o| &*o.kind == "connection_broke"));
+    for request in &requests {
+        let mut retried = caller.submit(&urls[survivor], request).await;
+        for _ in 0..50 {
+            if retried.is_answered() {
+                break;
+            }
+            assert_eq!(&*retried.verdict, "not_run", "{retried:?}");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            retried = caller.submit(&urls[survivor], request).await;
+        }
+        assert!(retried.is_answered(), "{retried:?}");
+    }
+    assert_eq!(runs(&deployment).await?, 6);
+    Ok(())
+}
+
+/// Guards against a false "not run": when the agent that has the request dies, a retry may not run it elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_reports_may_have_run_after_agent_is_killed() -> Result<()> {
+    let mut plan = one_region(2, 1);
+    plan.agents.push(agent("caribe", 1));
+    let mut deployment = Deployment::start(&plan, &Programs::beside_current()?).await?;
+    let caller = Caller::new()?;
+    let request = keyed("order-4", json!({"run_ms": 3000}));
+    let urls = deployment.entry_urls.clone();
+    let (first, killed) = tokio::join!(caller.submit(&urls[0], &request), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for (number, url) in deployment.endpoint_urls.iter().enumerate() {
+            let url = format!("{url}/control/runs");
+            if deployment.read_control(&url).await?["runs"]
+                .as_object()
+                .is_some_and(|r| !r.is_empty())
+            {
+                let name = format!("agent-{number}");
+                let agent = deployment.agents.get_mut(&*name).ok_or("no agent")?;
+                return agent.kill();
+            }
+        }
+        Err("the request did not start".into())
+    });
+    killed?;
+    assert_eq!(&*first.verdict, "may_have_run", "{first:?}");
+    let retried = caller.submit(&urls[1], &request).await;
+    assert_eq!(&*retried.verdict, "may_have_run", "{retried:?}");
+    assert_eq!(runs(&deployment).await?, 1);
+    Ok(())
+}
