Give requests in progress a verdict when a second signal ends a process

Cause: the second SIGTERM called process::exit, so callers saw broken connections and could not tell whether their requests ran.

Change: the first signal cancels a drain token, the second one a cut token. At the entry each handler ends with 'may have run' if an agent may have the request (an atomic set before the dispatch and cleared by an authoritative 'not run'), otherwise with 'not run'. At the agent a request that waits for a slot ends as 'not run' and one at the endpoint as 'may have run'.

Ruled out: a table of requests in progress, because the handlers can watch the token themselves.

Seen on the way and not changed: an owner repeats a reservation that an agent refuses in its first 2 s about 700 times a second, and a draining owner refuses the jobs in its queue.

--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -49,6 +49,8 @@
     pub(crate) config_updates: Updates,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when the work in progress must end at once.
+    pub(crate) cut: CancellationToken,
     pub(crate) metrics: Metrics,
 }
 
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -65,7 +65,13 @@
     if cx.is_draining() {
         return Err(Error::not_run(ErrorKind::Draining, "the endpoint is leaving").report());
     }
-    cx.slots.take(limit).await
+    tokio::select! {
+        slot = cx.slots.take(limit) => slot,
+        () = cx.cut.cancelled() => {
+            let message = "the agent ended before the endpoint was called";
+            Err(Error::not_run(ErrorKind::Draining, message).report())
+        }
+    }
 }
 
 async fn dispatch_gang(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
@@ -136,7 +142,7 @@
         request,
         cancel: cancel.clone(),
     });
-    let result = call(endpoint, dispatch, workers, &cancel).await;
+    let result = call(cx, endpoint, dispatch, workers, &cancel).await;
     drop(slot);
     let _ = cx.requests.send(RequestEvent::Unregister { request });
     if let Some(permit) = permit {
@@ -152,6 +158,7 @@
 }
 
 async fn call(
+    cx: &Context,
     endpoint: &EndpointClient,
     dispatch: &Dispatch,
     workers: &[WorkerId],
@@ -161,6 +168,10 @@
     tokio::select! {
         result = call => result,
         () = cancel.cancelled() => Err(cancelled().report()),
+        () = cx.cut.cancelled() => {
+            let message = "the agent ended while the endpoint handled the request";
+            Err(Error::may_have_run(ErrorKind::Draining, message).report())
+        }
     }
 }
 
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -28,7 +28,13 @@
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
 /// Runs an agent until `shutdown` is cancelled and its work has ended; returns whether all work ended.
-pub async fn run(settings: AgentSettings, shutdown: CancellationToken) -> Result<bool> {
+///
+/// Once `cut` is cancelled, each request in progress ends at once with a verdict.
+pub async fn run(
+    settings: AgentSettings,
+    shutdown: CancellationToken,
+    cut: CancellationToken,
+) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
     let listener = TcpListener::bind(settings.peer_listen)
         .await
@@ -47,6 +53,7 @@
         gang_tx,
         request_tx,
         config_updates,
+        cut,
     )?);
 
     tokio::spawn(gangs::run(gang_rx, Arc::clone(&cx)));
@@ -80,7 +87,7 @@
     );
 
     shutdown.cancelled().await;
-    let ended = drain::drain(Arc::clone(&cx)).await;
+    let ended = drain::drain_or_cut(&cx).await;
     cx.timer.subscribe_after(FLUSH_DELAY).recv().await;
     stop.cancel();
     telemetry::flush_spans();
@@ -94,6 +101,7 @@
     gangs: mpsc::UnboundedSender<gangs::GangEvent>,
     requests: mpsc::UnboundedSender<requests::RequestEvent>,
     config_updates: distribution::Updates,
+    cut: CancellationToken,
 ) -> Result<Context> {
     let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
         settings.store_url.clone(),
@@ -126,6 +134,7 @@
         requests,
         config_updates,
         drain: CancellationToken::new(),
+        cut,
         metrics,
     })
 }
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -10,6 +10,8 @@
 use policy::limits::Admission;
 use wire::Answer;
 
+use crate::sent::Sent;
+
 /// The longest timeout that a caller may ask for.
 const MAX_TIMEOUT: Duration = Duration::from_hours(24);
 /// The longest idempotency key.
@@ -45,6 +47,8 @@
     pub(crate) admission: Admission,
     /// Digest of what must be equal under one idempotency key, if the request has a key.
     pub(crate) content: Option<u128>,
+    /// Whether an agent may have the request.
+    pub(crate) sent: Sent,
 }
 
 /// An agent has the request.
@@ -124,6 +128,7 @@
                 body,
                 admission,
                 content,
+                sent: Sent::default(),
             },
         })
     }
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -42,6 +42,8 @@
     pub(crate) config_updates: distribution::Updates,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when the requests in progress must end at once.
+    pub(crate) cut: CancellationToken,
     pub(crate) in_flight: AtomicU32,
     pub(crate) metrics: Metrics,
 }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use errors::{Error, ErrorKind, Result};
+use errors::{Error, ErrorKind, Result, Verdict};
 use model::{Attempt, GangId, RequestId};
 use wire::{Call as PeerCall, ClaimTicket, Dispatch, Peers, Reply};
 
@@ -76,8 +76,12 @@
         claim: target.claim.clone(),
         body: call.state.body.clone(),
     });
+    call.state.sent.set();
     let result = cx.peers.exchange(target.addr, &message, limit).await;
     cancel.request = None;
+    if may_clear(&result, target) {
+        call.state.sent.clear();
+    }
     match result.map_err(Undone::Lost)? {
         Reply::Answer(answer) => dispatched.answer(answer).map_err(Undone::Refused),
         Reply::Failed(error) => Err(Undone::Refused(error.report())),
@@ -85,6 +89,17 @@
     }
 }
 
+/// With an idempotency key, another submission may have reached the agent.
+fn may_clear(result: &Result<Reply>, target: &Target) -> bool {
+    match result {
+        Ok(Reply::Failed(error)) => error.verdict == Verdict::NotRun,
+        Ok(_) => false,
+        Err(report) => {
+            target.claim.is_none() && report.current_context().verdict == Verdict::NotRun
+        }
+    }
+}
+
 /// Returns the error of a reply that does not belong to the call.
 pub(crate) fn unexpected_reply() -> error_stack::Report<Error> {
     Error::may_have_run(ErrorKind::Internal, "unexpected reply of a peer").report()
--- a/components/entry/src/http/requests.rs
+++ b/components/entry/src/http/requests.rs
@@ -17,6 +17,7 @@
 use crate::context::Context;
 use crate::http::errors::render;
 use crate::route;
+use crate::sent::Sent;
 
 /// The largest body that any service may allow.
 pub(crate) const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
@@ -43,7 +44,7 @@
     ) {
         let _in_flight = self.cx.enter();
         let span = root_span(req);
-        let result = submit(&self.cx, req).in_span(span).await;
+        let result = submit_or_cut(&self.cx, req).in_span(span).await;
         self.cx.metrics.count_request(&result);
         match result {
             Ok(call) => render_answer(res, call.state.answer),
@@ -69,8 +70,18 @@
     }
 }
 
-async fn submit(cx: &Context, req: &mut Request) -> Result<Call<Answered>> {
-    let admitted = admit(cx, req).await?;
+/// Ends the request with a verdict when the entry must end at once.
+async fn submit_or_cut(cx: &Context, req: &mut Request) -> Result<Call<Answered>> {
+    let sent = Sent::default();
+    tokio::select! {
+        result = submit(cx, req, &sent) => result,
+        () = cx.cut.cancelled() => Err(sent.cut_off()),
+    }
+}
+
+async fn submit(cx: &Context, req: &mut Request, sent: &Sent) -> Result<Call<Answered>> {
+    let mut admitted = admit(cx, req).await?;
+    admitted.state.sent = sent.clone();
     route::run(cx, &admitted).await
 }
 
--- a/components/entry/src/keyed.rs
+++ b/components/entry/src/keyed.rs
@@ -70,6 +70,9 @@
         Some(_) => (locate_gang(cx, call, content, tries, leave).await?, None),
         None => locate_short(cx, call, content, tries, leave).await?,
     };
+    if !claimed.new && claimed.attempt > 0 {
+        call.state.sent.set();
+    }
     let Some(holder) = claimed.holder.clone() else {
         return Err(no_endpoint(call));
     };
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod retry;
 mod route;
 mod run;
+mod sent;
 mod serve;
 mod short;
 
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -23,9 +23,17 @@
 
 /// Time for the last responses to leave after the drain.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+/// The same after requests were cut off; the process ends 1 s after the second signal.
+const CUT_FLUSH_LIMIT: Duration = Duration::from_millis(300);
 
 /// Runs an entry until `shutdown` is cancelled and its requests have ended; returns whether all requests ended.
-pub async fn run(settings: EntrySettings, shutdown: CancellationToken) -> Result<bool> {
+///
+/// Once `cut` is cancelled, each request in progress ends at once with a verdict.
+pub async fn run(
+    settings: EntrySettings,
+    shutdown: CancellationToken,
+    cut: CancellationToken,
+) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
     let peer_addr = settings.peer_listen;
     let listener = TcpListener::bind(peer_addr)
@@ -35,7 +43,13 @@
         .await
         .map_err(|e| cannot_listen("peer_listen", &e))?;
     let (config_updates, config_rx) = distribution::updates();
-    let cx = Arc::new(context(settings, key.clone(), datagrams, config_updates)?);
+    let cx = Arc::new(context(
+        settings,
+        key.clone(),
+        datagrams,
+        config_updates,
+        cut,
+    )?);
 
     tokio::spawn(distribution::run_controller(
         config_rx,
@@ -83,8 +97,8 @@
     );
 
     shutdown.cancelled().await;
-    let ended = drain::drain(&cx).await;
-    handle.stop_graceful(FLUSH_LIMIT);
+    let ended = drain::drain_or_cut(&cx).await;
+    handle.stop_graceful(if ended { FLUSH_LIMIT } else { CUT_FLUSH_LIMIT });
     let _ = serving.await;
     stop.cancel();
     telemetry::flush_spans();
@@ -96,6 +110,7 @@
     key: Key,
     datagrams: Datagrams,
     config_updates: distribution::Updates,
+    cut: CancellationToken,
 ) -> Result<Context> {
     let store: Arc<dyn KvStore> = Arc::new(HttpStore::new(&HttpStoreSettings::new(
         settings.store_url.clone(),
@@ -130,6 +145,7 @@
         owner,
         config_updates,
         drain: CancellationToken::new(),
+        cut,
         in_flight: AtomicU32::new(0),
         metrics,
         settings,
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -14,6 +14,8 @@
     init_telemetry(&settings.id, &settings.log_level)?;
     block_on(async {
         let shutdown = shutdown::on_signal()?;
-        entry::run(settings, shutdown).await.map(ended)
+        entry::run(settings, shutdown.drain, shutdown.cut)
+            .await
+            .map(ended)
     })
 }
