End requests at an agent that the directory no longer lists

Cause: a frozen agent keeps its connections open, so requests in flight there waited until their deadlines.

Change: a dispatch also watches the directory section. Once the agent is gone from it, an idempotent request is tried elsewhere and a non-idempotent one ends as 'may have run'. An entry keeps the directory of the earlier owner until a new one knows all agents, so that a takeover does not look like the loss of all agents.

Ruled out: one short timeout for each attempt.

--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -122,6 +122,10 @@
         cx.entry_board.owners.update(|owners| {
             owners.insert(learned.cell.clone(), learned.owner);
         });
+        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
+        if !learned.directory.settled && directories.contains_key(&learned.cell) {
+            continue;
+        }
         directories.insert(learned.cell, learned.directory);
         let settled = directories.iter().filter(|(_, d)| d.settled);
         let settled = settled.map(|(cell, _)| cell.clone());
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use board::Membership;
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result, Verdict};
 use model::{Attempt, GangId, RequestId};
@@ -77,7 +78,11 @@
         body: call.state.body.clone(),
     });
     call.state.sent.set();
-    let result = cx.peers.exchange(target.addr, &message, limit).await;
+    let result = tokio::select! {
+        result = cx.peers.exchange(target.addr, &message, limit) => result,
+        // A frozen agent keeps its connections open; nobody waits for it until the deadline.
+        () = lost(cx, target) => Err(agent_lost()),
+    };
     cancel.request = None;
     if may_clear(&result, target) {
         call.state.sent.clear();
@@ -89,6 +94,30 @@
     }
 }
 
+/// Returns once the directory no longer has the agent that the request was sent to.
+async fn lost(cx: &Context, target: &Target) {
+    let mut changes = cx.board.membership.changes();
+    loop {
+        if !is_known(&cx.board.membership.load(), target) {
+            return;
+        }
+        // The section lives as long as the process.
+        let _ = changes.changed().await;
+    }
+}
+
+fn is_known(membership: &Membership, target: &Target) -> bool {
+    let matches = |addr, incarnation| (addr, incarnation) == (target.addr, target.incarnation);
+    let mut serving = membership.serving.values();
+    let mut draining = membership.draining.values();
+    serving.any(|e| matches(e.agent_addr, e.incarnation))
+        || draining.any(|e| matches(e.agent_addr, e.incarnation))
+}
+
+fn agent_lost() -> Report<Error> {
+    Error::may_have_run(ErrorKind::Unavailable, "the agent was lost").report()
+}
+
 /// With an idempotency key, another submission may have reached the agent.
 fn may_clear(result: &Result<Reply>, target: &Target) -> bool {
     match result {
