Bound slow, oversized and vanishing callers

Cause: headers that were not ASCII were ignored, so a shape could be dropped silently; a body was admitted only after it was read; a body that trickles in had no bound; the connections setting was not applied; a request in an agent's queue could not be cancelled; unknown paths were refused without a verdict.

Change: each of these; http/body.rs reads and admits a body chunk by chunk with a least rate, salvo's max_connections and header timeout are set, and a dispatch can be cancelled while it waits for a slot.

Ruled out: a bound on the gap between body frames, because one byte a second passes it.

Conclusion: what the HTTP library itself refuses, such as a head that is no HTTP or takes too long, still closes without a JSON body.

--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use errors::{Error, ErrorKind, Result, Verdict};
 use membership::attempts::{AttemptId, Permit};
-use model::WorkerId;
+use model::{RequestId, WorkerId};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wire::{Answer, Dispatch};
@@ -56,8 +56,15 @@
 }
 
 async fn dispatch_short(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
-    let slot = take_slot(cx, dispatch.request.timeout).await?;
     let cancel = CancellationToken::new();
+    let _registered = Registered::new(cx, dispatch.request.id, &cancel);
+    let slot = tokio::select! {
+        slot = take_slot(cx, dispatch.request.timeout) => slot?,
+        () = cancel.cancelled() => {
+            let message = "the caller left before the endpoint was called";
+            return Err(Error::not_run(ErrorKind::Cancelled, message).report());
+        }
+    };
     run_recorded(cx, dispatch, &[], slot, cancel).await
 }
 
@@ -91,6 +98,7 @@
         gang,
         error: Some(cancelled()),
     };
+    let _registered = Registered::new(cx, dispatch.request.id, &stopped);
     let result = run_recorded(cx, dispatch, &workers, slot, stopped).await;
     end_gang.end(
         result
@@ -101,6 +109,27 @@
     result
 }
 
+/// Lets a request be cancelled until this is dropped.
+struct Registered<'a> {
+    cx: &'a Context,
+    request: RequestId,
+}
+
+impl<'a> Registered<'a> {
+    fn new(cx: &'a Context, request: RequestId, cancel: &CancellationToken) -> Self {
+        let cancel = cancel.clone();
+        let _ = cx.requests.send(RequestEvent::Register { request, cancel });
+        Self { cx, request }
+    }
+}
+
+impl Drop for Registered<'_> {
+    fn drop(&mut self) {
+        let request = self.request;
+        let _ = self.cx.requests.send(RequestEvent::Unregister { request });
+    }
+}
+
 /// Ends the gang of a request also when the caller gives up.
 struct EndGang<'a> {
     cx: &'a Context,
@@ -137,14 +166,8 @@
     } else {
         Some(begin(cx, dispatch).await?)
     };
-    let request = dispatch.request.id;
-    let _ = cx.requests.send(RequestEvent::Register {
-        request,
-        cancel: cancel.clone(),
-    });
     let result = call(cx, endpoint, dispatch, workers, &cancel).await;
     drop(slot);
-    let _ = cx.requests.send(RequestEvent::Unregister { request });
     if let Some(permit) = permit {
         let not_run = result.as_ref().is_err_and(turned_away);
         let event = if not_run {
--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use config::EndpointSettings;
 use errors::{Error, ErrorKind, Result};
 use model::WorkerId;
@@ -66,23 +66,38 @@
         if let Some(parent) = telemetry::current_trace() {
             req = req.header(TRACEPARENT_HEADER, parent.header());
         }
-        let res = req.send().await.map_err(|e| unanswered(&e))?;
+        let mut res = req.send().await.map_err(|e| unanswered(&e))?;
         check_answered_request(res.headers(), dispatch)?;
         if res
             .content_length()
             .is_some_and(|length| length > MAX_ANSWER_BYTES)
         {
-            return Err(
-                Error::ran(ErrorKind::TooLarge, "the answer is larger than 64 MB").report(),
-            );
+            return Err(too_large());
         }
         let status = res.status().as_u16();
         let content_type = content_type(res.headers());
-        let body = res.bytes().await.map_err(|e| truncated(&e))?;
+        let body = read_answer(&mut res).await?;
         Ok(answer(dispatch, status, content_type, body))
     }
 }
 
+/// Reads an answer whose length may not be declared.
+async fn read_answer(res: &mut reqwest::Response) -> Result<Bytes> {
+    let declared = res.content_length().unwrap_or_default();
+    let mut buf = BytesMut::with_capacity(usize::try_from(declared).unwrap_or_default());
+    while let Some(chunk) = res.chunk().await.map_err(|e| truncated(&e))? {
+        if (buf.len() + chunk.len()) as u64 > MAX_ANSWER_BYTES {
+            return Err(too_large());
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
+fn too_large() -> error_stack::Report<Error> {
+    Error::ran(ErrorKind::TooLarge, "the answer is larger than 64 MB").report()
+}
+
 fn answer(dispatch: &Dispatch, status: u16, content_type: Box<str>, body: Bytes) -> Answer {
     Answer {
         request: dispatch.request.id,
--- /dev/null
+++ b/components/entry/src/http/body.rs
@@ -0,0 +1,71 @@
+//! Reading the body of a request within its bounds.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use errors::{Error, ErrorKind, Result};
+use futures::StreamExt;
+use policy::limits::Admission;
+use salvo::http::ReqBody;
+use salvo::http::body::Frame;
+use salvo::http::header::CONTENT_LENGTH;
+use salvo::prelude::Request;
+
+/// Time for a body of any size to arrive.
+const GRACE: Duration = Duration::from_secs(5);
+/// Bytes per second beyond the grace, a sixtieth of the link between regions.
+const MIN_RATE: u64 = 64 * 1024;
+
+/// Reads a body of at most `limit` bytes, each admitted before it is kept.
+///
+/// A body that trickles in is refused, so that slow callers do not hold connections and admitted bytes.
+pub(crate) async fn read_body(
+    req: &mut Request,
+    limit: u64,
+    admission: &mut Admission,
+) -> Result<Bytes> {
+    if declared_length(req).is_some_and(|length| length > limit) {
+        return Err(too_large(limit));
+    }
+    let started = timer::now();
+    let mut body = req.take_body();
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = next_chunk(&mut body, started, buf.len() as u64).await? {
+        if (buf.len() + chunk.len()) as u64 > limit {
+            return Err(too_large(limit));
+        }
+        admission.extend(chunk.len() as u64)?;
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
+fn declared_length(req: &Request) -> Option<u64> {
+    let value = req.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+async fn next_chunk(body: &mut ReqBody, started: Instant, read: u64) -> Result<Option<Bytes>> {
+    let deadline = started + GRACE + Duration::from_secs(read / MIN_RATE);
+    loop {
+        let Ok(frame) = tokio::time::timeout_at(deadline.into(), body.next()).await else {
+            let message = "the body arrives too slowly";
+            return Err(Error::not_run(ErrorKind::Timeout, message).report());
+        };
+        match frame.map(|frame| frame.map(Frame::into_data)) {
+            None => return Ok(None),
+            Some(Ok(Ok(chunk))) => return Ok(Some(chunk)),
+            // Trailers hold nothing of the body.
+            Some(Ok(Err(_))) => {}
+            Some(Err(e)) => {
+                let message = format!("cannot read the body: {e}");
+                return Err(Error::not_run(ErrorKind::InvalidRequest, message).report());
+            }
+        }
+    }
+}
+
+fn too_large(limit: u64) -> error_stack::Report<Error> {
+    let message = format!("the body is larger than {limit} bytes");
+    Error::not_run(ErrorKind::TooLarge, message).report()
+}
--- a/components/entry/src/http/errors.rs
+++ b/components/entry/src/http/errors.rs
@@ -3,7 +3,7 @@
 use errors::{Error, ErrorKind};
 use salvo::http::header::RETRY_AFTER;
 use salvo::http::{HeaderValue, StatusCode};
-use salvo::prelude::{Json, Response};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Json, Request, Response};
 use serde::Serialize;
 
 #[derive(Debug, Serialize)]
@@ -35,6 +35,30 @@
     res.render(Json(ErrorBody { error: fields }));
 }
 
+/// Answers requests that no route takes.
+pub(crate) struct Unrouted;
+
+#[salvo::async_trait]
+impl Handler for Unrouted {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let code = res.status_code.unwrap_or(StatusCode::NOT_FOUND);
+        let kind = if code == StatusCode::NOT_FOUND {
+            ErrorKind::NotFound
+        } else {
+            ErrorKind::InvalidRequest
+        };
+        let reason = code.canonical_reason().unwrap_or("no such call");
+        render(res, &Error::not_run(kind, reason));
+        res.status_code(code);
+    }
+}
+
 fn status(kind: ErrorKind) -> StatusCode {
     match kind {
         ErrorKind::InvalidRequest => StatusCode::BAD_REQUEST,
--- a/components/entry/src/http/requests.rs
+++ b/components/entry/src/http/requests.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use errors::{Error, ErrorKind, Result};
 use fastrace::Span;
 use fastrace::future::FutureExt;
 use fastrace::prelude::SpanContext;
 use policy::limits::admit as admit_account;
 use salvo::http::header::{AUTHORIZATION, CONTENT_TYPE};
-use salvo::http::{HeaderValue, ParseError, StatusCode};
+use salvo::http::{HeaderValue, StatusCode};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
 use wire::Answer;
 
 use crate::call::{Admitted, Answered, Call, Received};
 use crate::context::Context;
+use crate::http::body::read_body;
 use crate::http::errors::render;
 use crate::route;
 use crate::sent::Sent;
@@ -64,7 +64,9 @@
 
 /// Starts the span of a request under the trace that the caller passes in.
 fn root_span(req: &Request) -> Span {
-    match header(req, "traceparent").and_then(|value| telemetry::parse_traceparent(&value)) {
+    let parent = req.headers().get("traceparent");
+    let parent = parent.and_then(|value| value.to_str().ok());
+    match parent.and_then(telemetry::parse_traceparent) {
         Some(parent) => Span::root("entry_request", parent.context()),
         None => Span::root("entry_request", SpanContext::random().sampled(false)),
     }
@@ -90,55 +92,44 @@
     if cx.is_draining() {
         return Err(Error::not_run(ErrorKind::Draining, "the entry is shutting down").report());
     }
-    let call = Call::receive(received(req), timer::now());
+    let call = Call::receive(received(req)?, timer::now());
     let config = cx.board.config.snapshot();
     let account = call.authenticate(&config)?;
     let service = call.service(&config)?;
     let limit = service.max_body_bytes.min(MAX_BODY_BYTES);
     let mut admission = admit_account(&cx.board.limits.load(), &account, 0, timer::now())?;
-    let body = read_body(req, limit).await?;
-    admission.extend(body.len() as u64)?;
+    let body = read_body(req, limit, &mut admission).await?;
     call.admit(account, service, body, admission)
 }
 
-fn received(req: &Request) -> Received {
-    Received {
+fn received(req: &Request) -> Result<Received> {
+    Ok(Received {
         service: req.param::<String>("service").unwrap_or_default().into(),
-        credentials: header(req, AUTHORIZATION.as_str()),
-        shape: header(req, "limpethook-shape"),
-        idempotent: header(req, "limpethook-idempotent"),
-        stoppable: header(req, "limpethook-stoppable"),
-        timeout_ms: header(req, "limpethook-timeout-ms"),
-        run_time_ms: header(req, "limpethook-run-time-ms"),
-        idempotency_key: header(req, "idempotency-key"),
-    }
-}
-
-fn header(req: &Request, name: &str) -> Option<Box<str>> {
-    req.headers()
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .map(Into::into)
+        credentials: header(req, AUTHORIZATION.as_str())?,
+        shape: header(req, "limpethook-shape")?,
+        idempotent: header(req, "limpethook-idempotent")?,
+        stoppable: header(req, "limpethook-stoppable")?,
+        timeout_ms: header(req, "limpethook-timeout-ms")?,
+        run_time_ms: header(req, "limpethook-run-time-ms")?,
+        idempotency_key: header(req, "idempotency-key")?,
+    })
 }
 
-async fn read_body(req: &mut Request, limit: u64) -> Result<Bytes> {
-    let too_large = || {
-        Error::not_run(
-            ErrorKind::TooLarge,
-            format!("the body is larger than {limit} bytes"),
-        )
-        .report()
+/// Returns a header; one that is repeated or not ASCII is refused, because ignoring it would change the request.
+fn header(req: &Request, name: &str) -> Result<Option<Box<str>>> {
+    let invalid = |reason| {
+        let message = format!("header {name}: {reason}");
+        Error::not_run(ErrorKind::InvalidRequest, message).report()
+    };
+    let mut values = req.headers().get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
     };
-    let max = usize::try_from(limit).unwrap_or(usize::MAX);
-    match req.payload_with_max_size(max).await {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => Err(too_large()),
-        Err(e) => Err(Error::not_run(
-            ErrorKind::InvalidRequest,
-            format!("cannot read the body: {e}"),
-        )
-        .report()),
+    if values.next().is_some() {
+        return Err(invalid("it is repeated"));
     }
+    let text = value.to_str().map_err(|_| invalid("it is not ASCII"))?;
+    Ok(Some(text.into()))
 }
 
 fn render_answer(res: &mut Response, answer: Answer) {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -10,6 +10,7 @@
 use errors::{Error, ErrorKind, Result};
 use owner::{Owner, OwnerSettings, Shared};
 use salvo::conn::TcpListener as HttpListener;
+use salvo::fuse::FuseConfig;
 use salvo::prelude::{Listener, Server as HttpServer};
 use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
@@ -21,6 +22,8 @@
 use crate::metrics::Metrics;
 use crate::{directory, drain, http, limits, ready, serve};
 
+/// How long the head of a request may take; it also bounds idle connections.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for the last responses to leave after the drain.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
 /// The same after requests were cut off; the process ends 1 s after the second signal.
@@ -86,9 +89,13 @@
         .try_bind()
         .await
         .map_err(|e| cannot_listen("http_listen", &e))?;
-    let http = HttpServer::new(acceptor);
+    let mut fuse = FuseConfig::default();
+    fuse.http1_header_timeout = Some(HEADER_TIMEOUT);
+    let http = HttpServer::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(cx.settings.connections as usize);
     let handle = http.handle();
-    let serving = tokio::spawn(http.serve(http::router(&cx)));
+    let serving = tokio::spawn(http.serve(http::service(&cx)));
     log::info!(
         target: "limpethook",
         entry:% = cx.settings.id, http:% = cx.settings.http_listen, peers:% = peer_addr,
