Show cells, calls and traffic, and compress answers between regions

Cause: operators saw owners and endpoints only; nothing counted the bytes that cross the paid link, and answers crossed it at full size.

Change: the owner publishes a summary of its cell once a second (queue, gangs, guarantees that cannot be reclaimed, quarantined workers), which travels with the directory; /v1/status and the metrics of entry and agent add calls of the store by kind, datagrams by fate and bytes of connections to peers by region. The process that opens a connection counts both directions; the directory tells which peers are in another region. An answer of at least 1 KB from another region is compressed with zstd level 1 if it shrinks to seven eighths.

Random bytes do not shrink and are sent as they are.

Ruled out: lz4_flex, because the link outweighs its speed; the shortfall check in each directory call, because it grows with the fleet.

--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -10,6 +10,7 @@
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
 use model::WorkerId;
+use store::HttpStore;
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -40,6 +41,7 @@
     pub(crate) timer: Timer,
     pub(crate) peers: Peers,
     pub(crate) datagrams: Datagrams,
+    pub(crate) store: Arc<HttpStore>,
     pub(crate) locator: Locator,
     pub(crate) platforms: IndexMap<WorkerId, Arc<dyn WorkerPlatform>>,
     pub(crate) endpoint: Option<EndpointClient>,
--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -106,6 +106,7 @@
         content_type,
         length: body.len() as u64,
         digest: *blake3::hash(&body).as_bytes(),
+        packed: false,
         body,
     }
 }
--- a/components/agent/src/metrics.rs
+++ b/components/agent/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use errors::Result;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use telemetry::LabelledGauge;
 use wire::Answer;
 
 use crate::context::Context;
@@ -15,10 +16,9 @@
     queued: IntGauge,
     gangs: IntGauge,
     config_revision: IntGauge,
-    datagrams_sent: IntGauge,
-    datagram_bytes: IntGauge,
-    datagrams_foreign: IntGauge,
-    datagrams_repeated: IntGauge,
+    store_calls: LabelledGauge,
+    datagrams: LabelledGauge,
+    peer_bytes: LabelledGauge,
     pub(crate) refused_epochs: IntCounter,
 }
 
@@ -31,6 +31,7 @@
             &["result"],
         )?;
         registry.register(Box::new(dispatches.clone()))?;
+        let labelled = |name, help, label| LabelledGauge::new(&registry, name, help, label);
         Ok(Self {
             slots_free: gauge(&registry, "slots_free", "Free slots of the endpoint.")?,
             queued: gauge(
@@ -44,14 +45,9 @@
                 "config_revision",
                 "Configuration revision in force.",
             )?,
-            datagrams_sent: gauge(&registry, "datagrams_sent", "Datagrams sent.")?,
-            datagram_bytes: gauge(&registry, "datagram_sent_bytes", "Bytes sent in datagrams.")?,
-            datagrams_foreign: gauge(
-                &registry,
-                "datagrams_foreign",
-                "Datagrams with a wrong key.",
-            )?,
-            datagrams_repeated: gauge(&registry, "datagrams_repeated", "Repeated datagrams.")?,
+            store_calls: labelled("store_calls", "Calls of the key-value service.", "kind")?,
+            datagrams: labelled("datagrams", "Datagrams by fate.", "fate")?,
+            peer_bytes: labelled("peer_bytes", "Bytes on connections to peers.", "direction")?,
             refused_epochs: counter(
                 &registry,
                 "refused_epochs_total",
@@ -78,11 +74,9 @@
         self.gangs.set(signed(cx.board.gangs.load().len() as u64));
         self.config_revision
             .set(signed(cx.board.config.load().revision));
-        let counts = cx.datagrams.counts();
-        self.datagrams_sent.set(signed(counts.sent()));
-        self.datagram_bytes.set(signed(counts.sent_bytes()));
-        self.datagrams_foreign.set(signed(counts.foreign()));
-        self.datagrams_repeated.set(signed(counts.repeated()));
+        self.store_calls.set(&cx.store.calls().by_kind());
+        self.datagrams.set(&cx.datagrams.counts().by_fate());
+        self.peer_bytes.set(&cx.peers.bytes().by_direction());
         telemetry::metrics_text(&self.registry)
     }
 }
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -8,7 +8,7 @@
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
 use model::WorkerId;
-use store::{HttpStore, HttpStoreSettings};
+use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -107,7 +107,11 @@
         settings.store_url.clone(),
     ))?);
     let peers = Peers::new(key);
-    let locator = Locator::new(store, peers.clone(), &settings.seeds);
+    let locator = Locator::new(
+        Arc::clone(&store) as Arc<dyn KvStore>,
+        peers.clone(),
+        &settings.seeds,
+    );
     let platforms = worker_platforms(&settings)?;
     let endpoint = settings
         .endpoint
@@ -126,6 +130,7 @@
         timer: Timer::start(),
         peers,
         datagrams,
+        store,
         locator,
         platforms,
         endpoint,
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -7,7 +7,7 @@
 use fastrace::Span;
 use fastrace::future::FutureExt;
 use tokio::sync::{mpsc, oneshot};
-use wire::{Ack, Call, CallContext, Packet, Reply};
+use wire::{Ack, Answer, Call, CallContext, Dispatch, Packet, Reply, pack_answer};
 
 use crate::context::Context;
 use crate::dispatch::dispatch;
@@ -43,10 +43,7 @@
 
 async fn handle(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     match call {
-        Call::Dispatch(mut req) => match req.claim.take() {
-            Some(ticket) => dispatch_keyed(cx, req, ticket).await.map(Reply::Answer),
-            None => dispatch(cx, req).await.map(Reply::Answer),
-        },
+        Call::Dispatch(req) => dispatched(cx, req).await.map(Reply::Answer),
         Call::FindRequest(req) => find(cx, req).await.map(Reply::Found),
         Call::CancelRequest(request) => {
             let _ = cx.requests.send(RequestEvent::Cancel { request });
@@ -81,6 +78,19 @@
     }
 }
 
+async fn dispatched(cx: &Arc<Context>, mut req: Dispatch) -> Result<Answer> {
+    let pack = req.pack;
+    let answer = match req.claim.take() {
+        Some(ticket) => dispatch_keyed(cx, req, ticket).await?,
+        None => dispatch(cx, req).await?,
+    };
+    Ok(if pack {
+        pack_answer(answer).await
+    } else {
+        answer
+    })
+}
+
 async fn ask<T>(cx: &Context, event: impl FnOnce(ReplyTo<T>) -> GangEvent) -> Result<T> {
     let (tx, rx) = oneshot::channel();
     let _ = cx.gangs.send(event(tx));
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -7,15 +7,24 @@
 use config::EntrySettings;
 use discovery::Locator;
 use indexmap::{IndexMap, IndexSet};
-use model::CellId;
+use model::{CellId, RegionId, Resources, Revision};
 use owner::Owner;
-use store::KvStore;
+use store::HttpStore;
 use timer::Timer;
 use tokio_util::sync::CancellationToken;
-use wire::{Datagrams, OwnerRecord, Peers};
+use wire::{CellSummary, Datagrams, OwnerRecord, Peers};
 
 use crate::metrics::Metrics;
 
+/// What an owner reports of its cell.
+#[derive(Debug, Clone)]
+pub(crate) struct CellReport {
+    pub(crate) region: RegionId,
+    pub(crate) revision: Revision,
+    pub(crate) free: Resources,
+    pub(crate) summary: CellSummary,
+}
+
 /// The sections that only an entry has; one controller writes each.
 #[derive(Debug, Default)]
 pub(crate) struct EntryBoard {
@@ -23,6 +32,8 @@
     pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
     /// The names of all cells in the store, none before they were read; written by the directory controller.
     pub(crate) cells: Section<Option<Vec<CellId>>>,
+    /// What the owners report of their cells; written by the directory controller.
+    pub(crate) reports: Section<IndexMap<CellId, CellReport>>,
     /// The cells whose directory lists all their agents; written by the directory controller.
     pub(crate) settled: Section<IndexSet<CellId>>,
 }
@@ -36,7 +47,7 @@
     pub(crate) timer: Timer,
     pub(crate) peers: Peers,
     pub(crate) datagrams: Arc<Datagrams>,
-    pub(crate) store: Arc<dyn KvStore>,
+    pub(crate) store: Arc<HttpStore>,
     pub(crate) locator: Locator,
     pub(crate) owner: Option<Owner>,
     pub(crate) config_updates: distribution::Updates,
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
 
-use crate::context::Context;
+use crate::context::{CellReport, Context};
 
 /// How long one watch for new cells waits at the store.
 const CELLS_WAIT: Duration = Duration::from_secs(20);
@@ -120,8 +120,9 @@
     let mut directories: IndexMap<CellId, Directory> = IndexMap::new();
     while let Some(learned) = rx.recv().await {
         cx.entry_board.owners.update(|owners| {
-            owners.insert(learned.cell.clone(), learned.owner);
+            owners.insert(learned.cell.clone(), learned.owner.clone());
         });
+        report(&cx, &learned);
         // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
         if !learned.directory.settled && directories.contains_key(&learned.cell) {
             continue;
@@ -137,6 +138,28 @@
     }
 }
 
+/// Publishes what operators want to know, and marks the peers in other regions.
+fn report(cx: &Context, learned: &Learned) {
+    let directory = &learned.directory;
+    cx.entry_board.reports.update(|reports| {
+        let report = CellReport {
+            region: directory.region.clone(),
+            revision: directory.revision,
+            free: directory.free,
+            summary: directory.summary.clone(),
+        };
+        reports.insert(learned.cell.clone(), report);
+    });
+    let remote = |region: &str| *region != *cx.settings.region;
+    cx.peers
+        .set_remote(learned.owner.addr, remote(&directory.region));
+    for endpoint in &directory.endpoints {
+        let place = &endpoint.place;
+        cx.peers
+            .set_remote(endpoint.agent_addr, remote(&place.region));
+    }
+}
+
 fn membership(directories: &IndexMap<CellId, Directory>, now: Instant) -> Membership {
     let mut membership = Membership::default();
     for entry in directories
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -7,7 +7,7 @@
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result, Verdict};
 use model::{Attempt, GangId, RequestId};
-use wire::{Call as PeerCall, ClaimTicket, Dispatch, Peers, Reply};
+use wire::{Call as PeerCall, ClaimTicket, Dispatch, Peers, Reply, unpack_answer};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
@@ -74,6 +74,7 @@
         attempt: target.attempt,
         incarnation: target.incarnation,
         gang: target.gang,
+        pack: cx.peers.is_remote(target.addr),
         claim: target.claim.clone(),
         body: call.state.body.clone(),
     });
@@ -88,7 +89,10 @@
         call.state.sent.clear();
     }
     match result.map_err(Undone::Lost)? {
-        Reply::Answer(answer) => dispatched.answer(answer).map_err(Undone::Refused),
+        Reply::Answer(answer) => {
+            let answer = unpack_answer(answer).await.map_err(Undone::Refused)?;
+            dispatched.answer(answer).map_err(Undone::Refused)
+        }
         Reply::Failed(error) => Err(Undone::Refused(error.report())),
         _ => Err(Undone::Lost(unexpected_reply())),
     }
--- a/components/entry/src/http/admin.rs
+++ b/components/entry/src/http/admin.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::context::Context;
+use crate::http::status::status;
 use salvo::http::StatusCode;
 use salvo::prelude::{Depot, FlowCtrl, Handler, Json, Request, Response, Text};
-use serde::Serialize;
-
-use crate::context::Context;
 
 /// Handles `GET /v1/status`.
 pub(crate) struct Status {
@@ -41,64 +40,6 @@
     }
 }
 
-#[derive(Debug, Serialize)]
-struct StatusBody {
-    entry: Box<str>,
-    draining: bool,
-    config_revision: u64,
-    requests_in_flight: u32,
-    cells: Vec<CellStatus>,
-    endpoints: Vec<EndpointStatus>,
-}
-
-#[derive(Debug, Serialize)]
-struct CellStatus {
-    cell: Box<str>,
-    owner: Box<str>,
-    epoch: u64,
-}
-
-#[derive(Debug, Serialize)]
-struct EndpointStatus {
-    endpoint: Box<str>,
-    service: Box<str>,
-    region: Box<str>,
-    data_centre: Box<str>,
-    slots: u32,
-    free: u32,
-}
-
-fn status(cx: &Context) -> StatusBody {
-    let owners = cx.entry_board.owners.load();
-    let directory = cx.board.membership.load();
-    StatusBody {
-        entry: cx.settings.id.clone(),
-        draining: cx.is_draining(),
-        config_revision: cx.board.config.load().revision,
-        requests_in_flight: cx.in_flight.load(std::sync::atomic::Ordering::Relaxed),
-        cells: owners
-            .iter()
-            .map(|(cell, owner)| CellStatus {
-                cell: cell.clone(),
-                owner: owner.owner.clone(),
-                epoch: owner.epoch,
-            })
-            .collect(),
-        endpoints: directory
-            .serving
-            .values()
-            .map(|endpoint| EndpointStatus {
-                endpoint: endpoint.id.clone(),
-                service: endpoint.service.clone(),
-                region: endpoint.place.region.clone(),
-                data_centre: endpoint.place.data_centre.clone(),
-                slots: endpoint.slots,
-                free: endpoint.state.free,
-            })
-            .collect(),
-    }
-}
-
 #[salvo::async_trait]
 impl Handler for Status {
     async fn handle(
--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod errors;
 mod requests;
+mod status;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/components/entry/src/http/status.rs
@@ -0,0 +1,112 @@
+//! What an entry knows, for operators.
+
+use std::sync::atomic::Ordering;
+
+use indexmap::IndexMap;
+use model::{AccountId, CellId, Epoch, Resources, Revision, WorkerId};
+use serde::Serialize;
+use wire::OwnerRecord;
+
+use crate::context::{CellReport, Context};
+
+type Counts = IndexMap<&'static str, u64>;
+
+#[derive(Debug, Serialize)]
+pub(crate) struct StatusBody {
+    entry: Box<str>,
+    draining: bool,
+    config_revision: Revision,
+    requests_in_flight: u32,
+    cells: Vec<CellStatus>,
+    endpoints: Vec<EndpointStatus>,
+    store_calls: Counts,
+    datagrams: Counts,
+    peer_bytes: Counts,
+}
+
+#[derive(Debug, Serialize)]
+struct CellStatus {
+    cell: CellId,
+    owner: Box<str>,
+    epoch: Epoch,
+    region: Box<str>,
+    config_revision: Revision,
+    free: Resources,
+    queued: u32,
+    gangs: u32,
+    guarantee_shortfalls: Vec<ShortfallStatus>,
+    quarantined_workers: Vec<WorkerId>,
+}
+
+#[derive(Debug, Serialize)]
+struct ShortfallStatus {
+    account: AccountId,
+    shape: serde_json::Value,
+}
+
+#[derive(Debug, Serialize)]
+struct EndpointStatus {
+    endpoint: Box<str>,
+    service: Box<str>,
+    region: Box<str>,
+    data_centre: Box<str>,
+    slots: u32,
+    free: u32,
+}
+
+/// Collects the status from the board and the counters.
+pub(crate) fn status(cx: &Context) -> StatusBody {
+    let owners = cx.entry_board.owners.load();
+    let reports = cx.entry_board.reports.load();
+    let cells = owners.iter().filter_map(|(cell, owner)| {
+        let report = reports.get(cell)?;
+        Some(cell_status(cell, owner, report))
+    });
+    StatusBody {
+        entry: cx.settings.id.clone(),
+        draining: cx.is_draining(),
+        config_revision: cx.board.config.load().revision,
+        requests_in_flight: cx.in_flight.load(Ordering::Relaxed),
+        cells: cells.collect(),
+        endpoints: endpoints(cx),
+        store_calls: cx.store.calls().by_kind().into_iter().collect(),
+        datagrams: cx.datagrams.counts().by_fate().into_iter().collect(),
+        peer_bytes: cx.peers.bytes().by_direction().into_iter().collect(),
+    }
+}
+
+fn cell_status(cell: &CellId, owner: &OwnerRecord, report: &CellReport) -> CellStatus {
+    let summary = &report.summary;
+    let shortfalls = summary.shortfalls.iter();
+    let shortfalls = shortfalls.map(|(account, shape)| ShortfallStatus {
+        account: account.clone(),
+        shape: serde_json::from_str(shape).unwrap_or_default(),
+    });
+    CellStatus {
+        cell: cell.clone(),
+        owner: owner.owner.clone(),
+        epoch: owner.epoch,
+        region: report.region.clone(),
+        config_revision: report.revision,
+        free: report.free,
+        queued: summary.queued,
+        gangs: summary.gangs,
+        guarantee_shortfalls: shortfalls.collect(),
+        quarantined_workers: summary.quarantined.clone(),
+    }
+}
+
+fn endpoints(cx: &Context) -> Vec<EndpointStatus> {
+    let directory = cx.board.membership.load();
+    let serving = directory.serving.values();
+    serving
+        .map(|endpoint| EndpointStatus {
+            endpoint: endpoint.id.clone(),
+            service: endpoint.service.clone(),
+            region: endpoint.place.region.clone(),
+            data_centre: endpoint.place.data_centre.clone(),
+            slots: endpoint.slots,
+            free: endpoint.state.free,
+        })
+        .collect()
+}
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -3,6 +3,8 @@
 use errors::Result;
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use telemetry::LabelledGauge;
+
 use crate::call::{Answered, Call};
 use crate::context::Context;
 
@@ -21,6 +23,12 @@
     in_flight: IntGauge,
     config_revision: IntGauge,
     epoch: IntGauge,
+    store_calls: LabelledGauge,
+    datagrams: LabelledGauge,
+    peer_bytes: LabelledGauge,
+    cell_queued: LabelledGauge,
+    cell_shortfalls: LabelledGauge,
+    cell_quarantined: LabelledGauge,
 }
 
 impl Metrics {
@@ -48,7 +56,18 @@
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(config_revision.clone()))?;
         registry.register(Box::new(epoch.clone()))?;
+        let labelled = |name, help, label| LabelledGauge::new(&registry, name, help, label);
         Ok(Self {
+            store_calls: labelled("store_calls", "Calls of the key-value service.", "kind")?,
+            datagrams: labelled("datagrams", "Datagrams by fate.", "fate")?,
+            peer_bytes: labelled("peer_bytes", "Bytes on connections to peers.", "direction")?,
+            cell_queued: labelled("cell_queued", "Jobs that wait for capacity.", "cell")?,
+            cell_shortfalls: labelled(
+                "cell_shortfalls",
+                "Guarantees that cannot be reclaimed now.",
+                "cell",
+            )?,
+            cell_quarantined: labelled("cell_quarantined", "Workers in quarantine.", "cell")?,
             registry,
             requests,
             retries,
@@ -90,6 +109,17 @@
             .set(signed(cx.board.config.load().revision));
         self.epoch
             .set(signed(cx.owner.as_ref().map_or(0, owner::Owner::epoch)));
+        self.store_calls.set(&cx.store.calls().by_kind());
+        self.datagrams.set(&cx.datagrams.counts().by_fate());
+        self.peer_bytes.set(&cx.peers.bytes().by_direction());
+        for (cell, report) in cx.entry_board.reports.load().iter() {
+            let summary = &report.summary;
+            let shortfalls = summary.shortfalls.len() as u64;
+            let quarantined = summary.quarantined.len() as u64;
+            self.cell_queued.set(&[(cell, summary.queued.into())]);
+            self.cell_shortfalls.set(&[(cell, shortfalls)]);
+            self.cell_quarantined.set(&[(cell, quarantined)]);
+        }
         telemetry::metrics_text(&self.registry)
     }
 }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -61,7 +61,7 @@
     ));
     if cx.settings.duties.contains(&Duty::Relay) {
         let watch = distribution::watch_store(
-            Arc::clone(&cx.store),
+            Arc::clone(&cx.store) as Arc<dyn KvStore>,
             cx.timer.clone(),
             cx.config_updates.clone(),
         );
@@ -119,9 +119,10 @@
     config_updates: distribution::Updates,
     cut: CancellationToken,
 ) -> Result<Context> {
-    let store: Arc<dyn KvStore> = Arc::new(HttpStore::new(&HttpStoreSettings::new(
+    let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
         settings.store_url.clone(),
     ))?);
+    let kv: Arc<dyn KvStore> = Arc::clone(&store) as Arc<dyn KvStore>;
     let peers = Peers::new(key);
     let timer = Timer::start();
     let board = Board::default();
@@ -132,7 +133,7 @@
                 config: Arc::clone(&board.config),
                 ..Board::default()
             }),
-            store: Arc::clone(&store),
+            store: Arc::clone(&kv),
             peers: peers.clone(),
             datagrams: Arc::clone(&datagrams),
             timer: timer.clone(),
@@ -145,7 +146,7 @@
         board,
         entry_board: EntryBoard::default(),
         timer,
-        locator: Locator::new(Arc::clone(&store), peers.clone(), &settings.seeds),
+        locator: Locator::new(kv, peers.clone(), &settings.seeds),
         peers,
         datagrams,
         store,
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use board::Board;
+use board::{Board, Section};
 use model::{CellId, EntryId, Epoch, RegionId};
 use store::KvStore;
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use wire::{Datagrams, Peers};
+use wire::{CellSummary, Datagrams, Peers};
 
 use crate::Shared;
 use crate::claims::ClaimEvent;
@@ -45,6 +45,8 @@
     /// Tells the duty that an agent has seen a higher epoch.
     pub(crate) superseded: mpsc::UnboundedSender<Epoch>,
     pub(crate) superseded_rx: tokio::sync::Mutex<mpsc::UnboundedReceiver<Epoch>>,
+    /// Written by the summary controller.
+    pub(crate) summary: Section<CellSummary>,
     epoch: AtomicU64,
 }
 
@@ -74,6 +76,7 @@
             resigning: CancellationToken::new(),
             superseded,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
+            summary: Section::default(),
             epoch: AtomicU64::new(0),
         };
         (Arc::new(cx), scheduler_rx, members_rx, claims_rx)
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -7,6 +7,7 @@
 mod members;
 mod scheduler;
 mod serve;
+mod summary;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -57,6 +58,7 @@
         tokio::spawn(scheduler::run(scheduler_rx, Arc::clone(&cx)));
         tokio::spawn(members::run(members_rx, Arc::clone(&cx)));
         tokio::spawn(claims::run(claims_rx, Arc::clone(&cx)));
+        tokio::spawn(summary::run(Arc::clone(&cx)));
         tokio::spawn(duty::run(Arc::clone(&cx)));
         Self { cx }
     }
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -10,7 +10,9 @@
 use placement::{Event, GangEnd};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use wire::{Announce, Call, Cancel, Directory, EndpointEntry, GangEnded, Place, Reply};
+use wire::{
+    Announce, Call, Cancel, CellSummary, Directory, EndpointEntry, GangEnded, Place, Reply,
+};
 
 use crate::claims;
 use crate::context::Context;
@@ -144,6 +146,8 @@
             .free
             .iter()
             .fold(Resources::default(), |sum, free| sum.plus(*free)),
+        region: cx.settings.region.clone(),
+        summary: CellSummary::clone(&cx.summary.load()),
         settled: is_settled(&membership, timer::now()),
     }))
 }
--- a/components/store/src/calls.rs
+++ b/components/store/src/calls.rs
@@ -38,6 +38,20 @@
     pub lease: u64,
 }
 
+impl CallCounts {
+    /// Returns the counts with the names of the kinds.
+    pub fn by_kind(&self) -> [(&'static str, u64); 6] {
+        [
+            ("get", self.get),
+            ("list", self.list),
+            ("put", self.put),
+            ("delete", self.delete),
+            ("watch", self.watch),
+            ("lease", self.lease),
+        ]
+    }
+}
+
 /// Counts calls by kind.
 #[derive(Debug, Default)]
 pub struct Calls {
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -5,5 +5,5 @@
 mod spans;
 
 pub use logs::{init_logs, level_from_name};
-pub use metrics::{metrics_text, serve_metrics};
+pub use metrics::{LabelledGauge, metrics_text, serve_metrics};
 pub use spans::{TraceParent, current_trace, flush_spans, init_spans, parse_traceparent};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use prometheus::{Registry, TextEncoder};
+use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 use salvo::conn::TcpListener;
 use salvo::prelude::*;
 
@@ -14,6 +14,32 @@
         .unwrap_or_default()
 }
 
+/// Gauges of one name, told apart by a label.
+#[derive(Debug)]
+pub struct LabelledGauge(IntGaugeVec);
+
+impl LabelledGauge {
+    /// Registers the gauges.
+    pub fn new(
+        registry: &Registry,
+        name: &str,
+        help: &str,
+        label: &str,
+    ) -> prometheus::Result<Self> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        registry.register(Box::new(gauges.clone()))?;
+        Ok(Self(gauges))
+    }
+
+    /// Sets the gauge of each label value.
+    pub fn set(&self, values: &[(&str, u64)]) {
+        for (label, value) in values {
+            let value = i64::try_from(*value).unwrap_or(i64::MAX);
+            self.0.with_label_values(&[label]).set(value);
+        }
+    }
+}
+
 struct Metrics<F>(F);
 
 #[async_trait]
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -17,6 +17,7 @@
 use crate::connection::{Outgoing, drive};
 use crate::frame::{FrameReader, FrameWriter, Side, encode, handshake};
 use crate::messages::{Call, Reply};
+use crate::traffic::{PeerBytes, Traffic};
 
 /// How long a connection attempt may take, several times the latency between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -33,6 +34,7 @@
 #[derive(Default)]
 struct Slot {
     current: ArcSwapOption<Connection>,
+    traffic: Arc<Traffic>,
     opening: Mutex<()>,
 }
 
@@ -79,6 +81,28 @@
         });
     }
 
+    /// Records whether a peer is in another region.
+    pub fn set_remote(&self, addr: SocketAddr, remote: bool) {
+        self.slot(addr).traffic.set_remote(remote);
+    }
+
+    /// Returns whether a peer is known to be in another region.
+    pub fn is_remote(&self, addr: SocketAddr) -> bool {
+        let slots = self.slots.load();
+        slots
+            .get(&addr)
+            .is_some_and(|slot| slot.traffic.is_remote())
+    }
+
+    /// Returns the bytes of all connections so far; those of forgotten peers no longer count.
+    pub fn bytes(&self) -> PeerBytes {
+        let mut sum = PeerBytes::default();
+        for slot in self.slots.load().values() {
+            sum.add(&slot.traffic);
+        }
+        sum
+    }
+
     fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
         if let Some(slot) = self.slots.load().get(&addr) {
             return Arc::clone(slot);
@@ -101,7 +125,7 @@
         if let Some(connection) = slot.open_connection() {
             return Ok(connection);
         }
-        let connection = Arc::new(open(addr, &self.key).await?);
+        let connection = Arc::new(open(addr, &self.key, &slot.traffic).await?);
         slot.current.store(Some(Arc::clone(&connection)));
         Ok(connection)
     }
@@ -115,8 +139,8 @@
     }
 }
 
-async fn open(addr: SocketAddr, key: &Key) -> Result<Connection> {
-    let (reader, writer) = match timeout(CONNECT_TIMEOUT, connect(addr, key)).await {
+async fn open(addr: SocketAddr, key: &Key, traffic: &Arc<Traffic>) -> Result<Connection> {
+    let (reader, writer) = match timeout(CONNECT_TIMEOUT, connect(addr, key, traffic)).await {
         Ok(Ok(halves)) => halves,
         Ok(Err(e)) => return Err(unreachable(addr, &e).report()),
         Err(e) => return Err(unreachable(addr, &e).report()),
@@ -129,9 +153,13 @@
     })
 }
 
-async fn connect(addr: SocketAddr, key: &Key) -> std::io::Result<(FrameReader, FrameWriter)> {
+async fn connect(
+    addr: SocketAddr,
+    key: &Key,
+    traffic: &Arc<Traffic>,
+) -> std::io::Result<(FrameReader, FrameWriter)> {
     let stream = TcpStream::connect(addr).await?;
-    handshake(stream, key, Side::Client).await
+    handshake(stream, key, Side::Client, traffic).await
 }
 
 fn unreachable(addr: SocketAddr, reason: &dyn fmt::Display) -> Error {
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -60,6 +60,19 @@
     }
 }
 
+impl DatagramCounts {
+    /// Returns the counts with their names.
+    pub fn by_fate(&self) -> [(&'static str, u64); 5] {
+        [
+            ("sent", self.sent()),
+            ("sent_bytes", self.sent_bytes()),
+            ("received", self.received()),
+            ("foreign", self.foreign()),
+            ("repeated", self.repeated()),
+        ]
+    }
+}
+
 /// A socket for datagrams between the processes of a deployment.
 #[derive(Debug)]
 pub struct Datagrams {
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -1,5 +1,7 @@
 //! Authenticated frames on a TCP connection.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
@@ -10,10 +12,14 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::auth::{Key, NONCE_LEN, TAG_LEN};
+use crate::traffic::Traffic;
 
 /// The largest frame in bytes, above the largest body that an entry accepts.
 const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
 
+/// Length of the field before each frame.
+const LENGTH_BYTES: usize = 4;
+
 const CLIENT_TO_SERVER: u8 = 1;
 const SERVER_TO_CLIENT: u8 = 2;
 
@@ -22,6 +28,7 @@
     inner: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
     key: Key,
     sequence: u64,
+    traffic: Arc<Traffic>,
 }
 
 /// The writing half of a connection.
@@ -29,6 +36,7 @@
     inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     key: Key,
     sequence: u64,
+    traffic: Arc<Traffic>,
 }
 
 /// The side of the connection that this process is on.
@@ -43,6 +51,7 @@
     mut stream: TcpStream,
     key: &Key,
     side: Side,
+    traffic: &Arc<Traffic>,
 ) -> std::io::Result<(FrameReader, FrameWriter)> {
     stream.set_nodelay(true)?;
     let own: [u8; NONCE_LEN] = fastrand::u128(..).to_le_bytes();
@@ -68,11 +77,13 @@
         inner: FramedRead::new(read, codec()),
         key: read_key,
         sequence: 0,
+        traffic: Arc::clone(traffic),
     };
     let writer = FrameWriter {
         inner: FramedWrite::new(write, codec()),
         key: write_key,
         sequence: 0,
+        traffic: Arc::clone(traffic),
     };
     Ok((reader, writer))
 }
@@ -92,6 +103,7 @@
     /// Reads the next message; `None` at the end of the connection or after a frame that fails its check.
     pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
         let frame: BytesMut = self.inner.next().await?.ok()?;
+        self.traffic.add_received(LENGTH_BYTES + frame.len());
         let split = frame.len().checked_sub(TAG_LEN)?;
         let (message, tag) = frame.split_at(split);
         if !self.key.verify(self.sequence, message, tag) {
@@ -109,6 +121,7 @@
         let tag = self.key.tag(self.sequence, &message);
         self.sequence += 1;
         message.extend_from_slice(&tag);
+        self.traffic.add_sent(LENGTH_BYTES + message.len());
         self.inner.feed(Bytes::from(message)).await
     }
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,15 +8,19 @@
 mod datagram;
 mod frame;
 mod messages;
+mod packing;
 mod server;
+mod traffic;
 
 pub use auth::Key;
 pub use client::Peers;
 pub use datagram::{DatagramCounts, Datagrams};
 pub use messages::{
-    Ack, Announce, Answer, ArmGang, Call, Cancel, Claim, ClaimHolder, ClaimTicket, Claimed,
-    Directory, Dispatch, EndpointEntry, FindRequest, FoundRequest, GangEnded, Heartbeat, HeldGang,
-    LeaveClaim, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck, RecordedAttempt,
-    Reply, Reserve, Section, Sections, StartGang, StopGang,
+    Ack, Announce, Answer, ArmGang, Call, Cancel, CellSummary, Claim, ClaimHolder, ClaimTicket,
+    Claimed, Directory, Dispatch, EndpointEntry, FindRequest, FoundRequest, GangEnded, Heartbeat,
+    HeldGang, LeaveClaim, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck,
+    RecordedAttempt, Reply, Reserve, Section, Sections, StartGang, StopGang,
 };
+pub use packing::{pack_answer, unpack_answer};
 pub use server::{CallContext, Server};
+pub use traffic::PeerBytes;
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -7,8 +7,8 @@
 use errors::{Error, ErrorKind};
 use model::{
     AccountId, AgentId, Attempt, CellId, EndpointId, EntryId, Epoch, GangId, JobId, Member,
-    Place as Position, Request, RequestId, Resources, Revision, SectionName, ServiceId, Worker,
-    WorkerId,
+    Place as Position, RegionId, Request, RequestId, Resources, Revision, SectionName, ServiceId,
+    Worker, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -176,6 +176,8 @@
     pub incarnation: u64,
     /// The gang that runs for it.
     pub gang: Option<GangId>,
+    /// Whether the answer crosses regions and should be compressed.
+    pub pack: bool,
     /// The claim under which it is sent, if it has an idempotency key.
     pub claim: Option<ClaimTicket>,
     /// The body.
@@ -284,10 +286,12 @@
     pub status: u16,
     /// The content type of the body.
     pub content_type: Box<str>,
-    /// Length of the body in bytes.
+    /// Length of the plain body in bytes.
     pub length: u64,
-    /// BLAKE3 hash of the body.
+    /// BLAKE3 hash of the plain body.
     pub digest: [u8; 32],
+    /// Whether the body is compressed.
+    pub packed: bool,
     /// The body.
     pub body: Bytes,
 }
@@ -395,10 +399,27 @@
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
     pub free: Resources,
+    /// The region of the owner.
+    pub region: RegionId,
+    /// The state of the cell for operators.
+    pub summary: CellSummary,
     /// Whether every agent that is alive had the time to announce itself to this owner.
     pub settled: bool,
 }
 
+/// The state of a cell for operators.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct CellSummary {
+    /// Jobs that wait for capacity.
+    pub queued: u32,
+    /// Gangs that run.
+    pub gangs: u32,
+    /// Guarantees that cannot be reclaimed now, as client account and shape in JSON.
+    pub shortfalls: Vec<(AccountId, Box<str>)>,
+    /// Workers that take only probes.
+    pub quarantined: Vec<WorkerId>,
+}
+
 /// The owner of a cell, also the value of the key `cells/<cell>`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -72,7 +72,8 @@
     H: Fn(CallContext, Call) -> F + Send + Sync + 'static,
     F: Future<Output = Result<Reply>> + Send + 'static,
 {
-    let Ok((mut reader, writer)) = handshake(stream, &key, Side::Server).await else {
+    let Ok((mut reader, writer)) = handshake(stream, &key, Side::Server, &Arc::default()).await
+    else {
         return;
     };
     let (tx, rx) = mpsc::channel(WRITE_QUEUE);
