--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -11,6 +11,7 @@
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
 use model::WorkerId;
+use store::HttpStore;
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +43,7 @@
     pub(crate) timer: Timer,
     pub(crate) peers: Peers,
     pub(crate) datagrams: Datagrams,
+    pub(crate) store: Arc<HttpStore>,
     pub(crate) locator: Locator,
     pub(crate) platforms: IndexMap<WorkerId, Arc<dyn WorkerPlatform>>,
     pub(crate) endpoint: Option<EndpointClient>,
@@ -54,6 +56,8 @@
     pub(crate) config_updates: Updates,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when the work in progress must end at once.
+    pub(crate) cut: CancellationToken,
     pub(crate) metrics: Metrics,
 }
 
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use errors::{Error, ErrorKind, Result, Verdict};
 use membership::attempts::{AttemptId, Permit};
-use model::WorkerId;
+use model::{RequestId, WorkerId};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wire::{Answer, Dispatch};
@@ -65,6 +65,7 @@
     dispatch: &Dispatch,
     cancel: CancellationToken,
 ) -> Result<Answer> {
+    let _registered = Registered::new(cx, dispatch.request.id, &cancel);
     let slot = tokio::select! {
         slot = take_slot(cx, dispatch.request.timeout) => slot?,
         () = cancel.cancelled() => {
@@ -79,7 +80,13 @@
     if cx.is_draining() {
         return Err(Error::not_run(ErrorKind::Draining, "the endpoint is leaving").report());
     }
-    cx.slots.take(limit).await
+    tokio::select! {
+        slot = cx.slots.take(limit) => slot,
+        () = cx.cut.cancelled() => {
+            let message = "the agent ended before the endpoint was called";
+            Err(Error::not_run(ErrorKind::Draining, message).report())
+        }
+    }
 }
 
 async fn dispatch_gang(cx: &Arc<Context>, dispatch: &Dispatch) -> Result<Answer> {
@@ -99,6 +106,7 @@
         gang,
         error: Some(cancelled()),
     };
+    let _registered = Registered::new(cx, dispatch.request.id, &stopped);
     let result = run_recorded(cx, dispatch, &workers, slot, stopped.child_token()).await;
     let result = result.map_err(|report| {
         let cancelled = report.current_context().kind == ErrorKind::Cancelled;
@@ -117,6 +125,27 @@
     result
 }
 
+/// Lets a request be cancelled until this is dropped.
+struct Registered<'a> {
+    cx: &'a Context,
+    request: RequestId,
+}
+
+impl<'a> Registered<'a> {
+    fn new(cx: &'a Context, request: RequestId, cancel: &CancellationToken) -> Self {
+        let cancel = cancel.clone();
+        let _ = cx.requests.send(RequestEvent::Register { request, cancel });
+        Self { cx, request }
+    }
+}
+
+impl Drop for Registered<'_> {
+    fn drop(&mut self) {
+        let request = self.request;
+        let _ = self.cx.requests.send(RequestEvent::Unregister { request });
+    }
+}
+
 /// Ends the gang of a request also when the caller gives up.
 struct EndGang<'a> {
     cx: &'a Context,
@@ -153,14 +182,8 @@
     } else {
         Some(begin(cx, dispatch).await?)
     };
-    let request = dispatch.request.id;
-    let _ = cx.requests.send(RequestEvent::Register {
-        request,
-        cancel: cancel.clone(),
-    });
-    let result = call(endpoint, dispatch, workers, &cancel).await;
+    let result = call(cx, endpoint, dispatch, workers, &cancel).await;
     drop(slot);
-    let _ = cx.requests.send(RequestEvent::Unregister { request });
     if let Some(permit) = permit {
         let not_run = result.as_ref().is_err_and(turned_away);
         let event = if not_run {
@@ -174,6 +197,7 @@
 }
 
 async fn call(
+    cx: &Context,
     endpoint: &EndpointClient,
     dispatch: &Dispatch,
     workers: &[WorkerId],
@@ -183,6 +207,10 @@
     tokio::select! {
         result = call => result,
         () = cancel.cancelled() => Err(cancelled().report()),
+        () = cx.cut.cancelled() => {
+            let message = "the agent ended while the endpoint handled the request";
+            Err(Error::may_have_run(ErrorKind::Draining, message).report())
+        }
     }
 }
 
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -10,7 +10,7 @@
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
 use model::WorkerId;
-use store::{HttpStore, HttpStoreSettings};
+use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -29,7 +29,13 @@
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
 /// Runs an agent until `shutdown` is cancelled and its work has ended; returns whether all work ended.
-pub async fn run(settings: AgentSettings, shutdown: CancellationToken) -> Result<bool> {
+///
+/// Once `cut` is cancelled, each request in progress ends at once with a verdict.
+pub async fn run(
+    settings: AgentSettings,
+    shutdown: CancellationToken,
+    cut: CancellationToken,
+) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
     let (gang_tx, gang_rx) = mpsc::unbounded_channel();
     let (request_tx, request_rx) = mpsc::unbounded_channel();
@@ -43,10 +49,13 @@
         settings,
         key.clone(),
         datagrams,
-        gang_tx,
-        request_tx,
-        detached_tx,
-        config_updates,
+        Queues {
+            gangs: gang_tx,
+            requests: request_tx,
+            detached: detached_tx,
+            config_updates,
+        },
+        cut,
     )?);
 
     tokio::spawn(gangs::run(gang_rx, Arc::clone(&cx)));
@@ -76,7 +85,7 @@
     );
 
     shutdown.cancelled().await;
-    let ended = drain::drain(Arc::clone(&cx)).await;
+    let ended = drain::drain_or_cut(&cx).await;
     cx.timer.subscribe_after(FLUSH_DELAY).recv().await;
     stop.cancel();
     // Joining blocks, which a thread of the shared runtime must not do while it drives others.
@@ -111,20 +120,30 @@
     }
 }
 
-fn context(
-    settings: AgentSettings,
-    key: Key,
-    datagrams: Datagrams,
+/// The queues of the controllers.
+struct Queues {
     gangs: mpsc::UnboundedSender<gangs::GangEvent>,
     requests: mpsc::UnboundedSender<requests::RequestEvent>,
     detached: mpsc::UnboundedSender<detached::DetachedEvent>,
     config_updates: distribution::Updates,
+}
+
+fn context(
+    settings: AgentSettings,
+    key: Key,
+    datagrams: Datagrams,
+    queues: Queues,
+    cut: CancellationToken,
 ) -> Result<Context> {
     let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
         settings.store_url.clone(),
     ))?);
     let peers = Peers::new(key);
-    let locator = Locator::new(store, peers.clone(), &settings.seeds);
+    let locator = Locator::new(
+        Arc::clone(&store) as Arc<dyn KvStore>,
+        peers.clone(),
+        &settings.seeds,
+    );
     let platforms = worker_platforms(&settings)?;
     let endpoint = settings
         .endpoint
@@ -143,16 +162,18 @@
         timer: Timer::start(),
         peers,
         datagrams,
+        store,
         locator,
         platforms,
         endpoint,
         slots: Slots::new(slots, backlog),
-        gangs,
-        requests,
-        detached,
+        gangs: queues.gangs,
+        requests: queues.requests,
+        detached: queues.detached,
         unread: AtomicUsize::new(0),
-        config_updates,
+        config_updates: queues.config_updates,
         drain: CancellationToken::new(),
+        cut,
         metrics,
     })
 }
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -8,12 +8,13 @@
 use fastrace::future::FutureExt;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
-use wire::{Ack, Call, CallContext, Packet, Reply};
+use wire::{Ack, Answer, Call, CallContext, Dispatch, Packet, Reply, pack_answer};
 
 use crate::context::Context;
 use crate::detached::{self, DetachedEvent};
 use crate::dispatch::dispatch;
 use crate::gangs::{GangEvent, ReplyTo};
+use crate::keyed::{dispatch_keyed, find};
 use crate::requests::RequestEvent;
 
 /// Answers one call.
@@ -45,10 +46,9 @@
 async fn handle(cx: &Arc<Context>, call: Call) -> Result<Reply> {
     match call {
         Call::Dispatch(req) if req.detached => detached::start(cx, req).await,
-        Call::Dispatch(req) => dispatch(cx, req, CancellationToken::new())
-            .await
-            .map(Reply::Answer),
+        Call::Dispatch(req) => dispatched(cx, req).await.map(Reply::Answer),
         Call::Attach(attach) => detached::attach(cx, attach).await,
+        Call::FindRequest(req) => find(cx, req).await.map(Reply::Found),
         Call::CancelRequest(request) => {
             let _ = cx.requests.send(RequestEvent::Cancel { request });
             let _ = cx.detached.send(DetachedEvent::Cancel { request });
@@ -83,6 +83,19 @@
     }
 }
 
+async fn dispatched(cx: &Arc<Context>, mut req: Dispatch) -> Result<Answer> {
+    let pack = req.pack;
+    let answer = match req.claim.take() {
+        Some(ticket) => dispatch_keyed(cx, req, ticket).await?,
+        None => dispatch(cx, req, CancellationToken::new()).await?,
+    };
+    Ok(if pack {
+        pack_answer(answer).await
+    } else {
+        answer
+    })
+}
+
 async fn ask<T>(cx: &Context, event: impl FnOnce(ReplyTo<T>) -> GangEvent) -> Result<T> {
     let (tx, rx) = oneshot::channel();
     let _ = cx.gangs.send(event(tx));
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
 
-use crate::context::Context;
+use crate::context::{CellReport, Context};
 
 /// How long one watch for new cells waits at the store.
 const CELLS_WAIT: Duration = Duration::from_secs(20);
@@ -49,6 +49,9 @@
 async fn cells(cx: &Context, known: Option<Revision>) -> (Vec<CellId>, Option<Revision>) {
     let mut cells = vec![cx.settings.cell.clone()];
     if let Ok((names, revision)) = cx.locator.cells(known, CELLS_WAIT).await {
+        if cx.entry_board.cells.load().as_ref() != &Some(names.clone()) {
+            cx.entry_board.cells.publish(Some(names.clone()));
+        }
         cells.extend(names);
         return (cells, Some(revision));
     }
@@ -117,16 +120,21 @@
     let mut directories: IndexMap<CellId, Directory> = IndexMap::new();
     while let Some(learned) = rx.recv().await {
         cx.entry_board.owners.update(|owners| {
-            owners.insert(learned.cell.clone(), learned.owner);
+            owners.insert(learned.cell.clone(), learned.owner.clone());
         });
-        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
-        if learned.directory.recovering && directories.contains_key(&learned.cell) {
-            continue;
-        }
         cx.entry_board.live_jobs.update(|jobs| {
             jobs.insert(learned.cell.clone(), learned.directory.live_jobs);
         });
+        report(&cx, &learned);
+        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
+        let complete = learned.directory.settled && !learned.directory.recovering;
+        if !complete && directories.contains_key(&learned.cell) {
+            continue;
+        }
         directories.insert(learned.cell, learned.directory);
+        let settled = directories.iter().filter(|(_, d)| d.settled);
+        let settled = settled.map(|(cell, _)| cell.clone());
+        cx.entry_board.settled.publish(settled.collect());
         cx.board
             .membership
             .publish(membership(&directories, timer::now()));
@@ -134,6 +142,28 @@
     }
 }
 
+/// Publishes what operators want to know, and marks the peers in other regions.
+fn report(cx: &Context, learned: &Learned) {
+    let directory = &learned.directory;
+    cx.entry_board.reports.update(|reports| {
+        let report = CellReport {
+            region: directory.region.clone(),
+            revision: directory.revision,
+            free: directory.free,
+            summary: directory.summary.clone(),
+        };
+        reports.insert(learned.cell.clone(), report);
+    });
+    let remote = |region: &str| *region != *cx.settings.region;
+    cx.peers
+        .set_remote(learned.owner.addr, remote(&directory.region));
+    for endpoint in &directory.endpoints {
+        let place = &endpoint.place;
+        cx.peers
+            .set_remote(endpoint.agent_addr, remote(&place.region));
+    }
+}
+
 fn membership(directories: &IndexMap<CellId, Directory>, now: Instant) -> Membership {
     let mut membership = Membership::default();
     for entry in directories
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use board::Membership;
-use errors::{Error, ErrorKind, Result};
+use error_stack::Report;
+use errors::{Error, ErrorKind, Result, Verdict};
 use model::{Attempt, GangId, RequestId};
-use wire::{Call as PeerCall, Dispatch, Peers, Reply};
+use wire::{Call as PeerCall, ClaimTicket, Dispatch, Peers, Reply, unpack_answer};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
@@ -22,6 +23,24 @@
     pub(crate) incarnation: u64,
     pub(crate) attempt: Attempt,
     pub(crate) gang: Option<GangId>,
+    pub(crate) claim: Option<ClaimTicket>,
+}
+
+/// A failed dispatch.
+pub(crate) enum Undone {
+    /// The agent's own decision.
+    Refused(Report<Error>),
+    /// A fault on the way to the agent or back.
+    Lost(Report<Error>),
+}
+
+impl Undone {
+    /// Returns the error of either kind.
+    pub(crate) fn into_report(self) -> Report<Error> {
+        match self {
+            Self::Refused(report) | Self::Lost(report) => report,
+        }
+    }
 }
 
 /// Sends a request and returns the checked answer.
@@ -30,12 +49,24 @@
     call: &Call<Admitted>,
     target: &Target,
 ) -> Result<Call<Answered>> {
-    let request = call.request(timer::now())?;
+    try_dispatch(cx, call, target)
+        .await
+        .map_err(Undone::into_report)
+}
+
+/// Sends a request and says who caused a failure.
+pub(crate) async fn try_dispatch(
+    cx: &Context,
+    call: &Call<Admitted>,
+    target: &Target,
+) -> std::result::Result<Call<Answered>, Undone> {
+    let request = call.request(timer::now()).map_err(Undone::Refused)?;
     let limit = request.timeout + REPLY_GRACE;
     let mut cancel = CancelOnDrop {
         peers: &cx.peers,
         addr: target.addr,
-        request: Some(request.id),
+        // A request with an idempotency key goes on, because its caller may come back.
+        request: target.claim.is_none().then_some(request.id),
     };
     let dispatched = call.dispatch(target.attempt);
     let message = PeerCall::Dispatch(Dispatch {
@@ -43,18 +74,28 @@
         attempt: target.attempt,
         incarnation: target.incarnation,
         gang: target.gang,
+        pack: cx.peers.is_remote(target.addr),
+        claim: target.claim.clone(),
         body: call.state.body.clone(),
         detached: false,
     });
+    call.state.sent.set();
     let result = tokio::select! {
-        result = cx.peers.call(target.addr, &message, limit) => result,
-        // A frozen agent keeps its connections open; work that may run twice does not wait for it.
-        () = lost(cx, target), if call.state.request.idempotent => return Err(agent_lost()),
+        result = cx.peers.exchange(target.addr, &message, limit) => result,
+        // A frozen agent keeps its connections open; nobody waits for it until the deadline.
+        () = lost(cx, target) => Err(agent_lost()),
     };
     cancel.request = None;
-    match result? {
-        Reply::Answer(answer) => dispatched.answer(answer),
-        _ => Err(unexpected_reply()),
+    if may_clear(&result, target) {
+        call.state.sent.clear();
+    }
+    match result.map_err(Undone::Lost)? {
+        Reply::Answer(answer) => {
+            let answer = unpack_answer(answer).await.map_err(Undone::Refused)?;
+            dispatched.answer(answer).map_err(Undone::Refused)
+        }
+        Reply::Failed(error) => Err(Undone::Refused(error.report())),
+        _ => Err(Undone::Lost(unexpected_reply())),
     }
 }
 
@@ -78,10 +119,21 @@
         || draining.any(|e| matches(e.agent_addr, e.incarnation))
 }
 
-fn agent_lost() -> error_stack::Report<Error> {
+fn agent_lost() -> Report<Error> {
     Error::may_have_run(ErrorKind::Unavailable, "the agent was lost").report()
 }
 
+/// With an idempotency key, another submission may have reached the agent.
+fn may_clear(result: &Result<Reply>, target: &Target) -> bool {
+    match result {
+        Ok(Reply::Failed(error)) => error.verdict == Verdict::NotRun,
+        Ok(_) => false,
+        Err(report) => {
+            target.claim.is_none() && report.current_context().verdict == Verdict::NotRun
+        }
+    }
+}
+
 /// Returns the error of a reply that does not belong to the call.
 pub(crate) fn unexpected_reply() -> error_stack::Report<Error> {
     Error::may_have_run(ErrorKind::Internal, "unexpected reply of a peer").report()
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result, Verdict};
-use model::{CellId, JobId};
+use model::{CellId, GangId, JobId};
 use tokio::time::timeout;
 use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
 
@@ -61,14 +61,29 @@
 
 fn cancel_everywhere(cx: &Context, job: JobId) {
     for (_, owner) in owners(cx) {
-        send_cancel(&cx.peers, owner.addr, job);
+        send_cancel(&cx.peers, owner.addr, job, None);
+    }
+}
+
+/// Cancels the placement of a request with an idempotency key unless another submission waits for it.
+pub(crate) fn cancel_placement(cx: &Context, call: &Call<Admitted>) {
+    if call.state.request.shape.is_none() {
+        return;
+    }
+    for (_, owner) in owners(cx) {
+        send_cancel(
+            &cx.peers,
+            owner.addr,
+            call.state.request.id,
+            Some(fastrand::u64(..)),
+        );
     }
 }
 
 /// An owner that does not hear this ends the gang when nobody claims it.
-fn send_cancel(peers: &Peers, addr: SocketAddr, job: JobId) {
+fn send_cancel(peers: &Peers, addr: SocketAddr, job: JobId, waiter: Option<u64>) {
     let peers = peers.clone();
-    let cancel = PeerCall::Cancel(Cancel { job });
+    let cancel = PeerCall::Cancel(Cancel { job, waiter });
     tokio::spawn(async move { peers.call(addr, &cancel, CANCEL_TIMEOUT).await });
 }
 
@@ -79,6 +94,7 @@
         incarnation: placed.incarnation,
         attempt: placed.attempt,
         gang: Some(placed.gang),
+        claim: None,
     };
     dispatch(cx, call, &target).await
 }
@@ -109,7 +125,7 @@
 async fn place_once(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
     let mut last = None;
     for (cell, owner) in owners(cx) {
-        match place_at(cx, call, &cell, &owner).await {
+        match place_at(cx, call, &cell, &owner, None).await {
             Ok(placed) => return Ok(placed),
             Err(report) if is_elsewhere_possible(report.current_context()) => last = Some(report),
             Err(report) => return Err(report),
@@ -118,7 +134,7 @@
     Err(last.unwrap_or_else(no_cell))
 }
 
-fn owners(cx: &Context) -> Vec<(CellId, OwnerRecord)> {
+pub(crate) fn owners(cx: &Context) -> Vec<(CellId, OwnerRecord)> {
     let owners = cx.entry_board.owners.load();
     let mut owners: Vec<_> = owners
         .iter()
@@ -128,29 +144,34 @@
     owners
 }
 
-fn is_elsewhere_possible(error: &Error) -> bool {
+pub(crate) fn is_elsewhere_possible(error: &Error) -> bool {
     matches!(
         error.kind,
         ErrorKind::Infeasible | ErrorKind::Overloaded | ErrorKind::Unavailable
     )
 }
 
-async fn place_at(
+pub(crate) async fn place_at(
     cx: &Context,
     call: &Call<Admitted>,
     home: &CellId,
     owner: &OwnerRecord,
+    ended: Option<GangId>,
 ) -> Result<Placed> {
     let request = call.request(timer::now())?;
     let limit = request.timeout;
+    let waiter = fastrand::u64(..);
     let mut cancel = CancelOnDrop {
         cx,
         owner,
         job: Some(request.id),
+        waiter: call.state.content.map(|_| waiter),
     };
     let place = Place {
         request,
         entry: cx.settings.id.clone(),
+        waiter,
+        ended,
     };
     let place = PeerCall::Place(place);
     let result = tokio::select! {
@@ -192,7 +213,7 @@
     .report()
 }
 
-fn no_cell() -> error_stack::Report<Error> {
+pub(crate) fn no_cell() -> error_stack::Report<Error> {
     Error::not_run(
         ErrorKind::Unavailable,
         "no cell has an owner that can be reached",
@@ -205,12 +226,14 @@
     cx: &'a Context,
     owner: &'a OwnerRecord,
     job: Option<JobId>,
+    /// Set if others may wait for the job as well.
+    waiter: Option<u64>,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(job) = self.job {
-            send_cancel(&self.cx.peers, self.owner.addr, job);
+            send_cancel(&self.cx.peers, self.owner.addr, job, self.waiter);
         }
     }
 }
--- a/components/entry/src/http/jobs.rs
+++ b/components/entry/src/http/jobs.rs
@@ -100,7 +100,7 @@
 }
 
 fn account(cx: &Context, req: &Request) -> Result<AccountId> {
-    let credentials = header(req, AUTHORIZATION.as_str());
+    let credentials = header(req, AUTHORIZATION.as_str())?;
     authenticate(credentials.as_deref(), &cx.board.config.load())
 }
 
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -9,7 +9,7 @@
     job_key, key_claim, parse_public_id, public_id, result_key,
 };
 use model::{AccountId, CellId, JobId};
-use store::{Confirmed, Expect, PutRequest, put_confirmed};
+use store::{Confirmed, Expect, KvStore, PutRequest, put_confirmed};
 
 use crate::call::{Admitted, Call};
 use crate::context::Context;
@@ -34,9 +34,11 @@
     let Admitted {
         request,
         body,
-        keyed,
         admission: _admission,
+        content,
+        ..
     } = admitted.state;
+    let keyed = content.is_some();
     if body.len() > MAX_BODY_BYTES {
         let message = format!("the body of a job is limited to {MAX_BODY_BYTES} bytes");
         return Err(Error::not_run(ErrorKind::TooLarge, message).report());
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry daemon: it takes callers' requests, admits and routes them, and returns the answers.
 
 mod call;
+mod claim;
 mod context;
 mod directory;
 mod dispatch;
@@ -8,12 +9,14 @@
 mod gang;
 mod http;
 mod jobs;
+mod keyed;
 mod limits;
 mod metrics;
 mod ready;
 mod retry;
 mod route;
 mod run;
+mod sent;
 mod serve;
 mod short;
 
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -11,6 +11,7 @@
 use errors::{Error, ErrorKind, Result};
 use owner::{Owner, OwnerSettings, Shared};
 use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
 use salvo::prelude::Server as HttpServer;
 use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
@@ -22,11 +23,21 @@
 use crate::metrics::Metrics;
 use crate::{directory, drain, http, limits, ready, serve};
 
+/// How long the head of a request may take; it also bounds idle connections.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for the last responses to leave after the drain.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+/// The same after requests were cut off; the process ends 1 s after the second signal.
+const CUT_FLUSH_LIMIT: Duration = Duration::from_millis(300);
 
 /// Runs an entry until `shutdown` is cancelled and its requests have ended; returns whether all requests ended.
-pub async fn run(settings: EntrySettings, shutdown: CancellationToken) -> Result<bool> {
+///
+/// Once `cut` is cancelled, each request in progress ends at once with a verdict.
+pub async fn run(
+    settings: EntrySettings,
+    shutdown: CancellationToken,
+    cut: CancellationToken,
+) -> Result<bool> {
     let key = Key::from_secret(settings.peer_key.as_str());
     let peer_addr = settings.peer_listen;
     let listener = TcpListener::bind(peer_addr)
@@ -36,7 +47,13 @@
         .await
         .map_err(|e| cannot_listen("peer_listen", &e))?;
     let (config_updates, config_rx) = distribution::updates();
-    let cx = Arc::new(context(settings, key.clone(), datagrams, config_updates)?);
+    let cx = Arc::new(context(
+        settings,
+        key.clone(),
+        datagrams,
+        config_updates,
+        cut,
+    )?);
 
     tokio::spawn(distribution::run_controller(
         config_rx,
@@ -45,7 +62,7 @@
     ));
     if cx.settings.duties.contains(&Duty::Relay) {
         let watch = distribution::watch_store(
-            Arc::clone(&cx.store),
+            Arc::clone(&cx.store) as Arc<dyn KvStore>,
             cx.timer.clone(),
             cx.config_updates.clone(),
         );
@@ -79,7 +96,7 @@
     );
 
     shutdown.cancelled().await;
-    let ended = drain::drain(&cx).await;
+    let ended = drain::drain_or_cut(&cx).await;
     http_stop.cancel();
     // Joining blocks, which a thread of the shared runtime must not do while it drives others.
     let _ = tokio::task::spawn_blocking(move || join_all(threads)).await;
@@ -102,13 +119,24 @@
         Ok(Err(e)) => return not_started(&e),
         Err(report) => return not_started(report.current_context()),
     };
-    let http = HttpServer::new(acceptor);
+    let mut fuse = FuseConfig::default();
+    fuse.http1_header_timeout = Some(HEADER_TIMEOUT);
+    let connections = cx.settings.connections.div_ceil(cx.settings.threads);
+    let http = HttpServer::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(connections as usize);
     let handle = http.handle();
+    let service = http::service(&cx);
     tokio::spawn(async move {
         stop.cancelled().await;
-        handle.stop_graceful(FLUSH_LIMIT);
+        let limit = if cx.cut.is_cancelled() {
+            CUT_FLUSH_LIMIT
+        } else {
+            FLUSH_LIMIT
+        };
+        handle.stop_graceful(limit);
     });
-    http.serve(http::router(&cx)).await;
+    http.serve(service).await;
 }
 
 fn not_started(error: &dyn std::fmt::Display) {
@@ -126,10 +154,12 @@
     key: Key,
     datagrams: Datagrams,
     config_updates: distribution::Updates,
+    cut: CancellationToken,
 ) -> Result<Context> {
-    let store: Arc<dyn KvStore> = Arc::new(HttpStore::new(&HttpStoreSettings::new(
+    let store = Arc::new(HttpStore::new(&HttpStoreSettings::new(
         settings.store_url.clone(),
     ))?);
+    let kv: Arc<dyn KvStore> = Arc::clone(&store) as Arc<dyn KvStore>;
     let peers = Peers::new(key);
     let timer = Timer::start();
     let board = Board::default();
@@ -140,7 +170,7 @@
                 config: Arc::clone(&board.config),
                 ..Board::default()
             }),
-            store: Arc::clone(&store),
+            store: Arc::clone(&kv),
             peers: peers.clone(),
             datagrams: Arc::clone(&datagrams),
             timer: timer.clone(),
@@ -153,13 +183,14 @@
         board,
         entry_board: EntryBoard::default(),
         timer,
-        locator: Locator::new(Arc::clone(&store), peers.clone(), &settings.seeds),
+        locator: Locator::new(kv, peers.clone(), &settings.seeds),
         peers,
         datagrams,
         store,
         owner,
         config_updates,
         drain: CancellationToken::new(),
+        cut,
         in_flight: AtomicU32::new(0),
         metrics,
         settings,
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -10,9 +10,10 @@
 use timer::Timer;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use wire::{Datagrams, Peers};
+use wire::{CellSummary, Datagrams, Peers};
 
 use crate::Shared;
+use crate::claims::ClaimEvent;
 use crate::jobs::Jobs;
 use crate::members::MemberEvent;
 use crate::records::RecordEvent;
@@ -42,12 +43,15 @@
     pub(crate) scheduler: mpsc::UnboundedSender<SchedulerEvent>,
     pub(crate) members: mpsc::UnboundedSender<MemberEvent>,
     pub(crate) records: mpsc::UnboundedSender<RecordEvent>,
+    pub(crate) claims: mpsc::UnboundedSender<ClaimEvent>,
     pub(crate) resigning: CancellationToken,
     /// Tells the duty that an agent has seen a higher epoch.
     pub(crate) superseded: mpsc::UnboundedSender<Epoch>,
     pub(crate) superseded_rx: tokio::sync::Mutex<mpsc::UnboundedReceiver<Epoch>>,
     /// The asynchronous jobs of the cell; written by the jobs controller.
     pub(crate) jobs: Section<Jobs>,
+    /// Written by the summary controller.
+    pub(crate) summary: Section<CellSummary>,
     epoch: AtomicU64,
     recovering: AtomicBool,
     epochs: watch::Sender<Epoch>,
@@ -58,6 +62,7 @@
     mpsc::UnboundedReceiver<SchedulerEvent>,
     mpsc::UnboundedReceiver<MemberEvent>,
     mpsc::UnboundedReceiver<RecordEvent>,
+    mpsc::UnboundedReceiver<ClaimEvent>,
 );
 
 impl Context {
@@ -65,6 +70,7 @@
         let (scheduler, scheduler_rx) = mpsc::unbounded_channel();
         let (members, members_rx) = mpsc::unbounded_channel();
         let (records, records_rx) = mpsc::unbounded_channel();
+        let (claims, claims_rx) = mpsc::unbounded_channel();
         let (superseded, superseded_rx) = mpsc::unbounded_channel();
         let cx = Self {
             settings,
@@ -76,15 +82,23 @@
             scheduler,
             members,
             records,
+            claims,
             resigning: CancellationToken::new(),
             superseded,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
             jobs: Section::default(),
+            summary: Section::default(),
             epoch: AtomicU64::new(0),
             recovering: AtomicBool::new(false),
             epochs: watch::Sender::new(0),
         };
-        (Arc::new(cx), scheduler_rx, members_rx, records_rx)
+        (
+            Arc::new(cx),
+            scheduler_rx,
+            members_rx,
+            records_rx,
+            claims_rx,
+        )
     }
 
     /// Returns the epoch, or 0 while this process does not own the cell.
--- a/components/owner/src/jobs/follow.rs
+++ b/components/owner/src/jobs/follow.rs
@@ -31,6 +31,8 @@
         attempt: run.attempt,
         incarnation: run.incarnation,
         gang: run.gang,
+        pack: false,
+        claim: None,
         body,
         detached: true,
     });
--- a/components/owner/src/jobs/target.rs
+++ b/components/owner/src/jobs/target.rs
@@ -8,6 +8,7 @@
 use model::{AgentId, GangId, Request};
 use placement::Event;
 use policy::routing::{Route, choose_endpoint};
+use wire::Place;
 
 use crate::context::Context;
 use crate::jobs::is_settled;
@@ -43,7 +44,13 @@
             timeout: remaining(deadline)?,
             ..request.clone()
         };
-        match place(cx, Arc::new(request)).await {
+        let place_call = Place {
+            request,
+            entry: cx.settings.id.clone(),
+            waiter: fastrand::u64(..),
+            ended: None,
+        };
+        match place(cx, place_call).await {
             Ok(placed) => {
                 return Ok(Target {
                     agent: placed.agent,
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -120,6 +120,7 @@
         MemberEvent::Reset { epoch } => {
             *membership = Membership {
                 epoch,
+                since: Some(now),
                 ..Membership::default()
             };
             None
--- a/components/owner/src/scheduler.rs
+++ b/components/owner/src/scheduler.rs
@@ -31,19 +31,32 @@
     /// An event for the decisions.
     Placement(Event),
     /// An entry submits a request, or waits again for one that is known.
-    Submit { request: Arc<Request>, tx: Waiter },
+    Submit {
+        request: Arc<Request>,
+        waiter: u64,
+        ended: Option<GangId>,
+        tx: Waiter,
+    },
+    /// A submission no longer waits for a placement; without any other, a job that does not run is cancelled.
+    Abandoned { job: JobId, waiter: u64 },
     /// A gang runs.
     Started { job: JobId, placed: Placed },
     /// An agent reports a gang from before this owner.
     GangReported(Report),
 }
 
+/// The submissions that wait for one placement, by the number that their entry chose.
+type Submissions = Vec<(u64, Waiter)>;
+
 /// The entries that wait for placements.
 #[derive(Default)]
 struct Waiting {
-    waiters: IndexMap<JobId, (Arc<Request>, Waiter)>,
+    /// Several wait for a request that was submitted twice with one idempotency key.
+    waiters: IndexMap<JobId, (Arc<Request>, Submissions)>,
     /// Gangs that started while no entry waited.
     ready: IndexMap<JobId, Placed>,
+    /// Gangs of which an entry was told and that have not ended.
+    told: IndexMap<JobId, Placed>,
 }
 
 /// What the controller keeps besides the sections that it writes.
@@ -102,7 +115,7 @@
             Action::Refuse { job, error } if is_early(state, &error, now) => {
                 log::info!(target: "limpethook", job:% = hex(job), error:% = error; "refusal_deferred");
             }
-            Action::Refuse { job, error } => refuse(&mut state.waiting, job, error),
+            Action::Refuse { job, error } => refuse(&mut state.waiting, job, &error),
             action => carry_out(cx, action),
         }
     }
@@ -129,9 +142,26 @@
             cx.board.fleet.publish(Fleet::default());
             cx.board.queue.publish(Queue::default());
         }
-        SchedulerEvent::Placement(event) => events.push(event),
-        SchedulerEvent::Submit { request, tx } => {
-            submit(cx, &mut state.waiting, request, tx, events);
+        SchedulerEvent::Placement(event) => {
+            if let Event::Ended { gang, .. } = &event {
+                state.waiting.told.retain(|_, placed| placed.gang != *gang);
+            }
+            events.push(event);
+        }
+        SchedulerEvent::Submit {
+            request,
+            waiter,
+            ended,
+            tx,
+        } => {
+            let told = state.waiting.told.get(&request.id);
+            match told.filter(|placed| Some(placed.gang) != ended) {
+                Some(placed) => drop(tx.send(Ok(placed.clone()))),
+                None => submit(cx, &mut state.waiting, request, (waiter, tx), events),
+            }
+        }
+        SchedulerEvent::Abandoned { job, waiter } => {
+            abandoned(cx, &mut state.waiting, job, waiter, events);
         }
         SchedulerEvent::Started { job, placed } => started(&mut state.waiting, job, placed),
         SchedulerEvent::GangReported(report) => events.extend(state.recovery.report(report, now)),
@@ -140,7 +170,10 @@
 
 /// Submits the jobs anew that ended, or did not fit, while an entry waits for them.
 fn resubmit_ended(cx: &Context, waiting: &mut Waiting, events: &mut Vec<Event>) {
-    waiting.waiters.retain(|_, (_, tx)| !tx.is_closed());
+    waiting.waiters.retain(|_, (_, waiters)| {
+        waiters.retain(|(_, tx)| !tx.is_closed());
+        !waiters.is_empty()
+    });
     let queue = cx.board.queue.load();
     let ended = waiting.waiters.iter().filter(|(job, _)| {
         !(queue.queued.contains_key(*job)
@@ -154,7 +187,7 @@
     cx: &Context,
     waiting: &mut Waiting,
     request: Arc<Request>,
-    tx: Waiter,
+    (waiter, tx): (u64, Waiter),
     events: &mut Vec<Event>,
 ) {
     if cx.epoch() == 0 {
@@ -164,33 +197,64 @@
     }
     let job = request.id;
     if let Some(placed) = waiting.ready.swap_remove(&job) {
-        let _ = tx.send(Ok(placed));
+        let _ = tx.send(Ok(placed.clone()));
+        waiting.told.insert(job, placed);
         return;
     }
     let queue = cx.board.queue.load();
     let known = waiting.waiters.contains_key(&job)
         || queue.queued.contains_key(&job)
         || queue.placed.contains_key(&job);
-    waiting.waiters.insert(job, (Arc::clone(&request), tx));
+    let waiters = waiting.waiters.entry(job);
+    let (_, waiters) = waiters.or_insert_with(|| (Arc::clone(&request), Vec::new()));
+    waiters.push((waiter, tx));
     if !known {
         events.push(Event::Submitted(request));
     }
 }
 
-fn refuse(waiting: &mut Waiting, job: JobId, error: Error) {
+fn refuse(waiting: &mut Waiting, job: JobId, error: &Error) {
     waiting.ready.swap_remove(&job);
-    if let Some((_, tx)) = waiting.waiters.swap_remove(&job) {
-        let _ = tx.send(Err(error.report()));
+    let waiters = waiting.waiters.swap_remove(&job);
+    for (_, tx) in waiters.map_or_else(Vec::new, |(_, waiters)| waiters) {
+        let _ = tx.send(Err(error.clone().report()));
     }
 }
 
 fn started(waiting: &mut Waiting, job: JobId, placed: Placed) {
-    let Some((_, tx)) = waiting.waiters.swap_remove(&job) else {
-        waiting.ready.insert(job, placed);
-        return;
+    let waiters = waiting.waiters.swap_remove(&job);
+    let waiters = waiters.map_or_else(Vec::new, |(_, waiters)| waiters);
+    let mut told = false;
+    for (_, tx) in waiters {
+        told |= tx.send(Ok(placed.clone())).is_ok();
+    }
+    let gangs = if told {
+        &mut waiting.told
+    } else {
+        &mut waiting.ready
     };
-    if let Err(Ok(placed)) = tx.send(Ok(placed)) {
-        waiting.ready.insert(job, placed);
+    gangs.insert(job, placed);
+}
+
+fn abandoned(
+    cx: &Context,
+    waiting: &mut Waiting,
+    job: JobId,
+    waiter: u64,
+    events: &mut Vec<Event>,
+) {
+    let mut untold = waiting.ready.swap_remove(&job).is_some();
+    if let Some((_, waiters)) = waiting.waiters.get_mut(&job) {
+        waiters.retain(|(id, tx)| *id != waiter && !tx.is_closed());
+        if !waiters.is_empty() {
+            return;
+        }
+        waiting.waiters.swap_remove(&job);
+        untold = true;
+    }
+    // The gang of a job whose placement an entry was told belongs to that entry's request.
+    if untold || !cx.board.queue.load().active.contains_key(&job) {
+        events.push(Event::Cancelled(job));
     }
 }
 
--- a/components/specs/src/dispatch.rs
+++ b/components/specs/src/dispatch.rs
@@ -4,10 +4,10 @@
 
 use std::collections::BTreeSet;
 
+use crate::claims::{Claim, Claims};
 use errors::Verdict;
 use membership::Incarnation;
 use membership::attempts::{AttemptId, Attempts};
-use membership::claims::{Claim, Claims};
 use model::Attempt;
 
 use crate::clock::at;
--- a/components/specs/src/lib.rs
+++ b/components/specs/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each specification supplies the network, the crashes and the clock. The decisions are those of `membership`.
 
+pub mod claims;
 pub mod clock;
 pub mod dispatch;
 pub mod explore;
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -17,6 +17,7 @@
 use crate::connection::{Outgoing, drive};
 use crate::frame::{FrameReader, FrameWriter, Side, encode, handshake};
 use crate::messages::{Call, Reply};
+use crate::traffic::{PeerBytes, Traffic};
 
 /// How long a connection attempt may take, several times the latency between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,6 +37,7 @@
 #[derive(Default)]
 struct Slot {
     current: ArcSwapOption<Connection>,
+    traffic: Arc<Traffic>,
     opening: Mutex<()>,
 }
 
@@ -61,13 +63,18 @@
 
     /// Calls a peer and returns its reply; a `Failed` reply becomes the error.
     pub async fn call(&self, addr: SocketAddr, call: &Call, limit: Duration) -> Result<Reply> {
-        let connection = self.connect(addr).await?;
-        match connection.call(call, limit).await? {
+        match self.exchange(addr, call, limit).await? {
             Reply::Failed(error) => Err(error.report()),
             reply => Ok(reply),
         }
     }
 
+    /// Calls a peer; an error is a fault of the connection, a `Failed` reply is the peer's own decision.
+    pub async fn exchange(&self, addr: SocketAddr, call: &Call, limit: Duration) -> Result<Reply> {
+        let connection = self.connect(addr).await?;
+        connection.call(call, limit).await
+    }
+
     /// Drops the connection to a peer that left; calls in progress still get their replies.
     pub fn forget(&self, addr: SocketAddr) {
         self.slots.rcu(|slots| {
@@ -77,18 +84,53 @@
         });
     }
 
+    /// Records whether a peer is in another region.
+    pub fn set_remote(&self, addr: SocketAddr, remote: bool) {
+        self.slot(addr).traffic.set_remote(remote);
+    }
+
+    /// Returns whether a peer is known to be in another region.
+    pub fn is_remote(&self, addr: SocketAddr) -> bool {
+        let slots = self.slots.load();
+        traffic(&slots, addr).is_some_and(|traffic| traffic.is_remote())
+    }
+
+    /// Returns the bytes of all connections so far; those of forgotten peers no longer count.
+    pub fn bytes(&self) -> PeerBytes {
+        let slots = self.slots.load();
+        // The shards share the counters of a peer.
+        let peers: IndexMap<SocketAddr, &Traffic> = slots
+            .iter()
+            .map(|((_, addr), slot)| (*addr, &*slot.traffic))
+            .collect();
+        let mut sum = PeerBytes::default();
+        peers.into_values().for_each(|traffic| sum.add(traffic));
+        sum
+    }
+
     fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
         let key = (shards::current(), addr);
         if let Some(slot) = self.slots.load().get(&key) {
             return Arc::clone(slot);
         }
-        let new = Arc::new(Slot::default());
         self.slots.rcu(|slots| {
             let mut slots = IndexMap::clone(slots);
-            slots.entry(key).or_insert_with(|| Arc::clone(&new));
+            if !slots.contains_key(&key) {
+                let traffic = traffic(&slots, addr).map(Arc::clone).unwrap_or_default();
+                slots.insert(
+                    key,
+                    Arc::new(Slot {
+                        traffic,
+                        ..Slot::default()
+                    }),
+                );
+            }
             slots
         });
-        self.slots.load().get(&key).map_or(new, Arc::clone)
+        self.slots
+            .load()
+            .get(&key)
+            .map_or_else(Arc::default, Arc::clone)
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Arc<Connection>> {
@@ -100,12 +142,24 @@
         if let Some(connection) = slot.open_connection() {
             return Ok(connection);
         }
-        let connection = Arc::new(open(addr, &self.key).await?);
+        let connection = Arc::new(open(addr, &self.key, &slot.traffic).await?);
         slot.current.store(Some(Arc::clone(&connection)));
         Ok(connection)
     }
 }
 
+/// Returns the counters of a peer, which its connections of all shards share.
+fn traffic(slots: &IndexMap<SlotKey, Arc<Slot>>, addr: SocketAddr) -> Option<&Arc<Traffic>> {
+    let own = slots.get(&(shards::current(), addr));
+    let any = || {
+        slots
+            .iter()
+            .find(|((_, known), _)| *known == addr)
+            .map(|(_, slot)| slot)
+    };
+    own.or_else(any).map(|slot| &slot.traffic)
+}
+
 impl Slot {
     fn open_connection(&self) -> Option<Arc<Connection>> {
         self.current
@@ -114,8 +168,8 @@
     }
 }
 
-async fn open(addr: SocketAddr, key: &Key) -> Result<Connection> {
-    let (reader, writer) = match timeout(CONNECT_TIMEOUT, connect(addr, key)).await {
+async fn open(addr: SocketAddr, key: &Key, traffic: &Arc<Traffic>) -> Result<Connection> {
+    let (reader, writer) = match timeout(CONNECT_TIMEOUT, connect(addr, key, traffic)).await {
         Ok(Ok(halves)) => halves,
         Ok(Err(e)) => return Err(unreachable(addr, &e).report()),
         Err(e) => return Err(unreachable(addr, &e).report()),
@@ -128,9 +182,13 @@
     })
 }
 
-async fn connect(addr: SocketAddr, key: &Key) -> std::io::Result<(FrameReader, FrameWriter)> {
+async fn connect(
+    addr: SocketAddr,
+    key: &Key,
+    traffic: &Arc<Traffic>,
+) -> std::io::Result<(FrameReader, FrameWriter)> {
     let stream = TcpStream::connect(addr).await?;
-    handshake(stream, key, Side::Client).await
+    handshake(stream, key, Side::Client, traffic).await
 }
 
 fn unreachable(addr: SocketAddr, reason: &dyn fmt::Display) -> Error {
--- a/tests/jobs/attach.rs
+++ b/tests/jobs/attach.rs
@@ -28,6 +28,8 @@
         declared_run_time: None,
     };
     Call::Dispatch(Dispatch {
+        pack: false,
+        claim: None,
         request,
         attempt: 1,
         incarnation,
