Soak the deployment under random failures and fix what it found

Change: attempts carry the epoch in their high bits; leases are computed when a call is sent and a start whose time is over is not sent; ends of tasks of a stopped gang are no failures; both rules list the same final errors. The harness plays random kills, freezes and faults from a seed.

--- a/components/agent/src/gangs/member.rs
+++ b/components/agent/src/gangs/member.rs
@@ -107,9 +107,10 @@
     // The gang ended here; the leader notices the missing answer.
     let Ok(renewal) = renewal else { return };
     if let Some(gang) = state.gangs.get_mut(&pulse.gang) {
-        gang.run_until = Some(now + renewal.run_for);
+        let until = now + renewal.run_for;
+        gang.run_until = Some(until);
         if renewal.starts {
-            tasks::start(&state.cx, pulse.gang, gang, renewal.run_for);
+            tasks::start(&state.cx, pulse.gang, gang, until);
         }
     }
     let ack = PulseAck {
@@ -186,7 +187,9 @@
 
 /// Tells the leader that a worker of this agent failed a task.
 pub(crate) fn task_failed(state: &mut State, id: GangId, worker: WorkerId, message: Box<str>) {
-    let Some(leader) = state.gangs.get(&id).and_then(|gang| gang.leader) else {
+    // A renewal that overlaps the stop of its gang finds the task stopped, which is no fault of the worker.
+    let running = state.gangs.get(&id).filter(|gang| gang.run_until.is_some());
+    let Some(leader) = running.and_then(|gang| gang.leader) else {
         return;
     };
     log::warn!(
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -21,18 +21,29 @@
 const CHECKPOINT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Starts the tasks of a gang on this agent's workers.
-pub(crate) fn start(cx: &Arc<Context>, id: GangId, gang: &Gang, lease: Duration) {
+pub(crate) fn start(cx: &Arc<Context>, id: GangId, gang: &Gang, until: Instant) {
     let Some(request) = &gang.request else { return };
     for member in &gang.members {
         for number in 0..member.tasks {
-            let task = start_task(id, member, number, request, lease);
-            let start = start_one(Arc::clone(cx), id, member.worker.clone(), task);
+            let task = start_task(id, member, number, request);
+            let start = start_one(Arc::clone(cx), id, member.worker.clone(), task, until);
             gang.starts.spawn(start);
         }
     }
 }
 
-async fn start_one(cx: Arc<Context>, gang: GangId, worker: WorkerId, task: StartTask) {
+async fn start_one(
+    cx: Arc<Context>,
+    gang: GangId,
+    worker: WorkerId,
+    mut task: StartTask,
+    until: Instant,
+) {
+    // An agent that was frozen must not start a task whose time to run is over.
+    task.lease = until.saturating_duration_since(timer::now());
+    if task.lease.is_zero() {
+        return;
+    }
     let event = match try_start(&cx, &worker, &task).await {
         Ok(()) => GangEvent::TaskStarted {
             gang,
@@ -52,20 +63,14 @@
     cx.platform(worker)?.start_task(worker, task).await
 }
 
-fn start_task(
-    id: GangId,
-    member: &Member,
-    number: u32,
-    request: &Request,
-    lease: Duration,
-) -> StartTask {
+fn start_task(id: GangId, member: &Member, number: u32, request: &Request) -> StartTask {
     StartTask {
         task: task_id(id, &member.worker, number),
         gang: id,
         account: request.account.clone(),
         service: request.service.clone(),
         resources: member.per_task,
-        lease,
+        lease: Duration::ZERO,
     }
 }
 
@@ -79,35 +84,34 @@
 
 /// Renews the tasks of all running gangs, with one call a worker.
 pub(crate) fn renew(state: &State, now: Instant) {
-    let mut batches: IndexMap<WorkerId, (Duration, Vec<(GangId, TaskId)>)> = IndexMap::new();
+    let mut batches: IndexMap<WorkerId, (Instant, Vec<(GangId, TaskId)>)> = IndexMap::new();
     for (id, gang) in &state.gangs {
-        let Some(left) = gang
-            .run_until
-            .and_then(|until| until.checked_duration_since(now))
-        else {
+        let Some(until) = gang.run_until.filter(|until| *until >= now + MIN_RENEWAL) else {
             continue;
         };
-        if left < MIN_RENEWAL {
-            continue;
-        }
         // A renewal that overtakes the start of its task would find the task unknown.
         for (worker, started) in &gang.started {
-            let (lease, tasks) = batches.entry(worker.clone()).or_insert((left, Vec::new()));
-            *lease = left.min(*lease);
+            let (earliest, tasks) = batches.entry(worker.clone()).or_insert((until, Vec::new()));
+            *earliest = until.min(*earliest);
             tasks.extend(started.iter().map(|task| (*id, task.clone())));
         }
     }
-    for (worker, (lease, tasks)) in batches {
-        tokio::spawn(renew_worker(Arc::clone(&state.cx), worker, lease, tasks));
+    for (worker, (until, tasks)) in batches {
+        tokio::spawn(renew_worker(Arc::clone(&state.cx), worker, until, tasks));
     }
 }
 
 async fn renew_worker(
     cx: Arc<Context>,
     worker: WorkerId,
-    lease: Duration,
+    until: Instant,
     tasks: Vec<(GangId, TaskId)>,
 ) {
+    // An agent that was frozen must not renew tasks whose time to run is over.
+    let lease = until.saturating_duration_since(timer::now());
+    if lease.is_zero() {
+        return;
+    }
     let ids: Vec<TaskId> = tasks.iter().map(|(_, task)| task.clone()).collect();
     // A worker that does not answer lets its tasks lapse, which a later renewal reports.
     let Ok(platform) = cx.platform(&worker) else {
--- a/components/harness/src/audit.rs
+++ b/components/harness/src/audit.rs
@@ -1,6 +1,5 @@
 //! Checks of what ran, from the records of the stand-in platform.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -64,26 +63,27 @@
     late
 }
 
-/// Returns the workers on which more accelerators were in use at once than `capacity`.
-pub fn overbooked(tasks: &[Task], capacity: u32) -> Vec<Box<str>> {
-    let mut changes: BTreeMap<&str, Vec<(u64, i64)>> = BTreeMap::new();
+/// Returns the tasks that started on workers whose accelerators were in use, each with the tasks that used them.
+pub fn overbooked(tasks: &[Task], capacity: u32) -> Vec<(Task, Vec<Task>)> {
+    let mut workers: IndexMap<&str, Vec<&Task>> = IndexMap::new();
     for task in tasks {
-        let amount = i64::from(task.resources.accelerators);
-        let worker = changes.entry(&*task.worker).or_default();
-        worker.push((task.start_us, amount));
-        worker.extend(task.end_us.map(|end| (end, -amount)));
+        workers.entry(&*task.worker).or_default().push(task);
     }
-    let exceeds = |changes: &mut Vec<(u64, i64)>| {
-        // An end and a start at the same microsecond do not overlap.
-        changes.sort_unstable();
-        let mut used = 0;
-        changes.iter().any(|(_, amount)| {
-            used += amount;
-            used > i64::from(capacity)
-        })
-    };
-    changes.retain(|_, changes| exceeds(changes));
-    changes.into_keys().map(Box::from).collect()
+    let mut over = Vec::new();
+    for on_worker in workers.values_mut() {
+        on_worker.sort_by_key(|task| task.start_us);
+        let mut running: Vec<&Task> = Vec::new();
+        for task in on_worker {
+            running.retain(|other| other.end_us.is_none_or(|end| end > task.start_us));
+            let used: u32 = running.iter().map(|t| t.resources.accelerators).sum();
+            if used + task.resources.accelerators > capacity {
+                let others = running.iter().filter(|other| other.gang != task.gang);
+                over.push((Task::clone(task), others.map(|t| Task::clone(t)).collect()));
+            }
+            running.push(task);
+        }
+    }
+    over
 }
 
 /// Returns the id that entries derive from an idempotency key.
--- a/components/harness/src/lib.rs
+++ b/components/harness/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 mod caller;
+mod chaos;
 mod control;
 mod deployment;
 pub mod fixtures;
@@ -12,6 +13,7 @@
 mod tally;
 
 pub use caller::{Caller, Outcome, Submission};
+pub use chaos::Chaos;
 pub use control::{OwnerView, wait_until};
 pub use deployment::{Deployment, Programs};
 pub use load::Load;
--- a/components/model/src/job.rs
+++ b/components/model/src/job.rs
@@ -5,9 +5,27 @@
 
 use errors::Error;
 
-use crate::ids::{Attempt, GangId, JobId};
+use crate::ids::{Attempt, Epoch, GangId, JobId};
 use crate::request::Request;
 
+/// Bits of an attempt that count the tries of one owner.
+const TRY_BITS: u32 = 16;
+
+/// Returns the first attempt of a job at an owner.
+///
+/// An owner does not know the attempts of earlier owners; with the epoch in the high bits it never repeats one of them,
+/// and so no id of a gang.
+pub fn first_attempt(epoch: Epoch) -> Attempt {
+    // Only the attempts of one request must differ, so that the wrap of the epoch after 65,536 owners does no harm.
+    let low = u16::try_from(epoch.saturating_sub(1) & u64::from(u16::MAX)).unwrap_or(0);
+    (Attempt::from(low) << TRY_BITS) + 1
+}
+
+/// Returns the number of a try at its owner, from 1.
+pub fn try_number(attempt: Attempt) -> u32 {
+    attempt & ((1 << TRY_BITS) - 1)
+}
+
 /// A request with a shape in one state of its life cycle.
 #[derive(Debug, Clone)]
 pub struct Job<S> {
@@ -92,11 +110,11 @@
 }
 
 impl Job<Queued> {
-    /// Accepts a request as a job.
-    pub fn accept(request: Arc<Request>, now: Instant) -> Self {
+    /// Accepts a request as a job of the owner with this epoch.
+    pub fn accept(request: Arc<Request>, epoch: Epoch, now: Instant) -> Self {
         Self {
             request,
-            attempt: 1,
+            attempt: first_attempt(epoch),
             runs: 0,
             accepted: now,
             attained: 0.0,
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -19,7 +19,7 @@
     AccountId, AgentId, Attempt, CellId, DataCentreId, EndpointId, EntryId, Epoch, GangId, JobId,
     RackId, RegionId, RequestId, Revision, ServiceId, WorkerId,
 };
-pub use job::{Active, Finished, Job, JobOutcome, Placed, Queued};
+pub use job::{Active, Finished, Job, JobOutcome, Placed, Queued, first_attempt, try_number};
 pub use lease::{Held, Lapsed, Lease};
 pub use place::Place;
 pub use request::Request;
--- a/components/placement/src/apply.rs
+++ b/components/placement/src/apply.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use errors::{Error, ErrorKind, Verdict};
-use model::{Active, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running};
+use model::{Active, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running, try_number};
 
 use crate::actions::{Action, StopReason};
 use crate::cx::Cx;
@@ -60,7 +60,7 @@
     if cx.gone.contains(&job) {
         cx.flush();
     }
-    let accepted = Job::accept(request, cx.now);
+    let accepted = Job::accept(request, cx.membership.epoch, cx.now);
     cx.queue.queued.insert(job, Arc::new(accepted));
 }
 
@@ -144,7 +144,7 @@
     let job = Job {
         request,
         attempt: gang.attempt,
-        runs: gang.attempt.saturating_sub(1),
+        runs: try_number(gang.attempt).saturating_sub(1),
         accepted: gang.state.since,
         attained: 0.0,
         state,
@@ -208,14 +208,17 @@
 
 /// Returns whether the job may have another attempt; the entry that waits for it decides by the same rule.
 fn may_run_again(job: &Job<Active>, error: &Error) -> bool {
-    let useful = matches!(
+    let final_error = matches!(
         error.kind,
-        ErrorKind::Stopped
-            | ErrorKind::Failed
-            | ErrorKind::Unavailable
-            | ErrorKind::Draining
-            | ErrorKind::Overloaded
+        ErrorKind::InvalidRequest
+            | ErrorKind::Unauthenticated
+            | ErrorKind::NotFound
+            | ErrorKind::TooLarge
+            | ErrorKind::Infeasible
+            | ErrorKind::Timeout
+            | ErrorKind::Cancelled
     );
     let again = job.request.may_stop();
-    useful && (error.verdict == Verdict::NotRun || (again && error.verdict == Verdict::MayHaveRun))
+    !final_error
+        && (error.verdict == Verdict::NotRun || (again && error.verdict == Verdict::MayHaveRun))
 }
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -83,7 +83,7 @@
     let tasks = deployment.tasks().await?;
     let now = tasks.iter().filter_map(|t| t.end_us).max().unwrap_or(0);
     assert_eq!(partial_gangs(&tasks, now), [], "no gang runs partially");
-    assert!(overbooked(&tasks, 8).is_empty(), "no worker is used twice");
+    assert_eq!(overbooked(&tasks, 8), [], "no worker is used twice");
     Ok(outcome)
 }
 
@@ -258,7 +258,7 @@
         assert!(outcome.is_answered(), "{outcome:?}");
     }
     let tasks = deployment.tasks().await?;
-    assert!(overbooked(&tasks, 8).is_empty(), "no worker is used twice");
+    assert_eq!(overbooked(&tasks, 8), [], "no worker is used twice");
     Ok(took)
 }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -49,7 +49,7 @@
         let tasks = self.deployment.tasks().await?;
         let now = tasks.iter().filter_map(|t| t.end_us).max().unwrap_or(0);
         assert_eq!(partial_gangs(&tasks, now), [], "no gang runs partially");
-        assert!(overbooked(&tasks, 8).is_empty(), "no worker is used twice");
+        assert_eq!(overbooked(&tasks, 8), [], "no worker is used twice");
         let runs = self.deployment.runs().await?;
         assert!(runs.values().all(|count| *count == 1), "{runs:?}");
         Ok(())
