--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -38,9 +38,10 @@
 async fn run_placements(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
     let mut tries = 0;
     let mut earlier = Verdict::NotRun;
+    let mut ended = None;
     loop {
         tries += 1;
-        let report = match place_and_dispatch(cx, call).await {
+        let report = match place_and_dispatch(cx, call, &mut ended).await {
             Ok(answered) => return Ok(answered),
             Err(report) => with_earlier_tries(earlier, report),
         };
@@ -87,8 +88,14 @@
     tokio::spawn(async move { peers.call(addr, &cancel, CANCEL_TIMEOUT).await });
 }
 
-async fn place_and_dispatch(cx: &Context, call: &Call<Admitted>) -> Result<Call<Answered>> {
-    let placed = place(cx, call).await?;
+/// Places and dispatches; `ended` names the gang of the last try, which the owner must not hand out again.
+async fn place_and_dispatch(
+    cx: &Context,
+    call: &Call<Admitted>,
+    ended: &mut Option<GangId>,
+) -> Result<Call<Answered>> {
+    let placed = place(cx, call, *ended).await?;
+    *ended = Some(placed.gang);
     let target = Target {
         addr: placed.agent_addr,
         incarnation: placed.incarnation,
@@ -102,11 +109,11 @@
 /// Places a request, and waits for the next owner while no owner can be reached.
 ///
 /// Nothing has been dispatched yet, so this takes nothing from the retry budget.
-async fn place(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
+async fn place(cx: &Context, call: &Call<Admitted>, ended: Option<GangId>) -> Result<Placed> {
     let started = timer::now();
     let mut changes = cx.entry_board.owners.changes();
     loop {
-        let report = match place_once(cx, call).await {
+        let report = match place_once(cx, call, ended).await {
             Ok(placed) => return Ok(placed),
             Err(report) => report,
         };
@@ -122,10 +129,10 @@
 }
 
 /// Asks the owners in turn, the own cell first; another cell is asked only when one cannot take the job.
-async fn place_once(cx: &Context, call: &Call<Admitted>) -> Result<Placed> {
+async fn place_once(cx: &Context, call: &Call<Admitted>, ended: Option<GangId>) -> Result<Placed> {
     let mut last = None;
     for (cell, owner) in owners(cx) {
-        match place_at(cx, call, &cell, &owner, None).await {
+        match place_at(cx, call, &cell, &owner, ended).await {
             Ok(placed) => return Ok(placed),
             Err(report) if is_elsewhere_possible(report.current_context()) => last = Some(report),
             Err(report) => return Err(report),
