Trace each hop of a request once

Cause: the call of the endpoint had no span, and spans at an owner did not say which call they belong to.

Change: spans entry_request, owner_place (owner_claim, owner_cancel), agent_dispatch and endpoint_call under the caller's traceparent; the endpoint gets the span of its call as parent. The readers of headers and the messages about claims move to files of their own.

Conclusion: one trace id finds the path of a request; a retry shows as a further agent_dispatch.

--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result, Verdict};
+use fastrace::Span;
+use fastrace::future::FutureExt;
 use membership::attempts::{AttemptId, Permit};
 use model::{RequestId, WorkerId};
 use tokio::sync::oneshot;
@@ -187,7 +189,9 @@
     workers: &[WorkerId],
     cancel: &CancellationToken,
 ) -> Result<Answer> {
+    let span = Span::enter_with_local_parent("endpoint_call");
     let call = endpoint.call(dispatch, workers, dispatch.request.timeout);
+    let call = call.in_span(span);
     tokio::select! {
         result = call => result,
         () = cancel.cancelled() => Err(cancelled().report()),
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -33,6 +33,7 @@
 fn span_name(call: &Call) -> &'static str {
     match call {
         Call::Dispatch(_) => "agent_dispatch",
+        Call::FindRequest(_) => "agent_find",
         Call::Reserve(_) => "agent_reserve",
         Call::StartGang(_) => "agent_start_gang",
         Call::ArmGang(_) => "agent_arm_gang",
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -6,14 +6,13 @@
 use bytes::Bytes;
 use config::verify_token;
 use errors::{Error, ErrorKind, Result};
-use model::{Account, AccountId, Attempt, Request, RequestId, Service, ServiceId, Shape};
+use model::{Account, AccountId, Attempt, Request, RequestId, Service, ServiceId};
 use policy::limits::Admission;
 use wire::Answer;
 
+use crate::headers::{invalid_header, parse_flag, parse_millis, parse_shape, parse_timeout};
 use crate::sent::Sent;
 
-/// The longest timeout that a caller may ask for.
-const MAX_TIMEOUT: Duration = Duration::from_hours(24);
 /// The longest idempotency key.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -241,57 +240,3 @@
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     u128::from_le_bytes(digest)
 }
-
-fn parse_shape(text: &str) -> Result<Shape> {
-    let invalid = |reason: String| {
-        Error::not_run(
-            ErrorKind::InvalidRequest,
-            format!("header Limpethook-Shape: {reason}"),
-        )
-        .report()
-    };
-    let shape: Shape = serde_json::from_str(text).map_err(|e| invalid(e.to_string()))?;
-    match shape.fault() {
-        Some(fault) => Err(invalid(fault.into())),
-        None => Ok(shape),
-    }
-}
-
-fn parse_flag(header: &str, value: Option<&str>) -> Result<Option<bool>> {
-    match value {
-        None => Ok(None),
-        Some("true") => Ok(Some(true)),
-        Some("false") => Ok(Some(false)),
-        Some(other) => Err(invalid_header(header, other, "true or false")),
-    }
-}
-
-fn parse_timeout(value: Option<&str>) -> Result<Option<Duration>> {
-    let header = "Limpethook-Timeout-Ms";
-    let timeout = parse_millis(header, value)?;
-    match timeout {
-        Some(timeout) if timeout.is_zero() || timeout > MAX_TIMEOUT => Err(invalid_header(
-            header,
-            value.unwrap_or_default(),
-            "1 to 86400000 ms",
-        )),
-        timeout => Ok(timeout),
-    }
-}
-
-fn parse_millis(header: &str, value: Option<&str>) -> Result<Option<Duration>> {
-    let Some(value) = value else { return Ok(None) };
-    match value.parse() {
-        Ok(millis) => Ok(Some(Duration::from_millis(millis))),
-        Err(_) => Err(invalid_header(
-            header,
-            value,
-            "a whole number of milliseconds",
-        )),
-    }
-}
-
-fn invalid_header(header: &str, value: &str, allowed: &str) -> error_stack::Report<Error> {
-    let message = format!("header {header}: {value:?} is not {allowed}");
-    Error::not_run(ErrorKind::InvalidRequest, message).report()
-}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod drain;
 mod gang;
+mod headers;
 mod http;
 mod keyed;
 mod limits;
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -12,12 +12,21 @@
 /// Answers one call.
 pub(crate) async fn answer(cx: Arc<Context>, call_cx: CallContext, call: Call) -> Result<Reply> {
     let span = match call_cx.parent {
-        Some(parent) => Span::root("owner_call", parent.context()),
+        Some(parent) => Span::root(span_name(&call), parent.context()),
         None => Span::noop(),
     };
     handle(&cx, call).in_span(span).await
 }
 
+fn span_name(call: &Call) -> &'static str {
+    match call {
+        Call::Place(_) => "owner_place",
+        Call::Claim(_) => "owner_claim",
+        Call::Cancel(_) => "owner_cancel",
+        _ => "owner_call",
+    }
+}
+
 async fn handle(cx: &Context, call: Call) -> Result<Reply> {
     match (call, &cx.owner) {
         (Call::SectionsAfter(after), _) => Ok(Reply::Sections(distribution::sections_after(
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Both are encoded with postcard and authenticated with a keyed hash.
 
 mod auth;
+mod claims;
 mod client;
 mod connection;
 mod datagram;
@@ -13,13 +14,13 @@
 mod traffic;
 
 pub use auth::Key;
+pub use claims::{Claim, ClaimHolder, ClaimTicket, Claimed, FindRequest, FoundRequest, LeaveClaim};
 pub use client::Peers;
 pub use datagram::{DatagramCounts, Datagrams};
 pub use messages::{
-    Ack, Announce, Answer, ArmGang, Call, Cancel, CellSummary, Claim, ClaimHolder, ClaimTicket,
-    Claimed, Directory, Dispatch, EndpointEntry, FindRequest, FoundRequest, GangEnded, Heartbeat,
-    HeldGang, LeaveClaim, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck,
-    RecordedAttempt, Reply, Reserve, Section, Sections, StartGang, StopGang,
+    Ack, Announce, Answer, ArmGang, Call, Cancel, CellSummary, Directory, Dispatch, EndpointEntry,
+    GangEnded, Heartbeat, HeldGang, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse,
+    PulseAck, RecordedAttempt, Reply, Reserve, Section, Sections, StartGang, StopGang,
 };
 pub use packing::{pack_answer, unpack_answer};
 pub use server::{CallContext, Server};
