Test that a caller who leaves a queue frees its place at once

Cause: a mutant that ignores the cancellation of a request in an agent's queue passed tests/abuse.rs, because the request ended as soon as it got the slot.

Change: the test holds the slot while the queued callers leave and reads the agent's metrics then; a second part lets a gang run when its caller leaves.

--- a/tests/abuse.rs
+++ b/tests/abuse.rs
@@ -212,20 +212,50 @@
     let gang =
         "limpethook-shape: {\"tasks\": 1, \"accelerators\": 8}\r\nlimpethook-idempotent: true\r\n";
     let long = "{\"run_ms\": 20000}";
-    let (second, third) = (Duration::from_secs(1), Duration::from_millis(1500));
-    // The gang and the short request run or wait for the one slot; the others wait in the queues.
-    let (a, b, c, d) = tokio::join!(
-        vanish(&deployment, gang, long, second),
-        vanish(&deployment, gang, long, third),
-        vanish(&deployment, "", long, second),
-        vanish(&deployment, "", long, third),
+    let (early, late) = (Duration::from_millis(700), Duration::from_millis(1500));
+    // The short request takes the one slot and the first gang waits for it; the later ones wait behind them in the
+    // queues of the agent and of the owner, and leave before them.
+    let behind = |delay_ms, extra, after| {
+        let deployment = &deployment;
+        async move {
+            sleep(Duration::from_millis(delay_ms)).await;
+            vanish(deployment, extra, long, after).await
+        }
+    };
+    let (a, b, c, d, queued) = tokio::join!(
+        vanish(&deployment, "", long, late),
+        behind(100, gang, late),
+        behind(200, "", early),
+        behind(200, gang, early),
+        async {
+            sleep(Duration::from_millis(1200)).await;
+            agent_metrics(&deployment).await
+        },
     );
+    // The slot is still taken, but the caller in its queue has left.
+    let queued = queued?;
+    for expected in ["slots_free 0", "queued_requests 0"] {
+        assert!(
+            queued.contains(&format!("limpethook_agent_{expected}\n")),
+            "{queued}"
+        );
+    }
     a.and(b).and(c).and(d)?;
+    wait_until_free(&deployment).await?;
+    // With the slot free, the gang runs when its caller leaves.
+    vanish(&deployment, gang, long, late).await?;
+    let tasks = format!("{}/control/tasks", deployment.workers_url);
+    let tasks = deployment.read_control(&tasks).await?;
+    assert!(tasks.as_array().is_some_and(|tasks| !tasks.is_empty()));
+    wait_until_free(&deployment).await
+}
+
+async fn wait_until_free(deployment: &Deployment) -> Result<()> {
     let started = Instant::now();
-    let mut left = held(&deployment).await?;
+    let mut left = held(deployment).await?;
     while !left.is_empty() && started.elapsed() < RELEASE_LIMIT {
         sleep(Duration::from_millis(100)).await;
-        left = held(&deployment).await?;
+        left = held(deployment).await?;
     }
     assert!(left.is_empty(), "{left:?}");
     Ok(())
