Confirm 'not run' of a keyed request against later attempts

Cause: a submission that gave up after a refused attempt told its caller 'not run' although another submission of the key may have been granted the next attempt meanwhile.

Change: before such a verdict leaves, the entry asks the owner for the claim; with a later attempt, or without an answer, it is 'may have run'.

--- a/components/entry/src/keyed.rs
+++ b/components/entry/src/keyed.rs
@@ -2,7 +2,7 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result, Verdict};
-use model::{CellId, EndpointId, GangId};
+use model::{Attempt, CellId, EndpointId, GangId};
 use policy::routing::Route;
 use wire::{ClaimHolder, ClaimTicket, Claimed, LeaveClaim};
 
@@ -27,6 +27,8 @@
     cells: Vec<CellId>,
     ended_gang: Option<GangId>,
     leave: Option<LeaveClaim>,
+    /// The last attempt that this submission dispatched.
+    attempt: Attempt,
 }
 
 /// Runs a request or attaches to the submission that runs it.
@@ -52,12 +54,30 @@
         {
             // The owner may have queued the job again after a failed attempt.
             cancel_placement(cx, call);
-            return Err(report);
+            return Err(confirm(cx, call, content, &tries, report).await);
         }
     }
     Err(no_endpoint(call))
 }
 
+/// Keeps the verdict "not run" only if no other submission was granted a later attempt.
+async fn confirm(
+    cx: &Context,
+    call: &Call<Admitted>,
+    content: u128,
+    tries: &Tries,
+    report: Report<Error>,
+) -> Report<Error> {
+    let error = report.current_context();
+    if error.verdict != Verdict::NotRun || tries.attempt == 0 {
+        return report;
+    }
+    match claim(cx, call, content, Proposal::default()).await {
+        Ok(claimed) if claimed.attempt <= tries.attempt => report,
+        _ => Error::may_have_run(error.kind, error.message.clone()).report(),
+    }
+}
+
 /// Makes one try; it leaves `tries.leave` empty if another one is of no use.
 async fn run_once(
     cx: &Context,
@@ -79,6 +99,7 @@
     if stays(leave, &claimed) {
         return Err(unreachable(&holder));
     }
+    tries.attempt = claimed.attempt;
     let target = target(&claimed, &holder, content);
     let result = try_dispatch(cx, call, &target).await;
     drop(route);
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -3,9 +3,9 @@
 //! Maps are ordered ones from the standard library, so that the model checks can hash whole states.
 
 pub mod attempts;
-pub mod claims;
 mod ended;
 pub mod fencing;
+pub mod key_claims;
 pub mod leader;
 pub mod liveness;
 mod orders;
--- a/components/membership/tests/claims.rs
+++ b/components/membership/tests/key_claims.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use errors::{ErrorKind, Result, Verdict};
-use membership::claims::{ACCOUNT_CLAIM_LIMIT, CLAIM_RETENTION, Claims, Holder, Leave, Question};
+use membership::key_claims::{
+    ACCOUNT_CLAIM_LIMIT, CLAIM_RETENTION, Claims, Holder, Leave, Question,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/components/owner/src/claims.rs
+++ b/components/owner/src/claims.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use errors::{Error, ErrorKind, Result};
-use membership::claims::{CLAIM_RETENTION, Claims, Holder, Leave, Question};
+use membership::key_claims::{CLAIM_RETENTION, Claims, Holder, Leave, Question};
 use model::Epoch;
 use tokio::sync::{mpsc, oneshot};
 use wire::{Claim, ClaimHolder, Claimed, LeaveClaim};
