--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -25,6 +25,8 @@
 
 /// How long the head of a request may take; it also bounds idle connections.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Fewer connections are not split over threads.
+const MIN_CONNECTIONS_PER_THREAD: u32 = 64;
 /// Time for the last responses to leave after the drain.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
 /// The same after requests were cut off; the process ends 1 s after the second signal.
@@ -108,12 +110,21 @@
 /// Serves callers on several threads until `stop` is cancelled.
 fn serve_on_shards(cx: &Arc<Context>, stop: &CancellationToken) -> Result<Vec<JoinHandle<()>>> {
     let (cx, stop) = (Arc::clone(cx), stop.clone());
-    shards::spawn(cx.settings.threads as usize, "entry", move |_| {
-        serve_shard(Arc::clone(&cx), stop.clone())
+    let (threads, connections) = share(cx.settings.threads, cx.settings.connections);
+    shards::spawn(threads, "entry", move |_| {
+        serve_shard(Arc::clone(&cx), connections, stop.clone())
     })
 }
 
-async fn serve_shard(cx: Arc<Context>, stop: CancellationToken) {
+/// Returns the number of threads and the connections of each.
+///
+/// The system spreads connections over the threads at random, so a small limit is not split.
+fn share(threads: u32, connections: u32) -> (usize, usize) {
+    let threads = threads.min(connections / MIN_CONNECTIONS_PER_THREAD).max(1);
+    (threads as usize, connections.div_ceil(threads) as usize)
+}
+
+async fn serve_shard(cx: Arc<Context>, connections: usize, stop: CancellationToken) {
     let acceptor = match shards::listen(cx.settings.http_listen).map(TcpAcceptor::try_from) {
         Ok(Ok(acceptor)) => acceptor,
         Ok(Err(e)) => return not_started(&e),
@@ -121,10 +132,9 @@
     };
     let mut fuse = FuseConfig::default();
     fuse.http1_header_timeout = Some(HEADER_TIMEOUT);
-    let connections = cx.settings.connections.div_ceil(cx.settings.threads);
     let http = HttpServer::new(acceptor)
         .fuse_config(fuse)
-        .max_connections(connections as usize);
+        .max_connections(connections);
     let handle = http.handle();
     let service = http::service(&cx);
     tokio::spawn(async move {
--- a/components/specs/src/claims.rs
+++ b/components/specs/src/claims.rs
@@ -2,7 +2,7 @@
 //!
 //! Two entries may serve the same request when its caller retries. The owner of the home cell grants each attempt once,
 //! so that two entries that both learn "not run" for one attempt do not both dispatch a next one. This is the abstract
-//! rule; the owner's table in `membership::claims` adds places, limits and retention, which are not explored.
+//! rule; the owner's table in `membership::key_claims` adds places, limits and retention, which are not explored.
 
 use std::collections::BTreeMap;
 
