Let keyed requests wait through a change of the owner

Cause: a request with an idempotency key was refused as not run while its home cell had no owner or the new owner did not know all agents; placements without a key already waited. Change: both wait up to 8 s by the same code.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -10,6 +10,7 @@
 use crate::call::{Admitted, Call};
 use crate::context::Context;
 use crate::dispatch::unexpected_reply;
+use crate::takeover::Takeover;
 
 /// How long an owner may take to answer, several times the latency between regions.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,11 +43,22 @@
         holder: proposal.holder,
         leave: proposal.leave,
     };
-    let home = home_cell(cx, message.request)?;
+    let request = message.request;
+    let message = PeerCall::Claim(message);
+    let mut takeover = Takeover::start(cx);
+    loop {
+        match ask_home(cx, request, &message).await {
+            Ok(value) => return Ok(value),
+            Err(report) => takeover.wait(cx, call, report).await?,
+        }
+    }
+}
+
+async fn ask_home(cx: &Context, request: RequestId, message: &PeerCall) -> Result<Claimed> {
+    let home = home_cell(cx, request)?;
     let owner = cx.entry_board.owners.load().get(&home).cloned();
     let owner = owner.ok_or_else(|| unavailable(&home))?;
-    let message = PeerCall::Claim(message);
-    match cx.peers.call(owner.addr, &message, CLAIM_TIMEOUT).await {
+    match cx.peers.call(owner.addr, message, CLAIM_TIMEOUT).await {
         Ok(Reply::Claimed(claimed)) => Ok(claimed),
         Ok(_) => Err(unexpected_reply()),
         Err(report) => Err(not_claimed(&home, report.current_context())),
@@ -78,6 +90,21 @@
     call: &Call<Admitted>,
     content: u128,
     claimed: &Claimed,
+) -> Result<Option<ClaimHolder>> {
+    let mut takeover = Takeover::start(cx);
+    loop {
+        match find_once(cx, call, content, claimed).await {
+            Ok(value) => return Ok(value),
+            Err(report) => takeover.wait(cx, call, report).await?,
+        }
+    }
+}
+
+async fn find_once(
+    cx: &Context,
+    call: &Call<Admitted>,
+    content: u128,
+    claimed: &Claimed,
 ) -> Result<Option<ClaimHolder>> {
     let find = FindRequest {
         request: call.state.request.id,
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -5,23 +5,16 @@
 
 use errors::{Error, ErrorKind, Result, Verdict};
 use model::{CellId, GangId, JobId};
-use tokio::time::timeout;
 use wire::{Call as PeerCall, Cancel, OwnerRecord, Peers, Place, Placed, Reply};
 
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
 use crate::dispatch::{Target, dispatch, unexpected_reply};
 use crate::retry::{is_useful, pause_before_requeue, pause_before_retry, with_earlier_tries};
+use crate::takeover::Takeover;
 
 /// Placements of one request before its error goes to the caller.
 const MAX_PLACEMENTS: u32 = 8;
-/// How long a request waits for the next owner of a cell: the lease of the old one (3 s), the takeover, and the time
-/// until the directory shows it, with a margin.
-const TAKEOVER_LIMIT: Duration = Duration::from_secs(8);
-/// How often the owner is asked again while the directory shows no change.
-const TAKEOVER_INTERVAL: Duration = Duration::from_millis(250);
-/// Keeps frequent changes of the directory from repeating the call at once.
-const TAKEOVER_PAUSE: Duration = Duration::from_millis(50);
 /// How long an owner may take to hear of a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -107,24 +100,13 @@
 }
 
 /// Places a request, and waits for the next owner while no owner can be reached.
-///
-/// Nothing has been dispatched yet, so this takes nothing from the retry budget.
 async fn place(cx: &Context, call: &Call<Admitted>, ended: Option<GangId>) -> Result<Placed> {
-    let started = timer::now();
-    let mut changes = cx.entry_board.owners.changes();
+    let mut takeover = Takeover::start(cx);
     loop {
-        let report = match place_once(cx, call, ended).await {
-            Ok(placed) => return Ok(placed),
-            Err(report) => report,
-        };
-        let waited = timer::now().saturating_duration_since(started);
-        let unavailable = report.current_context().kind == ErrorKind::Unavailable;
-        if !unavailable || waited >= TAKEOVER_LIMIT || call.remaining(timer::now()).is_err() {
-            return Err(report);
+        match place_once(cx, call, ended).await {
+            Ok(value) => return Ok(value),
+            Err(report) => takeover.wait(cx, call, report).await?,
         }
-        // A change of the directory may name the new owner.
-        let _ = timeout(TAKEOVER_INTERVAL, changes.changed()).await;
-        cx.timer.subscribe_after(TAKEOVER_PAUSE).recv().await;
     }
 }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -20,5 +20,6 @@
 mod sent;
 mod serve;
 mod short;
+mod takeover;
 
 pub use run::run;
