Check guarantees by a complete packing over each account's own work

Cause: the guarantee check reported violations that were none. It deducted the account's own uninterruptible accelerators from its guarantees as one sum, so two tasks on two workers of a home counted as one used task, and work without accelerators as none. It also tried two orders per window only and took their failure as proof. Ruled out: a fault of the decision code in these cases. At the reported times the recorded homes were whole, disjoint and held all such work. Change: a guarantee may lie over uninterruptible work of its own account where that work stands, and the search tries every distribution of tasks (budget 200,000 steps; a larger search counts as undecided, as before).

--- a/components/replay/src/guarantee_check.rs
+++ b/components/replay/src/guarantee_check.rs
@@ -4,13 +4,14 @@
 //! the rule.
 
 use board::{Board, Fleet, Queue};
+use indexmap::IndexMap;
 use model::{AccountId, Document, JobId, Member, Request, Resources, Shape};
 
 use crate::trace::Submit;
-use crate::windows::{task_room, windows};
+use crate::windows::windows;
 
-/// Partial packings tried before the check gives up.
-const PACKING_BUDGET: u32 = 10_000;
+/// Steps of the search before the check gives up; the guarantees of a generated trace of ten workers need fewer.
+const PACKING_BUDGET: u32 = 200_000;
 
 /// Whether a set of shapes can be packed at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,29 +22,26 @@
     Undecided,
 }
 
-/// Returns whether all guarantees pack on capacity that is free or held by work that can be stopped or restarted.
+/// Returns whether all guarantees pack on capacity that is free, held by work that can be stopped or restarted, or held by
+/// uninterruptible work of the same account.
 pub(crate) fn reclaimable(fleet: &Fleet, queue: &Queue, document: &Document) -> Packing {
-    let mut room = capacities(fleet);
-    let mut fixed: Vec<(AccountId, u32)> = Vec::new();
+    let mut room = Room::idle(fleet);
     for (job, members) in gangs(fleet) {
-        let Some(request) = request(queue, job).filter(|request| !interruptible(request)) else {
+        let Some(request) = request(queue, job).filter(|request| !request.may_stop()) else {
             continue;
         };
         for member in members {
             if let Some(index) = fleet.workers.get_index_of(&member.worker) {
-                room[index] = room[index]
-                    .checked_minus(member.total())
-                    .unwrap_or_default();
+                room.occupy(index, &request.account, member.total());
             }
         }
-        fixed.push((request.account.clone(), accelerators(members)));
     }
-    pack(fleet, &room, &unclaimed(document, &fixed))
+    pack(fleet, room, &shapes(document))
 }
 
 /// Returns whether all guarantees pack on the idle fleet.
 pub(crate) fn satisfiable(fleet: &Fleet, document: &Document) -> Packing {
-    pack(fleet, &capacities(fleet), &unclaimed(document, &[]))
+    pack(fleet, Room::idle(fleet), &shapes(document))
 }
 
 /// Returns whether the guarantee of the account covers a job beside all its other jobs.
@@ -78,8 +76,61 @@
         .sum()
 }
 
-fn capacities(fleet: &Fleet) -> Vec<Resources> {
-    fleet.workers.values().map(|w| w.capacity).collect()
+/// Capacity by worker: what no uninterruptible work holds, and what such work of each account holds.
+///
+/// A guarantee may lie over uninterruptible work of its own account, because that work uses the guarantee.
+struct Room {
+    free: Vec<Resources>,
+    own: IndexMap<AccountId, Vec<Resources>>,
+}
+
+impl Room {
+    fn idle(fleet: &Fleet) -> Self {
+        Self {
+            free: fleet.workers.values().map(|w| w.capacity).collect(),
+            own: IndexMap::new(),
+        }
+    }
+
+    fn occupy(&mut self, worker: usize, account: &AccountId, amount: Resources) {
+        self.free[worker] = self.free[worker].saturating_minus(amount);
+        let none = || vec![Resources::default(); self.free.len()];
+        let own = self.own.entry(account.clone()).or_insert_with(none);
+        own[worker] = own[worker].plus(amount);
+    }
+
+    fn own(&self, worker: usize, account: &AccountId) -> Resources {
+        let own = self.own.get(account);
+        own.map_or(Resources::default(), |own| own[worker])
+    }
+
+    /// Returns how many tasks of a guarantee a worker holds.
+    fn tasks(&self, worker: usize, account: &AccountId, shape: &Shape) -> u32 {
+        let room = self.free[worker].plus(self.own(worker, account));
+        room.times(shape.per_task()).min(shape.tasks)
+    }
+
+    /// Returns what a worker has free and what work of the account holds there.
+    fn at(&self, worker: usize, account: &AccountId) -> (Resources, Resources) {
+        (self.free[worker], self.own(worker, account))
+    }
+
+    fn restore(&mut self, worker: usize, account: &AccountId, (free, own): (Resources, Resources)) {
+        self.free[worker] = free;
+        if let Some(all) = self.own.get_mut(account) {
+            all[worker] = own;
+        }
+    }
+
+    /// Takes the capacity of a guarantee, first where work of its account stands.
+    fn take(&mut self, worker: usize, account: &AccountId, amount: Resources) {
+        let within = self.own(worker, account).min(amount);
+        if let Some(own) = self.own.get_mut(account) {
+            own[worker] = own[worker].saturating_minus(within);
+        }
+        let rest = amount.saturating_minus(within);
+        self.free[worker] = self.free[worker].saturating_minus(rest);
+    }
 }
 
 fn gangs(fleet: &Fleet) -> impl Iterator<Item = (JobId, &[Member])> {
@@ -93,91 +144,94 @@
     placed.or_else(|| queue.active.get(&job).map(|job| &*job.request))
 }
 
-fn interruptible(request: &Request) -> bool {
-    request.may_stop()
-}
-
-fn accelerators(members: &[Member]) -> u32 {
-    members.iter().map(|m| m.total().accelerators).sum()
-}
-
-/// Returns the guaranteed shapes, largest first, without the tasks that the account's own fixed work uses, even in part.
-fn unclaimed(document: &Document, fixed: &[(AccountId, u32)]) -> Vec<Shape> {
-    let mut shapes = Vec::new();
-    for (id, account) in &document.accounts {
-        let own = fixed.iter().filter(|(owner, _)| owner == id);
-        let mut used: u32 = own.map(|(_, count)| count).sum();
-        for guarantee in &account.guarantees {
-            let per_task = guarantee.accelerators.max(1);
-            let claimed = used.div_ceil(per_task).min(guarantee.tasks);
-            used = used.saturating_sub(claimed * per_task);
-            let tasks = guarantee.tasks - claimed;
-            if tasks > 0 {
-                shapes.push(Shape {
-                    tasks,
-                    ..*guarantee
-                });
-            }
-        }
-    }
-    shapes.sort_by_key(|shape| std::cmp::Reverse(shape.total().accelerators));
+/// Returns the guaranteed shapes, largest first.
+fn shapes(document: &Document) -> Vec<(&AccountId, &Shape)> {
+    let accounts = document.accounts.iter();
+    let mut shapes: Vec<_> = accounts
+        .flat_map(|(id, account)| account.guarantees.iter().map(move |shape| (id, shape)))
+        .collect();
+    shapes.sort_by_key(|(_, shape)| std::cmp::Reverse(shape.total().accelerators));
     shapes
 }
 
-fn pack(fleet: &Fleet, room: &[Resources], shapes: &[Shape]) -> Packing {
-    let mut budget = PACKING_BUDGET;
-    if pack_rest(fleet, room, shapes, &mut budget) {
+fn pack(fleet: &Fleet, room: Room, shapes: &[(&AccountId, &Shape)]) -> Packing {
+    let mut search = Search {
+        fleet,
+        room,
+        budget: PACKING_BUDGET,
+    };
+    if search.pack(shapes) {
         Packing::Fits
-    } else if budget == 0 {
+    } else if search.budget == 0 {
         Packing::Undecided
     } else {
         Packing::DoesNotFit
     }
 }
 
-fn pack_rest(fleet: &Fleet, room: &[Resources], shapes: &[Shape], budget: &mut u32) -> bool {
-    let Some((shape, rest)) = shapes.split_first() else {
-        return true;
-    };
-    for window in windows(fleet, shape.adjacency) {
-        if task_room(&room[window.clone()], shape) < shape.tasks {
-            continue;
+/// A search through all ways to distribute the tasks of the guarantees over the workers.
+struct Search<'a> {
+    fleet: &'a Fleet,
+    room: Room,
+    budget: u32,
+}
+
+impl Search<'_> {
+    fn pack(&mut self, shapes: &[(&AccountId, &Shape)]) -> bool {
+        let Some(((account, shape), rest)) = shapes.split_first() else {
+            return true;
+        };
+        windows(self.fleet, shape.adjacency)
+            .into_iter()
+            .any(|window| {
+                let tasks = |worker| u64::from(self.room.tasks(worker, account, shape));
+                if window.clone().map(tasks).sum::<u64>() < u64::from(shape.tasks) {
+                    return false;
+                }
+                let order = order(&self.room, window, account);
+                self.distribute((account, shape), shape.tasks, &order, rest)
+            })
+    }
+
+    /// Places `tasks` tasks of a guarantee on the workers in `order`, then the guarantees in `rest`.
+    fn distribute(
+        &mut self,
+        guarantee: (&AccountId, &Shape),
+        tasks: u32,
+        order: &[usize],
+        rest: &[(&AccountId, &Shape)],
+    ) -> bool {
+        if tasks == 0 {
+            return self.pack(rest);
         }
-        for emptiest_first in [false, true] {
-            if *budget == 0 {
+        let Some((worker, others)) = order.split_first() else {
+            return false;
+        };
+        let (account, shape) = guarantee;
+        let most = self.room.tasks(*worker, account, shape).min(tasks);
+        for here in (0..=most).rev() {
+            if self.budget == 0 {
                 return false;
             }
-            *budget -= 1;
-            let left = fill(room, window.clone(), shape, emptiest_first);
-            if pack_rest(fleet, &left, rest, budget) {
+            self.budget -= 1;
+            let before = self.room.at(*worker, account);
+            self.room
+                .take(*worker, account, shape.per_task().scaled(here));
+            if self.distribute(guarantee, tasks - here, others, rest) {
                 return true;
             }
+            self.room.restore(*worker, account, before);
         }
+        false
     }
-    false
 }
 
-/// Places a shape in a window that has room for it and returns what is left.
-fn fill(
-    room: &[Resources],
-    window: std::ops::Range<usize>,
-    shape: &Shape,
-    emptiest_first: bool,
-) -> Vec<Resources> {
-    let per_task = shape.per_task();
+/// Returns the workers of a window, those with work of the account first, then the fullest.
+fn order(room: &Room, window: std::ops::Range<usize>, account: &AccountId) -> Vec<usize> {
     let mut order: Vec<usize> = window.collect();
-    order.sort_by_key(|index| room[*index].accelerators);
-    if emptiest_first {
-        order.reverse();
-    }
-    let mut left = room.to_vec();
-    let mut tasks = shape.tasks;
-    for index in order {
-        let here = left[index].times(per_task).min(tasks);
-        left[index] = left[index]
-            .checked_minus(per_task.scaled(here))
-            .unwrap_or_default();
-        tasks -= here;
-    }
-    left
+    order.sort_by_key(|worker| {
+        let unused = room.own(*worker, account) == Resources::default();
+        (unused, room.free[*worker].accelerators)
+    });
+    order
 }
--- a/components/replay/tests/run.rs
+++ b/components/replay/tests/run.rs
@@ -175,6 +175,46 @@
     }
 }
 
+/// Guards against a violation reported because an account's own work uses its guarantee on two workers.
+#[test]
+fn run_counts_own_work_as_use_of_guarantee() {
+    let guarantee = r#""a":{"guarantees":[{"tasks":2,"accelerators":2,"adjacency":"rack"}]}"#;
+    let header = HEADER.replace(r#""a":{}"#, guarantee);
+    let filler = submit(&spec(0, 1, 1, "worker", 10));
+    let own = |job| {
+        submit(&spec(0, job, 1, "worker", 10))
+            .replace(r#""idempotent":true"#, r#""idempotent":false"#)
+    };
+    let report = replay(&header, &[filler, own(2), own(3)], &[Strategy::Backfill]);
+    assert!(report.policies[0].guarantee_violations.is_empty());
+}
+
+/// Guards against a violation reported because the check tried some of the possible packings only.
+#[test]
+fn run_packs_guarantees_around_fixed_work() {
+    let guarantee = |level| {
+        format!(r#"{{"guarantees":[{{"tasks":2,"accelerators":2,"adjacency":"{level}"}}]}}"#)
+    };
+    let accounts = format!(
+        r#""a":{{}},"b":{},"c":{}"#,
+        guarantee("data_centre"),
+        guarantee("rack")
+    );
+    let more = [(3, "l"), (4, "l"), (5, "m")].map(|(number, rack)| {
+        format!(
+            r#"{{"id":"w{number}","agent":"n{number}","place":{{"region":"r","data_centre":"d","rack":"{rack}"}},"capacity":{{"accelerators":2}}}}"#
+        )
+    });
+    let header = HEADER.replace(r#""a":{}"#, &accounts).replace(
+        r#"],"endpoints""#,
+        &format!(r#",{}],"endpoints""#, more.join(",")),
+    );
+    let fixed = submit(&spec(0, 1, 1, "worker", 10))
+        .replace(r#""idempotent":true"#, r#""idempotent":false"#);
+    let report = replay(&header, &[fixed], &[Strategy::Backfill]);
+    assert!(report.policies[0].guarantee_violations.is_empty());
+}
+
 /// Guards against a job that survives the loss of its worker, or is not started again elsewhere.
 #[test]
 fn run_worker_lost_restarts_idempotent_job() {
