Find homes again for guarantees that a worker loss broke

Cause: after a loss, a claim in use kept the rest of its home and was never given another one, and work that may not be stopped took the spare capacity that a home would need. Both left a guarantee unreclaimable that could be met. Change: a claim with an incomplete home keeps no gang unless a whole home can contain it. While a claim has no home, work that may not be stopped gets no spare capacity, and claims are packed anew when guaranteed capacity comes back, also by moving claims that only stoppable work uses.

--- a/components/placement/src/apply.rs
+++ b/components/placement/src/apply.rs
@@ -6,6 +6,7 @@
 use model::{Active, Attempt, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running};
 
 use crate::actions::{Action, StopReason};
+use crate::claims::has_shortfall;
 use crate::cx::Cx;
 use crate::events::{Event, GangEnd};
 use crate::feasible::reason;
@@ -148,6 +149,9 @@
     };
     let firm = is_firm(&cx.queue, gang.job);
     let room = held_by(&cx.fleet, &gang.members);
+    // What a guarantee or work that may not be stopped gives back may complete the home of another guarantee.
+    let gives_back = firm || cx.fleet.charged.contains_key(&id);
+    cx.unsettled |= gives_back && cx.fleet.holds.is_empty() && has_shortfall(&cx.fleet);
     give_back(&mut cx.fleet, id, firm, &room);
     cx.fleet.stopping.swap_remove(&id);
     cx.slots.release(cx.membership, &gang.endpoint);
--- a/components/placement/src/claims.rs
+++ b/components/placement/src/claims.rs
@@ -1,12 +1,13 @@
 //! The claims: guaranteed shapes and the homes in which they can always be reclaimed.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use board::{Claim, Fleet, Queue};
 use model::{Document, Policy, Resources, Shape};
 
 use crate::adopt::adopt;
-use crate::fleet::{change, charge, drop_holds, gangs, is_firm, subtract};
+use crate::fleet::{change, charge, drop_holds, gangs, is_firm, subtract, uncharge};
 use crate::layout::{Layout, Room, amounts};
 use crate::score::{Weights, best_fit};
 
@@ -27,15 +28,48 @@
     for (_, _, _, room) in uncharged.iter().filter(|(_, _, firm, _)| *firm) {
         subtract_all(&mut fleet.spare, room);
     }
-    let mut adopted = fleet.clone();
-    let missing = home_unused(fleet, layout);
-    if missing == 0 {
-        return;
-    }
+    let used = fleet.clone();
+    let mut missing = home_unused(fleet, layout);
     // After a takeover the claims that gangs run within are unknown, and gangs outside claims count twice.
-    adopt(&mut adopted, layout, queue, &uncharged);
-    if home_unused(&mut adopted, layout) < missing {
-        *fleet = adopted;
+    for (releases, adopts) in [(false, true), (true, false), (true, true)] {
+        if missing == 0 {
+            return;
+        }
+        let mut other = used.clone();
+        if releases {
+            release_stoppable(&mut other, queue);
+        }
+        if adopts {
+            adopt(&mut other, layout, queue, &uncharged);
+        }
+        let missing_then = home_unused(&mut other, layout);
+        if missing_then < missing {
+            missing = missing_then;
+            *fleet = other;
+        }
+    }
+}
+
+/// Makes borrowers of the gangs in claims that no gang uses which may not be stopped, so that these claims can move.
+fn release_stoppable(fleet: &mut Fleet, queue: &Queue) {
+    let charged: Vec<_> = gangs(fleet)
+        .into_iter()
+        .filter_map(|(id, job, room)| Some((id, job, *fleet.charged.get(&id)?, room)))
+        .collect();
+    let fixed: HashSet<usize> = charged
+        .iter()
+        .filter(|(_, job, _, _)| is_firm(queue, *job))
+        .map(|(_, _, claim, _)| *claim)
+        .collect();
+    for (id, _, index, room) in charged {
+        if fixed.contains(&index) {
+            continue;
+        }
+        uncharge(fleet, id, &room);
+        if fleet.claims[index].gangs == 0 {
+            let home = fleet.claims[index].home.clone();
+            add_all(&mut fleet.spare, &home);
+        }
     }
 }
 
@@ -84,11 +118,15 @@
 }
 
 /// Recounts the claims in use and takes their homes from the spare capacity.
+///
+/// A claim that lost a part of its home keeps no gang, so that it may get another home; `adopt` returns the gang to it if
+/// the new home can contain the gang.
 fn keep_used_homes(fleet: &mut Fleet, queue: &Queue) {
     fleet.spare = fleet.workers.values().map(|w| w.capacity).collect();
     let (inside_home, outside): (Vec<_>, Vec<_>) = gangs(fleet)
         .into_iter()
         .filter_map(|(id, job, room)| Some((id, job, *fleet.charged.get(&id)?, room)))
+        .filter(|(_, _, claim, _)| is_whole(&fleet.claims[*claim]))
         .partition(|(_, _, claim, room)| inside(room, &fleet.claims[*claim].home));
     fleet.charged.clear();
     // A gang gets out of its home when a worker leaves and returns; the home then cannot count what the gang holds.
@@ -208,6 +246,11 @@
     tasks >= u64::from(claim.shape.tasks)
 }
 
+/// Returns whether a claim has no whole home.
+pub(crate) fn has_shortfall(fleet: &Fleet) -> bool {
+    !fleet.claims.iter().all(|claim| is_whole(claim))
+}
+
 pub(crate) fn subtract_all(pool: &mut [Resources], room: &Room) {
     for (worker, amount) in room {
         subtract(pool, *worker, *amount);
--- a/components/placement/src/drain.rs
+++ b/components/placement/src/drain.rs
@@ -49,6 +49,9 @@
 /// Returns whether the reserved window can run its job now.
 pub(crate) fn is_ready(cx: &Cx, rooms: &Rooms, hold: &Hold) -> bool {
     let firm = is_firm(&cx.queue, hold.job);
+    if firm && rooms.shortfall {
+        return false;
+    }
     hold.spots.iter().all(|(worker, tasks)| {
         let need = hold.per_task.scaled(*tasks);
         rooms.masks.allows(*worker, false)
--- a/components/placement/src/rooms.rs
+++ b/components/placement/src/rooms.rs
@@ -5,7 +5,7 @@
 use model::{AccountId, Resources, Shape};
 
 use crate::borrowers::{Borrowers, Victim};
-use crate::claims::guarantees;
+use crate::claims::{guarantees, has_shortfall};
 use crate::cx::Cx;
 use crate::layout::{Room, amounts};
 use crate::masks::Masks;
@@ -22,6 +22,8 @@
     pub(crate) drained: Vec<Resources>,
     pub(crate) masks: Masks,
     pub(crate) closed: Closed,
+    /// Whether a claim has no whole home; all spare capacity may then be needed to give it one.
+    pub(crate) shortfall: bool,
     pub(crate) weights: Weights,
     /// Searches that found nothing; capacity only shrinks within a step, so they are not repeated.
     pub(crate) failed: HashSet<Search>,
@@ -46,6 +48,7 @@
             drained: vec![Resources::default(); cx.fleet.free.len()],
             masks,
             closed: closed_claims(&cx.fleet, &cx.queue),
+            shortfall: has_shortfall(&cx.fleet),
             weights: Weights::new(&cx.document.policy, largest(cx)),
             failed: HashSet::new(),
             failed_claims: HashSet::new(),
--- a/components/placement/src/schedule.rs
+++ b/components/placement/src/schedule.rs
@@ -96,6 +96,9 @@
     if rooms.failed.len() >= MAX_FAILED_SEARCHES || rooms.failed.contains(&search) {
         return false;
     }
+    if search.firm && rooms.shortfall {
+        return false;
+    }
     let Some(spots) = find(cx, rooms, &search) else {
         rooms.failed.insert(search);
         return false;
--- a/components/placement/tests/reclaim.rs
+++ b/components/placement/tests/reclaim.rs
@@ -267,3 +267,34 @@
     cell.set_workers(&[0, 2]);
     assert!(shortfall(&cell).is_empty());
 }
+
+// Guards against work that may not be stopped on the capacity that would give a lost home back.
+#[test]
+fn step_keeps_spare_during_shortfall() {
+    let mut cell = Cell::new(3);
+    cell.guarantee("faro", &[shape(2, 8, Adjacency::Rack)]);
+    let request = cell.request("plot", shape(1, 8, Adjacency::Worker));
+    cell.run(request);
+    let home = cell.board.fleet.load().claims[0].home[0].0;
+    let left: Vec<usize> = (0..3).filter(|worker| *worker != home).collect();
+    cell.set_workers(&left);
+    let small = cell.request("plot", shape(1, 4, Adjacency::Worker));
+    assert!(placed(&cell.submit(small)).is_empty());
+}
+
+// Guards against a guarantee without a home because work that may be stopped still uses the rest of the old one.
+#[test]
+fn settle_moves_claim_off_stoppable_work() {
+    let mut cell = Cell::new(3);
+    let pair = shape(2, 8, Adjacency::Rack);
+    cell.guarantee("faro", &[pair]);
+    let mut request = cell.request("faro", pair);
+    request.idempotent = true;
+    cell.run(request);
+    let home = cell.board.fleet.load().claims[0].home[0].0;
+    let left: Vec<usize> = (0..3).filter(|worker| *worker != home).collect();
+    cell.set_workers(&left);
+    let (fleet, queue) = (cell.board.fleet.load(), cell.board.queue.load());
+    let document = &cell.board.config.load().document;
+    assert!(guarantee_shortfall(&fleet, &queue, document).is_empty());
+}
