Let stoppable work take free capacity before its account's claim

Ruled out: the endpoint slots and the window search; the waiting jobs started as soon as the claim emptied. Change: a job that may be stopped uses its account's claim only when no free capacity holds it.

--- a/components/placement/src/schedule.rs
+++ b/components/placement/src/schedule.rs
@@ -73,6 +73,9 @@
         return false;
     };
     let account = &job.request.account;
+    if job.request.may_stop() && borrow(cx, rooms, job, &shape) {
+        return true;
+    }
     if may_claim(&cx.fleet, &rooms.closed, job) {
         let firm = is_firm(&cx.queue, job.id());
         let key = (account.clone(), shape, firm);
