Reserve the window for large jobs that were not stopped before first

Cause: the one reservation went to the oldest blocked large job. Ruled out: windows held too long; a reservation lasted a few minutes. Change: among large blocked jobs, those with fewer attempts come first.

--- a/components/placement/src/drain.rs
+++ b/components/placement/src/drain.rs
@@ -77,7 +77,7 @@
         shape.total().accelerators < limit.max(1)
     };
     let mut order: Vec<&Arc<Job<Queued>>> = blocked.iter().collect();
-    order.sort_by_key(|job| (is_small(job), job.accepted));
+    order.sort_by_key(|job| (is_small(job), job.attempt, job.accepted));
     let returns = if order.is_empty() {
         Vec::new()
     } else {
