Order queued jobs of one level by expected run time

Cause: within one level of attained service the queue was served by age, so short jobs waited behind long ones (slowdown of small non-idempotent jobs). Change: jobs of one level are ordered by the class of their expected run time (factor of four), then by age.

--- a/components/placement/src/order.rs
+++ b/components/placement/src/order.rs
@@ -54,7 +54,7 @@
         .is_none_or(|since| job.accepted <= *since)
 }
 
-/// Returns the queued jobs: within guarantee first, then least attained service, then age.
+/// Returns the queued jobs: within guarantee first, then least attained service, then expected run time, then age.
 pub(crate) fn ordered(
     fleet: &Fleet,
     queue: &Queue,
@@ -68,14 +68,18 @@
             let covered = may_claim(fleet, closed, job);
             let account = &job.request.account;
             let attained = history.attained.get(account).copied().unwrap_or(0.0);
-            (!covered, level(attained + job.attained), job.accepted, job)
+            let expected = run_time(history, &job.request).unwrap_or(UNKNOWN_REMAINING);
+            let key = (
+                !covered,
+                level(attained + job.attained),
+                length(expected),
+                job.accepted,
+            );
+            (key, job)
         })
         .collect();
-    keyed.sort_by_key(|(borrows, level, accepted, _)| (*borrows, *level, *accepted));
-    keyed
-        .into_iter()
-        .map(|(_, _, _, job)| Arc::clone(job))
-        .collect()
+    keyed.sort_by_key(|(key, _)| *key);
+    keyed.into_iter().map(|(_, job)| Arc::clone(job)).collect()
 }
 
 /// Returns whether a claim of the client account has enough left for a job.
@@ -105,6 +109,11 @@
     level
 }
 
+/// Returns the class of an expected run time; a class spans a factor of four, because estimates are no more exact.
+fn length(expected: Duration) -> u32 {
+    expected.as_secs().max(1).ilog2() / 2
+}
+
 /// Returns the declared run time corrected by the history of the client account and service.
 pub(crate) fn run_time(history: &History, request: &Request) -> Option<Duration> {
     let key = (request.account.clone(), request.service.clone());
