--- a/components/replay/src/generate/workload.rs
+++ b/components/replay/src/generate/workload.rs
@@ -77,7 +77,9 @@
     };
     for (at_ms, job) in &mut submits {
         if at_once.contains(&job.job) {
-            job.expect = Some(refused(ErrorKind::Cancelled));
+            // A job that may be infeasible is refused before its cancellation takes effect.
+            let feasible = certain.beside_guarantees(job);
+            job.expect = feasible.then(|| refused(ErrorKind::Cancelled));
             cancels.push((*at_ms, job.job));
         } else if !cancelled.contains(&job.job) {
             job.expect = certain.outcome(*at_ms, job);
@@ -187,15 +189,18 @@
         }
     }
 
+    /// Guarantees leave one whole worker; work that may not be stopped and needs more may be infeasible.
+    fn beside_guarantees(&self, job: &Submit) -> bool {
+        let worker = capacity(self.deployment).accelerators;
+        job.idempotent || job.shape.total().accelerators <= worker
+    }
+
     fn never_fails(&self, at_ms: u64, job: &Submit) -> bool {
         let adjacent = job.shape.adjacency <= Adjacency::DataCentre;
         let elsewhere = adjacent && job.shape.total().accelerators > self.room;
         // Only an idempotent job may run again after the loss of a worker.
         let survives_loss = job.idempotent || at_ms >= self.stable_ms;
-        // Guarantees leave one whole worker; work that may not be stopped and needs more may be infeasible.
-        let worker = capacity(self.deployment).accelerators;
-        let beside_guarantees = job.idempotent || job.shape.total().accelerators <= worker;
-        survives_loss && beside_guarantees && (elsewhere || at_ms >= self.repaired_ms)
+        survives_loss && self.beside_guarantees(job) && (elsewhere || at_ms >= self.repaired_ms)
     }
 }
 
