--- a/components/placement/src/apply.rs
+++ b/components/placement/src/apply.rs
@@ -6,11 +6,12 @@
 use model::{Active, Epoch, Gang, GangId, Job, JobId, Placed, Request, Running, try_number};
 
 use crate::actions::{Action, StopReason};
+use crate::claims::has_shortfall;
 use crate::cx::Cx;
 use crate::events::{Event, GangEnd};
-use crate::feasible::reason;
 use crate::fleet::{drop_hold, give_back, held_by, is_firm, rebuild, subtract};
 use crate::layout::Layout;
+use crate::refuse::{infeasible, refuse_infeasible};
 
 pub(crate) fn apply(cx: &mut Cx, event: Event) {
     match event {
@@ -21,10 +22,15 @@
         Event::Ended { gang, end } => ended(cx, gang, end),
         Event::Recovered { gang, request } => recover(cx, gang, request),
         Event::MembershipChanged => {
+            let before = cx.fleet.workers.len();
             rebuild(&mut cx.fleet, cx.membership);
             cx.layout = Layout::of(&cx.fleet);
             cx.infeasible.clear();
             cx.unsettled = true;
+            // A job accepted while workers were missing may prove impossible once they are present.
+            if cx.fleet.workers.len() > before {
+                refuse_infeasible(cx);
+            }
         }
         Event::ConfigChanged => cx.unsettled = true,
         Event::Tick => {}
@@ -39,15 +45,7 @@
     if known {
         return;
     }
-    let fault = match &request.shape {
-        Some(shape) => cx
-            .infeasible
-            .entry(*shape)
-            .or_insert_with(|| reason(&cx.fleet, &cx.layout, shape))
-            .clone(),
-        None => Some("a request without a shape does not wait in a cell".into()),
-    };
-    if let Some(reason) = fault {
+    if let Some(reason) = infeasible(cx, &request) {
         cx.refuse(job, Error::not_run(ErrorKind::Infeasible, reason));
         return;
     }
@@ -162,6 +160,9 @@
     cx.fleet.running.swap_remove(&gang.id);
     let firm = is_firm(&cx.queue, gang.job);
     let room = held_by(&cx.fleet, &gang.members);
+    // What a guarantee or work that may not be stopped gives back may complete the home of another guarantee.
+    let gives_back = firm || cx.fleet.charged.contains_key(&gang.id);
+    cx.unsettled |= gives_back && cx.fleet.holds.is_empty() && has_shortfall(&cx.fleet);
     give_back(&mut cx.fleet, gang.id, firm, &room);
     cx.fleet.stopping.swap_remove(&gang.id);
     cx.slots.release(cx.membership, &gang.endpoint);
@@ -179,10 +180,12 @@
     }
 }
 
-/// Gangs that are started for one job, so that a fault that repeats ends in a refusal.
+/// Gangs that are started for one job, so that a fault that repeats ends in a refusal. A reclaim is no fault and always
+/// allows another.
 const MAX_RUNS: u32 = 8;
 
 fn finish(cx: &mut Cx, job: &Job<Active>, end: GangEnd, cancelled: bool) {
+    let reclaimed = end == GangEnd::Stopped;
     let error = match end {
         GangEnd::Answered => return,
         GangEnd::Failed(error) => error,
@@ -198,7 +201,7 @@
             "cancelled while running",
         );
         cx.refuse(job.id(), error);
-    } else if job.runs + 1 < MAX_RUNS && may_run_again(job, &error) {
+    } else if (reclaimed || job.runs + 1 < MAX_RUNS) && may_run_again(job, &error) {
         cx.enqueue(job.clone().requeue(cx.now));
     } else {
         cx.refuse(job.id(), error);
--- a/components/placement/src/claims.rs
+++ b/components/placement/src/claims.rs
@@ -1,18 +1,15 @@
 //! The claims: guaranteed shapes and the homes in which they can always be reclaimed.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use board::{Claim, Fleet, Queue};
-use model::{Document, Policy, Resources, Shape};
+use model::{Document, Resources, Shape};
 
 use crate::adopt::adopt;
-use crate::fleet::{change, charge, drop_holds, gangs, is_firm, subtract};
-use crate::layout::{Layout, Room, amounts};
-use crate::score::{Weights, best_fit};
-
-/// Orders of packing that are tried before a claim is reported as a shortfall; packing is heuristic, and moving the
-/// claim that failed to the front solves most orders that fail.
-const PACKING_ORDERS: usize = 8;
+use crate::fleet::{change, charge, drop_holds, gangs, is_firm, subtract, uncharge};
+use crate::layout::{Layout, Room};
+use crate::packing::home_unused;
 
 /// Brings the claims in line with the document, the workers and the gangs.
 pub(crate) fn settle(fleet: &mut Fleet, layout: &Layout, queue: &Queue, document: &Document) {
@@ -27,15 +24,48 @@
     for (_, _, _, room) in uncharged.iter().filter(|(_, _, firm, _)| *firm) {
         subtract_all(&mut fleet.spare, room);
     }
-    let mut adopted = fleet.clone();
-    let missing = home_unused(fleet, layout);
-    if missing == 0 {
-        return;
-    }
+    let used = fleet.clone();
+    let mut missing = home_unused(fleet, layout);
     // After a takeover the claims that gangs run within are unknown, and gangs outside claims count twice.
-    adopt(&mut adopted, layout, queue, &uncharged);
-    if home_unused(&mut adopted, layout) < missing {
-        *fleet = adopted;
+    for (releases, adopts) in [(false, true), (true, false), (true, true)] {
+        if missing == 0 {
+            return;
+        }
+        let mut other = used.clone();
+        if releases {
+            release_stoppable(&mut other, queue);
+        }
+        if adopts {
+            adopt(&mut other, layout, queue, &uncharged);
+        }
+        let missing_then = home_unused(&mut other, layout);
+        if missing_then < missing {
+            missing = missing_then;
+            *fleet = other;
+        }
+    }
+}
+
+/// Makes borrowers of the gangs in claims that no gang uses which may not be stopped, so that these claims can move.
+fn release_stoppable(fleet: &mut Fleet, queue: &Queue) {
+    let charged: Vec<_> = gangs(fleet)
+        .into_iter()
+        .filter_map(|(id, job, room)| Some((id, job, *fleet.charged.get(&id)?, room)))
+        .collect();
+    let fixed: HashSet<usize> = charged
+        .iter()
+        .filter(|(_, job, _, _)| is_firm(queue, *job))
+        .map(|(_, _, claim, _)| *claim)
+        .collect();
+    for (id, _, index, room) in charged {
+        if fixed.contains(&index) {
+            continue;
+        }
+        uncharge(fleet, id, &room);
+        if fleet.claims[index].gangs == 0 {
+            let home = fleet.claims[index].home.clone();
+            add_all(&mut fleet.spare, &home);
+        }
     }
 }
 
@@ -84,11 +114,15 @@
 }
 
 /// Recounts the claims in use and takes their homes from the spare capacity.
+///
+/// A claim that lost a part of its home keeps no gang, so that it may get another home; `adopt` returns the gang to it if
+/// the new home can contain the gang.
 fn keep_used_homes(fleet: &mut Fleet, queue: &Queue) {
     fleet.spare = fleet.workers.values().map(|w| w.capacity).collect();
     let (inside_home, outside): (Vec<_>, Vec<_>) = gangs(fleet)
         .into_iter()
         .filter_map(|(id, job, room)| Some((id, job, *fleet.charged.get(&id)?, room)))
+        .filter(|(_, _, claim, _)| is_whole(&fleet.claims[*claim]))
         .partition(|(_, _, claim, room)| inside(room, &fleet.claims[*claim].home));
     fleet.charged.clear();
     // A gang gets out of its home when a worker leaves and returns; the home then cannot count what the gang holds.
@@ -122,88 +156,6 @@
     })
 }
 
-/// Finds homes for the claims that are not in use and returns how many claims have none.
-fn home_unused(fleet: &mut Fleet, layout: &Layout) -> usize {
-    let mut order: Vec<usize> = (0..fleet.claims.len())
-        .filter(|index| fleet.claims[*index].gangs == 0)
-        .collect();
-    order.sort_by_key(|index| {
-        let shape = &fleet.claims[*index].shape;
-        let total = shape.total();
-        (
-            shape.adjacency,
-            std::cmp::Reverse((total.accelerators, total.cores, total.memory_mb)),
-        )
-    });
-    let mut best = pack(fleet, layout, &order, true);
-    if !best.missing.is_empty() {
-        // The check of a configuration packs without old homes; the same search must succeed once it is accepted.
-        let packing = pack(fleet, layout, &order, false);
-        if packing.missing.len() <= best.missing.len() {
-            best = packing;
-        }
-    }
-    for _ in 0..PACKING_ORDERS {
-        let Some(failed) = best.missing.first().copied() else {
-            break;
-        };
-        order.retain(|index| *index != failed);
-        order.insert(0, failed);
-        let packing = pack(fleet, layout, &order, false);
-        if packing.missing.len() < best.missing.len() {
-            best = packing;
-        }
-    }
-    fleet.spare = best.spare.into_iter().map(|(_, spare)| spare).collect();
-    for (index, home) in best.homes {
-        let claim = Arc::make_mut(&mut fleet.claims[index]);
-        claim.left.clone_from(&home);
-        claim.home = home;
-    }
-    fleet.claims.iter().filter(|claim| !is_whole(claim)).count()
-}
-
-struct Packing {
-    spare: Room,
-    homes: Vec<(usize, Room)>,
-    missing: Vec<usize>,
-}
-
-fn pack(fleet: &Fleet, layout: &Layout, order: &[usize], keep: bool) -> Packing {
-    let mut packing = Packing {
-        spare: fleet.spare.iter().copied().enumerate().collect(),
-        homes: Vec::new(),
-        missing: Vec::new(),
-    };
-    for index in order {
-        let claim = &fleet.claims[*index];
-        let home = if keep && is_whole(claim) && inside(&claim.home, &packing.spare) {
-            Some(claim.home.clone())
-        } else {
-            find_home(layout, &packing.spare, &claim.shape)
-        };
-        if home.is_none() {
-            packing.missing.push(*index);
-        }
-        let home = home.unwrap_or_default();
-        for (worker, amount) in &home {
-            let spare = &mut packing.spare[*worker].1;
-            *spare = spare.saturating_minus(*amount);
-        }
-        packing.homes.push((*index, home));
-    }
-    packing
-}
-
-/// Returns room for a guaranteed shape.
-pub(crate) fn find_home(layout: &Layout, room: &Room, shape: &Shape) -> Option<Room> {
-    let weights = Weights::new(&Policy::default(), None);
-    let spots = best_fit(layout, room, shape, &weights)?;
-    let mut home = amounts(&spots, shape.per_task());
-    home.sort_by_key(|(worker, _)| *worker);
-    Some(home)
-}
-
 /// Returns whether the home of a claim holds its whole shape.
 pub(crate) fn is_whole(claim: &Claim) -> bool {
     let per_task = claim.shape.per_task();
@@ -215,6 +167,11 @@
     tasks >= u64::from(claim.shape.tasks)
 }
 
+/// Returns whether a claim has no whole home.
+pub(crate) fn has_shortfall(fleet: &Fleet) -> bool {
+    !fleet.claims.iter().all(|claim| is_whole(claim))
+}
+
 pub(crate) fn subtract_all(pool: &mut [Resources], room: &Room) {
     for (worker, amount) in room {
         subtract(pool, *worker, *amount);
--- a/components/placement/src/drain.rs
+++ b/components/placement/src/drain.rs
@@ -49,6 +49,9 @@
 /// Returns whether the reserved window can run its job now.
 pub(crate) fn is_ready(cx: &Cx, rooms: &Rooms, hold: &Hold) -> bool {
     let firm = is_firm(&cx.queue, hold.job);
+    if firm && rooms.shortfall {
+        return false;
+    }
     hold.spots.iter().all(|(worker, tasks)| {
         let need = hold.per_task.scaled(*tasks);
         rooms.masks.allows(*worker, false)
@@ -74,7 +77,7 @@
         shape.total().accelerators < limit.max(1)
     };
     let mut order: Vec<&Arc<Job<Queued>>> = blocked.iter().collect();
-    order.sort_by_key(|job| (is_small(job), job.accepted));
+    order.sort_by_key(|job| (is_small(job), job.attempt, job.accepted));
     let returns = if order.is_empty() {
         Vec::new()
     } else {
