Count the bytes exchanged with peers and with the store

Cause: neither the cost of the region link nor the control traffic of a node can be measured; /proc does not count bytes of sockets per process. Ruled out: counters in each client object, which the daemons would have to collect. Change: counters of the process for calls, datagrams and calls of the store, in /metrics as limpethook_traffic_bytes_total. Conclusion: bytes exclude TCP, UDP and IP headers; HTTP headers of the store count.

--- a/components/store/src/exchange.rs
+++ b/components/store/src/exchange.rs
@@ -6,22 +6,38 @@
 use reqwest::header::HeaderMap;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
+use telemetry::traffic;
 
 /// Sends a request; `lost` is the verdict when it was sent and no whole answer came back.
 pub(crate) async fn send(
     req: RequestBuilder,
     lost: Verdict,
 ) -> Result<(StatusCode, HeaderMap, Bytes)> {
-    let mut answer = req.send().await.map_err(|e| failed(&e, lost))?;
+    let (client, req) = req.build_split();
+    let req = req.map_err(|e| failed(&e, lost))?;
+    let sent = req.body().and_then(|body| body.as_bytes());
+    let sent = sent.map_or(0, <[u8]>::len) + size(req.headers()) + req.url().as_str().len();
+    traffic::STORE.count_sent(sent);
+    let mut answer = client.execute(req).await.map_err(|e| failed(&e, lost))?;
     let status = answer.status();
     let headers = std::mem::take(answer.headers_mut());
+    traffic::STORE.count_received(size(&headers));
     if status.is_success() || is_outcome(status) {
         let body = answer.bytes().await.map_err(|e| failed(&e, lost))?;
+        traffic::STORE.count_received(body.len());
         return Ok((status, headers, body));
     }
     Err(refused(answer, status, lost).await.report())
 }
 
+/// Returns the bytes of headers with their separators.
+fn size(headers: &HeaderMap) -> usize {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum()
+}
+
 /// Returns whether the status is one of the answers that a caller handles.
 fn is_outcome(status: StatusCode) -> bool {
     matches!(
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 mod logs;
 mod metrics;
 mod spans;
+pub mod traffic;
 
 pub use logs::{init_logs, level_from_name};
 pub use metrics::{metrics_text, serve_metrics};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -6,12 +6,16 @@
 use salvo::conn::TcpListener;
 use salvo::prelude::*;
 
+use crate::traffic::traffic_text;
+
 /// Returns all metrics of a registry in the text format.
 pub fn metrics_text(registry: &Registry) -> String {
     // Encoding fails only for metrics without a name, which cannot be registered.
-    TextEncoder::new()
+    let mut text = TextEncoder::new()
         .encode_to_string(&registry.gather())
-        .unwrap_or_default()
+        .unwrap_or_default();
+    text.push_str(&traffic_text());
+    text
 }
 
 struct Metrics<F>(F);
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use telemetry::traffic;
 use tokio::net::UdpSocket;
 
 use crate::auth::{Key, TAG_LEN};
@@ -114,6 +115,7 @@
         let tag = self.key.tag(sequence, &message);
         message.extend_from_slice(&tag);
         if self.socket.send_to(&message, addr).await.is_ok() {
+            traffic::DATAGRAMS.count_sent(message.len());
             self.counts.sent.fetch_add(1, Ordering::Relaxed);
             self.counts
                 .sent_bytes
@@ -129,6 +131,7 @@
             let Ok((len, addr)) = self.socket.recv_from(&mut buf).await else {
                 continue;
             };
+            traffic::DATAGRAMS.count_received(len);
             let Some(sealed) = self.open(&buf[..len]) else {
                 self.counts.foreign.fetch_add(1, Ordering::Relaxed);
                 continue;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -4,6 +4,7 @@
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use telemetry::traffic;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -14,6 +15,9 @@
 /// The largest frame in bytes, above the largest body that an entry accepts.
 const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
 
+/// The length before each frame.
+const LENGTH_BYTES: usize = 4;
+
 const CLIENT_TO_SERVER: u8 = 1;
 const SERVER_TO_CLIENT: u8 = 2;
 
@@ -92,6 +96,7 @@
     /// Reads the next message; `None` at the end of the connection or after a frame that fails its check.
     pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
         let frame: BytesMut = self.inner.next().await?.ok()?;
+        traffic::CALLS.count_received(LENGTH_BYTES + frame.len());
         let split = frame.len().checked_sub(TAG_LEN)?;
         let (message, tag) = frame.split_at(split);
         if !self.key.verify(self.sequence, message, tag) {
@@ -109,6 +114,7 @@
         let tag = self.key.tag(self.sequence, &message);
         self.sequence += 1;
         message.extend_from_slice(&tag);
+        traffic::CALLS.count_sent(LENGTH_BYTES + message.len());
         self.inner.feed(Bytes::from(message)).await
     }
 
