Keep configuration changes in force through relays and restarts

Cause: every entry with the relay duty watched the store, so a change crossed the link between regions once per entry. A restarted entry served as soon as the first peer had answered, a deletion that a process did not watch stayed unknown, one faulty section refused the whole update, and an idle watch raised the revision, which made every process ask for sections. Ruled out: pushing sections to all peers before applying them, which sends each change over the region link once for each pair; resending the whole document to find deletions. An entry asks all peers before it serves (Recovery) and refuses to pass sections on before that. An agent fetches the configuration before it announces itself, and asks the seeds while its owner is silent. Each section is checked by itself. Names of all sections tell deletions. During an outage an entry does not learn a newer revision that only agents have.

--- a/components/agent/src/link.rs
+++ b/components/agent/src/link.rs
@@ -14,6 +14,9 @@
 
 /// How long an announcement may take; it grows with the gangs and attempts of the agent.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the owner may be silent before peers are asked for newer sections; the owner's lease leaves no time for that
+/// within the 4 s in which a change must be in force.
+const SEED_FALLBACK: Duration = Duration::from_millis(1500);
 /// Bounds of the pause before the owner is looked up again; spread out so that agents do not ask at the same time.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..400;
 
@@ -32,6 +35,7 @@
             }
             Err(report) => {
                 log::debug!(target: "limpethook", error:% = report.current_context(); "owner_not_linked");
+                tokio::spawn(ask_seeds(Arc::clone(&cx)));
             }
         }
         let delay = Duration::from_millis(fastrand::u64(RETRY_DELAY_MS));
@@ -48,6 +52,7 @@
         tx,
     });
     let _ = rx.await;
+    recover_config(cx, &owner).await?;
     let call = Call::Announce(announce(cx).await);
     match cx.peers.call(owner.addr, &call, ANNOUNCE_TIMEOUT).await? {
         Reply::Epoch(epoch) => Ok(OwnerRecord { epoch, ..owner }),
@@ -55,8 +60,27 @@
     }
 }
 
+/// Fetches the configuration of an agent that started just now; the agent gets no work before it announces itself.
+async fn recover_config(cx: &Context, owner: &OwnerRecord) -> Result<()> {
+    if cx.board.config.load().revision == 0 {
+        let sections = distribution::fetch(&cx.peers, owner.addr, 0).await?;
+        cx.config_updates.deliver(sections).await;
+    }
+    Ok(())
+}
+
+/// Fetches newer sections from the first peer in the settings that answers, while the owner does not.
+async fn ask_seeds(cx: Arc<Context>) {
+    let own = cx.board.config.load().revision;
+    for seed in &cx.settings.seeds {
+        if let Ok(sections) = distribution::fetch(&cx.peers, *seed, own).await {
+            return cx.config_updates.deliver(sections).await;
+        }
+    }
+}
+
 /// Sends heartbeats until the owner is silent or asks for a new announcement.
-async fn keep(cx: &Context, owner: &OwnerRecord, acks: &mut mpsc::Receiver<Ack>) {
+async fn keep(cx: &Arc<Context>, owner: &OwnerRecord, acks: &mut mpsc::Receiver<Ack>) {
     let mut ticks = cx.timer.subscribe_every(HEARTBEAT_INTERVAL);
     let mut drain_reported = cx.is_draining();
     let mut heard = timer::now();
@@ -68,6 +92,9 @@
                     log::warn!(target: "limpethook", owner:% = owner.owner; "owner_silent");
                     return;
                 }
+                if timer::now().saturating_duration_since(heard) >= SEED_FALLBACK {
+                    tokio::spawn(ask_seeds(Arc::clone(cx)));
+                }
                 send_heartbeat(cx, owner).await;
             }
             // A leaving endpoint is reported at once, so that the owner sends no further work.
@@ -104,6 +131,6 @@
         return;
     }
     if let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await {
-        let _ = cx.config_updates.send(sections).await;
+        cx.config_updates.deliver(sections).await;
     }
 }
--- a/components/board/src/sections.rs
+++ b/components/board/src/sections.rs
@@ -55,6 +55,8 @@
 pub struct ConfigSnapshot {
     /// The highest revision applied.
     pub revision: Revision,
+    /// The revision from which all deletions are known.
+    pub deletions_from: Revision,
     /// The sections with their revisions.
     pub sections: IndexMap<SectionName, SectionText>,
     /// The document.
--- a/components/distribution/src/apply.rs
+++ b/components/distribution/src/apply.rs
@@ -4,36 +4,50 @@
 
 use board::{ConfigSnapshot, SectionText};
 use config::assemble_sections;
-use errors::Result;
-use model::Revision;
+use model::{Revision, SectionName};
 use wire::{Section, Sections};
 
-/// Returns the snapshot with all newer sections, or nothing if none is newer.
-///
-/// An error leaves the old document in force: a faulty section must not take the other ones down.
-pub fn apply(current: &ConfigSnapshot, update: &Sections) -> Result<Option<ConfigSnapshot>> {
-    let newer: Vec<&Section> = update
-        .sections
-        .iter()
-        .filter(|section| is_newer(current, section))
-        .collect();
-    if newer.is_empty() && update.revision <= current.revision {
-        return Ok(None);
-    }
+/// What an update changes.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// The snapshot with all newer sections; none if nothing is newer.
+    pub next: Option<ConfigSnapshot>,
+    /// The sections whose revision rises.
+    pub risen: Vec<(SectionName, Revision)>,
+    /// The faults of refused sections; what was in force of them before stays in force.
+    pub faults: Vec<Box<str>>,
+}
+
+/// Applies the newer sections of an update, each by itself: a faulty section does not hold the others back.
+pub fn apply(current: &ConfigSnapshot, update: &Sections) -> Applied {
+    let mut applied = Applied::default();
     let mut next = current.clone();
-    for section in newer {
-        let text = section.text.as_deref().map(Arc::from);
-        next.sections.insert(
-            section.name.clone(),
-            SectionText {
-                revision: section.revision,
-                text,
-            },
-        );
+    for section in update.sections.iter().filter(|s| is_newer(current, s)) {
+        match fault(section) {
+            Some(fault) => applied.faults.push(fault),
+            None => insert(&mut next, &mut applied, section),
+        }
+    }
+    remove_absent(&mut next, &mut applied, update);
+    let listed = update.present.is_some() && update.revision > current.deletions_from;
+    // A watch that ends without a change moves only the revision, which would make every process ask for sections.
+    if applied.risen.is_empty() && applied.faults.is_empty() && !listed {
+        return applied;
+    }
+    if listed {
+        next.deletions_from = update.revision;
     }
     next.revision = next.revision.max(update.revision);
-    next.document = assemble_sections(texts(&next))?;
-    Ok(Some(next))
+    match assemble_sections(texts(&next)) {
+        Ok(document) => {
+            next.document = document;
+            applied.next = Some(next);
+        }
+        Err(report) => applied
+            .faults
+            .push(report.current_context().message.clone()),
+    }
+    applied
 }
 
 /// Returns the sections above a revision.
@@ -47,9 +61,49 @@
         revision: section.revision,
         text: section.text.as_deref().map(Into::into),
     });
+    let present = || texts(snapshot).map(|(name, _)| name.into()).collect();
     Sections {
         revision: snapshot.revision,
         sections: sections.collect(),
+        present: (after < snapshot.deletions_from).then(present),
+    }
+}
+
+/// Returns the faults of sections that `apply` refuses.
+pub fn faults(update: &Sections) -> Vec<Box<str>> {
+    update.sections.iter().filter_map(fault).collect()
+}
+
+fn fault(section: &Section) -> Option<Box<str>> {
+    let text = section.text.as_deref()?;
+    let report = assemble_sections([(&*section.name, text)]).err()?;
+    let (name, revision) = (&section.name, section.revision);
+    let message = &report.current_context().message;
+    Some(format!("section {name} at revision {revision}: {message}").into())
+}
+
+fn insert(next: &mut ConfigSnapshot, applied: &mut Applied, section: &Section) {
+    let text = section.text.as_deref().map(Arc::from);
+    let revision = section.revision;
+    next.sections
+        .insert(section.name.clone(), SectionText { revision, text });
+    applied.risen.push((section.name.clone(), revision));
+}
+
+/// Removes the sections that were deleted between the current revision and that of the update.
+fn remove_absent(next: &mut ConfigSnapshot, applied: &mut Applied, update: &Sections) {
+    let Some(present) = &update.present else {
+        return;
+    };
+    for (name, section) in &mut next.sections {
+        let deleted = section.revision <= update.revision && !present.contains(name);
+        if deleted && section.text.is_some() {
+            *section = SectionText {
+                revision: update.revision,
+                text: None,
+            };
+            applied.risen.push((name.clone(), update.revision));
+        }
     }
 }
 
--- a/components/distribution/src/lib.rs
+++ b/components/distribution/src/lib.rs
@@ -1,13 +1,15 @@
 //! Passing configuration sections from the store to every process.
 //!
-//! A relay watches the store; every other process asks its owner or its peers for the sections above its own revision.
+//! One relay in each region watches the store; the other entries of the region ask it, and agents ask their owner.
 
 mod apply;
 mod controller;
+mod followers;
 mod peers;
 mod watch;
 
-pub use apply::{apply, sections_after};
-pub use controller::{Updates, run_controller, updates};
-pub use peers::fetch;
-pub use watch::{CONFIG_PREFIX, read_store, watch_store};
+pub use apply::{Applied, apply, faults, sections_after};
+pub use controller::{Stages, Update, Updates, run_controller, run_staged, updates};
+pub use followers::Followers;
+pub use peers::{fetch, fetch_next, next_sections};
+pub use watch::{CONFIG_PREFIX, read_changes, read_store, watch_store};
--- a/components/distribution/src/watch.rs
+++ b/components/distribution/src/watch.rs
@@ -23,24 +23,37 @@
 pub async fn read_store(store: &dyn KvStore) -> Result<Sections> {
     let listing = store.list(CONFIG_PREFIX).await?;
     let sections = listing.entries.iter().filter_map(section);
+    let names = listing
+        .entries
+        .iter()
+        .filter_map(|entry| entry.key.strip_prefix(CONFIG_PREFIX));
     Ok(Sections {
         revision: listing.revision,
+        present: Some(names.map(Into::into).collect()),
         sections: sections.collect(),
     })
 }
 
-/// Passes every change in the store on, until the receiver is gone.
-pub async fn watch_store(store: Arc<dyn KvStore>, timer: Timer, tx: Updates) {
-    let mut after: Option<Revision> = None;
+/// Returns the changes after a revision at once, or the whole configuration if the history is too short.
+pub async fn read_changes(store: &dyn KvStore, after: Revision) -> Result<Sections> {
+    match next_changes(store, after, Duration::ZERO).await? {
+        Some(sections) => Ok(sections),
+        None => read_store(store).await,
+    }
+}
+
+/// Passes every change in the store after a revision on, until the receiver is gone.
+pub async fn watch_store(store: Arc<dyn KvStore>, timer: Timer, tx: Updates, from: Revision) {
+    let mut after = (from > 0).then_some(from);
     while !tx.is_closed() {
         let result = match after {
             None => read_store(&*store).await.map(Some),
-            Some(revision) => next_changes(&*store, revision).await,
+            Some(revision) => next_changes(&*store, revision, WATCH_WAIT).await,
         };
         match result {
             Ok(Some(sections)) => {
                 after = Some(sections.revision);
-                let _ = tx.send(sections).await;
+                tx.deliver(sections).await;
             }
             // The history was compacted, so everything is read again.
             Ok(None) => after = None,
@@ -53,14 +66,19 @@
     }
 }
 
-async fn next_changes(store: &dyn KvStore, after: Revision) -> Result<Option<Sections>> {
-    match store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await? {
+async fn next_changes(
+    store: &dyn KvStore,
+    after: Revision,
+    wait: Duration,
+) -> Result<Option<Sections>> {
+    match store.watch(CONFIG_PREFIX, after, wait).await? {
         Watched::Compacted { .. } => Ok(None),
         Watched::Changes { changes, revision } => {
             let sections = changes.iter().filter_map(changed_section);
             Ok(Some(Sections {
                 revision,
                 sections: sections.collect(),
+                present: None,
             }))
         }
     }
@@ -82,7 +100,8 @@
 
 fn section(entry: &Entry) -> Option<Section> {
     let name = entry.key.strip_prefix(CONFIG_PREFIX)?;
-    let text = std::str::from_utf8(&entry.value).ok()?;
+    // A value that is not UTF-8 is not JSON either, so that the check of the section refuses it.
+    let text = String::from_utf8_lossy(&entry.value);
     Some(Section {
         name: name.into(),
         revision: entry.revision,
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -1,9 +1,9 @@
 //! What all parts of the entry share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
-use board::{Board, Section};
+use board::{Board, ConfigSnapshot, Section};
 use config::EntrySettings;
 use discovery::Locator;
 use indexmap::IndexMap;
@@ -21,6 +21,8 @@
 pub(crate) struct EntryBoard {
     /// The owners of all cells; written by the directory controller.
     pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
+    /// The configuration received, which may not be in force yet; written by the configuration controller.
+    pub(crate) held: Section<ConfigSnapshot>,
 }
 
 /// The shared parts of the entry.
@@ -36,6 +38,11 @@
     pub(crate) locator: Locator,
     pub(crate) owner: Option<Owner>,
     pub(crate) config_updates: distribution::Updates,
+    pub(crate) followers: distribution::Followers,
+    /// Whether the entry is the relay of its region.
+    pub(crate) relaying: AtomicBool,
+    /// Whether the configuration was recovered, so that it may be passed on.
+    pub(crate) recovered: AtomicBool,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
     pub(crate) in_flight: AtomicU32,
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -12,6 +12,7 @@
 use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
 
 use crate::context::Context;
+use crate::relay;
 
 /// How long one watch for new cells waits at the store.
 const CELLS_WAIT: Duration = Duration::from_secs(20);
@@ -78,9 +79,10 @@
     tx: &mpsc::Sender<Learned>,
 ) {
     let mut after = 0;
+    let mut behind = None;
     while let Ok(directory) = ask(cx, owner, after).await {
         after = directory.version;
-        fetch_newer_config(cx, owner, directory.revision).await;
+        fetch_newer_config(cx, owner, directory.revision, &mut behind).await;
         let learned = Learned {
             cell: cell.clone(),
             owner: owner.clone(),
@@ -103,12 +105,26 @@
     }
 }
 
-async fn fetch_newer_config(cx: &Context, owner: &OwnerRecord, revision: model::Revision) {
-    let own = cx.board.config.load().revision;
-    if revision > own
-        && let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await
-    {
-        let _ = cx.config_updates.send(sections).await;
+/// Fetches the sections of an owner if the relay has not delivered them for a while.
+///
+/// This brings a change from one region to the other when the store fails just after it accepted the change.
+async fn fetch_newer_config(
+    cx: &Context,
+    owner: &OwnerRecord,
+    revision: Revision,
+    behind: &mut Option<Instant>,
+) {
+    let own = cx.entry_board.held.load().revision;
+    if revision <= own {
+        *behind = None;
+        return;
+    }
+    let since = *behind.get_or_insert_with(timer::now);
+    if timer::now().saturating_duration_since(since) < relay::catch_up_grace(cx) {
+        return;
+    }
+    if let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await {
+        cx.config_updates.deliver(sections).await;
     }
 }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod metrics;
 mod ready;
+mod relay;
 mod retry;
 mod route;
 mod run;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,7 +1,7 @@
 //! Starting and ending the entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 
 use crate::context::{Context, EntryBoard};
 use crate::metrics::Metrics;
-use crate::{directory, drain, http, limits, ready, serve};
+use crate::{directory, drain, http, limits, ready, relay, serve};
 
 /// Time for the last responses to leave after the drain.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
@@ -38,19 +38,12 @@
     let (config_updates, config_rx) = distribution::updates();
     let cx = Arc::new(context(settings, key.clone(), datagrams, config_updates)?);
 
-    tokio::spawn(distribution::run_controller(
+    tokio::spawn(distribution::run_staged(
         config_rx,
         Arc::clone(&cx),
-        |cx| &cx.board.config,
+        relay::stages(),
     ));
-    if cx.settings.duties.contains(&Duty::Relay) {
-        let watch = distribution::watch_store(
-            Arc::clone(&cx.store),
-            cx.timer.clone(),
-            cx.config_updates.clone(),
-        );
-        tokio::spawn(watch);
-    }
+    tokio::spawn(relay::run(Arc::clone(&cx)));
     tokio::spawn(limits::run(Arc::clone(&cx)));
     tokio::spawn(serve::receive(Arc::clone(&cx)));
     tokio::spawn(directory::run(Arc::clone(&cx)));
@@ -63,7 +56,7 @@
     tokio::spawn(server);
     let early_end = shutdown
         .clone()
-        .run_until_cancelled_owned(ready::wait_for_config(&cx))
+        .run_until_cancelled_owned(ready::recover_config(&cx))
         .await;
     if early_end.is_none() {
         return Ok(true);
@@ -159,6 +152,9 @@
         store,
         owner,
         config_updates,
+        followers: distribution::Followers::default(),
+        relaying: AtomicBool::new(false),
+        recovered: AtomicBool::new(false),
         drain: CancellationToken::new(),
         in_flight: AtomicU32::new(0),
         metrics,
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -1,6 +1,7 @@
 //! Answering calls and datagrams of peers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use errors::{Error, ErrorKind, Result};
 use fastrace::Span;
@@ -20,10 +21,21 @@
 
 async fn handle(cx: &Context, call: Call) -> Result<Reply> {
     match (call, &cx.owner) {
-        (Call::SectionsAfter(after), _) => Ok(Reply::Sections(distribution::sections_after(
-            &cx.board.config.load(),
-            after,
-        ))),
+        (Call::SectionsAfter(_) | Call::NextSections { .. }, _)
+            if !cx.recovered.load(Ordering::Acquire) =>
+        {
+            let message = "this entry has not recovered its configuration yet";
+            Err(Error::not_run(ErrorKind::Unavailable, message).report())
+        }
+        (Call::SectionsAfter(after), _) => {
+            let held = cx.entry_board.held.load();
+            Ok(Reply::Sections(distribution::sections_after(&held, after)))
+        }
+        (Call::NextSections { after, follower }, _) => {
+            cx.followers.asked(follower, after, timer::now());
+            let sections = distribution::next_sections(&cx.entry_board.held, after).await;
+            Ok(Reply::Sections(sections))
+        }
         (Call::WhoOwns(name), _) => {
             let owner = cx.entry_board.owners.load().get(&name).cloned();
             Ok(Reply::Owner(owner))
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -38,6 +38,9 @@
             gang_ended(cx, ended);
             Ok(Reply::Done)
         }
+        Call::Workers => Ok(Reply::Workers(
+            cx.board.fleet.load().workers.values().cloned().collect(),
+        )),
         Call::Directory { after } => directory(cx, after).await,
         _ => {
             Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report())
--- a/components/replay/src/engine.rs
+++ b/components/replay/src/engine.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use board::{Board, ConfigSnapshot};
-use indexmap::IndexMap;
 use placement::{Event, Strategy, step};
 
 use crate::fleet_check::{Context, FleetCheck};
@@ -61,8 +60,8 @@
         let board = Board::default();
         board.config.publish(ConfigSnapshot {
             revision: 1,
-            sections: IndexMap::new(),
             document: trace.header.document.clone(),
+            ..ConfigSnapshot::default()
         });
         let mut timeline = Timeline::default();
         for (index, line) in trace.lines.iter().enumerate() {
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -54,6 +54,15 @@
         /// The agent that gets it if it is new.
         agent: AgentId,
     },
+    /// Entry to relay: the sections above a revision, once there are any.
+    NextSections {
+        /// The revision that the entry holds.
+        after: Revision,
+        /// The entry.
+        follower: EntryId,
+    },
+    /// Entry to owner: the workers of the cell.
+    Workers,
 }
 
 /// The reply to a call.
@@ -84,6 +93,8 @@
     },
     /// The call failed.
     Failed(Error),
+    /// The workers of a cell.
+    Workers(Vec<Worker>),
 }
 
 /// A reservation of gang members at one agent.
@@ -211,6 +222,8 @@
     pub revision: Revision,
     /// The sections.
     pub sections: Vec<Section>,
+    /// The names of all sections at that revision, if the sender may not know every deletion that the receiver missed.
+    pub present: Option<Vec<SectionName>>,
 }
 
 /// One configuration section.
