Compare config apply with what the operator saw

Cause: apply read the store just before it wrote. An operator whose file was older than the store overwrote the newer sections without a conflict. Ruled out: a flag with one revision for the whole document, since operators who edit different sections would conflict; a check without a lock, since two edits that fit alone need not fit together. Change: config show adds the revision and digest of each section to the document, and apply writes only the sections that differ from them, by compare-and-swap at that revision. All conflicts are found before the first write. A lost answer of a deletion is read back too. A section that the store already has as wanted is skipped, so that a command can be repeated. Conclusion: a document without a base can only add sections.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A check reports every fault at once. Each fault names the file, the key as a dotted path, and what is allowed.
 
+mod base;
 mod checker;
 mod document;
 mod read;
@@ -10,6 +11,7 @@
 mod tokens;
 mod unique;
 
+pub use base::{Base, Edit, Seen, edited_text, edits, parse_edited, section_digest};
 pub use document::{check_document, parse_document};
 pub use sections::{Change, ChangeKind, assemble_sections, diff_documents, split_sections};
 pub use settings::{
--- a/components/harness/src/deployment.rs
+++ b/components/harness/src/deployment.rs
@@ -253,6 +253,17 @@
             .await?)
     }
 
+    /// Reads a page as text.
+    pub(crate) async fn read_text(&self, url: &str) -> Result<String> {
+        let answer = self.http.get(url).send().await?.error_for_status()?;
+        Ok(answer.text().await?)
+    }
+
+    /// Returns where the programs are.
+    pub(crate) fn programs(&self) -> &Programs {
+        &self.programs
+    }
+
     /// Ends all processes gracefully, the agents last, and returns the names of those that were cut off.
     pub async fn stop(mut self) -> Result<Vec<Box<str>>> {
         let mut cut_off = Vec::new();
--- a/components/harness/src/lib.rs
+++ b/components/harness/src/lib.rs
@@ -3,12 +3,14 @@
 mod caller;
 mod deployment;
 pub mod fixtures;
+mod observe;
 mod plan;
 mod ports;
 mod process;
 
 pub use caller::{Caller, Outcome, Submission};
 pub use deployment::{Deployment, Programs};
+pub use observe::Metrics;
 pub use plan::{AgentPlan, Plan, WorkerPlan};
 pub use ports::free_addr;
 pub use process::Process;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// Schedules gang jobs on adjacent accelerators under client account guarantees.
 ///
@@ -80,8 +80,11 @@
     Check {
         /// Document in JSON.
         file: PathBuf,
+        /// Base URL of an entry; the guarantees are then checked against the workers that it knows.
+        #[arg(long, value_name = "URL")]
+        entry: Option<Box<str>>,
     },
-    /// Print the document in the store.
+    /// Print the document in the store, with the revisions that a later `apply` compares.
     Show {
         /// URL of the key-value service.
         #[arg(long, value_name = "URL")]
@@ -95,17 +98,27 @@
         #[arg(long, value_name = "URL")]
         store: Box<str>,
     },
-    /// Write the sections that differ, each only if nobody else changed it meanwhile.
-    Apply {
-        /// Document in JSON.
-        file: PathBuf,
-        /// URL of the key-value service.
-        #[arg(long, value_name = "URL")]
-        store: Box<str>,
-        /// Only these sections, such as `accounts/faro`; all by default.
-        #[arg(long, value_name = "SECTION")]
-        section: Vec<Box<str>>,
-    },
+    /// Write the sections that differ from what `show` printed, unless somebody else changed one of them meanwhile.
+    Apply(ApplyArgs),
     /// Make the salted hash of a token for the document; reads the token from standard input.
     Token,
 }
+
+/// Arguments of `config apply`.
+#[derive(Debug, Args)]
+pub(crate) struct ApplyArgs {
+    /// Document in JSON, made from the output of `config show`; without its key `base` all sections count as new.
+    pub(crate) file: PathBuf,
+    /// URL of the key-value service.
+    #[arg(long, value_name = "URL")]
+    pub(crate) store: Box<str>,
+    /// Saved output of `config show` that the document was made from, if the document itself has no key `base`.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) base: Option<PathBuf>,
+    /// Only these sections, such as `accounts/faro`; all by default.
+    #[arg(long, value_name = "SECTION")]
+    pub(crate) section: Vec<Box<str>>,
+    /// Base URL of an entry; the guarantees are then checked against the workers that it knows.
+    #[arg(long, value_name = "URL")]
+    pub(crate) entry: Option<Box<str>>,
+}
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -1,16 +1,17 @@
 //! `limpethook config`.
 
+mod apply;
+mod guarantees;
+mod lock;
+mod stored;
+
 use std::path::Path;
 use std::process::ExitCode;
 
-use config::{
-    Change, ChangeKind, assemble_sections, diff_documents, parse_document, split_sections,
-};
-use distribution::CONFIG_PREFIX;
+use config::{Base, Change, ChangeKind, diff_documents, edited_text, parse_edited};
 use errors::{Error, ErrorKind, Result};
-use indexmap::IndexMap;
-use model::{Document, Revision, SectionName};
-use store::{Confirmed, Expect, HttpStore, HttpStoreSettings, KvStore, PutRequest, put_confirmed};
+use model::Document;
+use store::{HttpStore, HttpStoreSettings};
 
 use crate::cli::ConfigCommand;
 use crate::cmd::block_on;
@@ -18,20 +19,19 @@
 /// Runs a subcommand of `config`.
 pub(crate) fn run(command: ConfigCommand) -> Result<ExitCode> {
     match command {
-        ConfigCommand::Check { file } => check(&file),
+        ConfigCommand::Check { file, entry } => block_on(check(&file, entry.as_deref())),
         ConfigCommand::Show { store } => block_on(show(&store)),
         ConfigCommand::Diff { file, store } => block_on(diff(&file, &store)),
-        ConfigCommand::Apply {
-            file,
-            store,
-            section,
-        } => block_on(apply(&file, &store, &section)),
+        ConfigCommand::Apply(args) => block_on(apply::apply(&args)),
         ConfigCommand::Token => token(),
     }
 }
 
-fn check(file: &Path) -> Result<ExitCode> {
-    let document = read_document(file)?;
+async fn check(file: &Path, entry: Option<&str>) -> Result<ExitCode> {
+    let (document, _) = read_document(file)?;
+    if let Some(entry) = entry {
+        guarantees::check(entry, &document).await?;
+    }
     println!(
         "{}: {} client accounts, {} services, no faults",
         file.display(),
@@ -50,35 +50,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn read_document(file: &Path) -> Result<Document> {
+fn read_document(file: &Path) -> Result<(Document, Option<Base>)> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file)
         .map_err(|e| Error::not_run(ErrorKind::InvalidRequest, format!("{name}: {e}")).report())?;
-    parse_document(&name, &text)
-}
-
-/// The document in the store with the revision of each section.
-struct Stored {
-    document: Document,
-    revisions: IndexMap<SectionName, Revision>,
-}
-
-async fn read_store(store: &dyn KvStore) -> Result<Stored> {
-    let sections = distribution::read_store(store).await?;
-    let present = || {
-        sections
-            .sections
-            .iter()
-            .filter_map(|section| Some((&*section.name, section.text.as_deref()?)))
-    };
-    Ok(Stored {
-        document: assemble_sections(present())?,
-        revisions: sections
-            .sections
-            .iter()
-            .map(|section| (section.name.clone(), section.revision))
-            .collect(),
-    })
+    parse_edited(&name, &text)
 }
 
 fn open_store(url: &str) -> Result<HttpStore> {
@@ -86,20 +62,30 @@
 }
 
 async fn show(url: &str) -> Result<ExitCode> {
-    let stored = read_store(&open_store(url)?).await?;
-    println!(
-        "{}",
-        serde_json::to_string_pretty(&stored.document).unwrap_or_default()
-    );
+    let stored = stored::read(&open_store(url)?).await?;
+    println!("{}", edited_text(&stored.document, &stored.base));
+    for fault in &stored.faults {
+        eprintln!("faulty, not in force: {fault}");
+    }
     Ok(ExitCode::SUCCESS)
 }
 
 async fn diff(file: &Path, url: &str) -> Result<ExitCode> {
-    let document = read_document(file)?;
-    let stored = read_store(&open_store(url)?).await?;
+    let (document, base) = read_document(file)?;
+    let stored = stored::read(&open_store(url)?).await?;
     for change in diff_documents(&stored.document, &document) {
         println!("{}", describe(&change));
     }
+    for (section, seen) in base.unwrap_or_default() {
+        let current = stored.base.get(&section).map(|seen| seen.revision);
+        if current != Some(seen.revision) {
+            let current = stored::revision_text(current);
+            println!(
+                "{section}: the file has revision {}, the section is now {current}",
+                seen.revision
+            );
+        }
+    }
     Ok(ExitCode::SUCCESS)
 }
 
@@ -110,78 +96,3 @@
         ChangeKind::Changed(keys) => format!("{}: changed {}", change.section, keys.join(", ")),
     }
 }
-
-/// Writes each section that differs with compare-and-swap and reports what became of it.
-async fn apply(file: &Path, url: &str, only: &[Box<str>]) -> Result<ExitCode> {
-    let document = read_document(file)?;
-    let store = open_store(url)?;
-    let stored = read_store(&store).await?;
-    let changed = diff_documents(&stored.document, &document);
-    let texts: IndexMap<_, _> = split_sections(&document).into_iter().collect();
-    let mut failed = false;
-    for change in changed {
-        let name = change.section;
-        if !only.is_empty() && !only.contains(&name) {
-            continue;
-        }
-        let revision = stored.revisions.get(&name).copied();
-        let result = match texts.get(&name) {
-            Some(text) => write(&store, &name, text, revision).await,
-            None => remove(&store, &name, revision).await,
-        };
-        match result {
-            Ok(revision) => println!("{name}: applied at revision {revision}"),
-            Err(report) => {
-                failed = true;
-                println!("{name}: {}", report.current_context());
-            }
-        }
-    }
-    Ok(if failed {
-        ExitCode::FAILURE
-    } else {
-        ExitCode::SUCCESS
-    })
-}
-
-async fn write(
-    store: &dyn KvStore,
-    name: &str,
-    text: &str,
-    revision: Option<Revision>,
-) -> Result<Revision> {
-    let req = PutRequest {
-        key: format!("{CONFIG_PREFIX}{name}").into(),
-        value: text.to_owned().into(),
-        expect: revision.map_or(Expect::Absent, Expect::Revision),
-        lease: None,
-        since: revision.unwrap_or_default(),
-    };
-    match put_confirmed(store, &req).await? {
-        Confirmed::Written { revision } => Ok(revision),
-        Confirmed::Conflict { current } => Err(conflict(name, current)),
-        Confirmed::Unknown(error) => Err(error.report()),
-    }
-}
-
-async fn remove(store: &dyn KvStore, name: &str, revision: Option<Revision>) -> Result<Revision> {
-    let expect = revision.map_or(Expect::Any, Expect::Revision);
-    match store
-        .delete(&format!("{CONFIG_PREFIX}{name}"), expect)
-        .await?
-    {
-        store::PutOutcome::Written { revision } => Ok(revision),
-        store::PutOutcome::Conflict { current } => Err(conflict(name, current)),
-    }
-}
-
-fn conflict(name: &str, current: Option<Revision>) -> error_stack::Report<Error> {
-    let current = current.map_or_else(
-        || "deleted".to_owned(),
-        |revision| format!("at revision {revision}"),
-    );
-    let message = format!(
-        "section {name} was changed by somebody else and is now {current}; run config diff again"
-    );
-    Error::not_run(ErrorKind::Conflict, message).report()
-}
--- /dev/null
+++ b/src/cmd/config/apply.rs
@@ -0,0 +1,169 @@
+//! `limpethook config apply`.
+
+use std::process::ExitCode;
+
+use config::{Base, Edit, assemble_sections, edits, section_digest};
+use distribution::CONFIG_PREFIX;
+use errors::{Error, ErrorKind, Result, Verdict};
+use model::{Document, Revision};
+use store::{Confirmed, Entry, Expect, KvStore, PutOutcome, PutRequest, put_confirmed};
+
+use super::lock::Lock;
+use super::stored::{Stored, revision_text};
+use super::{guarantees, open_store, read_document, stored};
+use crate::cli::ApplyArgs;
+use crate::cmd::exit_code;
+
+/// Writes each edited section with compare-and-swap and reports what became of it.
+pub(super) async fn apply(args: &ApplyArgs) -> Result<ExitCode> {
+    let (document, base) = read_document(&args.file)?;
+    let base = match &args.base {
+        Some(file) => read_document(file)?.1,
+        None => base,
+    };
+    let store = open_store(&args.store)?;
+    let lock = Lock::acquire(&store).await?;
+    let result = apply_locked(args, &document, &base.unwrap_or_default(), &store, &lock).await;
+    lock.release(&store).await;
+    result
+}
+
+async fn apply_locked(
+    args: &ApplyArgs,
+    document: &Document,
+    base: &Base,
+    store: &dyn KvStore,
+    lock: &Lock,
+) -> Result<ExitCode> {
+    let stored = stored::read(store).await?;
+    let wanted = |edit: &Edit| args.section.is_empty() || args.section.contains(&edit.section);
+    let mut edits = edits(document, base);
+    edits.retain(|edit| wanted(edit) && !is_done(edit, &stored));
+    check_conflicts(&edits, &stored)?;
+    check_result(args, &edits, &stored).await?;
+    let mut code = ExitCode::SUCCESS;
+    let mut unknown = false;
+    for edit in &edits {
+        match write(store, lock, edit, stored.revision).await {
+            Ok(revision) => println!("{}: applied at revision {revision}", edit.section),
+            Err(report) => {
+                let error = report.current_context();
+                println!("{}: {error}", edit.section);
+                if !unknown {
+                    code = exit_code(error);
+                }
+                unknown |= error.verdict == Verdict::MayHaveRun;
+            }
+        }
+    }
+    if edits.is_empty() {
+        println!("nothing to apply");
+    }
+    Ok(code)
+}
+
+/// Returns whether the store has the section as the operator wants it, such as after an earlier try.
+fn is_done(edit: &Edit, stored: &Stored) -> bool {
+    match (stored.base.get(&edit.section), &edit.text) {
+        (Some(seen), Some(text)) => seen.digest == Some(section_digest(text)),
+        (current, text) => current.is_none() && text.is_none(),
+    }
+}
+
+fn check_conflicts(edits: &[Edit], stored: &Stored) -> Result<()> {
+    let mut conflicts = Vec::new();
+    for edit in edits {
+        let current = stored.base.get(&edit.section).map(|seen| seen.revision);
+        if current != edit.base {
+            conflicts.push(conflict(&edit.section, edit.base, current));
+        }
+    }
+    if conflicts.is_empty() {
+        return Ok(());
+    }
+    conflicts.push("nothing was written; run config show again".into());
+    Err(Error::not_run(ErrorKind::Conflict, conflicts.join("\n")).report())
+}
+
+fn conflict(section: &str, base: Option<Revision>, current: Option<Revision>) -> String {
+    let base = base.map_or_else(
+        || "the file has no revision of it".to_owned(),
+        |revision| format!("the file was made from revision {revision}"),
+    );
+    let current = revision_text(current);
+    format!("section {section} was changed by somebody else and is now {current}; {base}")
+}
+
+/// Checks the document that the store would have after the edits.
+async fn check_result(args: &ApplyArgs, edits: &[Edit], stored: &Stored) -> Result<()> {
+    let mut texts = stored.texts.clone();
+    for edit in edits {
+        match &edit.text {
+            Some(text) => drop(texts.insert(edit.section.clone(), text.clone())),
+            None => drop(texts.shift_remove(&edit.section)),
+        }
+    }
+    let document = assemble_sections(texts.iter().map(|(name, text)| (&**name, &**text)))?;
+    let Some(entry) = &args.entry else {
+        eprintln!("guarantees are not checked against workers without --entry");
+        return Ok(());
+    };
+    guarantees::check(entry, &document).await
+}
+
+async fn write(store: &dyn KvStore, lock: &Lock, edit: &Edit, since: Revision) -> Result<Revision> {
+    lock.check()?;
+    let key: Box<str> = format!("{CONFIG_PREFIX}{}", edit.section).into();
+    let Some(text) = &edit.text else {
+        return remove(store, &key, edit).await;
+    };
+    let req = PutRequest {
+        key,
+        value: text.to_string().into(),
+        expect: edit.base.map_or(Expect::Absent, Expect::Revision),
+        lease: None,
+        since,
+    };
+    match put_confirmed(store, &req).await? {
+        Confirmed::Written { revision } => Ok(revision),
+        Confirmed::Conflict { current } => Err(lost_race(edit, current)),
+        Confirmed::Unknown(error) => Err(error.report()),
+    }
+}
+
+/// Deletes a section; after a lost answer, the key tells what became of the deletion.
+async fn remove(store: &dyn KvStore, key: &str, edit: &Edit) -> Result<Revision> {
+    let expect = edit.base.map_or(Expect::Any, Expect::Revision);
+    let report = match store.delete(key, expect).await {
+        Ok(outcome) => return removed(edit, outcome),
+        Err(report) if report.current_context().verdict == Verdict::MayHaveRun => report,
+        Err(report) => return Err(report),
+    };
+    let lost = || report.current_context().clone().report();
+    let Ok(listing) = store.list(key).await else {
+        return Err(lost());
+    };
+    let current = listing.entries.iter().find(|entry| *entry.key == *key);
+    match current.map(|entry: &Entry| entry.revision) {
+        None => Ok(listing.revision),
+        Some(revision) if Some(revision) != edit.base => Err(lost_race(edit, Some(revision))),
+        Some(_) => match store.delete(key, expect).await {
+            // The first deletion arrived in between.
+            Ok(PutOutcome::Conflict { current: None }) => Ok(listing.revision),
+            Ok(outcome) => removed(edit, outcome),
+            Err(_) => Err(lost()),
+        },
+    }
+}
+
+fn removed(edit: &Edit, outcome: PutOutcome) -> Result<Revision> {
+    match outcome {
+        PutOutcome::Written { revision } => Ok(revision),
+        PutOutcome::Conflict { current } => Err(lost_race(edit, current)),
+    }
+}
+
+fn lost_race(edit: &Edit, current: Option<Revision>) -> error_stack::Report<Error> {
+    let message = conflict(&edit.section, edit.base, current);
+    Error::not_run(ErrorKind::Conflict, message).report()
+}
