Send the endpoint directory only when an endpoint changed

An owner sent all endpoints of its cell to each entry for every heartbeat, so that the cost rose with the square of the agents. Ruled out: a longer wait alone, which delays the news that an endpoint leaves; sending single endpoints, which needs a history at the owner. Change: the membership controller keeps the list of endpoints as a section of its own and publishes it only when it differs; a reply without a change has no endpoints; an entry asks again 300 ms after a changed directory. Conclusion: the idle cost no longer depends on the endpoints. While slots change, the whole directory still goes out up to three times a second.

--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -18,6 +18,8 @@
 const CELLS_WAIT: Duration = Duration::from_secs(20);
 /// The owner answers within 1 s even without a change.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The least time between two directories of a cell, whose whole content is sent; a drain must be known within 3 s.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(300);
 /// Bounds of the pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..300;
 
@@ -81,8 +83,12 @@
     let mut after = 0;
     let mut behind = None;
     while let Ok(directory) = ask(cx, owner, after).await {
+        let changed = after == 0 || directory.version != after;
         after = directory.version;
         fetch_newer_config(cx, owner, directory.revision, &mut behind).await;
+        if !changed {
+            continue;
+        }
         let learned = Learned {
             cell: cell.clone(),
             owner: owner.clone(),
@@ -91,6 +97,7 @@
         if tx.send(learned).await.is_err() {
             return;
         }
+        cx.timer.subscribe_after(DIRECTORY_INTERVAL).recv().await;
     }
 }
 
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use board::Board;
+use board::{Board, Section};
 use model::{CellId, EntryId, Epoch, RegionId};
 use store::KvStore;
 use timer::Timer;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use wire::{Datagrams, Peers};
+use wire::{Datagrams, EndpointEntry, Peers};
 
 use crate::Shared;
 use crate::members::MemberEvent;
@@ -33,6 +33,10 @@
 pub(crate) struct Context {
     pub(crate) settings: OwnerSettings,
     pub(crate) board: Arc<Board>,
+    /// The endpoints as entries see them; written by the membership controller.
+    ///
+    /// The membership changes with each heartbeat, this list only when an endpoint does.
+    pub(crate) listed: Section<Vec<EndpointEntry>>,
     pub(crate) store: Arc<dyn KvStore>,
     pub(crate) peers: Peers,
     pub(crate) datagrams: Arc<Datagrams>,
@@ -60,6 +64,7 @@
         let cx = Self {
             settings,
             board: shared.board,
+            listed: Section::default(),
             store: shared.store,
             peers: shared.peers,
             datagrams: shared.datagrams,
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -15,6 +15,7 @@
 
 use crate::context::Context;
 use crate::scheduler::SchedulerEvent;
+use crate::serve;
 
 /// How often silent agents are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -63,6 +64,10 @@
             agent_gone(&cx, &gone.agent);
         }
         let changed = before != Shape::of(&membership) || !replies.is_empty();
+        let listed = serve::entries(&membership);
+        if **cx.listed.load() != *listed {
+            cx.listed.publish(listed);
+        }
         cx.board.membership.publish(membership);
         if changed {
             let _ = cx
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -110,19 +110,23 @@
 
 /// Returns the directory once it is newer than `after`.
 async fn directory(cx: &Context, after: u64) -> Result<Reply> {
-    let mut changes = cx.board.membership.changes();
+    let mut changes = cx.listed.changes();
     let newer = changes.wait_for(|version| *version > after);
     let version = match timeout(DIRECTORY_WAIT, newer).await {
         Ok(Ok(version)) => *version,
         Ok(Err(_)) | Err(_) => after,
     };
-    let membership = cx.board.membership.load();
+    let endpoints = if version == after {
+        Vec::new()
+    } else {
+        Vec::clone(&cx.listed.load())
+    };
     let fleet = cx.board.fleet.load();
     Ok(Reply::Directory(Directory {
         version,
-        epoch: membership.epoch,
+        epoch: cx.epoch(),
         revision: cx.board.config.load().revision,
-        endpoints: entries(&membership),
+        endpoints,
         free: fleet
             .free
             .iter()
@@ -130,7 +134,8 @@
     }))
 }
 
-fn entries(membership: &Membership) -> Vec<EndpointEntry> {
+/// Returns the endpoints that entries may know.
+pub(crate) fn entries(membership: &Membership) -> Vec<EndpointEntry> {
     let serving = membership
         .serving
         .values()
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -316,7 +316,7 @@
     pub epoch: Epoch,
     /// The configuration revision of the owner.
     pub revision: Revision,
-    /// The endpoints.
+    /// The endpoints; none if the version is the one that the entry has.
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
     pub free: Resources,
