--- a/components/agent/src/link.rs
+++ b/components/agent/src/link.rs
@@ -19,6 +19,9 @@
 const ACK_LIMIT: Duration = Duration::from_millis(300);
 /// Bounds a look-up of the owner, which delays the next heartbeat.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the owner may be silent before peers are asked for newer sections; the owner's lease leaves no time for that
+/// within the 4 s in which a change must be in force.
+const SEED_FALLBACK: Duration = Duration::from_millis(1500);
 /// Bounds of the pause before the owner is looked up again; spread out so that agents do not ask at the same time.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..400;
 
@@ -37,6 +40,7 @@
             }
             Err(report) => {
                 log::debug!(target: "limpethook", error:% = report.current_context(); "owner_not_linked");
+                tokio::spawn(ask_seeds(Arc::clone(&cx)));
             }
         }
         let delay = Duration::from_millis(fastrand::u64(RETRY_DELAY_MS));
@@ -53,6 +57,7 @@
         tx,
     });
     let _ = rx.await;
+    recover_config(cx, &owner).await?;
     let call = Call::Announce(announce(cx).await);
     match cx.peers.call(owner.addr, &call, ANNOUNCE_TIMEOUT).await? {
         Reply::Epoch(epoch) => Ok(OwnerRecord { epoch, ..owner }),
@@ -60,8 +65,27 @@
     }
 }
 
+/// Fetches the configuration of an agent that started just now; the agent gets no work before it announces itself.
+async fn recover_config(cx: &Context, owner: &OwnerRecord) -> Result<()> {
+    if cx.board.config.load().revision == 0 {
+        let sections = distribution::fetch(&cx.peers, owner.addr, 0).await?;
+        cx.config_updates.deliver(sections).await;
+    }
+    Ok(())
+}
+
+/// Fetches newer sections from the first peer in the settings that answers, while the owner does not.
+async fn ask_seeds(cx: Arc<Context>) {
+    let own = cx.board.config.load().revision;
+    for seed in &cx.settings.seeds {
+        if let Ok(sections) = distribution::fetch(&cx.peers, *seed, own).await {
+            return cx.config_updates.deliver(sections).await;
+        }
+    }
+}
+
 /// Sends heartbeats until the owner is silent or asks for a new announcement.
-async fn keep(cx: &Context, owner: &OwnerRecord, acks: &mut mpsc::Receiver<Ack>) {
+async fn keep(cx: &Arc<Context>, owner: &OwnerRecord, acks: &mut mpsc::Receiver<Ack>) {
     let mut ticks = cx.timer.subscribe_every(HEARTBEAT_INTERVAL);
     let mut drain_reported = cx.is_draining();
     let mut heard = timer::now();
@@ -76,6 +100,9 @@
                     return;
                 }
                 sent = timer::now();
+                if timer::now().saturating_duration_since(heard) >= SEED_FALLBACK {
+                    tokio::spawn(ask_seeds(Arc::clone(cx)));
+                }
                 send_heartbeat(cx, owner).await;
                 overdue = cx.timer.subscribe_after(ACK_LIMIT);
             }
@@ -127,6 +154,6 @@
         return;
     }
     if let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await {
-        let _ = cx.config_updates.send(sections).await;
+        cx.config_updates.deliver(sections).await;
     }
 }
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -12,11 +12,14 @@
 use wire::{Call, Directory, EndpointEntry, OwnerRecord, Reply};
 
 use crate::context::{CellReport, Context};
+use crate::relay;
 
 /// How long one watch for new cells waits at the store.
 const CELLS_WAIT: Duration = Duration::from_secs(20);
 /// The owner answers within 1 s even without a change.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The least time between two directories of a cell, whose whole content is sent; a drain must be known within 3 s.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(300);
 /// Bounds of the pause after a failed call, in milliseconds.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..300;
 
@@ -25,6 +28,8 @@
     cell: CellId,
     owner: OwnerRecord,
     directory: Directory,
+    /// Whether the endpoints are listed; they are left out when they did not change.
+    changed: bool,
 }
 
 /// Follows all cells until the process ends.
@@ -81,17 +86,23 @@
     tx: &mpsc::Sender<Learned>,
 ) {
     let mut after = 0;
+    let mut behind = None;
     while let Ok(directory) = ask(cx, owner, after).await {
+        let changed = after == 0 || directory.version != after;
         after = directory.version;
-        fetch_newer_config(cx, owner, directory.revision).await;
+        fetch_newer_config(cx, owner, directory.revision, &mut behind).await;
         let learned = Learned {
             cell: cell.clone(),
             owner: owner.clone(),
             directory,
+            changed,
         };
         if tx.send(learned).await.is_err() {
             return;
         }
+        if changed {
+            cx.timer.subscribe_after(DIRECTORY_INTERVAL).recv().await;
+        }
     }
 }
 
@@ -106,18 +117,32 @@
     }
 }
 
-async fn fetch_newer_config(cx: &Context, owner: &OwnerRecord, revision: model::Revision) {
-    let own = cx.board.config.load().revision;
-    if revision > own
-        && let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await
-    {
-        let _ = cx.config_updates.send(sections).await;
+/// Fetches the sections of an owner if the relay has not delivered them for a while.
+///
+/// This brings a change from one region to the other when the store fails just after it accepted the change.
+async fn fetch_newer_config(
+    cx: &Context,
+    owner: &OwnerRecord,
+    revision: Revision,
+    behind: &mut Option<Instant>,
+) {
+    let own = cx.entry_board.held.load().revision;
+    if revision <= own {
+        *behind = None;
+        return;
+    }
+    let since = *behind.get_or_insert_with(timer::now);
+    if timer::now().saturating_duration_since(since) < relay::catch_up_grace(cx) {
+        return;
+    }
+    if let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await {
+        cx.config_updates.deliver(sections).await;
     }
 }
 
 /// Merges the directories of all cells into one section.
 async fn merge(cx: Arc<Context>, mut rx: mpsc::Receiver<Learned>) {
-    let mut directories: IndexMap<CellId, Directory> = IndexMap::new();
+    let mut directories = Directories::default();
     while let Some(learned) = rx.recv().await {
         cx.entry_board.owners.update(|owners| {
             owners.insert(learned.cell.clone(), learned.owner.clone());
@@ -126,22 +151,55 @@
             jobs.insert(learned.cell.clone(), learned.directory.live_jobs);
         });
         report(&cx, &learned);
-        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
-        let complete = learned.directory.settled && !learned.directory.recovering;
-        if !complete && directories.contains_key(&learned.cell) {
+        if !directories.learn(learned) {
             continue;
         }
-        directories.insert(learned.cell, learned.directory);
-        let settled = directories.iter().filter(|(_, d)| d.settled);
+        let settled = directories.used.iter().filter(|(_, d)| d.settled);
         let settled = settled.map(|(cell, _)| cell.clone());
         cx.entry_board.settled.publish(settled.collect());
         cx.board
             .membership
-            .publish(membership(&directories, timer::now()));
+            .publish(membership(&directories.used, timer::now()));
         refresh_routes(&cx.board, &cx.settings.region);
     }
 }
 
+/// The directories of all cells.
+#[derive(Default)]
+struct Directories {
+    /// The endpoints that each owner listed last; an unchanged list is not sent again.
+    listed: IndexMap<CellId, Vec<EndpointEntry>>,
+    /// The directories by which requests are routed.
+    used: IndexMap<CellId, Directory>,
+}
+
+impl Directories {
+    /// Takes a directory in and returns whether routing changes.
+    fn learn(&mut self, learned: Learned) -> bool {
+        let Learned {
+            cell,
+            mut directory,
+            changed,
+            ..
+        } = learned;
+        if changed {
+            self.listed
+                .insert(cell.clone(), std::mem::take(&mut directory.endpoints));
+        }
+        // An owner that just took over does not know all endpoints yet; those of its predecessor still serve.
+        let complete = directory.settled && !directory.recovering;
+        if !complete && self.used.contains_key(&cell) {
+            return false;
+        }
+        directory.endpoints = self.listed.get(&cell).cloned().unwrap_or_default();
+        let same = self.used.get(&cell).is_some_and(|used| {
+            used.settled == directory.settled && used.endpoints == directory.endpoints
+        });
+        self.used.insert(cell, directory);
+        !same
+    }
+}
+
 /// Publishes what operators want to know, and marks the peers in other regions.
 fn report(cx: &Context, learned: &Learned) {
     let directory = &learned.directory;
--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod requests;
 mod status;
+mod workers;
 
 use std::sync::Arc;
 
@@ -31,6 +32,7 @@
         )
         .push(Router::with_path("v1/jobs/{id}/result").get(jobs::Jobs::result(cx)))
         .push(Router::with_path("v1/status").get(admin::Status::new(cx)))
+        .push(Router::with_path("v1/workers").get(workers::Workers::new(cx)))
         .push(Router::with_path("metrics").get(admin::Metrics::new(cx)))
         .push(Router::with_path("health").get(admin::Health::new(cx)))
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod metrics;
 mod ready;
+mod relay;
 mod retry;
 mod route;
 mod run;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,7 +1,7 @@
 //! Starting and ending the entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 
 use crate::context::{Context, EntryBoard};
 use crate::metrics::Metrics;
-use crate::{directory, drain, http, limits, ready, serve};
+use crate::{directory, drain, http, limits, ready, relay, serve};
 
 /// How long the head of a request may take; it also bounds idle connections.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -57,19 +57,12 @@
         cut,
     )?);
 
-    tokio::spawn(distribution::run_controller(
+    tokio::spawn(distribution::run_staged(
         config_rx,
         Arc::clone(&cx),
-        |cx| &cx.board.config,
+        relay::stages(),
     ));
-    if cx.settings.duties.contains(&Duty::Relay) {
-        let watch = distribution::watch_store(
-            Arc::clone(&cx.store) as Arc<dyn KvStore>,
-            cx.timer.clone(),
-            cx.config_updates.clone(),
-        );
-        tokio::spawn(watch);
-    }
+    tokio::spawn(relay::run(Arc::clone(&cx)));
     tokio::spawn(limits::run(Arc::clone(&cx)));
     tokio::spawn(serve::receive(Arc::clone(&cx)));
     tokio::spawn(directory::run(Arc::clone(&cx)));
@@ -82,7 +75,7 @@
     tokio::spawn(server);
     let early_end = shutdown
         .clone()
-        .run_until_cancelled_owned(ready::wait_for_config(&cx))
+        .run_until_cancelled_owned(ready::recover_config(&cx))
         .await;
     if early_end.is_none() {
         return Ok(true);
@@ -199,6 +192,9 @@
         store,
         owner,
         config_updates,
+        followers: distribution::Followers::default(),
+        relaying: AtomicBool::new(false),
+        recovered: AtomicBool::new(false),
         drain: CancellationToken::new(),
         cut,
         in_flight: AtomicU32::new(0),
--- a/components/harness/src/ports.rs
+++ b/components/harness/src/ports.rs
@@ -1,30 +1,27 @@
 //! Free addresses on loopback.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use crate::Result;
 
-/// Ports below the range that the system gives to outgoing connections, which could take a port between its choice and
-/// its use.
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u16 = 22_000;
-/// Each process begins in a block of its own, so that tests in parallel do not choose the same port.
-const BLOCK: u32 = 100;
+/// Ports below the range from which the system takes ports of outgoing connections; those connections of other
+/// processes would take a port between the check and its use.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
-static NEXT: AtomicU16 = AtomicU16::new(0);
+/// The next port; a port is given out once, because programs bind it later.
+static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| AtomicU16::new(fastrand::u16(PORTS)));
 
 /// Returns a loopback address whose port is free for TCP and UDP.
 pub fn free_addr() -> Result<SocketAddr> {
-    let block = std::process::id() * BLOCK % u32::from(PORTS);
-    let block = u16::try_from(block)?;
-    for _ in 0..PORTS {
-        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        let port = FIRST_PORT + (block + offset) % PORTS;
+    for _ in PORTS {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + step % (PORTS.end - PORTS.start);
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
     }
-    Err("no port is free".into())
+    Err("no free port on loopback".into())
 }
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -10,7 +10,7 @@
 use timer::Timer;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use wire::{CellSummary, Datagrams, Peers};
+use wire::{CellSummary, Datagrams, EndpointEntry, Peers};
 
 use crate::Shared;
 use crate::claims::ClaimEvent;
@@ -36,6 +36,10 @@
 pub(crate) struct Context {
     pub(crate) settings: OwnerSettings,
     pub(crate) board: Arc<Board>,
+    /// The endpoints as entries see them; written by the membership controller.
+    ///
+    /// The membership changes with each heartbeat, this list only when an endpoint does.
+    pub(crate) listed: Section<Vec<EndpointEntry>>,
     pub(crate) store: Arc<dyn KvStore>,
     pub(crate) peers: Peers,
     pub(crate) datagrams: Arc<Datagrams>,
@@ -75,6 +79,7 @@
         let cx = Self {
             settings,
             board: shared.board,
+            listed: Section::default(),
             store: shared.store,
             peers: shared.peers,
             datagrams: shared.datagrams,
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -42,6 +42,9 @@
         }
         Call::Claim(claim) => claims::ask(cx, claim).await.map(Reply::Claimed),
         Call::GangEnded(ended) => gang_ended(cx, ended).await,
+        Call::Workers => Ok(Reply::Workers(
+            cx.board.fleet.load().workers.values().cloned().collect(),
+        )),
         Call::Directory { after } => directory(cx, after).await,
         _ => {
             Err(Error::not_run(ErrorKind::NotFound, "an owner does not answer this call").report())
@@ -134,7 +137,7 @@
 
 /// Returns the directory once it is newer than `after`.
 async fn directory(cx: &Context, after: u64) -> Result<Reply> {
-    let mut changes = cx.board.membership.changes();
+    let mut changes = cx.listed.changes();
     let newer = changes.wait_for(|version| *version > after);
     let version = match timeout(DIRECTORY_WAIT, newer).await {
         Ok(Ok(version)) => *version,
@@ -145,14 +148,19 @@
         // The section was emptied with the ownership; the entry must keep the endpoints that it knows.
         return Err(superseded());
     }
+    let endpoints = if version == after {
+        Vec::new()
+    } else {
+        Vec::clone(&cx.listed.load())
+    };
     let fleet = cx.board.fleet.load();
     Ok(Reply::Directory(Directory {
         version,
-        epoch: membership.epoch,
+        epoch: cx.epoch(),
         revision: cx.board.config.load().revision,
         recovering: cx.is_recovering(),
         live_jobs: u32::try_from(cx.jobs.load().live.len()).unwrap_or(u32::MAX),
-        endpoints: entries(&membership),
+        endpoints,
         free: fleet
             .free
             .iter()
@@ -171,7 +179,8 @@
             .is_some_and(|since| now.saturating_duration_since(since) >= SETTLE_TERM)
 }
 
-fn entries(membership: &Membership) -> Vec<EndpointEntry> {
+/// Returns the endpoints that entries may know.
+pub(crate) fn entries(membership: &Membership) -> Vec<EndpointEntry> {
     let serving = membership
         .serving
         .values()
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -6,6 +6,7 @@
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use telemetry::traffic;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -104,6 +105,7 @@
     pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
         let frame: BytesMut = self.inner.next().await?.ok()?;
         self.traffic.add_received(LENGTH_BYTES + frame.len());
+        traffic::CALLS.count_received(LENGTH_BYTES + frame.len());
         let split = frame.len().checked_sub(TAG_LEN)?;
         let (message, tag) = frame.split_at(split);
         if !self.key.verify(self.sequence, message, tag) {
@@ -122,6 +124,7 @@
         self.sequence += 1;
         message.extend_from_slice(&tag);
         self.traffic.add_sent(LENGTH_BYTES + message.len());
+        traffic::CALLS.count_sent(LENGTH_BYTES + message.len());
         self.inner.feed(Bytes::from(message)).await
     }
 
--- a/components/wire/src/messages.rs
+++ b/components/wire/src/messages.rs
@@ -56,6 +56,15 @@
     Claim(Claim),
     /// Entry to agent: is the request known; otherwise refuse it under older epochs.
     FindRequest(FindRequest),
+    /// Entry to relay: the sections above a revision, once there are any.
+    NextSections {
+        /// The revision that the entry holds.
+        after: Revision,
+        /// The entry.
+        follower: EntryId,
+    },
+    /// Entry to owner: the workers of the cell.
+    Workers,
 }
 
 /// The reply to a call.
@@ -87,6 +96,8 @@
     StillRunning,
     /// A detached attempt ended without an answer; unlike `Failed`, this is the outcome itself.
     AttemptFailed(Error),
+    /// The workers of a cell.
+    Workers(Vec<Worker>),
 }
 
 /// A reservation of gang members at one agent.
@@ -243,6 +254,8 @@
     pub revision: Revision,
     /// The sections.
     pub sections: Vec<Section>,
+    /// The names of all sections at that revision, if the sender may not know every deletion that the receiver missed.
+    pub present: Option<Vec<SectionName>>,
 }
 
 /// One configuration section.
@@ -338,6 +351,7 @@
     /// Whether the owner took over just now and still waits for announcements, so that endpoints may be missing.
     pub recovering: bool,
     /// The endpoints.
+    /// The endpoints; none if the version is the one that the entry has.
     pub endpoints: Vec<EndpointEntry>,
     /// Free resources of the cell.
     pub free: Resources,
