Cancel only the request when its caller leaves

Cause: a merge registered the token of the whole gang for cancellation, so a caller that left looked like a gang that was stopped to reclaim capacity: the owner queued the job again and started it with nobody waiting (vanished_callers_leave_nothing_held). Change: the request has a child token. The test passes; before, a gang and a slot stayed in use.

--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -108,8 +108,10 @@
         gang,
         error: Some(cancelled()),
     };
-    let _registered = Registered::new(cx, dispatch.request.id, &stopped);
-    let result = run_recorded(cx, dispatch, &workers, slot, stopped.child_token()).await;
+    // A caller that leaves cancels only the request; a stopped gang cancels it as well.
+    let cancel = stopped.child_token();
+    let _registered = Registered::new(cx, dispatch.request.id, &cancel);
+    let result = run_recorded(cx, dispatch, &workers, slot, cancel).await;
     let result = result.map_err(|report| {
         let cancelled = report.current_context().kind == ErrorKind::Cancelled;
         if cancelled && stopped.is_cancelled() {
