Keep a worker closed until it confirms that earlier tasks stopped

Ruled out: waiting for the lease of the task, because a late start begins its lease when it arrives.

--- a/components/agent/src/gangs/controller.rs
+++ b/components/agent/src/gangs/controller.rs
@@ -29,6 +29,7 @@
         fence: Fence::default(),
         reservations: Reservations::start(capacity, timer::now()),
         gangs: IndexMap::new(),
+        unconfirmed: IndexMap::new(),
         arming: IndexMap::new(),
         leading: IndexMap::new(),
         stopping: IndexMap::new(),
@@ -68,6 +69,7 @@
         GangEvent::TaskStarted { gang, worker, task } => {
             member::task_started(state, gang, worker, task);
         }
+        GangEvent::StopConfirmed { worker } => member::stop_confirmed(state, &worker),
         GangEvent::TaskFailed {
             gang,
             worker,
--- a/components/agent/src/gangs/member.rs
+++ b/components/agent/src/gangs/member.rs
@@ -9,7 +9,7 @@
 use membership::leader::{Arm, Pulse as LeaderPulse};
 use membership::reservation::Part;
 use membership::{LapseKind, Reserve as ReserveParts, Sender};
-use model::{GangId, WorkerId};
+use model::{GangId, Member, WorkerId};
 use tokio_util::task::TaskTracker;
 use wire::{ArmGang, Call, MemberFailed, Packet, Pulse, PulseAck, Reserve, StopGang};
 
@@ -30,6 +30,9 @@
         return Err(Error::not_run(ErrorKind::Draining, "the agent is shutting down").report());
     }
     let known = state.gangs.contains_key(&reserve.gang);
+    if !known {
+        check_confirmed(state, &reserve.members)?;
+    }
     let slot = if reserve.slot && !known {
         Some(state.cx.slots.try_take().ok_or_else(no_slot)?)
     } else {
@@ -158,6 +161,7 @@
             .as_ref()
             .is_some_and(|request| request.stoppable);
     tasks::stop(&state.cx, stop.gang, gang, checkpoint, Some(tx));
+    expect_confirmations(state, stop.gang);
 }
 
 /// Carries out what the reservations decided by themselves.
@@ -179,9 +183,47 @@
     };
     if gang.run_until.take().is_some() {
         tasks::stop(&state.cx, id, gang, false, None);
+        expect_confirmations(state, id);
+    }
+}
+
+/// Closes the workers of a gang to reservations until they confirm the stop of its tasks.
+fn expect_confirmations(state: &mut State, id: GangId) {
+    let members = state
+        .gangs
+        .get(&id)
+        .into_iter()
+        .flat_map(|gang| &gang.members);
+    for member in members {
+        *state.unconfirmed.entry(member.worker.clone()).or_default() += 1;
     }
 }
 
+/// Opens a worker to reservations once it has confirmed all stops.
+pub(crate) fn stop_confirmed(state: &mut State, worker: &WorkerId) {
+    if let Some(stops) = state.unconfirmed.get_mut(worker) {
+        *stops = stops.saturating_sub(1);
+        if *stops == 0 {
+            state.unconfirmed.swap_remove(worker);
+        }
+    }
+}
+
+fn check_confirmed(state: &State, members: &[Member]) -> Result<()> {
+    let Some(member) = members
+        .iter()
+        .find(|member| state.unconfirmed.contains_key(&member.worker))
+    else {
+        return Ok(());
+    };
+    let message = format!(
+        "worker {} has not confirmed that earlier tasks stopped",
+        member.worker
+    );
+    let error = Error::not_run(ErrorKind::Unavailable, message);
+    Err(error.retry_after(SLOT_RETRY_AFTER).report())
+}
+
 /// Records a task that a worker started, so that it is renewed.
 pub(crate) fn task_started(state: &mut State, id: GangId, worker: WorkerId, task: TaskId) {
     if let Some(gang) = state.gangs.get_mut(&id) {
--- a/components/agent/src/gangs/mod.rs
+++ b/components/agent/src/gangs/mod.rs
@@ -55,6 +55,8 @@
         worker: WorkerId,
         task: TaskId,
     },
+    /// A worker confirmed that it stopped the tasks of one gang.
+    StopConfirmed { worker: WorkerId },
     /// A worker of this agent failed a task.
     TaskFailed {
         gang: GangId,
--- a/components/agent/src/gangs/state.rs
+++ b/components/agent/src/gangs/state.rs
@@ -26,6 +26,8 @@
     pub(crate) reservations: Reservations,
     /// What is known of each gang with a reservation here.
     pub(crate) gangs: IndexMap<GangId, Gang>,
+    /// Stops that each worker has not confirmed.
+    pub(crate) unconfirmed: IndexMap<WorkerId, u32>,
     pub(crate) arming: IndexMap<GangId, Led<Arming>>,
     pub(crate) leading: IndexMap<GangId, Led<Leading>>,
     pub(crate) stopping: IndexMap<GangId, Led<Stopping>>,
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -17,6 +17,9 @@
 const MIN_RENEWAL: Duration = Duration::from_millis(300);
 /// How long a stop waits for starts in progress; later ones lapse with their leases.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
+/// Bounds of the pause before a worker is asked again to confirm a stop.
+const FIRST_STOP_DELAY: Duration = Duration::from_millis(250);
+const LAST_STOP_DELAY: Duration = Duration::from_secs(4);
 /// Bound of a checkpoint when capacity is reclaimed; urgent work must start within 1.1 s of its acceptance.
 const CHECKPOINT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -135,6 +138,9 @@
 }
 
 /// Stops the tasks of a gang, with a bounded checkpoint first if asked, and then answers.
+///
+/// Each worker is reported once it has confirmed the stop of all its tasks. Until then a start that was sent to it
+/// may still take effect, so its resources must not be reserved again.
 pub(crate) fn stop(
     cx: &Arc<Context>,
     id: GangId,
@@ -142,10 +148,10 @@
     checkpoint: bool,
     tx: Option<ReplyTo<()>>,
 ) {
-    let tasks: Vec<_> = gang
+    let members: Vec<(WorkerId, Vec<TaskId>)> = gang
         .members
         .iter()
-        .flat_map(|member| task_ids(id, member).map(|task| (member.worker.clone(), task)))
+        .map(|member| (member.worker.clone(), task_ids(id, member).collect()))
         .collect();
     let (cx, starts) = (Arc::clone(cx), gang.starts.clone());
     tokio::spawn(async move {
@@ -153,8 +159,8 @@
         starts.close();
         let _ = timeout(START_TIMEOUT, starts.wait()).await;
         let mut stops = tokio::task::JoinSet::new();
-        for (worker, task) in tasks {
-            stops.spawn(stop_one(Arc::clone(&cx), worker, task, checkpoint));
+        for (worker, tasks) in members {
+            stops.spawn(stop_member(Arc::clone(&cx), worker, tasks, checkpoint));
         }
         let stopped = stops.join_all().await.into_iter().all(|stopped| stopped);
         let Some(tx) = tx else { return };
@@ -163,6 +169,48 @@
     });
 }
 
+/// Stops the tasks on one worker; one that does not confirm is asked again in the background.
+async fn stop_member(
+    cx: Arc<Context>,
+    worker: WorkerId,
+    tasks: Vec<TaskId>,
+    checkpoint: bool,
+) -> bool {
+    let stopped = stop_all(&cx, &worker, &tasks, checkpoint).await;
+    if stopped {
+        let _ = cx.gangs.send(GangEvent::StopConfirmed { worker });
+    } else {
+        tokio::spawn(confirm_stop(cx, worker, tasks));
+    }
+    stopped
+}
+
+async fn confirm_stop(cx: Arc<Context>, worker: WorkerId, tasks: Vec<TaskId>) {
+    let mut delay = FIRST_STOP_DELAY;
+    loop {
+        cx.timer.subscribe_after(delay).recv().await;
+        if stop_all(&cx, &worker, &tasks, false).await {
+            let _ = cx.gangs.send(GangEvent::StopConfirmed { worker });
+            return;
+        }
+        delay = (2 * delay).min(LAST_STOP_DELAY);
+    }
+}
+
+async fn stop_all(
+    cx: &Arc<Context>,
+    worker: &WorkerId,
+    tasks: &[TaskId],
+    checkpoint: bool,
+) -> bool {
+    let mut stops = tokio::task::JoinSet::new();
+    for task in tasks {
+        let (cx, worker, task) = (Arc::clone(cx), worker.clone(), task.clone());
+        stops.spawn(stop_one(cx, worker, task, checkpoint));
+    }
+    stops.join_all().await.into_iter().all(|stopped| stopped)
+}
+
 fn not_stopped() -> error_stack::Report<errors::Error> {
     let message = "a worker did not confirm that it stopped a task; the task lapses with its lease";
     errors::Error::may_have_run(errors::ErrorKind::Unavailable, message).report()
--- a/components/standin/src/fleet/tasks.rs
+++ b/components/standin/src/fleet/tasks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{Resources, WorkerId};
 use workers::{EndedTask, Renewed, StartTask, TaskEnd, TaskId, TaskUsage, UsageAnswer};
 
@@ -22,6 +22,8 @@
 struct OnWorker {
     running: IndexMap<TaskId, Task<Running>>,
     ended: IndexMap<TaskId, Task<Ended>>,
+    /// Tasks that were stopped before their start arrived.
+    refused: IndexSet<TaskId>,
 }
 
 impl OnWorker {
@@ -81,7 +83,7 @@
         if tasks.running.contains_key(&task.task) {
             return Ok(());
         }
-        if tasks.ended.contains_key(&task.task) {
+        if tasks.ended.contains_key(&task.task) || tasks.refused.contains(&task.task) {
             return Err(StartFault::Ended);
         }
         let used = tasks.used().plus(task.resources);
@@ -117,8 +119,12 @@
     }
 
     pub(crate) fn stop(&mut self, worker: &str, task: &str, now: Instant) {
-        if let Some(tasks) = self.workers.get_mut(worker) {
+        let tasks = self.workers.entry(worker.into()).or_default();
+        if tasks.running.contains_key(task) {
             tasks.finish(task, TaskEnd::Stopped, now);
+        } else {
+            // A start that arrives after its stop must not run.
+            tasks.refused.insert(task.into());
         }
     }
 
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -108,6 +108,11 @@
         self.incarnation
     }
 
+    /// Returns the address of the socket.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Returns the counters.
     pub fn counts(&self) -> &DatagramCounts {
         &self.counts
--- /dev/null
+++ b/components/wire/src/messages/mod.rs
@@ -0,0 +1,108 @@
+//! The messages between processes.
+
+mod cells;
+mod gangs;
+mod requests;
+mod sections;
+
+use errors::Error;
+use model::{CellId, EntryId, Epoch, RequestId, Revision, Worker};
+use serde::{Deserialize, Serialize};
+
+use crate::claims::{Claim, Claimed, FindRequest, FoundRequest};
+
+pub use cells::{
+    Ack, Announce, CellSummary, Directory, EndpointEntry, Heartbeat, OwnerRecord, Packet,
+    RecordedAttempt,
+};
+pub use gangs::{
+    ArmGang, GangEnded, HeldGang, MemberFailed, Pulse, PulseAck, Reserve, StartGang, StopGang,
+};
+pub use requests::{Answer, Attach, Cancel, Dispatch, Place, Placed};
+pub use sections::{Section, Sections};
+
+/// A call over TCP.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Call {
+    /// Owner to agent: reserve the members of a gang and, if asked, an endpoint slot.
+    Reserve(Reserve),
+    /// Owner to leader: let a reserved gang run.
+    StartGang(StartGang),
+    /// Leader to member: extend the reservation to the gang lease.
+    ArmGang(ArmGang),
+    /// Owner to leader, leader to member: stop or release a gang.
+    StopGang(StopGang),
+    /// Member to leader: a worker failed a task.
+    MemberFailed(MemberFailed),
+    /// Leader to owner: a gang ended.
+    GangEnded(GangEnded),
+    /// Entry or owner to agent: run a request at the endpoint.
+    Dispatch(Dispatch),
+    /// Entry or owner to agent: stop a request that is queued or running.
+    CancelRequest(RequestId),
+    /// Owner to agent: configuration sections that changed.
+    Sections(Sections),
+    /// Agent to owner: everything the agent has.
+    Announce(Announce),
+    /// Entry to owner: queue a request with a shape and answer when its gang runs.
+    Place(Place),
+    /// Entry to owner: cancel a job.
+    Cancel(Cancel),
+    /// Entry to owner: the endpoint directory once it is newer than the version stated.
+    Directory {
+        /// The version that the entry has.
+        after: u64,
+    },
+    /// Any process to any other: which process owns this cell.
+    WhoOwns(CellId),
+    /// Any process to any other: the sections above a revision.
+    SectionsAfter(Revision),
+    /// Owner to agent: the outcome of a detached attempt, or that it still runs.
+    Attach(Attach),
+    /// Entry to owner: where a request with an idempotency key is, or this place if it is nowhere.
+    Claim(Claim),
+    /// Entry to agent: is the request known; otherwise refuse it under older epochs.
+    FindRequest(FindRequest),
+    /// Entry to relay: the sections above a revision, once there are any.
+    NextSections {
+        /// The revision that the entry holds.
+        after: Revision,
+        /// The entry.
+        follower: EntryId,
+    },
+    /// Entry to owner: the workers of the cell.
+    Workers,
+}
+
+/// The reply to a call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    /// The call took effect.
+    Done,
+    /// The epoch at which the call took effect.
+    Epoch(Epoch),
+    /// The owner of a cell, if known.
+    Owner(Option<OwnerRecord>),
+    /// A member extended its reservation.
+    Armed(PulseAck),
+    /// The gang of a request runs.
+    Placed(Placed),
+    /// The endpoint answered.
+    Answer(Answer),
+    /// The endpoint directory.
+    Directory(Directory),
+    /// Configuration sections.
+    Sections(Sections),
+    /// Where a claimed request is.
+    Claimed(Claimed),
+    /// The request, if the agent knows it.
+    Found(Option<FoundRequest>),
+    /// The call failed.
+    Failed(Error),
+    /// A detached attempt still runs.
+    StillRunning,
+    /// A detached attempt ended without an answer; unlike `Failed`, this is the outcome itself.
+    AttemptFailed(Error),
+    /// The workers of a cell.
+    Workers(Vec<Worker>),
+}
--- a/components/workers/src/platform.rs
+++ b/components/workers/src/platform.rs
@@ -93,7 +93,7 @@
     async fn renew_tasks(&self, worker: &str, tasks: &[TaskId], lease: Duration)
     -> Result<Renewed>;
 
-    /// Stops a task; an unknown or ended task is no error.
+    /// Stops a task; an unknown or ended task is no error, and an unknown task is not started any more.
     async fn stop_task(&self, worker: &str, task: &str) -> Result<()>;
 
     /// Sets the share of its speed at which a task runs, from 0 to 100 percent.
