Register running requests on their own thread

Cause: an agent told its request controller, on another thread, of the beginning and the end of every request, which woke that thread twice a request.

--- a/components/agent/src/context.rs
+++ b/components/agent/src/context.rs
@@ -23,6 +23,7 @@
 use crate::gangs::GangEvent;
 use crate::metrics::Metrics;
 use crate::requests::RequestEvent;
+use crate::running::Cancels;
 use crate::slots::Slots;
 
 /// The sections of the agent's board; one controller writes each.
@@ -53,6 +54,7 @@
     pub(crate) detached: mpsc::UnboundedSender<DetachedEvent>,
     /// Outcomes of detached attempts that no owner has read yet.
     pub(crate) unread: AtomicUsize,
+    pub(crate) cancels: Cancels,
     pub(crate) config_updates: Updates,
     /// Cancelled when the shutdown begins.
     pub(crate) drain: CancellationToken,
--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -7,7 +7,7 @@
 use fastrace::Span;
 use fastrace::future::FutureExt;
 use membership::attempts::{AttemptId, Permit};
-use model::{RequestId, WorkerId};
+use model::WorkerId;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wire::{Answer, Dispatch};
@@ -16,6 +16,7 @@
 use crate::endpoint::EndpointClient;
 use crate::gangs::{ClaimedGang, GangEvent};
 use crate::requests::RequestEvent;
+use crate::running::Registered;
 use crate::slots::Slot;
 
 /// Runs a request and returns the whole answer.
@@ -129,27 +130,6 @@
     result
 }
 
-/// Lets a request be cancelled until this is dropped.
-struct Registered<'a> {
-    cx: &'a Context,
-    request: RequestId,
-}
-
-impl<'a> Registered<'a> {
-    fn new(cx: &'a Context, request: RequestId, cancel: &CancellationToken) -> Self {
-        let cancel = cancel.clone();
-        let _ = cx.requests.send(RequestEvent::Register { request, cancel });
-        Self { cx, request }
-    }
-}
-
-impl Drop for Registered<'_> {
-    fn drop(&mut self) {
-        let request = self.request;
-        let _ = self.cx.requests.send(RequestEvent::Unregister { request });
-    }
-}
-
 /// Ends the gang of a request also when the caller gives up.
 struct EndGang<'a> {
     cx: &'a Context,
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod requests;
 mod run;
+mod running;
 mod serve;
 mod shared;
 mod slots;
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -21,7 +21,7 @@
 use crate::endpoint::EndpointClient;
 use crate::metrics::Metrics;
 use crate::slots::Slots;
-use crate::{detached, drain, gangs, link, requests, serve};
+use crate::{detached, drain, gangs, link, requests, running, serve};
 
 /// Acknowledgements that wait for the owner link.
 const ACK_QUEUE: usize = 16;
@@ -111,6 +111,7 @@
 async fn serve_shard(cx: Arc<Context>, key: Key, stop: CancellationToken) {
     match shards::listen(cx.addr()) {
         Ok(listener) => {
+            tokio::spawn(running::follow_cancels(cx.cancels.subscribe()));
             let handler = move |call_cx, call| serve::answer(Arc::clone(&cx), call_cx, call);
             Server::new(listener, key).serve(handler, stop).await;
         }
@@ -171,6 +172,7 @@
         requests: queues.requests,
         detached: queues.detached,
         unread: AtomicUsize::new(0),
+        cancels: running::cancels(),
         config_updates: queues.config_updates,
         drain: CancellationToken::new(),
         cut,
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::dispatch;
 use crate::gangs::{GangEvent, ReplyTo};
 use crate::keyed::{dispatch_keyed, find};
-use crate::requests::RequestEvent;
+use crate::running::cancel;
 
 /// Answers one call.
 pub(crate) async fn answer(cx: Arc<Context>, call_cx: CallContext, call: Call) -> Result<Reply> {
@@ -51,7 +51,7 @@
         Call::Attach(attach) => detached::attach(cx, attach).await,
         Call::FindRequest(req) => find(cx, req).await.map(Reply::Found),
         Call::CancelRequest(request) => {
-            let _ = cx.requests.send(RequestEvent::Cancel { request });
+            cancel(cx, request);
             let _ = cx.detached.send(DetachedEvent::Cancel { request });
             Ok(Reply::Done)
         }
