--- a/components/agent/src/gangs/controller.rs
+++ b/components/agent/src/gangs/controller.rs
@@ -11,7 +11,7 @@
 
 use crate::context::Context;
 use crate::gangs::state::State;
-use crate::gangs::{GangEvent, leading, member};
+use crate::gangs::{GangEvent, ending, leading, member};
 use crate::tasks;
 
 /// Events that are applied before the gang section is published again.
@@ -83,13 +83,13 @@
         } => leading::armed(state, gang, &agent, result, now),
         GangEvent::PulseAck { ack } => leading::pulse_acked(state, &ack),
         GangEvent::MemberStopped { gang, agent } => {
-            leading::member_stopped(state, gang, &agent, now);
+            ending::member_stopped(state, gang, &agent, now);
         }
-        GangEvent::MemberFailed { failed } => leading::member_failed(state, &failed, now),
+        GangEvent::MemberFailed { failed } => ending::member_failed(state, &failed, now),
         GangEvent::Claim { gang, tx } => {
             let _ = tx.send(leading::claim(state, gang));
         }
-        GangEvent::RequestEnded { gang, error } => leading::request_ended(state, gang, error, now),
+        GangEvent::RequestEnded { gang, error } => ending::request_ended(state, gang, error),
         GangEvent::Tick => {
             state.reservations.expire(now);
             leading::tick(state, now);
@@ -102,7 +102,7 @@
 fn stop_gang(state: &mut State, stop: &wire::StopGang, tx: crate::gangs::ReplyTo<()>) {
     let now = timer::now();
     if stop.epoch.is_some() && state.led_info(stop.gang).is_some() {
-        let _ = tx.send(leading::stop_by_owner(state, stop, now));
+        let _ = tx.send(ending::stop_by_owner(state, stop, now));
         return;
     }
     member::stop(state, stop, tx, now);
--- /dev/null
+++ b/components/agent/src/gangs/ending.rs
@@ -0,0 +1,178 @@
+//! The end of a gang at its leader.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use errors::{Error, ErrorKind, Result};
+use membership::leader::{Arming, Leading};
+use model::GangId;
+use wire::{Call, GangEnded, MemberFailed, StopGang};
+
+use crate::context::Context;
+use crate::gangs::GangEvent;
+use crate::gangs::leading::MEMBER_TIMEOUT;
+use crate::gangs::state::{Led, LedInfo, State};
+
+/// Pause before the end of a gang is reported again to an owner that did not answer.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Reports of one end; a new owner learns the rest from `Announce`.
+const REPORT_TRIES: usize = 20;
+
+/// Ends a gang whose request ended.
+pub(crate) fn request_ended(state: &mut State, gang: GangId, error: Option<Error>) {
+    let reason = error
+        .as_ref()
+        .map_or(ErrorKind::Cancelled, |error| error.kind);
+    if let Some(mut led) = state.leading.swap_remove(&gang) {
+        led.info.error = error;
+        begin_stop(state, led, reason);
+    }
+}
+
+/// Stops a gang because a worker failed a task.
+pub(crate) fn member_failed(state: &mut State, failed: &MemberFailed, now: Instant) {
+    let Some(info) = state.led_info(failed.gang) else {
+        return;
+    };
+    if !info.failed_workers.contains(&failed.worker) {
+        info.failed_workers.push(failed.worker.clone());
+    }
+    let message = format!("worker {} failed a task: {}", failed.worker, failed.message);
+    if let Some(mut led) = state.leading.swap_remove(&failed.gang) {
+        led.info.error = Some(Error::new(led.info.verdict(), ErrorKind::Failed, message));
+        begin_stop(state, led, ErrorKind::Failed);
+    } else if let Some(led) = state.arming.swap_remove(&failed.gang) {
+        give_up(state, led, Error::not_run(ErrorKind::Failed, message), now);
+    }
+}
+
+/// Stops a gang because the owner asks.
+pub(crate) fn stop_by_owner(state: &mut State, stop: &StopGang, now: Instant) -> Result<()> {
+    state.fence.admit(stop.epoch.unwrap_or_default())?;
+    let message = "the owner stopped the gang";
+    if let Some(mut led) = state.leading.swap_remove(&stop.gang) {
+        led.info.error = Some(Error::new(led.info.verdict(), stop.reason, message));
+        begin_stop(state, led, stop.reason);
+    } else if let Some(led) = state.arming.swap_remove(&stop.gang) {
+        give_up(state, led, Error::not_run(stop.reason, message), now);
+    }
+    Ok(())
+}
+
+pub(super) fn begin_stop(state: &mut State, led: Led<Leading>, reason: ErrorKind) {
+    let Led { leader, info } = led;
+    let gang = leader.gang;
+    info.stopped.cancel();
+    stop_members(state, gang, &info, reason);
+    state.stopping.insert(
+        gang,
+        Led {
+            leader: leader.stop(),
+            info,
+        },
+    );
+}
+
+/// Gives up a gang of which no member was ever allowed to run.
+pub(super) fn give_up(state: &mut State, led: Led<Arming>, error: Error, now: Instant) {
+    let Led { leader, mut info } = led;
+    let gang = leader.gang;
+    if let Some(started) = info.started.take() {
+        let _ = started.send(Err(error.clone().report()));
+    }
+    info.error = Some(error);
+    info.stopped.cancel();
+    stop_members(state, gang, &info, ErrorKind::Cancelled);
+    state.stopping.insert(
+        gang,
+        Led {
+            leader: leader.stop(now),
+            info,
+        },
+    );
+}
+
+/// Stops the tasks of all members; each reports back once its workers have stopped.
+pub(super) fn stop_members(state: &State, gang: GangId, info: &LedInfo, reason: ErrorKind) {
+    for (agent, addr) in &info.agents {
+        let call = Call::StopGang(StopGang {
+            gang,
+            epoch: None,
+            reason,
+            release: false,
+        });
+        let cx = Arc::clone(&state.cx);
+        let (agent, addr) = (agent.clone(), *addr);
+        tokio::spawn(async move {
+            // A member that does not answer stops with the gang lease.
+            if cx.peers.call(addr, &call, MEMBER_TIMEOUT).await.is_ok() {
+                let _ = cx.gangs.send(GangEvent::MemberStopped { gang, agent });
+            }
+        });
+    }
+}
+
+/// Records that a member stopped; the gang ends with its last member.
+pub(crate) fn member_stopped(state: &mut State, gang: GangId, agent: &str, now: Instant) {
+    let Some(led) = state.stopping.get_mut(&gang) else {
+        return;
+    };
+    led.leader.stopped(agent);
+    if led.leader.is_over(now) {
+        finish(state, gang);
+    }
+}
+
+/// Releases all members and reports the end to the owner.
+pub(super) fn finish(state: &mut State, gang: GangId) {
+    let Some(led) = state.stopping.swap_remove(&gang) else {
+        return;
+    };
+    let info = led.info;
+    for (_, addr) in &info.agents {
+        let call = Call::StopGang(StopGang {
+            gang,
+            epoch: None,
+            reason: ErrorKind::Cancelled,
+            release: true,
+        });
+        let cx = Arc::clone(&state.cx);
+        let addr = *addr;
+        tokio::spawn(async move {
+            // A member that does not hear this frees its accelerators with the gang lease.
+            let _ = cx.peers.call(addr, &call, MEMBER_TIMEOUT).await;
+        });
+    }
+    log::info!(
+        target: "limpethook",
+        gang:% = format_args!("{gang:032x}"), request:% = format_args!("{:032x}", info.request.id),
+        result:% = info.error.as_ref().map_or("answered", |error| error.kind.as_str());
+        "gang_ended"
+    );
+    let ended = GangEnded {
+        gang,
+        epoch: state.fence.highest(),
+        error: info.error,
+        failed_workers: info.failed_workers,
+    };
+    tokio::spawn(report_end(Arc::clone(&state.cx), ended));
+}
+
+async fn report_end(cx: Arc<Context>, ended: GangEnded) {
+    let call = Call::GangEnded(ended);
+    for _ in 0..REPORT_TRIES {
+        let owner = cx
+            .board
+            .owner
+            .load()
+            .as_ref()
+            .as_ref()
+            .map(|owner| owner.addr);
+        if let Some(addr) = owner
+            && cx.peers.call(addr, &call, MEMBER_TIMEOUT).await.is_ok()
+        {
+            return;
+        }
+        cx.timer.subscribe_after(REPORT_RETRY_DELAY).recv().await;
+    }
+}
--- a/components/agent/src/gangs/mod.rs
+++ b/components/agent/src/gangs/mod.rs
@@ -1,6 +1,7 @@
 //! The gang controller: reservations of this agent's workers and the gangs that it leads.
 
 mod controller;
+mod ending;
 mod leading;
 mod member;
 pub(crate) mod state;
--- a/components/entry/src/gang.rs
+++ b/components/entry/src/gang.rs
@@ -10,7 +10,7 @@
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
 use crate::dispatch::{Target, dispatch, unexpected_reply};
-use crate::retry::{is_useful, pause_before_requeue, pause_before_retry, with_earlier_tries};
+use crate::retry::{pause_before_requeue, pause_before_retry, with_earlier_tries};
 use crate::takeover::Takeover;
 
 /// Placements of one request before its error goes to the caller.
@@ -39,7 +39,10 @@
             Err(report) => with_earlier_tries(earlier, report),
         };
         let error = report.current_context();
-        if tries == MAX_PLACEMENTS || !is_useful(error) || !pause(cx, call, error, tries).await {
+        if tries == MAX_PLACEMENTS
+            || !error.kind.is_transient()
+            || !pause(cx, call, error, tries).await
+        {
             return Err(report);
         }
         earlier = error.verdict;
--- a/components/entry/src/keyed.rs
+++ b/components/entry/src/keyed.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::dispatch::{Target, Undone, try_dispatch};
 use crate::gang::{cancel_placement, is_elsewhere_possible, no_cell, owners, place_at};
-use crate::retry::{is_useful, pause_before_retry};
+use crate::retry::pause_before_retry;
 use crate::short::{choose, no_endpoint};
 
 /// Tries of one submission before its error goes to the caller.
@@ -158,7 +158,7 @@
             if is_elsewhere_possible(error) && untried.next().is_some() {
                 tries.cells.push(place.clone());
                 tries.leave = Some(LeaveClaim::Cell);
-            } else if is_useful(error) {
+            } else if error.kind.is_transient() {
                 tries.leave = Some(STAY);
             }
             return Err(report);
@@ -241,7 +241,8 @@
             let again = verdict == Verdict::NotRun || (idempotent && verdict != Verdict::Ran);
             // A refused attempt is not the end of the request, other than a refused key or a cancellation.
             let refused = verdict == Verdict::NotRun && error.kind == ErrorKind::Cancelled;
-            if again && (is_useful(error) || refused) && error.kind != ErrorKind::Conflict {
+            if again && (error.kind.is_transient() || refused) && error.kind != ErrorKind::Conflict
+            {
                 tries.leave = Some(LeaveClaim::Ended(attempt));
             }
             report
@@ -250,7 +251,7 @@
             let error = report.current_context();
             let unsent = error.verdict == Verdict::NotRun;
             tries.leave = match (idempotent, unsent) {
-                _ if !is_useful(error) => None,
+                _ if !error.kind.is_transient() => None,
                 (true, _) => Some(LeaveClaim::Ended(attempt)),
                 (false, true) => Some(LeaveClaim::Unsent(attempt)),
                 // The agent may have the request; it is asked again and does not run it twice.
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -1,26 +1,12 @@
 //! Deciding on another try of a request.
 
 use error_stack::Report;
-use errors::{Error, ErrorKind, Verdict};
+use errors::{Error, Verdict};
 use policy::retry::{may_retry, retry_delay};
 
 use crate::call::{Admitted, Call};
 use crate::context::Context;
 
-/// Returns whether another try could end otherwise.
-pub(crate) fn is_useful(error: &Error) -> bool {
-    !matches!(
-        error.kind,
-        ErrorKind::InvalidRequest
-            | ErrorKind::Unauthenticated
-            | ErrorKind::NotFound
-            | ErrorKind::TooLarge
-            | ErrorKind::Infeasible
-            | ErrorKind::Timeout
-            | ErrorKind::Cancelled
-    )
-}
-
 /// Returns the error for the caller: "not run" holds for the request only if it holds for every try.
 pub(crate) fn with_earlier_tries(earlier: Verdict, report: Report<Error>) -> Report<Error> {
     let error = report.current_context();
--- a/components/entry/src/short.rs
+++ b/components/entry/src/short.rs
@@ -7,7 +7,7 @@
 use crate::call::{Admitted, Answered, Call};
 use crate::context::Context;
 use crate::dispatch::{Target, dispatch};
-use crate::retry::{is_useful, pause_before_retry, with_earlier_tries};
+use crate::retry::{pause_before_retry, with_earlier_tries};
 
 /// Tries of one request before its error goes to the caller.
 const MAX_ATTEMPTS: Attempt = 4;
@@ -26,7 +26,7 @@
             Err(report) => with_earlier_tries(earlier, report),
         };
         earlier = report.current_context().verdict;
-        if !is_useful(report.current_context()) {
+        if !report.current_context().kind.is_transient() {
             return Err(report);
         }
         tried.push(route.endpoint.id.clone());
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -100,6 +100,22 @@
     }
 }
 
+impl ErrorKind {
+    /// Returns whether another try could end otherwise; the verdict says whether one may be made.
+    pub fn is_transient(self) -> bool {
+        !matches!(
+            self,
+            Self::InvalidRequest
+                | Self::Unauthenticated
+                | Self::NotFound
+                | Self::TooLarge
+                | Self::Infeasible
+                | Self::Timeout
+                | Self::Cancelled
+        )
+    }
+}
+
 impl fmt::Display for ErrorKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
