Renew gangs with late pulses apart from those that are well

Cause: an agent renews the tasks of a worker with one lease, the shortest term left among its gangs. With many gangs a worker, one gang with a late pulse cut the leases of all others to as little as 0.3 s, and a slow call let them lapse. Ruled out: one call a gang, about 40 calls a second and worker at the target.

--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -15,6 +15,8 @@
 
 /// Tasks with a shorter remaining term are left to lapse.
 const MIN_RENEWAL: Duration = Duration::from_millis(300);
+/// A gang with at least this term left hears from its leader in time: the run term less a pulse and its way.
+const WELL_TERM: Duration = Duration::from_millis(600);
 /// How long a stop waits for starts in progress; later ones lapse with their leases.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
 /// Bounds of the pause before a worker is asked again to confirm a stop.
@@ -85,21 +87,29 @@
     (0..member.tasks).map(move |number| task_id(id, &member.worker, number))
 }
 
-/// Renews the tasks of all running gangs, with one call a worker.
+/// The tasks of one call to a worker and the end of the shortest of their terms.
+type Batch = (Instant, Vec<(GangId, TaskId)>);
+
+/// Renews the tasks of all running gangs, with at most two calls a worker.
+///
+/// A call has one lease for all of its tasks. A gang whose pulses are late gets a call of its own kind, so that its
+/// short term does not become the lease of gangs that are well.
 pub(crate) fn renew(state: &State, now: Instant) {
-    let mut batches: IndexMap<WorkerId, (Instant, Vec<(GangId, TaskId)>)> = IndexMap::new();
+    let mut batches: IndexMap<(WorkerId, bool), Batch> = IndexMap::new();
     for (id, gang) in &state.gangs {
         let Some(until) = gang.run_until.filter(|until| *until >= now + MIN_RENEWAL) else {
             continue;
         };
+        let well = until >= now + WELL_TERM;
         // A renewal that overtakes the start of its task would find the task unknown.
         for (worker, started) in &gang.started {
-            let (earliest, tasks) = batches.entry(worker.clone()).or_insert((until, Vec::new()));
+            let batch = batches.entry((worker.clone(), well));
+            let (earliest, tasks) = batch.or_insert((until, Vec::new()));
             *earliest = until.min(*earliest);
             tasks.extend(started.iter().map(|task| (*id, task.clone())));
         }
     }
-    for (worker, (until, tasks)) in batches {
+    for ((worker, _), (until, tasks)) in batches {
         tokio::spawn(renew_worker(Arc::clone(&state.cx), worker, until, tasks));
     }
 }
