--- a/components/model/src/job.rs
+++ b/components/model/src/job.rs
@@ -1,4 +1,4 @@
-//! The life cycle of a job: queued, placed, active, finished.
+//! The life cycle of a job: queued, placed, active; a job that ended has only its outcome.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -68,15 +68,6 @@
     pub since: Instant,
 }
 
-/// The job ended.
-#[derive(Debug, Clone)]
-pub struct Finished {
-    /// How it ended.
-    pub outcome: JobOutcome,
-    /// When it ended.
-    pub at: Instant,
-}
-
 /// The one outcome of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobOutcome {
@@ -102,11 +93,6 @@
             state,
         }
     }
-
-    /// Ends the job in any state.
-    pub fn finish(self, outcome: JobOutcome, at: Instant) -> Job<Finished> {
-        self.with(Finished { outcome, at })
-    }
 }
 
 impl Job<Queued> {
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -5,7 +5,6 @@
 mod gang;
 pub mod ids;
 mod job;
-mod lease;
 mod place;
 mod request;
 mod resources;
@@ -19,8 +18,7 @@
     AccountId, AgentId, Attempt, CellId, DataCentreId, EndpointId, EntryId, Epoch, GangId, JobId,
     RackId, RegionId, RequestId, Revision, ServiceId, WorkerId,
 };
-pub use job::{Active, Finished, Job, JobOutcome, Placed, Queued, first_attempt, try_number};
-pub use lease::{Held, Lapsed, Lease};
+pub use job::{Active, Job, JobOutcome, Placed, Queued, first_attempt, try_number};
 pub use place::Place;
 pub use request::Request;
 pub use resources::Resources;
