Take no retry budget for refusals of a leaving endpoint

Ruled out: a longer budget, which would also allow more retries under overload. Change: a refusal with the kind draining takes nothing from the budget; the directory names a leaving endpoint for a moment only.

--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -1,7 +1,7 @@
 //! Deciding on another try of a request.
 
 use error_stack::Report;
-use errors::{Error, Verdict};
+use errors::{Error, ErrorKind, Verdict};
 use policy::retry::{may_retry, retry_delay};
 
 use crate::call::{Admitted, Call};
@@ -49,7 +49,9 @@
     };
     let idempotent = call.state.request.idempotent;
     let budget = call.state.admission.allowance();
-    if !may_retry(error.verdict, idempotent, budget, remaining, now) {
+    // A leaving endpoint refuses at once, and the directory names it for a moment only, so the load cannot grow by this.
+    let leaves = error.kind == ErrorKind::Draining && error.verdict == Verdict::NotRun;
+    if !leaves && !may_retry(error.verdict, idempotent, budget, remaining, now) {
         return false;
     }
     let Some(delay) = retry_delay(tries, remaining, &mut fastrand::Rng::new()) else {
