--- a/src/cmd/config/guarantees.rs
+++ b/src/cmd/config/guarantees.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use board::Fleet;
 use errors::{Error, ErrorKind, Result};
@@ -10,11 +9,11 @@
 use model::{CellId, Document, SectionName, Worker};
 use placement::guarantee_faults;
 
-const TIMEOUT: Duration = Duration::from_secs(5);
+use crate::cmd::fetch::get_json;
 
 /// Refuses a document with guarantees that no cell can pack, and names their sections.
 pub(super) async fn check(entry: &str, document: &Document) -> Result<()> {
-    let cells = fetch(entry).await?;
+    let cells: IndexMap<CellId, Vec<Worker>> = get_json(entry, "/v1/workers").await?;
     let workers: usize = cells.values().map(Vec::len).sum();
     let faults = faults(cells, document);
     if faults.is_empty() {
@@ -55,17 +54,3 @@
         ..Fleet::default()
     }
 }
-
-async fn fetch(entry: &str) -> Result<IndexMap<CellId, Vec<Worker>>> {
-    let url = format!("{}/v1/workers", entry.trim_end_matches('/'));
-    let failed =
-        |e: reqwest::Error| Error::not_run(ErrorKind::Unavailable, format!("{url}: {e}")).report();
-    let client = reqwest::Client::builder()
-        .no_proxy()
-        .timeout(TIMEOUT)
-        .build()
-        .map_err(failed)?;
-    let answer = client.get(&url).send().await.map_err(failed)?;
-    let answer = answer.error_for_status().map_err(failed)?;
-    answer.json().await.map_err(failed)
-}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod config;
 mod entry;
+mod fetch;
 mod job;
 mod job_client;
 mod replay;
