Send agents the configuration without client accounts

Cause: an owner forwards each changed section to its 64 agents, 24 KB/s with sections of 10 KB at the target (arithmetic in docs/CAPACITY.md), and agents use no client account. Ruled out: leaving the accounts out altogether, because the revision of an agent then did not rise (apply_reaches_every_process failed). The saving is arithmetic, not measured.

--- a/components/agent/src/link.rs
+++ b/components/agent/src/link.rs
@@ -68,7 +68,7 @@
 /// Fetches the configuration of an agent that started just now; the agent gets no work before it announces itself.
 async fn recover_config(cx: &Context, owner: &OwnerRecord) -> Result<()> {
     if cx.board.config.load().revision == 0 {
-        let sections = distribution::fetch(&cx.peers, owner.addr, 0).await?;
+        let sections = distribution::fetch_for_agent(&cx.peers, owner.addr, 0).await?;
         cx.config_updates.deliver(sections).await;
     }
     Ok(())
@@ -78,7 +78,7 @@
 async fn ask_seeds(cx: Arc<Context>) {
     let own = cx.board.config.load().revision;
     for seed in &cx.settings.seeds {
-        if let Ok(sections) = distribution::fetch(&cx.peers, *seed, own).await {
+        if let Ok(sections) = distribution::fetch_for_agent(&cx.peers, *seed, own).await {
             return cx.config_updates.deliver(sections).await;
         }
     }
@@ -153,7 +153,7 @@
     if ack.revision <= own {
         return;
     }
-    if let Ok(sections) = distribution::fetch(&cx.peers, owner.addr, own).await {
+    if let Ok(sections) = distribution::fetch_for_agent(&cx.peers, owner.addr, own).await {
         cx.config_updates.deliver(sections).await;
     }
 }
--- a/components/agent/src/serve.rs
+++ b/components/agent/src/serve.rs
@@ -71,10 +71,6 @@
             let _ = cx.gangs.send(GangEvent::MemberFailed { failed });
             Ok(Reply::Done)
         }
-        Call::SectionsAfter(after) => Ok(Reply::Sections(distribution::sections_after(
-            &cx.board.config.load(),
-            after,
-        ))),
         Call::WhoOwns(name) if name == cx.settings.cell => {
             Ok(Reply::Owner(Option::clone(&cx.board.owner.load())))
         }
--- a/components/distribution/src/apply.rs
+++ b/components/distribution/src/apply.rs
@@ -18,6 +18,9 @@
     pub faults: Vec<Box<str>>,
 }
 
+/// The names of client accounts' sections begin with this.
+const ACCOUNTS_PREFIX: &str = "accounts/";
+
 /// Applies the newer sections of an update, each by itself: a faulty section does not hold the others back.
 pub fn apply(current: &ConfigSnapshot, update: &Sections) -> Applied {
     let mut applied = Applied::default();
@@ -69,6 +72,19 @@
     }
 }
 
+/// Returns the sections above a revision for an agent, which uses no client accounts.
+///
+/// Accounts are most of the document, and an owner forwards each change to all its agents. They are sent without their
+/// text, so that the revision of the agent rises all the same.
+pub fn agent_sections_after(snapshot: &ConfigSnapshot, after: Revision) -> Sections {
+    let mut sections = sections_after(snapshot, after);
+    let accounts = sections.sections.iter_mut();
+    for section in accounts.filter(|section| section.name.starts_with(ACCOUNTS_PREFIX)) {
+        section.text = None;
+    }
+    sections
+}
+
 /// Returns the faults of sections that `apply` refuses.
 pub fn faults(update: &Sections) -> Vec<Box<str>> {
     update.sections.iter().filter_map(fault).collect()
--- a/components/distribution/src/lib.rs
+++ b/components/distribution/src/lib.rs
@@ -8,8 +8,8 @@
 mod peers;
 mod watch;
 
-pub use apply::{Applied, apply, faults, sections_after};
+pub use apply::{Applied, agent_sections_after, apply, faults, sections_after};
 pub use controller::{Stages, Update, Updates, run_controller, run_staged, updates};
 pub use followers::Followers;
-pub use peers::{fetch, fetch_next, next_sections};
+pub use peers::{fetch, fetch_for_agent, fetch_next, next_sections};
 pub use watch::{CONFIG_PREFIX, read_changes, read_store, watch_store};
--- a/components/distribution/src/peers.rs
+++ b/components/distribution/src/peers.rs
@@ -22,6 +22,12 @@
     sections(peers.call(addr, &call, FETCH_TIMEOUT).await?)
 }
 
+/// Returns the sections that a peer has above a revision, without what agents do not use.
+pub async fn fetch_for_agent(peers: &Peers, addr: SocketAddr, after: Revision) -> Result<Sections> {
+    let call = Call::AgentSections(after);
+    sections(peers.call(addr, &call, FETCH_TIMEOUT).await?)
+}
+
 /// Returns the sections that a relay holds above a revision, once there are any.
 pub async fn fetch_next(
     peers: &Peers,
--- a/components/distribution/tests/apply.rs
+++ b/components/distribution/tests/apply.rs
@@ -1,7 +1,7 @@
 //! Applying updates to the configuration in force.
 
 use board::ConfigSnapshot;
-use distribution::{apply, sections_after};
+use distribution::{agent_sections_after, apply, sections_after};
 use wire::{Section, Sections};
 
 fn section(name: &str, revision: u64, text: &str) -> Section {
@@ -100,3 +100,20 @@
     );
     assert!(apply(&current, &update(50, Vec::new())).next.is_none());
 }
+
+/// Guards against agents that get the text of client accounts, and against agents whose revision does not rise with it.
+#[test]
+fn agent_sections_after_leaves_out_accounts() {
+    let update = update(
+        9,
+        vec![
+            section("accounts/a", 9, "{\"limits\":{\"requests\":2}}"),
+            section("services/s", 8, "{\"timeout_ms\":5}"),
+        ],
+    );
+    let owner = after(&ConfigSnapshot::default(), &update);
+    let agent = after(&ConfigSnapshot::default(), &agent_sections_after(&owner, 0));
+    assert_eq!(agent.revision, 9);
+    assert!(agent.document.accounts.is_empty());
+    assert!(agent.document.services.contains_key("s"));
+}
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -30,7 +30,7 @@
 
 async fn handle(cx: &Context, call: Call) -> Result<Reply> {
     match (call, &cx.owner) {
-        (Call::SectionsAfter(_) | Call::NextSections { .. }, _)
+        (Call::SectionsAfter(_) | Call::AgentSections(_) | Call::NextSections { .. }, _)
             if !cx.recovered.load(Ordering::Acquire) =>
         {
             let message = "this entry has not recovered its configuration yet";
@@ -40,6 +40,11 @@
             let held = cx.entry_board.held.load();
             Ok(Reply::Sections(distribution::sections_after(&held, after)))
         }
+        (Call::AgentSections(after), _) => {
+            let held = cx.entry_board.held.load();
+            let sections = distribution::agent_sections_after(&held, after);
+            Ok(Reply::Sections(sections))
+        }
         (Call::NextSections { after, follower }, _) => {
             cx.followers.asked(follower, after, timer::now());
             let sections = distribution::next_sections(&cx.entry_board.held, after).await;
--- a/components/wire/src/messages/mod.rs
+++ b/components/wire/src/messages/mod.rs
@@ -57,6 +57,8 @@
     WhoOwns(CellId),
     /// Any process to any other: the sections above a revision.
     SectionsAfter(Revision),
+    /// Agent to entry: the sections above a revision, without what agents do not use.
+    AgentSections(Revision),
     /// Owner to agent: the outcome of a detached attempt, or that it still runs.
     Attach(Attach),
     /// Entry to owner: where a request with an idempotency key is, or this place if it is nowhere.
