--- a/components/agent/src/dispatch.rs
+++ b/components/agent/src/dispatch.rs
@@ -70,11 +70,12 @@
 ) -> Result<Answer> {
     let _registered = Registered::new(cx, dispatch.request.id, &cancel);
     let slot = tokio::select! {
-        slot = take_slot(cx, dispatch.request.timeout) => slot?,
+        biased;
         () = cancel.cancelled() => {
             let message = "cancelled in the queue of the endpoint";
             return Err(Error::not_run(ErrorKind::Cancelled, message).report());
         }
+        slot = take_slot(cx, dispatch.request.timeout) => slot?,
     };
     run_recorded(cx, dispatch, &[], slot, cancel).await
 }
@@ -84,11 +85,13 @@
         return Err(Error::not_run(ErrorKind::Draining, "the endpoint is leaving").report());
     }
     tokio::select! {
-        slot = cx.slots.take(limit) => slot,
+        // A request that is cut off frees its slot, which must not let a queued one begin.
+        biased;
         () = cx.cut.cancelled() => {
             let message = "the agent ended before the endpoint was called";
             Err(Error::not_run(ErrorKind::Draining, message).report())
         }
+        slot = cx.slots.take(limit) => slot,
     }
 }
 
