Keep starts that are still tried when a worker begins another life

The order counted as unanswered, State::begin kept only orders that are Starting and dropped it, the owner started the task elsewhere, and 16 ms later a further try reached the next life of the worker.

Ruled out: the expected name in the call. A worker may begin again under its old name.

The state of an agent now knows which starts are tried, apart from what became of their orders. It keeps these at the next life, and gives further tries up once a stop was ordered or the life is over. An answer to a stop of an earlier life changes nothing.

--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -1,6 +1,7 @@
 //! Orders of the owner to the worker: starts and stops.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use errors::{Result, Verdict};
@@ -50,7 +51,7 @@
         let Some(until) = self.state.lease_end(now) else {
             return;
         };
-        self.state.orders.insert(order.run, (Order::Starting, now));
+        let wanted = self.state.begin_tries(order.run, now);
         let start = Start {
             run: order.run,
             body,
@@ -63,7 +64,7 @@
         let runner = Arc::clone(&self.runner);
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let mut outcome = start_until_answered(&*runner, &name, &start).await;
+            let mut outcome = start_until_answered(&*runner, &name, &start, &wanted).await;
             outcome.unanswered |= unanswered;
             // The agent has ended if nobody takes the event.
             let _ = tx.send(Event::Started(start.run, outcome)).await;
@@ -112,6 +113,7 @@
             }
             _ => {}
         }
+        self.state.give_up_tries(run);
         self.state.orders.insert(run, (Order::Stopping, now));
         let runner = Arc::clone(&self.runner);
         let epoch = self.state.epoch;
@@ -124,6 +126,10 @@
     }
 
     pub(super) fn take_stopped(&mut self, run: TaskRun, stopped: Result<()>) {
+        if !matches!(self.state.orders.get(&run), Some((Order::Stopping, _))) {
+            // The worker has begun another life, in which the stop refuses nothing.
+            return;
+        }
         match stopped {
             Ok(()) => {
                 log::info!(target: "limpethook", task:% = run.task, run = run.run; "stop_answered");
@@ -144,8 +150,13 @@
 /// Tries of a start before the owner has to decide again.
 const START_TRIES: u32 = 3;
 
-/// Sends a start until it is answered; a repeat finds the run if an earlier one was carried out.
-async fn start_until_answered(runner: &dyn Runner, name: &str, start: &Start) -> StartOutcome {
+/// Sends a start until it is answered or not wanted any more; a repeat finds the run if an earlier one was carried out.
+async fn start_until_answered(
+    runner: &dyn Runner,
+    name: &str,
+    start: &Start,
+    wanted: &AtomicBool,
+) -> StartOutcome {
     let mut tries = 1;
     let mut unanswered = false;
     loop {
@@ -155,13 +166,16 @@
             .err()
             .map(|report| report.current_context().verdict);
         unanswered |= verdict.is_some_and(|verdict| verdict != Verdict::NotRun);
-        if verdict.is_none() || tries == START_TRIES {
-            return StartOutcome {
-                started,
-                unanswered,
-            };
+        if verdict.is_some() && tries < START_TRIES {
+            tokio::time::sleep(ORDER_RETRY).await;
+            if wanted.load(Ordering::Acquire) {
+                tries += 1;
+                continue;
+            }
         }
-        tries += 1;
-        tokio::time::sleep(ORDER_RETRY).await;
+        return StartOutcome {
+            started,
+            unanswered,
+        };
     }
 }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -1,5 +1,7 @@
 //! What an agent knows of its worker, and the report made of it.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use graph::lapse_after;
@@ -66,6 +68,8 @@
     refused_connections: u32,
     pub(crate) acknowledged: u64,
     pub(crate) orders: IndexMap<TaskRun, (Order, Duration)>,
+    /// Starts that are still being tried, whatever became of their orders; cleared to give up further tries.
+    tries: IndexMap<TaskRun, Arc<AtomicBool>>,
     listed: Vec<ListedRun>,
     ends: Vec<EndReport>,
     left: bool,
@@ -93,6 +97,7 @@
             refused_connections: 0,
             acknowledged: 0,
             orders: IndexMap::new(),
+            tries: IndexMap::new(),
             listed: Vec::new(),
             ends: Vec::new(),
             left: false,
@@ -155,9 +160,15 @@
         self.clock = None;
         self.listed_at = None;
         self.refused_connections = 0;
-        // A start in progress may reach this life of the worker; the owner has to know.
-        self.orders
-            .retain(|_, (order, _)| *order == Order::Starting);
+        // A try in progress may reach this life of the worker, also after a stop in the last one; the owner has to know.
+        let tries = &self.tries;
+        for wanted in tries.values() {
+            wanted.store(false, Ordering::Release);
+        }
+        self.orders.retain(|run, (order, _)| {
+            *order = Order::Starting;
+            tries.contains_key(run)
+        });
         self.listed.clear();
         self.ends.clear();
         self.left = false;
@@ -249,8 +260,24 @@
         self.refused_connections >= ABSENT_AFTER || (self.left && lapsed)
     }
 
-    /// Notes the answer to a start, or that there was none.
+    /// Notes that a start is being tried; the tries go on while the result is set.
+    pub(crate) fn begin_tries(&mut self, run: TaskRun, now: Duration) -> Arc<AtomicBool> {
+        self.orders.insert(run, (Order::Starting, now));
+        let wanted = Arc::new(AtomicBool::new(true));
+        self.tries.insert(run, Arc::clone(&wanted));
+        wanted
+    }
+
+    /// Ends the tries of a start once the one in progress is answered or given up.
+    pub(crate) fn give_up_tries(&self, run: TaskRun) {
+        if let Some(wanted) = self.tries.get(&run) {
+            wanted.store(false, Ordering::Release);
+        }
+    }
+
+    /// Notes the answer to a start, or that there was none, after its last try.
     pub(crate) fn started(&mut self, run: TaskRun, started: Option<Started>, now: Duration) {
+        self.tries.swap_remove(&run);
         if !matches!(self.orders.get(&run), Some((Order::Starting, _))) {
             return;
         }
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -12,8 +12,9 @@
 
 /// Seeds of the short run.
 ///
-/// 120 and 132: a start on its way reached the next life of its worker after the task was started elsewhere.
-const KEPT_SEEDS: [u64; 3] = [1, 120, 132];
+/// 120 and 132: a start on its way reached the next life of its worker after the task was started elsewhere. 408: the same
+/// after a stop that was refused.
+const KEPT_SEEDS: [u64; 4] = [1, 120, 132, 408];
 /// How long faults go on in the short run.
 const SECONDS: u64 = 8;
 const ENTRIES: usize = 3;
