Judge standing runs by their estimate and their own pace

Cause: a run whose progress stood still for 4 s counted as hanging. One percent of an hour takes 36 s, so that every run of more than a few minutes was stopped again and again and its worker quarantined.

Ruled out: the estimate alone, which is off by a factor of ten on the sites. A run may now stand still for four percent of the estimate on a wrong rack or of its own pace, at least 4 s, and twice as long after each run of the unit that was stopped for it.

Before: plan_keeps_long_run_between_percents, plan_judges_run_by_its_own_pace and plan_waits_longer_after_each_hang failed.

--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -49,6 +49,8 @@
     pub(crate) start_checkpoint: Box<str>,
     /// Progress at the newest checkpoint.
     pub(crate) saved_percent: u32,
+    /// Runs that were stopped because they stood still.
+    pub(crate) hangs: u32,
     /// Not to be placed before this time.
     pub(crate) not_before: Duration,
     /// Workers on which it failed.
@@ -75,6 +77,7 @@
             checkpoint: Box::default(),
             start_checkpoint: Box::default(),
             saved_percent: 0,
+            hangs: 0,
             not_before: Duration::ZERO,
             avoid: Vec::new(),
             ready_at: None,
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod ends;
 mod fit;
+mod hang;
 mod instructions;
 mod job;
 mod order;
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -1,4 +1,4 @@
-//! Stops runs to free room, to leave workers that drain, and because they stand still.
+//! Stops runs to free room and to leave workers that drain.
 
 use std::time::Duration;
 
@@ -14,8 +14,6 @@
 
 /// Added to the longest stop before a claim on freed room ends.
 const CLAIM_MARGIN: Duration = Duration::from_secs(2);
-/// A run whose progress stands still for this long hangs: twice the time of one percent of the slowest work expected.
-const HANG_AFTER: Duration = Duration::from_secs(4);
 /// Cores that count as much as an accelerator when lost work is compared.
 const MILLICORES_PER_ACCELERATOR: f64 = 8_000.0;
 /// Added to the cost of stopping a unit of the first priority, in accelerator seconds, so that it is stopped only where no
@@ -260,39 +258,6 @@
             self.stop_where(|_, agent| leaving.contains(agent));
         }
     }
-
-    /// Stops runs whose progress stands still, and gives their workers no new tasks for a while.
-    pub(crate) fn stop_hanging(&mut self, now: Duration) {
-        let mut hanging = Vec::new();
-        for worker in self.workers.values() {
-            for placement in worker.placements.values() {
-                let Placement::Running(run) = placement else {
-                    continue;
-                };
-                let lasting = self
-                    .jobs
-                    .get(&run.job)
-                    .is_some_and(|job| job.step(run.unit).lasting);
-                // Silence of the agent says nothing about the progress.
-                let fresh = now.saturating_sub(worker.heard_at) < HANG_AFTER / 4;
-                let still = now.saturating_sub(run.state.advanced_at) > HANG_AFTER;
-                if still && fresh && !lasting {
-                    hanging.push((worker.agent.clone(), run.job, run.unit, run.state.percent));
-                }
-            }
-        }
-        for (agent, job, unit, percent) in hanging {
-            log::warn!(
-                target: "limpethook",
-                job:% = format_args!("{job:016x}"), step = unit.step, first = unit.first, agent:% = agent, percent = percent;
-                "run_hangs"
-            );
-            if let Some(worker) = self.workers.get_mut(&agent) {
-                worker.quarantine(now);
-            }
-            self.stop_unit(job, unit);
-        }
-    }
 }
 
 /// Returns how many accelerators an amount counts as: eight cores stand for one.
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Cell, TASK_ROOM, WORKER_ROOM, gang, job, ms, refused, running, side, step, task};
 use indexmap::IndexMap;
 use model::{JobId, Refusal, Room, RunEnd, Step, TaskRun};
@@ -344,6 +346,63 @@
     assert_eq!(cell.instructions(&place).stops.len(), 1);
 }
 
+/// Returns whether the only run of a job was told to stop.
+fn is_stopped(cell: &mut Cell) -> bool {
+    cell.report("w1");
+    cell.scheduler.plan(cell.now, ms(1_000));
+    !cell.instructions("w1").stops.is_empty()
+}
+
+/// Guards against a long run that is taken for a hanging one between two percent of its progress.
+#[test]
+fn plan_keeps_long_run_between_percents() {
+    let mut cell = Cell::with(1, vec![side("w1", "r1")]);
+    let mut long = step(1);
+    long.expected = Duration::from_hours(1);
+    cell.accept(7, job(1, vec![long]));
+    cell.run();
+    cell.pass(ms(60_000));
+    assert!(!is_stopped(&mut cell));
+    cell.pass(Duration::from_mins(10));
+    assert!(is_stopped(&mut cell));
+}
+
+/// Guards against a run that is taken for a hanging one because its client expected it to be much shorter.
+#[test]
+fn plan_judges_run_by_its_own_pace() {
+    let mut cell = Cell::with(1, vec![side("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.run();
+    for percent in [1, 2] {
+        cell.pass(ms(3_500));
+        let run = cell.sides["w1"].report.runs[0].run;
+        cell.sides["w1"].report.runs = vec![running(run, percent)];
+        assert!(!is_stopped(&mut cell), "{percent}");
+    }
+    cell.pass(ms(7_000));
+    assert!(!is_stopped(&mut cell));
+    cell.pass(ms(14_000));
+    assert!(is_stopped(&mut cell));
+}
+
+/// Guards against a job that never ends because each run of a task with a wrong estimate is stopped for standing still.
+#[test]
+fn plan_waits_longer_after_each_hang() {
+    let mut cell = Cell::with(1, vec![side("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.run();
+    cell.pass(ms(4_500));
+    assert!(is_stopped(&mut cell));
+    cell.end(task(7, 0, 0), RunEnd::Stopped);
+    cell.pass(ms(10_000));
+    cell.run();
+    assert!(cell.run_of(task(7, 0, 0)).is_some());
+    cell.pass(ms(7_500));
+    assert!(!is_stopped(&mut cell));
+    cell.pass(ms(1_000));
+    assert!(is_stopped(&mut cell));
+}
+
 /// Guards against a job that never starts again after a worker refused it.
 #[test]
 fn report_refused_run_starts_elsewhere() {
