Learn the run times of queues from ends

Cause of urgent jobs that wait: an urgent job stops other work only if that loses no more than its own work, and its own work was taken from the client's estimate.

Ruled out: more stopping in general.

An owner keeps the mean of actual run times of each queue and follows declared ones as far as they proved to say something. Order, slack, preemption, waits for racks and the patience with standing runs use it.

--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -5,6 +5,7 @@
 use model::{AgentId, EndReport, JobEnd, JobId, RunEnd, RunNumber, TaskId, WorkerReport};
 
 use crate::job::{Phase, UnitId};
+use crate::placement::Placement;
 use crate::scheduler::Scheduler;
 
 /// Pause before a task that failed runs again.
@@ -34,14 +35,13 @@
     fn take_end(&mut self, agent: &AgentId, end: &EndReport, now: Duration) -> Option<JobId> {
         let task = end.run.task;
         let worker = self.workers.get_mut(agent)?;
-        let placement = worker
-            .placements
-            .get(&task)
-            .filter(|placement| placement.run() == end.run);
-        let was_placed = placement.is_some();
-        if was_placed {
-            worker.placements.shift_remove(&task);
-        }
+        let known = worker.placements.get(&task);
+        let was_placed = known.is_some_and(|placement| placement.run() == end.run);
+        let placement = if was_placed {
+            worker.placements.shift_remove(&task)
+        } else {
+            None
+        };
         let unit_id = self.unit_of(task)?;
         let job = self.jobs.get_mut(&task.job)?;
         let ended = job.end.is_some();
@@ -65,7 +65,12 @@
             unit.checkpoint = end.checkpoint.clone();
         }
         match end.end {
-            RunEnd::Done => self.unit_done(agent, task.job, unit_id, now),
+            RunEnd::Done => {
+                if let Some(Placement::Running(run)) = placement {
+                    self.learn(&run, now);
+                }
+                self.unit_done(agent, task.job, unit_id, now);
+            }
             RunEnd::Failed => self.unit_failed(agent, end, unit_id, now),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone if !ended => {
                 self.unit_interrupted(task.job, unit_id, now);
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -96,6 +96,12 @@
             .collect()
     }
 
+    /// Returns how long waiting for the rack with the data pays: until it has cost as much as the slower run elsewhere.
+    pub(crate) fn rack_patience(&self, job: &Job, unit: UnitId) -> Duration {
+        let longer = (self.limits.slowdown - 1.0).max(0.0);
+        job.step_time(unit).mul_f64(longer)
+    }
+
     /// Chooses workers with room for all tasks of a unit.
     pub(crate) fn fit(
         &self,
@@ -105,7 +111,8 @@
         now: Duration,
     ) -> Option<Assignment> {
         let step = job.step(unit.0);
-        let wanted = racks(step, unit.1, candidates, self.limits.slowdown, now);
+        let patience = self.rack_patience(job, unit.0);
+        let wanted = racks(step, unit.1, candidates, patience, now);
         let fresh = |candidate: &&Candidate| !unit.1.avoid.contains(&candidate.agent);
         for group in wanted {
             let here: Vec<&Candidate> = candidates
@@ -122,12 +129,13 @@
     }
 }
 
-/// Returns the racks to try, in order; `None` stands for all workers together.
+/// Returns the racks to try, in order; `None` stands for all workers together. The rack with the data is waited for as long as
+/// `patience`.
 pub(crate) fn racks(
     step: &Step,
     unit: &Unit,
     candidates: &[Candidate],
-    slowdown: f64,
+    patience: Duration,
     now: Duration,
 ) -> Vec<Option<Box<str>>> {
     if let Some(rack) = &step.data_rack {
@@ -137,8 +145,6 @@
             .map(|candidate| candidate.most)
             .sum();
         let waited = now.saturating_sub(unit.ready_at.unwrap_or(now));
-        // Waiting for the rack pays until it has cost as much as the slower run elsewhere.
-        let patience = step.expected.mul_f64((slowdown - 1.0).max(0.0));
         if most >= unit.tasks && waited < patience {
             return vec![Some(rack.clone())];
         }
--- a/components/graph/src/hang.rs
+++ b/components/graph/src/hang.rs
@@ -54,8 +54,7 @@
     /// was stopped for standing still doubles the time.
     fn patience(&self, job: &Job, run: &Run<Running>) -> Duration {
         let expected = job
-            .step(run.unit)
-            .expected
+            .step_time(run.unit)
             .mul_f64(self.limits.slowdown.max(1.0))
             / 100;
         let pace = run.state.advanced_at.saturating_sub(run.state.since);
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use model::{AcceptedJob, AgentId, JobEnd, JobId, QueuePolicy, RunNumber, Step};
 
+use crate::estimates::Estimates;
 use crate::progress::{Progress, UnitProgress};
 
 /// Names a unit of a job: a task, or all tasks of a gang.
@@ -97,6 +98,8 @@
     pub(crate) policy: QueuePolicy,
     /// When it was accepted, on the boot clock.
     pub(crate) accepted_at: Duration,
+    /// The time that a task of each step is expected to take.
+    step_times: Vec<Duration>,
     /// The units of the occurrences that are open.
     pub(crate) units: IndexMap<UnitId, Unit>,
     /// Occurrences that have been due so far.
@@ -118,9 +121,11 @@
 impl Job {
     /// Creates a job from what the store has of it.
     pub(crate) fn new(id: JobId, spec: Arc<AcceptedJob>, accepted_at: Duration) -> Self {
+        let steps = spec.graph.steps.iter();
         Self {
             id,
             policy: spec.policy.clone(),
+            step_times: steps.map(|step| step.expected).collect(),
             spec,
             accepted_at,
             units: IndexMap::new(),
@@ -134,9 +139,23 @@
         }
     }
 
-    /// Returns the estimated time of all steps, one after the other.
+    /// Takes what is known of the run times of its queue.
+    pub(crate) fn expect(&mut self, estimates: &Estimates) {
+        let steps = self.spec.graph.steps.iter();
+        let queue = &self.spec.queue;
+        self.step_times = steps
+            .map(|step| estimates.expected(queue, step.expected))
+            .collect();
+    }
+
+    /// Returns the expected time of all steps, one after the other.
     pub(crate) fn expected(&self) -> Duration {
-        self.spec.graph.steps.iter().map(|step| step.expected).sum()
+        self.step_times.iter().sum()
+    }
+
+    /// Returns the time that a task of a unit is expected to take.
+    pub(crate) fn step_time(&self, unit: UnitId) -> Duration {
+        self.step_times[unit.step as usize]
     }
 
     /// Returns when the job should end.
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod claims;
 mod ends;
+mod estimates;
 mod fit;
 mod hang;
 mod instructions;
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -139,7 +139,7 @@
             target: "limpethook",
             job:% = format_args!("{id:016x}"), occurrence = unit_id.occurrence, step = unit_id.step, first = unit_id.first,
             run = run, workers:? = chosen, waited_ms = now.saturating_sub(ready_at).as_millis(),
-            expected_ms = job.step(unit_id).expected.as_millis(), queue:% = job.spec.queue;
+            expected_ms = job.step_time(unit_id).as_millis(), queue:% = job.spec.queue;
             "unit_placed"
         );
     }
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -104,7 +104,7 @@
         };
         let step = job.step(waiting.unit);
         let tasks = job.units.get(&waiting.unit).map_or(0, |unit| unit.tasks);
-        f64::from(tasks) * weight(step.room) * step.expected.as_secs_f64()
+        f64::from(tasks) * weight(step.room) * job.step_time(waiting.unit).as_secs_f64()
     }
 
     /// Returns the cheapest offers that make room for the whole unit.
@@ -146,7 +146,8 @@
             return within;
         }
         // A guaranteed job begins in time even where it runs slower; others wait for the better place.
-        let anywhere = racks(step, unit, candidates, self.limits.slowdown, now);
+        let patience = self.rack_patience(job, waiting.unit);
+        let anywhere = racks(step, unit, candidates, patience, now);
         if waiting.guaranteed || anywhere.contains(&None) {
             return choose(whole, unit.tasks);
         }
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::approvals::{Approvals, StepId};
+use crate::estimates::Estimates;
 use crate::job::{Job, UnitId};
 use crate::progress::Progress;
 use crate::reserve::Demand;
@@ -77,6 +78,8 @@
     pub(crate) approvals: IndexMap<StepId, Approvals>,
     /// Urgent jobs that arrived of late.
     pub(crate) demand: Demand,
+    /// Run times of the queues.
+    pub(crate) estimates: Estimates,
     /// Times from the acceptance of jobs to their first running tasks, until they are taken.
     pub(crate) start_waits: Vec<Duration>,
     /// Counts changes of what clients are told.
@@ -104,6 +107,7 @@
             claims: IndexMap::new(),
             approvals: IndexMap::new(),
             demand: Demand::default(),
+            estimates: Estimates::default(),
             start_waits: Vec::new(),
             told: 0,
             guaranteed: IndexSet::new(),
@@ -201,6 +205,7 @@
             job.restore(progress);
         }
         job.open_due(wall);
+        job.expect(&self.estimates);
         self.demand.note(&job);
         if loaded.cancelled {
             job.end = Some(JobEnd::Cancelled);
@@ -291,6 +296,11 @@
         (self.epoch << RUN_BITS) + self.runs
     }
 
+    /// Returns whether this owner gave a run its number.
+    pub(crate) fn is_own(&self, run: RunNumber) -> bool {
+        run >> RUN_BITS == self.epoch
+    }
+
     /// Orders the stop of all runs of a job.
     pub(crate) fn stop_job(&mut self, id: JobId) {
         self.stop_where(|owner, _| owner.0 == id);
