--- a/components/graph/src/reserve.rs
+++ b/components/graph/src/reserve.rs
@@ -14,7 +14,7 @@
 /// Time over which the demand of urgent jobs is averaged: several of them arrive in it where they matter.
 const WINDOW: Duration = Duration::from_secs(10);
 /// The reserve lasts for the demand of this many of the longest stops.
-const STOPS: f64 = 8.0;
+const STOPS: f64 = 16.0;
 /// The reserve is kept only while at least this share of the accelerators and of the cores is taken; below it there is room for
 /// everything, and nothing may wait.
 const BUSY_SHARE: f64 = 0.5;
