Quarantine a worker once for what fails together

Ruled out: five faults; all five were noticed in one plan.

A worker that is in quarantine already is not quarantined again.

Before: plan_quarantines_once_for_runs_that_hang_together failed. After: it passes.

--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -145,8 +145,11 @@
         }
     }
 
-    /// Gives the worker no new tasks for a while.
+    /// Gives the worker no new tasks for a while; what else fails during that time belongs to the same fault.
     pub(crate) fn quarantine(&mut self, now: Duration) {
+        if now < self.quarantined_until {
+            return;
+        }
         self.quarantined_until = now + self.next_quarantine;
         self.next_quarantine = (self.next_quarantine * 2).min(MAX_QUARANTINE);
         log::warn!(
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -346,6 +346,26 @@
     assert_eq!(cell.instructions(&place).stops.len(), 1);
 }
 
+/// Guards against a worker that is given up for half a minute because several of its runs stood still at the same time.
+#[test]
+fn plan_quarantines_once_for_runs_that_hang_together() {
+    let mut cell = Cell::with(1, vec![side("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(4)]));
+    cell.run();
+    cell.pass(ms(4_500));
+    cell.report("w1");
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(cell.instructions("w1").stops.len(), 4);
+    for index in 0..4 {
+        cell.end(task(7, 0, index), RunEnd::Stopped);
+    }
+    cell.run();
+    assert_eq!(cell.run_of(task(7, 0, 0)), None);
+    cell.pass(ms(4_500));
+    cell.run();
+    assert!(cell.run_of(task(7, 0, 0)).is_some());
+}
+
 /// Returns whether the only run of a job was told to stop.
 fn is_stopped(cell: &mut Cell) -> bool {
     cell.report("w1");
