Bound learned run times

Cause: the expectation follows declared times by a slope of up to one, so that in a queue whose runs take a hundred thousand times as long as declared, a declared time at its bound of a thousand years gave more than a duration holds. The owner ended with a panic, and each next one that had learned the same. Found by reading the change again.

Ruled out: declared times alone; these stay within the bound that the adapter sets.

Before: plan_bounds_learned_run_times panicked. After: it passes; other expectations are as before.

--- a/components/graph/src/estimates.rs
+++ b/components/graph/src/estimates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::QueueId;
+use model::{MAX_TIME, QueueId};
 
 use crate::job::Phase;
 use crate::placement::{Run, Running};
@@ -59,7 +59,8 @@
         let slope = (common + PRIOR_SLOPE * PRIOR_SLOPE_WEIGHT) / (spread + PRIOR_SLOPE_WEIGHT);
         let learned = mean_actual + slope.clamp(0.0, 1.0) * (declared - mean_declared);
         let weight = runs.count / (runs.count + DECLARED_WEIGHT);
-        Duration::from_secs_f64((weight * learned + (1.0 - weight) * declared).exp())
+        let seconds = (weight * learned + (1.0 - weight) * declared).exp();
+        Duration::from_secs_f64(seconds.min(MAX_TIME.as_secs_f64()))
     }
 }
 
--- a/components/graph/tests/estimates.rs
+++ b/components/graph/tests/estimates.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Cell, WORKER_ROOM, job, ms, running, side, step, task};
 use indexmap::IndexMap;
 use model::{AcceptedJob, JobId, RunEnd, TaskRun};
@@ -68,3 +70,26 @@
     cell.scheduler.configure(IndexMap::new(), IndexMap::new());
     assert!(is_preempted(&mut cell, 8_000));
 }
+
+/// Guards against an owner that ends with an overflow because a client declares a thousand years in a queue whose runs take a
+/// hundred thousand times as long as declared.
+#[test]
+fn plan_bounds_learned_run_times() {
+    const SLOWER: u64 = 100_000;
+    let mut cell = Cell::with(1, vec![side("w1", "r1")]);
+    for (id, declared_ms) in (0..40).zip([10, 100, 1_000, 10_000].into_iter().cycle()) {
+        cell.accept(id, urgent(declared_ms));
+        cell.run();
+        cell.pass(ms(declared_ms * SLOWER));
+        cell.report("w1");
+        cell.end(task(id, 0, 0), RunEnd::Done);
+    }
+    let mut long = job(0, vec![step(1); 100]);
+    for step in &mut long.graph.steps {
+        step.expected = Duration::from_secs(32_000_000_000);
+    }
+    long.policy.stretch = 1_000.0;
+    cell.accept(90, long);
+    cell.run();
+    assert!(cell.run_of(task(90, 0, 0)).is_some());
+}
--- a/components/model/src/graph.rs
+++ b/components/model/src/graph.rs
@@ -123,6 +123,9 @@
     pub recurrence: Option<Recurrence>,
 }
 
+/// A thousand years: sums and multiples of times from outside that are at most this long stay within what a duration holds.
+pub const MAX_TIME: Duration = Duration::from_secs(32_000_000_000);
+
 /// The most tasks of a job over all its occurrences: the owner holds about 200 bytes for each and has 160 MB on the smallest
 /// machine, and the record of what is done has to fit into one value of the store.
 const MAX_TASKS: u64 = 65_536;
