Give up tries of a start by a cancellation token, and set run times of a job once

The flag for tries that are not wanted any more was a cancellation token written by hand. A new job took declared run times first and learned ones right after. The constant for tries stands with the others.

--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -1,11 +1,11 @@
 //! Orders of the owner to the worker: starts and stops.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use errors::{Result, Verdict};
 use model::{Refusal, StartOrder, TaskRun};
+use tokio_util::sync::CancellationToken;
 
 use crate::agent::actor::{Actor, Event};
 use crate::agent::runner::{Runner, Start, Started};
@@ -16,6 +16,8 @@
 const START_TIMEOUT: Duration = Duration::from_millis(450);
 /// The longest wait for the answer to a stop.
 const STOP_TIMEOUT: Duration = Duration::from_millis(600);
+/// Tries of a start before the owner has to decide again.
+const START_TRIES: u32 = 3;
 /// Pause before an order without an answer is sent again.
 const ORDER_RETRY: Duration = Duration::from_millis(80);
 
@@ -51,7 +53,7 @@
         let Some(until) = self.state.lease_end(now) else {
             return;
         };
-        let wanted = self.state.begin_tries(order.run, now);
+        let given_up = self.state.begin_tries(order.run, now);
         let start = Start {
             run: order.run,
             body,
@@ -64,7 +66,7 @@
         let runner = Arc::clone(&self.runner);
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let mut outcome = start_until_answered(&*runner, &name, &start, &wanted).await;
+            let mut outcome = start_until_answered(&*runner, &name, &start, &given_up).await;
             outcome.unanswered |= unanswered;
             // The agent has ended if nobody takes the event.
             let _ = tx.send(Event::Started(start.run, outcome)).await;
@@ -147,15 +149,12 @@
     }
 }
 
-/// Tries of a start before the owner has to decide again.
-const START_TRIES: u32 = 3;
-
-/// Sends a start until it is answered or not wanted any more; a repeat finds the run if an earlier one was carried out.
+/// Sends a start until it is answered or given up; a repeat finds the run if an earlier one was carried out.
 async fn start_until_answered(
     runner: &dyn Runner,
     name: &str,
     start: &Start,
-    wanted: &AtomicBool,
+    given_up: &CancellationToken,
 ) -> StartOutcome {
     let mut tries = 1;
     let mut unanswered = false;
@@ -168,7 +167,7 @@
         unanswered |= verdict.is_some_and(|verdict| verdict != Verdict::NotRun);
         if verdict.is_some() && tries < START_TRIES {
             tokio::time::sleep(ORDER_RETRY).await;
-            if wanted.load(Ordering::Acquire) {
+            if !given_up.is_cancelled() {
                 tries += 1;
                 continue;
             }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -1,7 +1,5 @@
 //! What an agent knows of its worker, and the report made of it.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use graph::lapse_after;
@@ -10,6 +8,7 @@
     EndReport, Epoch, Incarnation, Refusal, Room, RunReport, RunStatus, ServiceId, TaskRun,
     WorkerReport,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::agent::runner::{Held, ListedRun};
 use crate::agent::{Announcement, Started};
@@ -68,8 +67,8 @@
     refused_connections: u32,
     pub(crate) acknowledged: u64,
     pub(crate) orders: IndexMap<TaskRun, (Order, Duration)>,
-    /// Starts that are still being tried, whatever became of their orders; cleared to give up further tries.
-    tries: IndexMap<TaskRun, Arc<AtomicBool>>,
+    /// Starts that are still being tried, whatever became of their orders; cancelled to give up further tries.
+    tries: IndexMap<TaskRun, CancellationToken>,
     listed: Vec<ListedRun>,
     ends: Vec<EndReport>,
     left: bool,
@@ -161,14 +160,11 @@
         self.listed_at = None;
         self.refused_connections = 0;
         // A try in progress may reach this life of the worker, also after a stop in the last one; the owner has to know.
-        let tries = &self.tries;
-        for wanted in tries.values() {
-            wanted.store(false, Ordering::Release);
-        }
-        self.orders.retain(|run, (order, _)| {
+        self.tries.values().for_each(CancellationToken::cancel);
+        self.orders.retain(|run, _| self.tries.contains_key(run));
+        for (order, _) in self.orders.values_mut() {
             *order = Order::Starting;
-            tries.contains_key(run)
-        });
+        }
         self.listed.clear();
         self.ends.clear();
         self.left = false;
@@ -260,18 +256,18 @@
         self.refused_connections >= ABSENT_AFTER || (self.left && lapsed)
     }
 
-    /// Notes that a start is being tried; the tries go on while the result is set.
-    pub(crate) fn begin_tries(&mut self, run: TaskRun, now: Duration) -> Arc<AtomicBool> {
+    /// Notes that a start is being tried; the tries go on until the result is cancelled.
+    pub(crate) fn begin_tries(&mut self, run: TaskRun, now: Duration) -> CancellationToken {
         self.orders.insert(run, (Order::Starting, now));
-        let wanted = Arc::new(AtomicBool::new(true));
-        self.tries.insert(run, Arc::clone(&wanted));
-        wanted
+        let given_up = CancellationToken::new();
+        self.tries.insert(run, given_up.clone());
+        given_up
     }
 
     /// Ends the tries of a start once the one in progress is answered or given up.
     pub(crate) fn give_up_tries(&self, run: TaskRun) {
-        if let Some(wanted) = self.tries.get(&run) {
-            wanted.store(false, Ordering::Release);
+        if let Some(given_up) = self.tries.get(&run) {
+            given_up.cancel();
         }
     }
 
--- a/components/graph/src/hang.rs
+++ b/components/graph/src/hang.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use model::JobId;
+
 use crate::job::{Job, UnitId};
 use crate::placement::{Placement, Run, Running};
 use crate::scheduler::Scheduler;
@@ -64,7 +66,7 @@
         patience.saturating_mul(2_u32.saturating_pow(hangs))
     }
 
-    fn note_hang(&mut self, id: model::JobId, unit_id: UnitId) {
+    fn note_hang(&mut self, id: JobId, unit_id: UnitId) {
         let job = self.jobs.get_mut(&id);
         if let Some(unit) = job.and_then(|job| job.units.get_mut(&unit_id)) {
             unit.hangs = unit.hangs.saturating_add(1);
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -120,12 +120,16 @@
 
 impl Job {
     /// Creates a job from what the store has of it.
-    pub(crate) fn new(id: JobId, spec: Arc<AcceptedJob>, accepted_at: Duration) -> Self {
-        let steps = spec.graph.steps.iter();
-        Self {
+    pub(crate) fn new(
+        id: JobId,
+        spec: Arc<AcceptedJob>,
+        accepted_at: Duration,
+        estimates: &Estimates,
+    ) -> Self {
+        let mut job = Self {
             id,
             policy: spec.policy.clone(),
-            step_times: steps.map(|step| step.expected).collect(),
+            step_times: Vec::new(),
             spec,
             accepted_at,
             units: IndexMap::new(),
@@ -136,7 +140,9 @@
             version: 0,
             stored: 0,
             writing: 0,
-        }
+        };
+        job.expect(estimates);
+        job
     }
 
     /// Takes what is known of the run times of its queue.
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -197,7 +197,8 @@
 
     fn add(&mut self, loaded: LoadedJob, now: Duration, wall: Duration) {
         let age = wall.saturating_sub(loaded.spec.accepted);
-        let mut job = Job::new(loaded.id, loaded.spec, now.saturating_sub(age));
+        let accepted_at = now.saturating_sub(age);
+        let mut job = Job::new(loaded.id, loaded.spec, accepted_at, &self.estimates);
         if let Some(policy) = self.queues.get(&job.spec.queue) {
             job.policy = policy.clone();
         }
@@ -205,7 +206,6 @@
             job.restore(progress);
         }
         job.open_due(wall);
-        job.expect(&self.estimates);
         self.demand.note(&job);
         if loaded.cancelled {
             job.end = Some(JobEnd::Cancelled);
