Stop only the runs that an urgent unit needs, and replace reservations that were taken

A worker's runs were all stopped for as many tasks as it could hold, and a gang's loss was counted once for each of its workers.

Ruled out: lost stop orders (stops are answered and end after 0.3 to 0.9 s), the store, and the time of the owner's decisions.

Change: a reservation whose resources are neither free nor about to be freed is dropped and planned anew. Victims are chosen one slot at a time by cost, a stopped gang frees its resources on all of its workers, and unnecessary victims are dropped. The cost includes the resources that are occupied while a run stops.

--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -42,6 +42,7 @@
 mod reports;
 mod reservations;
 mod scheduler;
+mod victims;
 mod worker;
 
 pub use approvals::{ApprovalRequest, StepId};
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use model::{AgentId, JobId, ResourceVector};
 
 use crate::fit::{Candidate, racks_to_try};
@@ -11,6 +11,7 @@
 use crate::placement::AnyPlacement;
 use crate::reservations::{PlacementOptions, ResourcesByWorker};
 use crate::scheduler::{Reservation, Scheduler};
+use crate::victims::{PreemptibleWorker, Selection, StopCost, select_victims};
 
 /// Added to the longest stop time to get the time after which a reservation expires.
 const RESERVATION_MARGIN: Duration = Duration::from_secs(2);
@@ -24,33 +25,11 @@
 /// and to start the task elsewhere.
 const DRAIN_STOP_MARGIN: Duration = Duration::from_millis(500);
 
-/// A unit that may be stopped, and the cost of stopping it in accelerator seconds.
-#[derive(Debug, Clone, Copy)]
-struct Victim {
-    unit: UnitKey,
-    cost: f64,
-}
-
-/// The task slots available on a worker once the victims have stopped.
-#[derive(Debug, Clone)]
-struct PreemptionOption {
-    agent: AgentId,
-    slots: u32,
-    victims: Vec<Victim>,
-}
-
-impl PreemptionOption {
-    fn cost(&self) -> f64 {
-        self.victims.iter().map(|victim| victim.cost).sum()
-    }
-}
-
 impl Scheduler {
-    /// Reserves resources for a unit on the workers where preemption costs least, and returns whether resources are
-    /// reserved.
+    /// Reserves resources for a unit where preemption costs least, and returns whether resources are reserved.
     ///
-    /// The victims are stopped if the unit is guaranteed, or if its expected work is at least the cost of stopping
-    /// them, which is the work that they would lose. Otherwise the unit waits until they end.
+    /// The victims are stopped if the unit is guaranteed, or if its expected work is at least the work that they would
+    /// lose. Otherwise the unit waits until they end.
     pub(crate) fn reserve_resources(
         &mut self,
         ready: ReadyUnit,
@@ -66,43 +45,33 @@
         {
             return true;
         }
-        let Some(options) = self.cheapest_options(ready, placement_options, free, now) else {
+        let Some(plan) = self.cheapest_plan(ready, placement_options, free, now) else {
             return false;
         };
-        let cost: f64 = options.iter().map(|(option, _)| option.cost()).sum();
-        let preempts = ready.guaranteed || cost <= self.unit_work(ready);
-        let assignment = options
-            .iter()
-            .map(|(option, tasks)| (option.agent.clone(), *tasks));
+        let preempts = ready.guaranteed || plan.cost.lost <= self.unit_work(ready);
+        if preempts {
+            self.stop_victims(ready, &plan);
+        }
         let reservation = Reservation {
-            assignment: assignment.collect(),
+            assignment: plan.assignment,
             preempts,
             guaranteed: ready.guaranteed,
             task_resources: placement_options.task_resources,
             expires_at: now + self.settings.max_stop_time + RESERVATION_MARGIN,
         };
-        if preempts {
-            self.stop_victims(ready, &options, cost);
-        }
         self.reservations.insert(key, reservation);
         true
     }
 
-    /// Stops the victims of the selected options.
-    fn stop_victims(&mut self, ready: ReadyUnit, options: &[(PreemptionOption, u32)], cost: f64) {
-        let victims: IndexSet<UnitKey> = options
-            .iter()
-            .flat_map(|(option, _)| option.victims.iter().map(|victim| victim.unit))
-            .collect();
-        let workers: Vec<&AgentId> = options.iter().map(|(option, _)| &option.agent).collect();
+    fn stop_victims(&mut self, ready: ReadyUnit, plan: &Selection) {
         log::info!(
             target: "limpethook",
-            job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, victims = victims.len(), lost = cost,
-            guaranteed = ready.guaranteed, workers:? = workers;
+            job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, victims = plan.victims.len(),
+            lost = plan.cost.lost, guaranteed = ready.guaranteed, workers:? = plan.assignment;
             "units_preempted"
         );
-        for (job, unit) in victims {
-            self.stop_unit(job, unit);
+        for (job, unit) in &plan.victims {
+            self.stop_unit(*job, *unit);
         }
     }
 
@@ -118,56 +87,51 @@
             * job.expected_task_time(ready.unit).as_secs_f64()
     }
 
-    /// Returns the cheapest options that free enough resources for all tasks of a unit, with the tasks on each.
-    fn cheapest_options(
+    /// Returns the cheapest plan that makes room for all tasks of a unit.
+    fn cheapest_plan(
         &self,
         ready: ReadyUnit,
         placement_options: &PlacementOptions,
         free: &ResourcesByWorker,
         now: Duration,
-    ) -> Option<Vec<(PreemptionOption, u32)>> {
+    ) -> Option<Selection> {
         let job = self.jobs.get(&ready.job)?;
         let unit = job.units.get(&ready.unit)?;
         let step = job.step(ready.unit);
         let candidates = &placement_options.candidates;
-        let mut by_rack: IndexMap<Box<str>, Vec<PreemptionOption>> = IndexMap::new();
+        let task_resources = placement_options.task_resources;
+        let costs = self.stop_costs(ready, now);
+        let mut by_rack: IndexMap<&str, Vec<PreemptibleWorker>> = IndexMap::new();
         for candidate in candidates {
-            let projected =
+            let free =
                 self.projected_resources(candidate, free, &placement_options.reserved_by_others);
-            let option = self.preemption_option(
-                candidate,
-                projected,
-                placement_options.task_resources,
-                ready,
-                now,
-            );
             by_rack
-                .entry(candidate.rack.clone())
+                .entry(&candidate.rack)
                 .or_default()
-                .push(option);
+                .push(self.preemptible_worker(candidate, free, &costs));
         }
-        let all_options: Vec<PreemptionOption> = by_rack.values().flatten().cloned().collect();
+        let cheapest = |workers: &[PreemptibleWorker]| {
+            select_victims(workers, unit.tasks, task_resources, &costs)
+        };
         let prefers_one_rack = step.rack_sensitive && unit.tasks > 1;
-        let rack_groups: Vec<Vec<PreemptionOption>> = match &step.data_rack {
-            Some(rack) => by_rack.get(rack).cloned().into_iter().collect(),
-            None if prefers_one_rack => by_rack.into_values().collect(),
+        let rack_groups: Vec<&Vec<PreemptibleWorker>> = match &step.data_rack {
+            Some(rack) => by_rack.get(&**rack).into_iter().collect(),
+            None if prefers_one_rack => by_rack.values().collect(),
             None => Vec::new(),
         };
-        let cost = |options: &Vec<(PreemptionOption, u32)>| -> f64 {
-            options.iter().map(|(option, _)| option.cost()).sum()
-        };
         let on_racks = rack_groups
             .into_iter()
-            .filter_map(|group| select_options(group, unit.tasks));
-        let cheapest_on_rack = on_racks.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        if cheapest_on_rack.is_some() {
-            return cheapest_on_rack;
+            .filter_map(|workers| cheapest(workers));
+        let on_rack = on_racks.min_by(|a, b| a.cost.total.total_cmp(&b.cost.total));
+        if on_rack.is_some() {
+            return on_rack;
         }
         // A guaranteed unit starts in time even if it runs slower across racks; others wait for a better placement.
         let locality_wait = self.locality_wait(job, ready.unit);
         let racks = racks_to_try(step, unit, candidates, locality_wait, now);
         if ready.guaranteed || racks.contains(&None) {
-            return select_options(all_options, unit.tasks);
+            let workers: Vec<PreemptibleWorker> = by_rack.into_values().flatten().collect();
+            return cheapest(&workers);
         }
         None
     }
@@ -189,49 +153,28 @@
             .saturating_sub(on_worker(reserved))
     }
 
-    /// Returns the cheapest victims on a worker, as many as are needed for its maximum number of slots.
-    fn preemption_option(
+    /// Returns a worker with its units that may be stopped, which are those in `costs`.
+    fn preemptible_worker(
         &self,
         candidate: &Candidate,
-        mut free: ResourceVector,
-        task_resources: ResourceVector,
-        ready: ReadyUnit,
-        now: Duration,
-    ) -> PreemptionOption {
-        let mut option = PreemptionOption {
-            agent: candidate.agent.clone(),
-            slots: candidate.slots,
-            victims: Vec::new(),
-        };
-        let Some(worker) = self.workers.get(&candidate.agent) else {
-            return option;
-        };
-        let mut preemptible: IndexMap<UnitKey, ResourceVector> = IndexMap::new();
-        for placement in worker.placements.values() {
+        free: ResourceVector,
+        costs: &IndexMap<UnitKey, StopCost>,
+    ) -> PreemptibleWorker {
+        let mut units: IndexMap<UnitKey, ResourceVector> = IndexMap::new();
+        let worker = self.workers.get(&candidate.agent);
+        for placement in worker.into_iter().flat_map(|w| w.placements.values()) {
             let unit = placement.unit_key();
-            if !placement.is_stopping() && self.is_preemptible(unit.0, ready) {
-                let resources = preemptible.entry(unit).or_default();
+            if !placement.is_stopping() && costs.contains_key(&unit) {
+                let resources = units.entry(unit).or_default();
                 *resources = resources.saturating_add(placement.resources());
             }
         }
-        let mut victims: Vec<(Victim, ResourceVector)> = preemptible
-            .into_iter()
-            .map(|(unit, resources)| {
-                let cost = self.stop_cost(unit, now) + self.urgency_cost(unit.0);
-                (Victim { unit, cost }, resources)
-            })
-            .collect();
-        victims.sort_by(|a, b| a.0.cost.total_cmp(&b.0.cost));
-        option.slots = free.fit_count(task_resources).min(candidate.max_slots);
-        for (victim, freed) in victims {
-            if option.slots >= candidate.max_slots {
-                break;
-            }
-            free = free.saturating_add(freed);
-            option.victims.push(victim);
-            option.slots = free.fit_count(task_resources).min(candidate.max_slots);
+        PreemptibleWorker {
+            agent: candidate.agent.clone(),
+            free,
+            max_slots: candidate.max_slots,
+            units,
         }
-        option
     }
 
     /// Returns whether a unit may preempt a job. Guaranteed jobs are never preempted; other jobs are preempted by
@@ -254,29 +197,39 @@
         }
     }
 
-    /// Returns the work in accelerator seconds that is lost by stopping a unit.
-    fn stop_cost(&self, unit: UnitKey, now: Duration) -> f64 {
-        let checkpoints = self
-            .jobs
-            .get(&unit.0)
-            .is_some_and(|job| job.step(unit.1).supports_checkpoints);
-        let lost_time = |placement: &AnyPlacement| {
-            if checkpoints {
-                // A stop takes a checkpoint, so only the restore time is lost.
-                placement
-                    .time_since_checkpoint(now)
-                    .min(self.settings.restore_time)
-            } else {
-                placement.time_since_checkpoint(now)
-            }
-        };
+    /// Returns the units that a unit may preempt, with the cost of stopping each.
+    fn stop_costs(&self, ready: ReadyUnit, now: Duration) -> IndexMap<UnitKey, StopCost> {
+        let mut costs = IndexMap::new();
         let placements = self.workers.values().flat_map(|w| w.placements.values());
-        placements
-            .filter(|placement| placement.unit_key() == unit)
-            .map(|placement| {
-                lost_time(placement).as_secs_f64() * accelerator_equivalents(placement.resources())
-            })
-            .sum()
+        for placement in placements {
+            let key = placement.unit_key();
+            if placement.is_stopping() || !self.is_preemptible(key.0, ready) {
+                continue;
+            }
+            let cost = costs.entry(key).or_insert_with(|| StopCost {
+                lost: 0.0,
+                total: self.urgency_cost(key.0),
+            });
+            let resources = accelerator_equivalents(placement.resources());
+            let lost = self.lost_time(placement, now);
+            let occupied = lost + self.settings.max_stop_time / 2;
+            cost.lost += lost.as_secs_f64() * resources;
+            cost.total += occupied.as_secs_f64() * resources;
+        }
+        costs
+    }
+
+    /// Returns the run time that is repeated after a stop of a run. A stop takes a checkpoint, so that a task that
+    /// supports checkpoints loses only the time to restore it.
+    fn lost_time(&self, placement: &AnyPlacement, now: Duration) -> Duration {
+        let (id, unit) = placement.unit_key();
+        let since_checkpoint = placement.time_since_checkpoint(now);
+        let job = self.jobs.get(&id);
+        if job.is_some_and(|job| job.step(unit).supports_checkpoints) {
+            since_checkpoint.min(self.settings.restore_time)
+        } else {
+            since_checkpoint
+        }
     }
 
     /// Stops the runs on draining workers early enough that they can take a checkpoint before the drain deadline.
@@ -298,24 +251,3 @@
 pub(crate) fn accelerator_equivalents(resources: ResourceVector) -> f64 {
     f64::from(resources.accelerators) + f64::from(resources.millicores) / MILLICORES_PER_ACCELERATOR
 }
-
-/// Selects options until all tasks have a slot, those with the lowest cost per task first.
-fn select_options(
-    mut options: Vec<PreemptionOption>,
-    tasks: u32,
-) -> Option<Vec<(PreemptionOption, u32)>> {
-    let cost_per_task = |option: &PreemptionOption| option.cost() / f64::from(option.slots.max(1));
-    options.retain(|option| option.slots > 0);
-    options.sort_by(|a, b| cost_per_task(a).total_cmp(&cost_per_task(b)));
-    let mut remaining = tasks;
-    let mut selected = Vec::new();
-    for option in options {
-        if remaining == 0 {
-            break;
-        }
-        let count = option.slots.min(remaining);
-        remaining -= count;
-        selected.push((option, count));
-    }
-    (remaining == 0).then_some(selected)
-}
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -10,6 +10,7 @@
 use crate::order::ReadyUnit;
 use crate::placement::AnyPlacement;
 use crate::scheduler::Scheduler;
+use crate::worker::Worker;
 
 /// Selects the reservations of other units whose resources are not available to a unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,8 +54,8 @@
 }
 
 impl Scheduler {
-    /// Drops reservations that have expired, those of units that no longer wait, and those on workers that accept no
-    /// tasks.
+    /// Drops reservations that have expired, those of units that no longer wait, those on workers that accept no tasks, and
+    /// those whose resources were taken by another unit, so that the unit gets a new reservation at once.
     pub(crate) fn drop_stale_reservations(&mut self, now: Duration) {
         let (workers, jobs) = (&self.workers, &self.jobs);
         let usable = |agent: &AgentId| workers.get(agent).is_some_and(|w| w.accepts_tasks(now));
@@ -71,6 +72,45 @@
                     .iter()
                     .all(|(agent, _)| usable(agent))
         });
+        let taken = self.taken_reservations();
+        self.reservations.retain(|unit, _| !taken.contains(unit));
+    }
+
+    /// Returns the preempting reservations whose resources are neither free nor about to be freed by stopping runs.
+    /// Guaranteed units come first, because they may take the resources of the others.
+    fn taken_reservations(&self) -> IndexSet<UnitKey> {
+        let mut projected = ResourcesByWorker::new();
+        let mut taken = IndexSet::new();
+        let preempting = |guaranteed: bool| {
+            let reservations = self.reservations.iter();
+            reservations.filter(move |(_, r)| r.preempts && r.guaranteed == guaranteed)
+        };
+        for (unit, reservation) in preempting(true).chain(preempting(false)) {
+            let mut remaining = ResourcesByWorker::new();
+            for (agent, tasks) in &reservation.assignment {
+                let available = projected
+                    .get(agent)
+                    .copied()
+                    .unwrap_or_else(|| self.projected_free(agent));
+                if available.fit_count(reservation.task_resources) < *tasks {
+                    taken.insert(*unit);
+                    break;
+                }
+                let reserved = reservation.task_resources.saturating_mul(*tasks);
+                remaining.insert(agent.clone(), available.saturating_sub(reserved));
+            }
+            if !taken.contains(unit) {
+                projected.extend(remaining);
+            }
+        }
+        taken
+    }
+
+    /// Returns the resources of a worker that are free or will be freed by stopping runs.
+    fn projected_free(&self, agent: &AgentId) -> ResourceVector {
+        let free = self.workers.get(agent).map(Worker::free_resources);
+        free.unwrap_or_default()
+            .saturating_add(self.stopping_resources(agent))
     }
 
     /// Returns the workers and resources that a unit may use now; `None` if the unit is unknown.
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -233,6 +233,77 @@
     assert_eq!(stops, vec![7; 4]);
 }
 
+/// Returns the jobs whose runs the workers are told to stop, in the order of the workers.
+fn stopped_jobs(cell: &mut TestCell) -> Vec<JobId> {
+    let agents = cell.agents().into_iter();
+    agents
+        .flat_map(|agent| cell.instructions(&agent).stops)
+        .map(|stop| stop.task.job)
+        .collect()
+}
+
+/// Guards against stopping all runs on a worker for a gang that needs only part of it.
+#[test]
+fn plan_preempts_only_needed_runs() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r1")]);
+    cell.accept(7, job(2, vec![step(8)]));
+    cell.plan_and_start();
+    cell.accept(8, job(0, vec![gang(5)]));
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(stopped_jobs(&mut cell), vec![7; 5]);
+}
+
+/// Guards against counting the loss of a gang once for each of its workers, which makes single tasks with more work to
+/// lose look cheaper.
+#[test]
+fn plan_counts_cost_of_preempted_gang_once() {
+    let names = ["w1", "w2", "w3", "w4"];
+    let mut cell = TestCell::new(1, names.map(|name| worker(name, "r1")).into());
+    cell.accept(7, job(2, vec![step(8)]));
+    cell.plan_and_start();
+    cell.advance(ms(300));
+    cell.accept(8, job(2, vec![gang(8)]));
+    cell.plan_and_start();
+    cell.advance(ms(1_200));
+    names.iter().for_each(|name| cell.report(name));
+    let mut urgent = job(0, vec![gang(8)]);
+    urgent.graph.steps[0].expected = ms(60_000);
+    cell.accept(9, urgent);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(stopped_jobs(&mut cell), vec![8; 8]);
+}
+
+/// Guards against an urgent gang that waits until its reservation expires although a guaranteed job has taken a reserved
+/// worker: it preempts elsewhere with the next plan.
+#[test]
+fn plan_replaces_taken_reservation() {
+    let names = ["w1", "w2", "w3"];
+    let mut cell = TestCell::new(1, names.map(|name| worker(name, "r1")).into());
+    let guarantees = IndexMap::from([("puerto".into(), 4)]);
+    cell.scheduler.configure(IndexMap::new(), guarantees);
+    for id in [5, 6, 7] {
+        cell.accept(id, job(2, vec![gang(4)]));
+        cell.plan_and_start();
+    }
+    let free_job = cell.workers["w1"].report.runs[0].run.task.job;
+    cell.end_run(task(free_job, 0, 0), RunEnd::Done);
+    for index in 1..4 {
+        cell.end_run(task(free_job, 0, index), RunEnd::Broken);
+    }
+    let mut urgent = job(0, vec![gang(8)]);
+    urgent.graph.steps[0].expected = ms(60_000);
+    cell.accept(8, urgent);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(stopped_jobs(&mut cell).len(), 4, "one worker is free");
+    let mut guaranteed = job(0, vec![gang(4)]);
+    guaranteed.account = "puerto".into();
+    cell.accept(9, guaranteed);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(cell.instructions("w1").starts.len(), 4, "it is taken");
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(stopped_jobs(&mut cell).len(), 4, "another one is freed");
+}
+
 /// Returns a cell with one of two workers in use and recent urgent jobs, all of which have ended.
 fn busy_cell_with_demand() -> TestCell {
     let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
