--- a/components/graph/src/approvals.rs
+++ b/components/graph/src/approvals.rs
@@ -7,7 +7,6 @@
 use model::{AgentId, Incarnation, JobId};
 
 use crate::job::{Phase, Unit, UnitId};
-use crate::reservations::ResourcesByWorker;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -134,13 +133,11 @@
         let Some(unit) = job.units.get(&id) else {
             return Vec::new();
         };
-        let free = self.free_resources();
-        let available = self.available_resources(&free, &ResourcesByWorker::new());
+        let available = self.fleet_resources().free;
         let mut candidates = self.eligible_candidates(job, (id, unit), &available, now);
         candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.free.accelerators));
         let chosen = candidates.into_iter().take(MAX_WORKERS_PER_REQUEST);
-        let name = |agent: AgentId| self.workers.get(&agent).map(|worker| worker.name.clone());
-        let names = chosen.filter_map(|candidate| name(candidate.agent));
+        let names = chosen.map(|candidate| candidate.worker.name.clone());
         names.filter(|name| !name.is_empty()).collect()
     }
 
@@ -173,6 +170,7 @@
         );
         let approvals = self.approvals.entry(step).or_default();
         approvals.granted = granted;
+        self.plan_needed = true;
     }
 
     /// Removes the approvals of jobs that have ended.
--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -35,6 +35,7 @@
 
     /// Applies an end and returns the job that it belongs to.
     fn apply_end(&mut self, agent: &AgentId, end: &EndReport, now: Duration) -> Option<JobId> {
+        self.plan_needed = true;
         let task = end.run.task;
         let worker = self.workers.get_mut(agent)?;
         let known = worker.placements.get(&task);
@@ -54,6 +55,12 @@
             placed = was_placed, current_run = unit.run_number, failures = unit.failures();
             "run_ended"
         );
+        if let Some(placement) = placement.as_ref().filter(|run| run.was_reported())
+            && end.end == RunEnd::Broken
+            && let Some(worker) = self.workers.get_mut(agent)
+        {
+            worker.record_sound_start(placement.placed_at());
+        }
         if was_placed && unit.run_number == end.run.run {
             unit.active_runs = unit.active_runs.saturating_sub(1);
         } else if end.run.run < unit.run_number {
@@ -157,7 +164,6 @@
         if !unit.failed_runs.contains(&end.run.run) {
             unit.failed_runs.push(end.run.run);
             unit.not_before = now + FAILURE_BACKOFF;
-            unit.avoided_workers.push(agent.clone());
             let exhausted = !long_running && unit.failures() >= max_attempts;
             job.mark_changed();
             if exhausted && job.end.is_none() {
@@ -170,15 +176,31 @@
                 );
                 self.stop_job(id);
             }
-            if let Some(worker) = self.workers.get_mut(agent) {
-                worker.record_failure(id, now);
-            }
         }
+        self.blame_worker(agent, id, unit_id, now);
         if self.run_number(id, unit_id) == Some(end.run.run) {
             self.requeue_unit(id, unit_id, now);
         }
     }
 
+    /// Attributes the failure of a run to its worker as well, unless the job is likely to be at fault. Several members of a
+    /// gang may fail in one run, each on a faulty worker.
+    fn blame_worker(&mut self, agent: &AgentId, id: JobId, unit_id: UnitId, now: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(unit) = job.units.get_mut(&unit_id)
+            && !unit.avoided_workers.contains(agent)
+        {
+            unit.avoided_workers.push(agent.clone());
+        }
+        if !job.is_likely_faulty()
+            && let Some(worker) = self.workers.get_mut(agent)
+        {
+            worker.record_failure(id, now);
+        }
+    }
+
     fn run_number(&self, id: JobId, unit: UnitId) -> Option<RunNumber> {
         Some(self.jobs.get(&id)?.units.get(&unit)?.run_number)
     }
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -7,7 +7,7 @@
 
 use crate::approvals::StepId;
 use crate::job::{Job, Unit, UnitId};
-use crate::reservations::AvailableResources;
+use crate::reservations::WorkerResources;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -16,9 +16,10 @@
 
 /// A worker that may run tasks of a unit.
 #[derive(Debug, Clone)]
-pub(crate) struct Candidate {
-    pub(crate) agent: AgentId,
-    pub(crate) rack: Box<str>,
+pub(crate) struct Candidate<'a> {
+    /// Index of the worker in the scheduler.
+    pub(crate) index: usize,
+    pub(crate) worker: &'a Worker,
     /// Resources that are free and not reserved for other units.
     pub(crate) free: ResourceVector,
     /// Number of tasks of the unit that may be placed on the worker now, within the spread limit of the step.
@@ -28,6 +29,12 @@
     pub(crate) max_slots: u32,
 }
 
+impl Candidate<'_> {
+    fn is_on_rack(&self, rack: Option<&str>) -> bool {
+        rack.is_none_or(|rack| *self.worker.rack() == *rack)
+    }
+}
+
 /// Returns the resources that a task of a step occupies. Tasks that only use spare processor time occupy no cores.
 pub(crate) fn resources_per_task(step: &Step) -> ResourceVector {
     if step.best_effort {
@@ -45,16 +52,13 @@
         &self,
         job: &Job,
         unit: (UnitId, &Unit),
-        available: &AvailableResources<'_>,
+        available: &WorkerResources,
         now: Duration,
-    ) -> Vec<Candidate> {
+    ) -> Vec<Candidate<'_>> {
         let mut candidates = self.eligible_candidates(job, unit, available, now);
         if job.policy.needs_approval {
             let step = StepId::of(job.id, unit.0);
-            candidates.retain(|candidate| {
-                let worker = self.workers.get(&candidate.agent);
-                worker.is_some_and(|worker| self.ticket(step, worker, now).is_some())
-            });
+            candidates.retain(|candidate| self.ticket(step, candidate.worker, now).is_some());
         }
         candidates
     }
@@ -64,36 +68,33 @@
         &self,
         job: &Job,
         unit: (UnitId, &Unit),
-        available: &AvailableResources<'_>,
+        available: &WorkerResources,
         now: Duration,
-    ) -> Vec<Candidate> {
+    ) -> Vec<Candidate<'_>> {
         let (id, unit) = unit;
         let step = job.step(id);
         let task_resources = resources_per_task(step);
-        let eligible = |worker: &&Worker| {
+        let eligible = |(_, worker): &(usize, &Worker)| {
             worker.accepts_tasks(now)
                 && worker.service == job.policy.service
                 && has_label(worker, step.required_label.as_deref())
         };
-        let candidate = |worker: &Worker| {
+        let candidate = |(index, worker)| {
             let remaining_spread = step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
                 limit.saturating_sub(tasks_on_worker(worker, job, id))
             });
             let max_tasks = remaining_spread.min(unit.tasks);
-            let free = available.get(&worker.agent);
+            let free = available[index];
             Candidate {
-                agent: worker.agent.clone(),
-                rack: worker.rack().into(),
+                index,
+                worker,
                 free,
                 slots: free.fit_count(task_resources).min(max_tasks),
                 max_slots: worker.capacity.fit_count(task_resources).min(max_tasks),
             }
         };
-        self.workers
-            .values()
-            .filter(eligible)
-            .map(candidate)
-            .collect()
+        let workers = self.workers.values().enumerate();
+        workers.filter(eligible).map(candidate).collect()
     }
 
     /// Returns how long a unit waits for the rack with its data: the additional run time that it would need on another
@@ -103,35 +104,114 @@
         job.expected_task_time(unit).mul_f64(extra)
     }
 
-    /// Selects workers for all tasks of a unit, preferably those on which it has not failed.
+    /// Selects workers for all tasks of a unit, the most trusted ones first.
     pub(crate) fn assign_workers(
         &self,
         job: &Job,
         unit: (UnitId, &Unit),
-        candidates: &[Candidate],
+        candidates: &[Candidate<'_>],
         now: Duration,
     ) -> Option<Assignment> {
         let step = job.step(unit.0);
         let locality_wait = self.locality_wait(job, unit.0);
         let racks = racks_to_try(step, unit.1, candidates, locality_wait, now);
-        let is_preferred =
-            |candidate: &&Candidate| !unit.1.avoided_workers.contains(&candidate.agent);
-        for rack in racks {
-            let on_rack: Vec<&Candidate> = candidates
-                .iter()
-                .filter(|candidate| rack.as_deref().is_none_or(|rack| *candidate.rack == *rack))
-                .collect();
-            let preferred: Vec<&Candidate> = on_rack.iter().copied().filter(is_preferred).collect();
-            let assignment =
-                pack(&preferred, unit.1.tasks).or_else(|| pack(&on_rack, unit.1.tasks));
-            if assignment.is_some() {
-                return assignment;
-            }
+        let is_last = is_last_attempt(job, unit.1);
+        let all: Vec<&Candidate<'_>> = candidates.iter().collect();
+        let sound = trusted_candidates(unit.1, candidates, TrustLevel::NotSuspect, now);
+        let assignment = if is_last {
+            pack_on_proven_workers(sound.clone(), &racks, unit.1.tasks)
+        } else if step.data_rack.is_some() && unit.1.tasks == 1 {
+            // Another attempt on the rack with the data costs less time than a run on another rack.
+            let mut racks = racks.iter();
+            racks.find_map(|rack| {
+                let mut levels = [&sound, &all].into_iter();
+                levels.find_map(|workers| pack_on_rack(workers, rack.as_deref(), 1))
+            })
+        } else {
+            pack_on_racks(&sound, &racks, unit.1.tasks)
+        };
+        // A gang fails if any of its workers does. Like a last attempt, it waits for half of its remaining slack before it
+        // uses suspect workers, if the others could hold it.
+        let max_slots = sound.iter().map(|candidate| candidate.max_slots);
+        let could_fit = max_slots.fold(0, u32::saturating_add) >= unit.1.tasks;
+        let ready_at = unit.1.ready_at.unwrap_or(now);
+        let latest_start = job
+            .deadline()
+            .saturating_sub(job.expected_task_time(unit.0));
+        let waits = could_fit && now < ready_at + latest_start.saturating_sub(ready_at) / 2;
+        if assignment.is_some() || (waits && (is_last || unit.1.tasks > 1)) {
+            return assignment;
         }
-        None
+        pack_on_racks(&all, &racks, unit.1.tasks)
     }
 }
 
+/// Packs the last attempt of a unit, whose job fails if another faulty worker fails it, on the workers that most recently
+/// started a run that went well.
+fn pack_on_proven_workers(
+    mut sound: Vec<&Candidate<'_>>,
+    racks: &[Option<Box<str>>],
+    tasks: u32,
+) -> Option<Assignment> {
+    sound.retain(|candidate| candidate.slots > 0);
+    sound.sort_by_key(|candidate| std::cmp::Reverse(candidate.worker.last_sound_start));
+    let mut prefixes = (1..=sound.len()).map(|count| &sound[..count]);
+    prefixes.find_map(|workers| pack_on_racks(workers, racks, tasks))
+}
+
+/// Returns the candidates whose workers are trusted with a unit at a level.
+pub(crate) fn trusted_candidates<'a, 'b>(
+    unit: &Unit,
+    candidates: &'b [Candidate<'a>],
+    level: TrustLevel,
+    now: Duration,
+) -> Vec<&'b Candidate<'a>> {
+    // A probe is a single task that has not failed before.
+    let may_probe = unit.tasks == 1 && unit.failures() == 0;
+    let is_trusted = |candidate: &&Candidate<'_>| {
+        let worker = candidate.worker;
+        let is_trusted = !worker.is_suspect() || (may_probe && worker.accepts_probe(now));
+        let is_sound = is_trusted && !unit.avoided_workers.contains(&worker.agent);
+        match level {
+            TrustLevel::NotSuspect => is_sound,
+            TrustLevel::Any => true,
+        }
+    };
+    candidates.iter().filter(is_trusted).collect()
+}
+
+/// How far a worker is trusted with a unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TrustLevel {
+    /// No run has failed on it since the last successful one, and none of the unit ever.
+    NotSuspect,
+    /// Any worker.
+    Any,
+}
+
+fn is_last_attempt(job: &Job, unit: &Unit) -> bool {
+    unit.failures() > 0 && unit.failures() + 1 >= job.policy.max_attempts
+}
+
+/// Packs tasks on the workers of the first rack that has room for all of them.
+fn pack_on_racks(
+    workers: &[&Candidate<'_>],
+    racks: &[Option<Box<str>>],
+    tasks: u32,
+) -> Option<Assignment> {
+    let mut racks = racks.iter();
+    racks.find_map(|rack| pack_on_rack(workers, rack.as_deref(), tasks))
+}
+
+/// Packs tasks on the workers of a rack, or of all racks.
+fn pack_on_rack(workers: &[&Candidate<'_>], rack: Option<&str>, tasks: u32) -> Option<Assignment> {
+    let on_rack = workers
+        .iter()
+        .copied()
+        .filter(|candidate| candidate.is_on_rack(rack));
+    pack(on_rack, tasks)
+}
+
 /// Returns the racks to try in order; `None` stands for the workers of all racks together. If the list is empty, the
 /// unit is not placed now.
 ///
@@ -143,14 +223,14 @@
 pub(crate) fn racks_to_try(
     step: &Step,
     unit: &Unit,
-    candidates: &[Candidate],
+    candidates: &[Candidate<'_>],
     locality_wait: Duration,
     now: Duration,
 ) -> Vec<Option<Box<str>>> {
     if let Some(rack) = &step.data_rack {
         let max_slots: u32 = candidates
             .iter()
-            .filter(|candidate| candidate.rack == *rack)
+            .filter(|candidate| candidate.is_on_rack(Some(rack)))
             .map(|candidate| candidate.max_slots)
             .sum();
         let waited = now.saturating_sub(unit.ready_at.unwrap_or(now));
@@ -164,21 +244,23 @@
             None => vec![None],
         };
     }
-    let mut sums: IndexMap<Box<str>, (u32, u32)> = IndexMap::new();
+    let mut sums: IndexMap<&str, (u32, u32)> = IndexMap::new();
     for candidate in candidates {
-        let sum = sums.entry(candidate.rack.clone()).or_default();
+        let sum = sums.entry(candidate.worker.rack()).or_default();
         sum.0 += candidate.slots;
         sum.1 += candidate.max_slots;
     }
     let fits_one_rack = sums.values().any(|(_, max_slots)| *max_slots >= unit.tasks);
-    let mut fitting: Vec<(Box<str>, u32)> = sums
+    let mut fitting: Vec<(&str, u32)> = sums
         .into_iter()
         .filter(|(_, (slots, _))| *slots >= unit.tasks)
         .map(|(rack, (slots, _))| (rack, slots))
         .collect();
     fitting.sort_by_key(|(_, slots)| *slots);
-    let mut racks: Vec<Option<Box<str>>> =
-        fitting.into_iter().map(|(rack, _)| Some(rack)).collect();
+    let mut racks: Vec<Option<Box<str>>> = fitting
+        .into_iter()
+        .map(|(rack, _)| Some(rack.into()))
+        .collect();
     if !fits_one_rack {
         racks.push(None);
     }
@@ -187,29 +269,32 @@
 
 /// Packs tasks on workers: on the one with the least free resources that has slots for all tasks, which keeps empty
 /// workers free for large tasks, or else on as few workers as possible.
-fn pack(candidates: &[&Candidate], tasks: u32) -> Option<Assignment> {
-    let total: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
-    if total < tasks {
+fn pack<'a>(
+    candidates: impl Iterator<Item = &'a Candidate<'a>> + Clone,
+    tasks: u32,
+) -> Option<Assignment> {
+    let total = candidates.clone().map(|candidate| candidate.slots);
+    if total.fold(0, u32::saturating_add) < tasks {
         return None;
     }
-    let mut order: Vec<&&Candidate> = candidates
-        .iter()
-        .filter(|candidate| candidate.slots > 0)
-        .collect();
-    order.sort_by_key(|candidate| {
+    let free = |candidate: &&Candidate<'_>| {
         let free = candidate.free;
         (free.accelerators, free.millicores, free.memory_mb)
-    });
-    let single = order.iter().find(|candidate| candidate.slots >= tasks);
-    if let Some(candidate) = single {
-        return Some(vec![(candidate.agent.clone(), tasks)]);
+    };
+    let single = candidates
+        .clone()
+        .filter(|candidate| candidate.slots >= tasks);
+    if let Some(candidate) = single.min_by_key(free) {
+        return Some(vec![(candidate.worker.agent.clone(), tasks)]);
     }
-    order.sort_by_key(|candidate| std::cmp::Reverse(candidate.slots));
+    let mut order: Vec<&Candidate<'_>> =
+        candidates.filter(|candidate| candidate.slots > 0).collect();
+    order.sort_by_key(|candidate| (std::cmp::Reverse(candidate.slots), free(candidate)));
     let mut remaining = tasks;
     let mut assignment = Vec::new();
     for candidate in order {
         let count = candidate.slots.min(remaining);
-        assignment.push((candidate.agent.clone(), count));
+        assignment.push((candidate.worker.agent.clone(), count));
         remaining -= count;
         if remaining == 0 {
             break;
--- a/components/graph/src/headroom.rs
+++ b/components/graph/src/headroom.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-use model::{AgentId, ResourceVector};
+use indexmap::IndexMap;
+use model::ResourceVector;
 
 use crate::job::Job;
 use crate::order::{ReadyUnit, URGENT_PRIORITY};
 use crate::preempt::accelerator_equivalents;
-use crate::reservations::ResourcesByWorker;
+use crate::reservations::FleetResources;
 use crate::scheduler::Scheduler;
 
 /// Window over which the demand of urgent jobs is averaged. At the arrival rates at which headroom is useful, several
@@ -46,44 +46,42 @@
 }
 
 impl Scheduler {
-    /// Returns the workers whose free resources are left for urgent jobs: those on the racks with the most free
-    /// resources, so that gangs that need a single rack fit.
-    pub(crate) fn headroom_workers(
-        &mut self,
-        free: &ResourcesByWorker,
-        now: Duration,
-    ) -> IndexSet<AgentId> {
+    /// Returns for each worker whether its free resources are left for urgent jobs: those on the racks with the most free
+    /// resources, so that gangs that need a single rack fit. The result is empty if there is no headroom.
+    pub(crate) fn headroom_workers(&mut self, fleet: &FleetResources, now: Duration) -> Vec<bool> {
         let target = self.urgent_demand.rate(now)
             * self.settings.max_stop_time.as_secs_f64()
             * HEADROOM_STOP_TIMES;
-        let mut headroom = IndexSet::new();
         if target <= 0.0 {
-            return headroom;
+            return Vec::new();
         }
-        let mut racks: IndexMap<&str, Vec<(f64, &AgentId)>> = IndexMap::new();
+        let mut racks: IndexMap<&str, Vec<(f64, usize)>> = IndexMap::new();
         let (mut total, mut free_total) = (ResourceVector::default(), ResourceVector::default());
-        for worker in self.workers.values().filter(|w| w.accepts_tasks(now)) {
-            let free = free.get(&worker.agent).copied().unwrap_or_default();
+        let workers = self.workers.values().enumerate();
+        for (index, worker) in workers.filter(|(_, worker)| worker.accepts_tasks(now)) {
+            let free = fleet.free[index];
             total = total.saturating_add(worker.capacity);
             free_total = free_total.saturating_add(free);
             let rack = racks.entry(worker.rack()).or_default();
-            rack.push((accelerator_equivalents(free), &worker.agent));
+            rack.push((accelerator_equivalents(free), index));
         }
         if !is_busy(total, free_total) {
-            return headroom;
+            return Vec::new();
         }
-        let sum = |rack: &[(f64, &AgentId)]| rack.iter().map(|(free, _)| free).sum::<f64>();
-        let mut racks: Vec<Vec<(f64, &AgentId)>> = racks.into_values().collect();
-        racks.sort_by(|a, b| sum(b).total_cmp(&sum(a)));
+        let mut headroom = vec![false; self.workers.len()];
+        let sum = |rack: &[(f64, usize)]| rack.iter().map(|(free, _)| free).sum::<f64>();
+        let mut racks: Vec<(f64, Vec<(f64, usize)>)> =
+            racks.into_values().map(|rack| (sum(&rack), rack)).collect();
+        racks.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut remaining = target;
-        for mut rack in racks {
+        for (_, mut rack) in racks {
             rack.sort_by(|a, b| b.0.total_cmp(&a.0));
-            for (free, agent) in rack {
+            for (free, index) in rack {
                 if remaining <= 0.0 {
                     return headroom;
                 }
                 remaining -= free;
-                headroom.insert(agent.clone());
+                headroom[index] = true;
             }
         }
         headroom
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{AcceptedJob, AgentId, JobEnd, JobId, QueuePolicy, RunNumber, Step};
 
 use crate::estimates::Estimates;
 use crate::progress::{Progress, UnitProgress};
 
+/// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
+const FAULTY_JOB_WORKERS: usize = 3;
+
 /// Identifies a unit within its job: a single task, or all tasks of a gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct UnitId {
@@ -279,6 +282,18 @@
             && self.units.values().all(|unit| unit.phase == Phase::Done)
     }
 
+    /// Returns whether failures are more likely to be the fault of the job than of the workers: it has failed on several
+    /// workers and none of its units has completed.
+    pub(crate) fn is_likely_faulty(&self) -> bool {
+        let failed_on: IndexSet<&AgentId> = self
+            .units
+            .values()
+            .flat_map(|unit| &unit.avoided_workers)
+            .collect();
+        failed_on.len() >= FAULTY_JOB_WORKERS
+            && !self.units.values().any(|unit| unit.phase == Phase::Done)
+    }
+
     /// Records that the job has a change to store.
     pub(crate) fn mark_changed(&mut self) {
         self.version += 1;
--- a/components/graph/src/order.rs
+++ b/components/graph/src/order.rs
@@ -32,22 +32,27 @@
         self.guaranteed = self.guaranteed_jobs();
         let guaranteed = &self.guaranteed;
         let mut ready_units = Vec::new();
+        let mut next_backoff_end = Duration::MAX;
         for job in self.jobs.values_mut() {
             if job.end.is_some() || job.awaiting_recovery {
                 continue;
             }
             let deadline = job.deadline();
-            let is_ready = |(_, unit): &(&UnitId, &Unit)| {
-                unit.phase == Phase::Waiting && now >= unit.not_before
-            };
-            let units: Vec<UnitId> = job
-                .units
-                .iter()
-                .filter(is_ready)
-                .map(|(id, _)| *id)
-                .collect();
-            for id in units {
-                if !job.is_unblocked(id) {
+            let waiting = job.units.iter();
+            let waiting = waiting.filter(|(_, unit)| unit.phase == Phase::Waiting);
+            let (ready, delayed): (Vec<(&UnitId, &Unit)>, Vec<(&UnitId, &Unit)>) =
+                waiting.partition(|(_, unit)| now >= unit.not_before);
+            for (_, unit) in delayed {
+                next_backoff_end = next_backoff_end.min(unit.not_before);
+            }
+            let ready: Vec<UnitId> = ready.into_iter().map(|(id, _)| *id).collect();
+            let mut unblocked: IndexMap<(u32, u32), bool> = IndexMap::new();
+            for id in ready {
+                let step = (id.occurrence, id.step);
+                let is_unblocked = unblocked
+                    .entry(step)
+                    .or_insert_with(|| job.is_unblocked(id));
+                if !*is_unblocked {
                     continue;
                 }
                 let unit = &mut job.units[&id];
@@ -61,6 +66,7 @@
                 });
             }
         }
+        self.next_plan_at = self.next_plan_at.min(next_backoff_end);
         ready_units.sort_by_key(|unit| (!unit.guaranteed, unit.priority, unit.deadline));
         ready_units
     }
--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Returns when the run was placed.
+    pub(crate) fn placed_at(&self) -> Duration {
+        match self {
+            Self::Starting(placement) => placement.placed_at,
+            Self::Running(placement) => placement.placed_at,
+            Self::Stopping(placement) => placement.placed_at,
+        }
+    }
+
     /// Returns whether the run is being stopped.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self, Self::Stopping(_))
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -3,71 +3,115 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use model::{AgentId, JobId, ResourceVector, TaskId, TaskRun};
+use model::{JobId, ResourceVector, TaskId, TaskRun};
 
 use crate::fit::{Assignment, resources_per_task};
 use crate::job::{Phase, UnitId};
 use crate::order::{ReadyUnit, URGENT_PRIORITY};
 use crate::placement::AnyPlacement;
-use crate::reservations::{PlacementOptions, ReservationFilter, ResourcesByWorker};
+use crate::reservations::{FleetResources, PlacementOptions, ReservationFilter};
 use crate::scheduler::Scheduler;
+use crate::victims::Selection;
+
+/// Interval of the plans that depend only on time: due schedules, hanging runs, quarantines and waits for a better
+/// place.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How to proceed with a unit that is ready.
+enum Decision {
+    /// Place it on these workers, with these resources for each task.
+    Place(Assignment, ResourceVector),
+    /// Reserve resources that the selected victims free, with these resources for each task.
+    Reserve(Selection, ResourceVector),
+    /// Try again later.
+    Wait,
+}
 
 impl Scheduler {
     /// Places the units that are ready on workers, and reserves or preempts resources for urgent ones that do not fit.
+    ///
+    /// Does nothing if no event since the latest plan and no time limit allows another decision.
     pub fn plan(&mut self, now: Duration, unix_time: Duration) {
-        for job in self.jobs.values_mut() {
-            if job.end.is_none() {
-                job.create_due_occurrences(unix_time);
+        self.stop_runs_before_drain(now);
+        let is_due = now >= self.next_plan_at;
+        if !self.plan_needed && !is_due {
+            return;
+        }
+        if is_due {
+            for job in self.jobs.values_mut() {
+                if job.end.is_none() {
+                    job.create_due_occurrences(unix_time);
+                }
             }
+            self.stop_hanging_runs(now);
+            self.next_plan_at = now + PLAN_INTERVAL;
         }
-        self.stop_hanging_runs(now);
-        self.stop_runs_before_drain(now);
+        self.plan_needed = false;
         self.drop_stale_reservations(now);
         let ready_units = self.update_ready_units(now);
         if ready_units.is_empty() {
             return;
         }
-        let mut free = self.free_resources();
-        let headroom = self.headroom_workers(&free, now);
-        let mut unplaced_steps: Vec<(JobId, u32)> = Vec::new();
+        let mut fleet = self.fleet_resources();
+        let headroom = self.headroom_workers(&fleet, now);
+        let mut unplaced_steps: IndexSet<(JobId, u32)> = IndexSet::new();
         for ready in ready_units {
             // The units of a step have the same requirements: once one could not be placed, the others are skipped.
             let step = (ready.job, ready.unit.step);
             if unplaced_steps.contains(&step) {
                 continue;
             }
-            if !self.place_or_reserve(ready, &mut free, &headroom, now) {
-                unplaced_steps.push(step);
+            if !self.place_or_reserve(ready, &mut fleet, &headroom, now) {
+                unplaced_steps.insert(step);
             }
         }
     }
 
-    /// Returns the free resources of each worker.
-    pub(crate) fn free_resources(&self) -> ResourcesByWorker {
-        let workers = self.workers.values();
-        workers
-            .map(|worker| (worker.agent.clone(), worker.free_resources()))
-            .collect()
-    }
-
     /// Places a unit and returns whether it was placed. If an urgent unit was not placed, resources are reserved for
     /// it.
-    ///
-    /// A guaranteed unit may take resources that are reserved for units without a guarantee, but only if it does not
-    /// fit otherwise, because those units would then have to preempt further runs.
     fn place_or_reserve(
         &mut self,
         ready: ReadyUnit,
-        free: &mut ResourcesByWorker,
-        headroom: &IndexSet<AgentId>,
+        fleet: &mut FleetResources,
+        headroom: &[bool],
         now: Duration,
     ) -> bool {
-        let no_workers = IndexSet::new();
+        match self.decide(ready, fleet, headroom, now) {
+            Decision::Place(assignment, task_resources) => {
+                self.deduct(fleet, &assignment, task_resources);
+                self.reservations.shift_remove(&(ready.job, ready.unit));
+                // The unit may have taken resources that are reserved for another one.
+                self.plan_needed |= ready.guaranteed && !self.reservations.is_empty();
+                self.place(ready.job, ready.unit, &assignment, now);
+                true
+            }
+            Decision::Reserve(selection, task_resources) => {
+                self.reserve_resources(ready, selection, task_resources, fleet, now);
+                false
+            }
+            Decision::Wait => false,
+        }
+    }
+
+    /// Decides how to proceed with a unit that is ready.
+    ///
+    /// A guaranteed unit may take resources that are reserved for units without a guarantee, but only if it does not
+    /// fit otherwise, because those units would then have to preempt further runs.
+    fn decide(
+        &self,
+        ready: ReadyUnit,
+        fleet: &FleetResources,
+        headroom: &[bool],
+        now: Duration,
+    ) -> Decision {
         let excluded = if self.may_use_headroom(ready, now) {
-            &no_workers
+            &[]
         } else {
             headroom
         };
+        if !self.may_fit(ready, fleet, excluded) {
+            return Decision::Wait;
+        }
         let filters: &[ReservationFilter] = if ready.guaranteed {
             &[ReservationFilter::All, ReservationFilter::Guaranteed]
         } else {
@@ -75,33 +119,69 @@
         };
         let mut failed_options = Vec::new();
         for filter in filters {
-            let Some(options) = self.placement_options(ready, *filter, free, excluded, now) else {
-                return false;
+            let Some(options) = self.placement_options(ready, *filter, fleet, excluded, now) else {
+                return Decision::Wait;
             };
             if let Some(assignment) = self.choose_workers(ready, &options, now) {
-                deduct(free, &assignment, options.task_resources);
-                self.reservations.shift_remove(&(ready.job, ready.unit));
-                self.place(ready.job, ready.unit, &assignment, now);
-                return true;
+                return Decision::Place(assignment, options.task_resources);
             }
             failed_options.push(options);
         }
+        if ready.priority != URGENT_PRIORITY || !self.may_reserve(ready, now) {
+            return Decision::Wait;
+        }
+        let mut options = failed_options.iter();
+        let selected = options.find_map(|options| {
+            let selection = self.select_preemption(ready, options, fleet, now)?;
+            Some((selection, options.task_resources))
+        });
+        selected.map_or(Decision::Wait, |(selection, task_resources)| {
+            Decision::Reserve(selection, task_resources)
+        })
+    }
+
+    /// Returns whether a unit may fit now, without looking at its requirements other than resources. Urgent units may also
+    /// preempt.
+    fn may_fit(&self, ready: ReadyUnit, fleet: &FleetResources, excluded: &[bool]) -> bool {
         if ready.priority == URGENT_PRIORITY {
-            for options in &failed_options {
-                if self.reserve_resources(ready, options, free, now) {
-                    break;
-                }
+            return true;
+        }
+        let Some(job) = self.jobs.get(&ready.job) else {
+            return false;
+        };
+        let task_resources = resources_per_task(job.step(ready.unit));
+        let mut missing = job.units.get(&ready.unit).map_or(0, |unit| unit.tasks);
+        for (index, free) in fleet.free.iter().enumerate() {
+            if !excluded.get(index).copied().unwrap_or(false) {
+                missing = missing.saturating_sub(free.fit_count(task_resources));
+            }
+            if missing == 0 {
+                return true;
             }
         }
         false
     }
 
+    fn deduct(
+        &self,
+        fleet: &mut FleetResources,
+        assignment: &Assignment,
+        task_resources: ResourceVector,
+    ) {
+        for (agent, tasks) in assignment {
+            if let Some(index) = self.workers.get_index_of(agent) {
+                let used = task_resources.saturating_mul(*tasks);
+                fleet.free[index] = fleet.free[index].saturating_sub(used);
+            }
+        }
+    }
+
     /// Selects workers with enough free resources for a unit, or else those reserved for it if their resources are
     /// free.
     fn choose_workers(
         &self,
         ready: ReadyUnit,
-        options: &PlacementOptions,
+        options: &PlacementOptions<'_>,
         now: Duration,
     ) -> Option<Assignment> {
         let job = self.jobs.get(&ready.job)?;
@@ -153,11 +233,3 @@
         );
     }
 }
-
-fn deduct(free: &mut ResourcesByWorker, assignment: &Assignment, task_resources: ResourceVector) {
-    for (agent, tasks) in assignment {
-        if let Some(free) = free.get_mut(agent) {
-            *free = free.saturating_sub(task_resources.saturating_mul(*tasks));
-        }
-    }
-}
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -5,16 +5,21 @@
 use indexmap::IndexMap;
 use model::{AgentId, JobId, ResourceVector};
 
-use crate::fit::{Candidate, racks_to_try};
+use crate::fit::{Candidate, TrustLevel, racks_to_try, trusted_candidates};
 use crate::job::{Job, UnitKey};
 use crate::order::{ReadyUnit, URGENT_PRIORITY};
 use crate::placement::AnyPlacement;
-use crate::reservations::{PlacementOptions, ResourcesByWorker};
+use crate::reservations::{FleetResources, PlacementOptions};
 use crate::scheduler::{Reservation, Scheduler};
 use crate::victims::{PreemptibleWorker, Selection, StopCost, select_victims};
 
 /// Added to the longest stop time to get the time after which a reservation expires.
 const RESERVATION_MARGIN: Duration = Duration::from_secs(2);
+/// Interval at which victims are selected again for a unit that did not preempt because its victims would lose too much.
+const RESELECTION_INTERVAL: Duration = Duration::from_millis(50);
+/// Work that may be lost for an urgent unit, as a multiple of its own expected work. The lost work is repeated later, while
+/// the clients of urgent jobs do not wait.
+const URGENT_WORK_WEIGHT: f64 = 2.0;
 /// Processor time that counts as much as one accelerator when costs are compared.
 const MILLICORES_PER_ACCELERATOR: f64 = 8_000.0;
 /// Added to the cost of stopping an urgent unit, in accelerator seconds, so that it is stopped only if no unit of a
@@ -26,51 +31,58 @@
 const DRAIN_STOP_MARGIN: Duration = Duration::from_millis(500);
 
 impl Scheduler {
-    /// Reserves resources for a unit where preemption costs least, and returns whether resources are reserved.
+    /// Returns whether a unit may get a new reservation: it has none, or one that did not preempt and that is not recent.
+    pub(crate) fn may_reserve(&self, ready: ReadyUnit, now: Duration) -> bool {
+        let reservation = self.reservations.get(&(ready.job, ready.unit));
+        reservation.is_none_or(|reservation| {
+            !reservation.preempts && now >= reservation.created_at + RESELECTION_INTERVAL
+        })
+    }
+
+    /// Reserves the selected workers for a unit.
     ///
-    /// The victims are stopped if the unit is guaranteed, or if its expected work is at least the work that they would
-    /// lose. Otherwise the unit waits until they end.
+    /// The victims are stopped if the unit is guaranteed, or if they lose little work compared with its own. Otherwise the
+    /// unit waits until they end.
     pub(crate) fn reserve_resources(
         &mut self,
         ready: ReadyUnit,
-        placement_options: &PlacementOptions,
-        free: &ResourcesByWorker,
+        selection: Selection,
+        task_resources: ResourceVector,
+        fleet: &mut FleetResources,
         now: Duration,
-    ) -> bool {
-        let key = (ready.job, ready.unit);
-        if self
-            .reservations
-            .get(&key)
-            .is_some_and(|reservation| reservation.preempts)
-        {
-            return true;
-        }
-        let Some(plan) = self.cheapest_plan(ready, placement_options, free, now) else {
-            return false;
-        };
-        let preempts = ready.guaranteed || plan.cost.lost <= self.unit_work(ready);
+    ) {
+        let acceptable_loss = URGENT_WORK_WEIGHT * self.unit_work(ready);
+        let preempts = ready.guaranteed || selection.cost.lost <= acceptable_loss;
         if preempts {
-            self.stop_victims(ready, &plan);
+            // Without victims, the next plan uses the reservation.
+            self.plan_needed = true;
+            self.stop_victims(ready, &selection);
+            // Later units of the same plan take the stopping runs into account.
+            *fleet = FleetResources {
+                free: std::mem::take(&mut fleet.free),
+                ..self.fleet_resources()
+            };
         }
         let reservation = Reservation {
-            assignment: plan.assignment,
+            assignment: selection.assignment,
             preempts,
             guaranteed: ready.guaranteed,
-            task_resources: placement_options.task_resources,
+            task_resources,
+            created_at: now,
             expires_at: now + self.settings.max_stop_time + RESERVATION_MARGIN,
         };
-        self.reservations.insert(key, reservation);
-        true
+        self.reservations
+            .insert((ready.job, ready.unit), reservation);
     }
 
-    fn stop_victims(&mut self, ready: ReadyUnit, plan: &Selection) {
+    fn stop_victims(&mut self, ready: ReadyUnit, selection: &Selection) {
         log::info!(
             target: "limpethook",
-            job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, victims = plan.victims.len(),
-            lost = plan.cost.lost, guaranteed = ready.guaranteed, workers:? = plan.assignment;
+            job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, victims = selection.victims.len(),
+            lost = selection.cost.lost, guaranteed = ready.guaranteed, workers:? = selection.assignment;
             "units_preempted"
         );
-        for (job, unit) in &plan.victims {
+        for (job, unit) in &selection.victims {
             self.stop_unit(*job, *unit);
         }
     }
@@ -87,34 +99,50 @@
             * job.expected_task_time(ready.unit).as_secs_f64()
     }
 
-    /// Returns the cheapest plan that makes room for all tasks of a unit.
-    fn cheapest_plan(
+    /// Selects the cheapest victims that make room for all tasks of a unit, on workers that are not suspect if possible.
+    pub(crate) fn select_preemption(
         &self,
         ready: ReadyUnit,
-        placement_options: &PlacementOptions,
-        free: &ResourcesByWorker,
+        options: &PlacementOptions<'_>,
+        fleet: &FleetResources,
+        now: Duration,
+    ) -> Option<Selection> {
+        let mut levels = [TrustLevel::NotSuspect, TrustLevel::Any].into_iter();
+        levels.find_map(|level| self.cheapest_selection(ready, options, level, fleet, now))
+    }
+
+    fn cheapest_selection(
+        &self,
+        ready: ReadyUnit,
+        options: &PlacementOptions<'_>,
+        level: TrustLevel,
+        fleet: &FleetResources,
         now: Duration,
     ) -> Option<Selection> {
         let job = self.jobs.get(&ready.job)?;
         let unit = job.units.get(&ready.unit)?;
         let step = job.step(ready.unit);
-        let candidates = &placement_options.candidates;
-        let task_resources = placement_options.task_resources;
+        let candidates = &options.candidates;
+        let task_resources = options.task_resources;
         let costs = self.stop_costs(ready, now);
-        let mut by_rack: IndexMap<&str, Vec<PreemptibleWorker>> = IndexMap::new();
-        for candidate in candidates {
-            let free =
-                self.projected_resources(candidate, free, &placement_options.reserved_by_others);
+        let mut by_rack: IndexMap<&str, Vec<PreemptibleWorker<'_>>> = IndexMap::new();
+        for candidate in trusted_candidates(unit, candidates, level, now) {
+            let index = candidate.index;
+            // The resources that will be free once the stopping runs have ended and the other units with reservations
+            // have been placed.
+            let projected = fleet.free[index]
+                .saturating_add(fleet.stopping[index])
+                .saturating_sub(options.reserved_by_others[index]);
             by_rack
-                .entry(&candidate.rack)
+                .entry(candidate.worker.rack())
                 .or_default()
-                .push(self.preemptible_worker(candidate, free, &costs));
+                .push(preemptible_worker(candidate, projected, &costs));
         }
-        let cheapest = |workers: &[PreemptibleWorker]| {
+        let cheapest = |workers: &[PreemptibleWorker<'_>]| {
             select_victims(workers, unit.tasks, task_resources, &costs)
         };
         let prefers_one_rack = step.rack_sensitive && unit.tasks > 1;
-        let rack_groups: Vec<&Vec<PreemptibleWorker>> = match &step.data_rack {
+        let rack_groups: Vec<&Vec<PreemptibleWorker<'_>>> = match &step.data_rack {
             Some(rack) => by_rack.get(&**rack).into_iter().collect(),
             None if prefers_one_rack => by_rack.values().collect(),
             None => Vec::new(),
@@ -130,53 +158,12 @@
         let locality_wait = self.locality_wait(job, ready.unit);
         let racks = racks_to_try(step, unit, candidates, locality_wait, now);
         if ready.guaranteed || racks.contains(&None) {
-            let workers: Vec<PreemptibleWorker> = by_rack.into_values().flatten().collect();
+            let workers: Vec<PreemptibleWorker<'_>> = by_rack.into_values().flatten().collect();
             return cheapest(&workers);
         }
         None
     }
 
-    /// Returns the resources that will be free on a worker once its stopping runs have ended and the other units with
-    /// reservations have been placed.
-    fn projected_resources(
-        &self,
-        candidate: &Candidate,
-        free: &ResourcesByWorker,
-        reserved: &ResourcesByWorker,
-    ) -> ResourceVector {
-        let on_worker = |resources: &ResourcesByWorker| {
-            resources.get(&candidate.agent).copied().unwrap_or_default()
-        };
-        let stopping = self.stopping_resources(&candidate.agent);
-        on_worker(free)
-            .saturating_add(stopping)
-            .saturating_sub(on_worker(reserved))
-    }
-
-    /// Returns a worker with its units that may be stopped, which are those in `costs`.
-    fn preemptible_worker(
-        &self,
-        candidate: &Candidate,
-        free: ResourceVector,
-        costs: &IndexMap<UnitKey, StopCost>,
-    ) -> PreemptibleWorker {
-        let mut units: IndexMap<UnitKey, ResourceVector> = IndexMap::new();
-        let worker = self.workers.get(&candidate.agent);
-        for placement in worker.into_iter().flat_map(|w| w.placements.values()) {
-            let unit = placement.unit_key();
-            if !placement.is_stopping() && costs.contains_key(&unit) {
-                let resources = units.entry(unit).or_default();
-                *resources = resources.saturating_add(placement.resources());
-            }
-        }
-        PreemptibleWorker {
-            agent: candidate.agent.clone(),
-            free,
-            max_slots: candidate.max_slots,
-            units,
-        }
-    }
-
     /// Returns whether a unit may preempt a job. Guaranteed jobs are never preempted; other jobs are preempted by
     /// guaranteed units and by units of a higher priority.
     fn is_preemptible(&self, job: JobId, ready: ReadyUnit) -> bool {
@@ -247,6 +234,28 @@
     }
 }
 
+/// Returns a worker with its units that may be stopped, which are those in `costs`.
+fn preemptible_worker<'a>(
+    candidate: &Candidate<'a>,
+    free: ResourceVector,
+    costs: &IndexMap<UnitKey, StopCost>,
+) -> PreemptibleWorker<'a> {
+    let mut units: IndexMap<UnitKey, ResourceVector> = IndexMap::new();
+    for placement in candidate.worker.placements.values() {
+        let unit = placement.unit_key();
+        if !placement.is_stopping() && costs.contains_key(&unit) {
+            let resources = units.entry(unit).or_default();
+            *resources = resources.saturating_add(placement.resources());
+        }
+    }
+    PreemptibleWorker {
+        agent: &candidate.worker.agent,
+        free,
+        max_slots: candidate.max_slots,
+        units,
+    }
+}
+
 /// Converts resources to accelerators; eight cores count as one accelerator.
 pub(crate) fn accelerator_equivalents(resources: ResourceVector) -> f64 {
     f64::from(resources.accelerators) + f64::from(resources.millicores) / MILLICORES_PER_ACCELERATOR
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -128,6 +128,7 @@
             "adoption_ended"
         );
         self.recovery_deadline = None;
+        self.plan_needed = true;
         self.pending_agents.clear();
         let mut partial = Vec::new();
         for job in self.jobs.values_mut() {
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -40,7 +40,7 @@
         let Some(worker) = self.workers.get_mut(&report.agent) else {
             return;
         };
-        update_description(worker, report, now);
+        self.plan_needed |= update_description(worker, report, now);
         if report.absent {
             self.mark_worker_lost(&report.agent, &report.runs, now, "worker_absent");
             self.mark_runs_known(&report.agent, now);
@@ -53,6 +53,7 @@
         self.apply_ends(report, now);
         self.apply_runs(report, now);
         if let Some(worker) = self.workers.get_mut(&report.agent) {
+            self.plan_needed |= !worker.confirmed;
             worker.confirmed = true;
         }
         self.mark_runs_known(&report.agent, now);
@@ -108,6 +109,7 @@
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
+        self.plan_needed = true;
         worker.lost = true;
         worker.confirmed = false;
         let may_still_start = |placement: &AnyPlacement| {
@@ -161,9 +163,11 @@
             self.remove_run(&report.agent, task, now);
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
+            let orphans = worker.orphan_runs.len();
             worker
                 .orphan_runs
                 .retain(|orphan, _| report.runs.iter().any(|run| run.run == *orphan));
+            self.plan_needed |= worker.orphan_runs.len() < orphans;
         }
     }
 
@@ -185,7 +189,11 @@
                 ..
             } => {
                 let unit = placement.unit_key();
+                let placed_at = placement.placed_at();
                 *placement = placement.clone().with_progress(now, *percent, false);
+                if *percent > 0 {
+                    worker.record_sound_start(placed_at);
+                }
                 self.record_progress(agent, unit, task, *percent, checkpoint, now);
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
@@ -272,6 +280,7 @@
     /// Updates the unit of a run that was removed without an end report. The other runs of the unit are stopped, and it
     /// returns to waiting once all of them have ended.
     pub(crate) fn record_run_removal(&mut self, placement: &AnyPlacement, now: Duration) {
+        self.plan_needed = true;
         let (id, unit_id) = placement.unit_key();
         let Some(unit) = self
             .jobs
@@ -309,12 +318,18 @@
     }
 }
 
-/// Updates the attributes of a worker from a report.
-fn update_description(worker: &mut Worker, report: &WorkerReport, now: Duration) {
+/// Updates the attributes of a worker from a report, and returns whether any changed that matters to placement.
+fn update_description(worker: &mut Worker, report: &WorkerReport, now: Duration) -> bool {
+    let changed = worker.capacity != report.capacity
+        || worker.service != report.service
+        || worker.labels != report.labels
+        || worker.drain_deadline.is_some() != report.draining.is_some()
+        || worker.lost != report.absent;
     worker.name = report.name.clone();
     worker.service = report.service.clone();
     worker.capacity = report.capacity;
     worker.labels.clone_from(&report.labels);
     worker.drain_deadline = report.draining.map(|remaining| now + remaining);
     worker.lost = report.absent;
+    changed
 }
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -8,7 +8,6 @@
 use crate::fit::{Assignment, Candidate, resources_per_task};
 use crate::job::{Phase, UnitKey};
 use crate::order::ReadyUnit;
-use crate::placement::AnyPlacement;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -21,34 +20,27 @@
     Guaranteed,
 }
 
-/// Resources by the agent of the worker.
-pub(crate) type ResourcesByWorker = IndexMap<AgentId, ResourceVector>;
+/// Resources of each worker, by the index of the worker in the scheduler.
+pub(crate) type WorkerResources = Vec<ResourceVector>;
 
-/// Free resources of each worker, less those reserved for other units.
+/// Resources of the workers while units are being planned.
 #[derive(Debug)]
-pub(crate) struct AvailableResources<'a> {
-    free: &'a ResourcesByWorker,
-    /// Reserved resources that are not covered by runs being stopped.
-    reserved: ResourcesByWorker,
-}
-
-impl AvailableResources<'_> {
-    /// Returns the resources available on a worker.
-    pub(crate) fn get(&self, agent: &AgentId) -> ResourceVector {
-        let free = self.free.get(agent).copied().unwrap_or_default();
-        free.saturating_sub(self.reserved.get(agent).copied().unwrap_or_default())
-    }
+pub(crate) struct FleetResources {
+    /// Resources that no run occupies.
+    pub(crate) free: WorkerResources,
+    /// Resources that stopping runs will free.
+    pub(crate) stopping: WorkerResources,
 }
 
 /// The workers and resources that a unit may use.
 #[derive(Debug)]
-pub(crate) struct PlacementOptions {
+pub(crate) struct PlacementOptions<'a> {
     /// Resources of one task of the unit.
     pub(crate) task_resources: ResourceVector,
     /// Resources of each worker that are reserved for other units.
-    pub(crate) reserved_by_others: ResourcesByWorker,
+    pub(crate) reserved_by_others: WorkerResources,
     /// The workers that may run the unit.
-    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) candidates: Vec<Candidate<'a>>,
     /// The workers reserved for the unit, set once all the reserved resources are free.
     pub(crate) own_reservation: Option<Assignment>,
 }
@@ -79,14 +71,14 @@
     /// Returns the preempting reservations whose resources are neither free nor about to be freed by stopping runs.
     /// Guaranteed units come first, because they may take the resources of the others.
     fn taken_reservations(&self) -> IndexSet<UnitKey> {
-        let mut projected = ResourcesByWorker::new();
+        let mut projected: IndexMap<&AgentId, ResourceVector> = IndexMap::new();
         let mut taken = IndexSet::new();
         let preempting = |guaranteed: bool| {
             let reservations = self.reservations.iter();
             reservations.filter(move |(_, r)| r.preempts && r.guaranteed == guaranteed)
         };
         for (unit, reservation) in preempting(true).chain(preempting(false)) {
-            let mut remaining = ResourcesByWorker::new();
+            let mut remaining = IndexMap::new();
             for (agent, tasks) in &reservation.assignment {
                 let available = projected
                     .get(agent)
@@ -97,7 +89,7 @@
                     break;
                 }
                 let reserved = reservation.task_resources.saturating_mul(*tasks);
-                remaining.insert(agent.clone(), available.saturating_sub(reserved));
+                remaining.insert(agent, available.saturating_sub(reserved));
             }
             if !taken.contains(unit) {
                 projected.extend(remaining);
@@ -108,9 +100,20 @@
 
     /// Returns the resources of a worker that are free or will be freed by stopping runs.
     fn projected_free(&self, agent: &AgentId) -> ResourceVector {
-        let free = self.workers.get(agent).map(Worker::free_resources);
-        free.unwrap_or_default()
-            .saturating_add(self.stopping_resources(agent))
+        let Some(worker) = self.workers.get(agent) else {
+            return ResourceVector::default();
+        };
+        let stopping = worker.stopping_resources();
+        worker.free_resources().saturating_add(stopping)
+    }
+
+    /// Returns the resources of all workers.
+    pub(crate) fn fleet_resources(&self) -> FleetResources {
+        let workers = self.workers.values();
+        FleetResources {
+            free: workers.clone().map(Worker::free_resources).collect(),
+            stopping: workers.map(Worker::stopping_resources).collect(),
+        }
     }
 
     /// Returns the workers and resources that a unit may use now; `None` if the unit is unknown.
@@ -121,17 +124,17 @@
         &self,
         ready: ReadyUnit,
         filter: ReservationFilter,
-        free: &ResourcesByWorker,
-        excluded: &IndexSet<AgentId>,
+        fleet: &FleetResources,
+        excluded: &[bool],
         now: Duration,
-    ) -> Option<PlacementOptions> {
+    ) -> Option<PlacementOptions<'_>> {
         let job = self.jobs.get(&ready.job)?;
         let unit = job.units.get(&ready.unit)?;
         let reserved_by_others = self.reserved_by_others(ready, filter);
-        let available = self.available_resources(free, &reserved_by_others);
+        let available = available_resources(fleet, &reserved_by_others);
         let mut candidates = self.candidates(job, (ready.unit, unit), &available, now);
         for candidate in &mut candidates {
-            if excluded.contains(&candidate.agent) {
+            if excluded.get(candidate.index).copied().unwrap_or(false) {
                 candidate.slots = 0;
             }
         }
@@ -144,62 +147,50 @@
     }
 
     /// Returns the resources of each worker that the selected reservations of other units contain.
-    fn reserved_by_others(&self, ready: ReadyUnit, filter: ReservationFilter) -> ResourcesByWorker {
-        let mut reserved = ResourcesByWorker::new();
+    fn reserved_by_others(&self, ready: ReadyUnit, filter: ReservationFilter) -> WorkerResources {
+        let mut reserved = vec![ResourceVector::default(); self.workers.len()];
         for (unit, reservation) in &self.reservations {
             let own = *unit == (ready.job, ready.unit);
             if own || (filter == ReservationFilter::Guaranteed && !reservation.guaranteed) {
                 continue;
             }
             for (agent, tasks) in &reservation.assignment {
-                let resources = reserved.entry(agent.clone()).or_default();
-                *resources =
-                    resources.saturating_add(reservation.task_resources.saturating_mul(*tasks));
+                if let Some(index) = self.workers.get_index_of(agent) {
+                    let resources = reservation.task_resources.saturating_mul(*tasks);
+                    reserved[index] = reserved[index].saturating_add(resources);
+                }
             }
         }
         reserved
     }
 
-    /// Returns the resources available now: the free ones less the reserved ones. The resources of runs that are being
-    /// stopped count towards the reservations first, and only the remainder is subtracted from the free resources.
-    pub(crate) fn available_resources<'a>(
-        &self,
-        free: &'a ResourcesByWorker,
-        reserved: &ResourcesByWorker,
-    ) -> AvailableResources<'a> {
-        let remainder = |(agent, reserved): (&AgentId, &ResourceVector)| {
-            let remainder = reserved.saturating_sub(self.stopping_resources(agent));
-            (agent.clone(), remainder)
-        };
-        AvailableResources {
-            free,
-            reserved: reserved.iter().map(remainder).collect(),
-        }
-    }
-
-    /// Returns the resources that the stopping runs on a worker will free.
-    pub(crate) fn stopping_resources(&self, agent: &AgentId) -> ResourceVector {
-        let Some(worker) = self.workers.get(agent) else {
-            return ResourceVector::default();
-        };
-        let placements = worker.placements.values();
-        let stopping = placements.filter(|placement| placement.is_stopping());
-        stopping
-            .map(AnyPlacement::resources)
-            .fold(ResourceVector::default(), ResourceVector::saturating_add)
-    }
-
     /// Returns the workers reserved for a unit if all the reserved resources are free.
     fn satisfied_reservation(
         &self,
         ready: ReadyUnit,
-        available: &AvailableResources<'_>,
+        available: &WorkerResources,
     ) -> Option<Assignment> {
         let reservation = self.reservations.get(&(ready.job, ready.unit))?;
         let fits = |(agent, tasks): &(AgentId, u32)| {
-            available.get(agent).fit_count(reservation.task_resources) >= *tasks
+            let index = self.workers.get_index_of(agent);
+            let available = index.map(|index| available[index]).unwrap_or_default();
+            available.fit_count(reservation.task_resources) >= *tasks
         };
         let assignment = &reservation.assignment;
         assignment.iter().all(fits).then(|| assignment.clone())
     }
 }
+
+/// Returns the resources available now: the free ones less the reserved ones. The resources of runs that are being stopped
+/// count towards the reservations first, and only the remainder is subtracted from the free resources.
+pub(crate) fn available_resources(
+    fleet: &FleetResources,
+    reserved: &WorkerResources,
+) -> WorkerResources {
+    let available =
+        |((free, stopping), reserved): ((&ResourceVector, &ResourceVector), &ResourceVector)| {
+            free.saturating_sub(reserved.saturating_sub(*stopping))
+        };
+    let workers = fleet.free.iter().zip(&fleet.stopping).zip(reserved);
+    workers.map(available).collect()
+}
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -61,6 +61,8 @@
     pub(crate) task_resources: ResourceVector,
     /// The reserved workers, with the number of tasks on each.
     pub(crate) assignment: Assignment,
+    /// When the workers were selected.
+    pub(crate) created_at: Duration,
     /// When the reservation is dropped if the unit was not placed by then.
     pub(crate) expires_at: Duration,
 }
@@ -95,6 +97,10 @@
     pub(crate) guaranteed: IndexSet<JobId>,
     /// Agents in the roster of earlier owners whose runs this owner does not know yet.
     pub(crate) pending_agents: IndexSet<AgentId>,
+    /// Whether anything has changed since the latest plan that may allow or require another one.
+    pub(crate) plan_needed: bool,
+    /// When the next plan is due even if nothing changes.
+    pub(crate) next_plan_at: Duration,
     /// When recovery ends even if some agents are still pending, because the leases of their workers have lapsed;
     /// `None` once recovery has ended.
     pub(crate) recovery_deadline: Option<Duration>,
@@ -127,6 +133,8 @@
             status_version: 0,
             guaranteed: IndexSet::new(),
             pending_agents: roster,
+            plan_needed: true,
+            next_plan_at: Duration::ZERO,
             recovery_deadline: Some(now + wait),
         }
     }
@@ -155,6 +163,7 @@
         queues: IndexMap<QueueId, QueuePolicy>,
         guarantees: IndexMap<AccountId, u32>,
     ) {
+        self.plan_needed = true;
         self.queues = queues;
         self.guarantees = guarantees;
         for job in self.jobs.values_mut() {
@@ -236,6 +245,7 @@
             job.mark_changed();
         }
         self.jobs.insert(loaded.id, job);
+        self.plan_needed = true;
         self.status_version += 1;
     }
 
@@ -249,6 +259,7 @@
         }
         job.end = Some(JobEnd::Cancelled);
         job.mark_changed();
+        self.plan_needed = true;
         self.status_version += 1;
         self.stop_job(id);
     }
--- a/components/graph/src/victims.rs
+++ b/components/graph/src/victims.rs
@@ -18,8 +18,8 @@
 
 /// A worker with the units on it that may be stopped.
 #[derive(Debug, Clone)]
-pub(crate) struct PreemptibleWorker {
-    pub(crate) agent: AgentId,
+pub(crate) struct PreemptibleWorker<'a> {
+    pub(crate) agent: &'a AgentId,
     /// Resources that are free without stopping any unit.
     pub(crate) free: ResourceVector,
     /// Maximum number of tasks of the urgent unit.
@@ -54,7 +54,7 @@
 
 /// State of a selection.
 struct Selector<'a> {
-    workers: &'a [PreemptibleWorker],
+    workers: &'a [PreemptibleWorker<'a>],
     task_resources: ResourceVector,
     costs: &'a IndexMap<UnitKey, StopCost>,
     /// Indexes of the workers of each unit: a gang that is stopped frees resources on all of them.
@@ -69,7 +69,7 @@
 /// Each step takes the victims with the lowest cost per slot gained. Victims that turn out to be unnecessary are dropped
 /// at the end, the most expensive ones first.
 pub(crate) fn select_victims(
-    workers: &[PreemptibleWorker],
+    workers: &[PreemptibleWorker<'_>],
     tasks: u32,
     task_resources: ResourceVector,
     costs: &IndexMap<UnitKey, StopCost>,
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -11,6 +11,8 @@
 const RACK_LABEL_INDEX: usize = 1;
 /// Number of different jobs with failed runs, without a successful run in between, after which a worker is quarantined.
 const QUARANTINE_FAILURES: usize = 2;
+/// Time after a failed run until a suspect worker is probed by a task whose failure costs little.
+const PROBE_DELAY: Duration = Duration::from_secs(8);
 /// Length of the first quarantine, during which a worker gets no new tasks; each further one is twice as long.
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(4);
 /// Upper bound of the length of a quarantine.
@@ -68,6 +70,10 @@
     pub(crate) acknowledged_sequence: u64,
     /// Jobs with failed runs since the last successful run.
     pub(crate) failed_jobs: Vec<JobId>,
+    /// When a run last failed, if none has succeeded since.
+    pub(crate) last_failure_at: Option<Duration>,
+    /// When the latest run was placed that made progress, or that lived until another member of its gang ended.
+    pub(crate) last_sound_start: Option<Duration>,
     /// The worker gets no new tasks before this time.
     pub(crate) quarantined_until: Duration,
     /// Length of the next quarantine.
@@ -96,6 +102,8 @@
             unstored_ends: Vec::new(),
             acknowledged_sequence: 0,
             failed_jobs: Vec::new(),
+            last_failure_at: None,
+            last_sound_start: None,
             quarantined_until: Duration::ZERO,
             next_quarantine_duration: INITIAL_QUARANTINE,
         }
@@ -117,6 +125,15 @@
         self.capacity.saturating_sub(used)
     }
 
+    /// Returns the resources that the stopping runs will free.
+    pub(crate) fn stopping_resources(&self) -> ResourceVector {
+        let placements = self.placements.values();
+        placements
+            .filter(|placement| placement.is_stopping())
+            .map(AnyPlacement::resources)
+            .fold(ResourceVector::default(), ResourceVector::saturating_add)
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: Duration) -> bool {
         self.confirmed
@@ -134,18 +151,40 @@
         self.unstored_ends.clear();
         self.acknowledged_sequence = 0;
         self.failed_jobs.clear();
+        self.last_failure_at = None;
+        self.last_sound_start = None;
         self.quarantined_until = Duration::ZERO;
         self.next_quarantine_duration = INITIAL_QUARANTINE;
     }
 
+    /// Returns whether a run failed and none has succeeded since. Other workers are preferred to a suspect one.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.last_failure_at.is_some()
+    }
+
+    /// Returns whether a suspect worker may be probed by one task.
+    pub(crate) fn accepts_probe(&self, now: Duration) -> bool {
+        self.placements.is_empty()
+            && self
+                .last_failure_at
+                .is_some_and(|failed_at| now >= failed_at + PROBE_DELAY)
+    }
+
+    /// Records that the start of a run that was placed at a time went well.
+    pub(crate) fn record_sound_start(&mut self, placed_at: Duration) {
+        self.last_sound_start = self.last_sound_start.max(Some(placed_at));
+    }
+
     /// Records a successful run, which resets the length of the next quarantine.
     pub(crate) fn record_success(&mut self) {
+        self.last_failure_at = None;
         self.failed_jobs.clear();
         self.next_quarantine_duration = INITIAL_QUARANTINE;
     }
 
     /// Records a failed run; failures of several jobs in a row are attributed to the worker.
     pub(crate) fn record_failure(&mut self, job: JobId, now: Duration) {
+        self.last_failure_at = Some(now);
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
