Let agents follow the owner through an entry, and ask entries in samples

Agents waited up to 1.6 s for the reply of the previous owner, and the entries that they then asked still named it. Cause 2: each of 35 entries asked all others for a newer configuration every second, and sent a submission that it could not store to all of them, each of which wrote to the store.

Ruled out: the load of the records (10 ms) and the confirmation of the epoch by workers (25 ms).

Change 1: an agent keeps one call open at some entry, which answers as soon as it knows an owner with a higher epoch. Replies to earlier reports are then ignored. Known entries are asked three at a time in random order. Change 2: entries ask three others for the configuration, six while the store does not answer, and relay a submission to four at a time, eight at most.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -30,6 +30,8 @@
 /// Maximum number of reports in flight: one waits at the owner while another delivers changes.
 const MAX_REPORTS_IN_FLIGHT: u32 = 2;
 const EVENT_QUEUE_CAPACITY: usize = 256;
+/// Delay after an entry reported no newer owner, or did not answer.
+const OWNER_FOLLOW_DELAY: Duration = Duration::from_millis(200);
 
 /// An event to be handled by the agent.
 pub(super) enum Event {
@@ -41,7 +43,12 @@
     },
     Started(TaskRun, StartOutcome),
     Stopped(TaskRun, Result<()>),
-    InstructionsReceived(Result<Instructions>),
+    InstructionsReceived {
+        result: Result<Instructions>,
+        /// Value of `owner_changes` when the report was sent.
+        owner_changes: u64,
+    },
+    OwnerChanged,
     PollDue,
     ConfirmEpochDue,
     ReportDue,
@@ -55,6 +62,9 @@
     pub(super) tx: mpsc::Sender<Event>,
     rx: mpsc::Receiver<Event>,
     reports_in_flight: u32,
+    /// Number of owner changes that an entry reported. Replies to reports from before the latest one
+    /// are ignored.
+    owner_changes: u64,
     /// Whether the worker answers polls.
     worker_availability: Dependency,
     pub(super) report_due: bool,
@@ -74,6 +84,7 @@
             tx,
             rx,
             reports_in_flight: 0,
+            owner_changes: 0,
             worker_availability: Dependency::new(false),
             report_due: false,
         }
@@ -83,6 +94,7 @@
     pub(crate) async fn run(mut self, mut notices: mpsc::Receiver<WorkerNotice>) {
         self.poll(None, false);
         self.report();
+        tokio::spawn(follow_owner(Arc::clone(&self.link), self.tx.clone()));
         loop {
             tokio::select! {
                 notice = notices.recv() => match notice {
@@ -123,7 +135,20 @@
             } => self.handle_poll_result(result, epoch, requested_at, extra),
             Event::Started(run, outcome) => self.handle_start_outcome(run, outcome),
             Event::Stopped(run, stopped) => self.handle_stop_result(run, stopped),
-            Event::InstructionsReceived(instructions) => self.handle_instructions(instructions),
+            Event::InstructionsReceived {
+                result,
+                owner_changes,
+            } => {
+                if owner_changes == self.owner_changes {
+                    self.handle_instructions(result);
+                }
+            }
+            Event::OwnerChanged => {
+                // Reports to the previous owner may stay unanswered until they time out.
+                self.owner_changes += 1;
+                self.reports_in_flight = 0;
+                self.report();
+            }
             Event::PollDue => self.poll(Some(POLL_WAIT), false),
             Event::ConfirmEpochDue => {
                 if self.state.confirmed_epoch < self.state.epoch {
@@ -241,11 +266,15 @@
         let report = self.state.report(boot_now());
         let link = Arc::clone(&self.link);
         let epoch = self.state.epoch;
+        let owner_changes = self.owner_changes;
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let instructions = link.report(report, epoch).await;
+            let event = Event::InstructionsReceived {
+                result: link.report(report, epoch).await,
+                owner_changes,
+            };
             // The send fails only if the agent has ended.
-            let _ = tx.send(Event::InstructionsReceived(instructions)).await;
+            let _ = tx.send(event).await;
         });
     }
 
@@ -297,3 +326,15 @@
         }
     }
 }
+
+/// Notifies the agent of each new owner, so that it does not wait for a reply of the previous one.
+async fn follow_owner(link: Arc<Link>, tx: mpsc::Sender<Event>) {
+    while !tx.is_closed() {
+        if link.wait_for_newer_owner().await {
+            // The send fails only if the agent has ended.
+            let _ = tx.send(Event::OwnerChanged).await;
+        } else {
+            tokio::time::sleep(OWNER_FOLLOW_DELAY).await;
+        }
+    }
+}
--- a/components/cell/src/agent/link.rs
+++ b/components/cell/src/agent/link.rs
@@ -6,6 +6,9 @@
 
 use async_trait::async_trait;
 use errors::{Error, ErrorKind, Result};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use indexmap::IndexSet;
 use model::{Epoch, Instructions, WorkerReport};
 use store::KvStore;
 use tokio::sync::Mutex;
@@ -15,6 +18,7 @@
 use crate::keys::ENTRIES_PREFIX;
 use crate::peers::call_peer;
 use crate::records;
+use crate::serve::OWNER_WAIT;
 use crate::settings::AgentSettings;
 
 /// Timeout of a report: the owner answers within a second, and the latency between regions is in
@@ -22,6 +26,11 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Timeout for asking an entry for its view of the cell.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(400);
+/// Number of entries that are asked for the owner at the same time, because some may have lost
+/// power.
+const CONCURRENT_VIEWS: usize = 3;
+/// Timeout for waiting for a newer owner at an entry.
+const OWNER_CHANGE_TIMEOUT: Duration = OWNER_WAIT.saturating_add(VIEW_TIMEOUT);
 /// Minimum interval between directory lookups while no known entry reports an owner.
 const DIRECTORY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,10 +48,17 @@
 impl EntryDirectory for StoreDirectory {
     async fn entries(&self) -> Result<Vec<SocketAddr>> {
         let listing = self.0.list(ENTRIES_PREFIX).await?;
-        let found = listing.pairs.iter();
-        found
-            .map(|found| records::decode(&found.key, &found.value))
-            .collect()
+        let mut entries = Vec::new();
+        for found in &listing.pairs {
+            match records::decode(&found.key, &found.value) {
+                Ok(addr) => entries.push(addr),
+                Err(report) => {
+                    // The other entries stay usable.
+                    log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
+                }
+            }
+        }
+        Ok(entries)
     }
 }
 
@@ -57,6 +73,10 @@
 
 struct LinkState {
     leader: Option<Leader>,
+    /// Highest epoch of an owner that was reported.
+    highest_epoch: Epoch,
+    seeds: Vec<SocketAddr>,
+    /// Entries that other entries or the directory reported.
     entries: Vec<SocketAddr>,
     directory_queried_at: Option<tokio::time::Instant>,
 }
@@ -74,7 +94,9 @@
             owner_availability: Dependency::new(true),
             state: Mutex::new(LinkState {
                 leader: None,
-                entries: settings.seeds.clone(),
+                highest_epoch: 0,
+                seeds: settings.seeds.clone(),
+                entries: Vec::new(),
                 directory_queried_at: None,
             }),
         })
@@ -126,24 +148,59 @@
         }
     }
 
+    /// Waits at one of the known entries until the cell has a newer owner than the known ones.
+    /// Returns whether it has one.
+    pub(crate) async fn wait_for_newer_owner(&self) -> bool {
+        let (entries, known_epoch) = {
+            let state = self.state.lock().await;
+            (state.shuffled_entries(), state.highest_epoch)
+        };
+        let Some(addr) = entries.first() else {
+            return false;
+        };
+        let call = Call::CellViewAfter(known_epoch);
+        let reply = call_peer(&self.peers, *addr, &call, OWNER_CHANGE_TIMEOUT).await;
+        let Ok(Reply::CellView(view)) = reply else {
+            return false;
+        };
+        let mut state = self.state.lock().await;
+        state.merge(view, known_epoch + 1).is_some()
+    }
+
     /// Returns the owner; asks the known entries if it is not known.
     async fn leader(&self, epoch: Epoch) -> Result<Leader> {
-        let mut state = self.state.lock().await;
-        if let Some(leader) = &state.leader {
-            return Ok(leader.clone());
+        let entries = {
+            let state = self.state.lock().await;
+            if let Some(leader) = &state.leader {
+                return Ok(leader.clone());
+            }
+            state.shuffled_entries()
+        };
+        for addrs in entries.chunks(CONCURRENT_VIEWS) {
+            if let Some(leader) = self.ask_entries(addrs, epoch).await {
+                return Ok(leader);
+            }
         }
-        let entries = state.entries.clone();
-        for addr in entries {
-            let reply = call_peer(&self.peers, addr, &Call::CellView, VIEW_TIMEOUT).await;
+        let mut state = self.state.lock().await;
+        self.query_directory(&mut state).await;
+        Err(Error::not_run(ErrorKind::Unavailable, "no known entry reported an owner").report())
+    }
+
+    /// Asks entries at the same time, and returns the first owner that one of them reports.
+    async fn ask_entries(&self, addrs: &[SocketAddr], epoch: Epoch) -> Option<Leader> {
+        let mut replies: FuturesUnordered<_> = addrs
+            .iter()
+            .map(|addr| call_peer(&self.peers, *addr, &Call::CellView, VIEW_TIMEOUT))
+            .collect();
+        while let Some(reply) = replies.next().await {
             let Ok(Reply::CellView(view)) = reply else {
                 continue;
             };
-            if let Some(leader) = state.merge(view, epoch) {
-                return Ok(leader);
+            if let Some(leader) = self.state.lock().await.merge(view, epoch) {
+                return Some(leader);
             }
         }
-        self.query_directory(&mut state).await;
-        Err(Error::not_run(ErrorKind::Unavailable, "no known entry reported an owner").report())
+        None
     }
 
     async fn query_directory(&self, state: &mut LinkState) {
@@ -156,7 +213,7 @@
         }
         state.directory_queried_at = Some(now);
         match self.directory.entries().await {
-            Ok(entries) => state.add_entries(entries),
+            Ok(entries) => state.entries = entries,
             Err(report) => {
                 log::info!(target: "limpethook", error:% = report.current_context(); "directory_lookup_failed");
             }
@@ -168,17 +225,21 @@
     /// Merges what an entry knows of the cell; returns the owner unless its epoch is lower than
     /// `epoch`.
     fn merge(&mut self, view: CellView, epoch: Epoch) -> Option<Leader> {
-        self.add_entries(view.entries);
+        if !view.entries.is_empty() {
+            self.entries = view.entries;
+        }
         let leader = view.leader.filter(|leader| leader.epoch >= epoch)?;
+        self.highest_epoch = self.highest_epoch.max(leader.epoch);
         self.leader = Some(leader.clone());
         Some(leader)
     }
 
-    fn add_entries(&mut self, entries: Vec<SocketAddr>) {
-        for addr in entries {
-            if !self.entries.contains(&addr) {
-                self.entries.push(addr);
-            }
-        }
+    /// Returns the known entries in random order, so that agents spread over them.
+    fn shuffled_entries(&self) -> Vec<SocketAddr> {
+        let known = self.entries.iter().chain(&self.seeds).copied();
+        let known: IndexSet<SocketAddr> = known.collect();
+        let mut entries: Vec<SocketAddr> = known.into_iter().collect();
+        fastrand::shuffle(&mut entries);
+        entries
     }
 }
--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -24,6 +24,13 @@
 /// silent watch.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of entries that are asked in each round while the store answers. The watch usually is
+/// faster, and asking all entries would cost each entry a call a second from every other one.
+const SAMPLE_SIZE: usize = 3;
+/// Number of entries that are asked in each round while the store does not answer. If it turns away a
+/// third of the entries, one round in 700 finds none that it serves.
+const OUTAGE_SAMPLE_SIZE: usize = 6;
+
 /// Follows the configuration for the lifetime of the process.
 pub(crate) async fn run(entry: Arc<Entry>) {
     tokio::spawn(poll_entries(Arc::clone(&entry)));
@@ -95,11 +102,16 @@
     }
 }
 
-/// Asks all other entries concurrently for a newer configuration.
+/// Asks some of the other entries concurrently for a newer configuration.
 async fn fetch_from_entries(entry: &Arc<Entry>) {
     let version = entry.board.configuration.load().version;
     let mut fetches = JoinSet::new();
-    for addr in entry.other_entries() {
+    let count = if entry.is_store_lost() {
+        OUTAGE_SAMPLE_SIZE
+    } else {
+        SAMPLE_SIZE
+    };
+    for addr in entry.sample_entries(count) {
         let entry = Arc::clone(entry);
         fetches.spawn(async move {
             let call = Call::ConfigurationAfter(version);
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -41,9 +41,8 @@
     /// Cancelled when the shutdown begins.
     pub(crate) shutdown: CancellationToken,
     store_availability: Dependency,
-    /// Time of the last response of each other entry on the boot clock; zero if it has not answered
-    /// a call yet.
-    last_responses: ArcSwap<IndexMap<SocketAddr, Duration>>,
+    /// Result of the last call to each other entry that was called.
+    peer_results: ArcSwap<IndexMap<SocketAddr, PeerResult>>,
 }
 
 impl std::fmt::Debug for Entry {
@@ -81,7 +80,7 @@
             timer: Timer::start(),
             shutdown,
             store_availability: Dependency::new(false),
-            last_responses: ArcSwap::default(),
+            peer_results: ArcSwap::default(),
         });
         let handler_entry = Arc::clone(&entry);
         tokio::spawn(Server::new(listener, key).serve(
@@ -100,33 +99,44 @@
         configured && !self.shutdown.is_cancelled() && !self.is_isolated()
     }
 
-    /// Returns whether other entries are known, but neither they nor the store respond.
+    /// Returns whether neither the store nor any of the other entries that were called has responded
+    /// recently.
     fn is_isolated(&self) -> bool {
-        let others = self.other_entries();
-        self.is_store_lost() && !others.is_empty() && self.responsive_entries().is_empty()
+        let results = self.peer_results.load();
+        let now = boot_now();
+        let is_recent = |result: &PeerResult| now <= result.at + UNRESPONSIVE_AFTER;
+        let recent: Vec<&PeerResult> = results
+            .values()
+            .filter(|result| is_recent(result))
+            .collect();
+        self.is_store_lost() && !recent.is_empty() && !recent.iter().any(|result| result.answered)
     }
 
-    /// Returns the other entries that responded recently or have not been called yet.
+    /// Returns the other entries that answered their last call or have not been called, in random
+    /// order.
     pub(crate) fn responsive_entries(&self) -> Vec<SocketAddr> {
-        let last_responses = self.last_responses.load();
-        let now = boot_now();
-        let responds = |addr: &SocketAddr| {
-            let last_response = last_responses.get(addr);
-            last_response.is_none_or(|at| now <= *at + UNRESPONSIVE_AFTER)
-        };
-        self.other_entries().into_iter().filter(responds).collect()
+        let results = self.peer_results.load();
+        let responds = |addr: &SocketAddr| results.get(addr).is_none_or(|result| result.answered);
+        let mut entries = self.other_entries();
+        entries.retain(responds);
+        fastrand::shuffle(&mut entries);
+        entries
+    }
+
+    /// Returns some of the other entries in random order, whether they respond or not.
+    pub(crate) fn sample_entries(&self, count: usize) -> Vec<SocketAddr> {
+        let mut entries = self.other_entries();
+        fastrand::shuffle(&mut entries);
+        entries.truncate(count);
+        entries
     }
 
     /// Records whether another entry answered a call.
     pub(crate) fn record_peer_result(&self, addr: SocketAddr, answered: bool) {
-        let now = boot_now();
-        self.last_responses.rcu(|known| {
+        let at = boot_now();
+        self.peer_results.rcu(|known| {
             let mut known = IndexMap::clone(known);
-            if answered {
-                known.insert(addr, now);
-            } else {
-                known.entry(addr).or_default();
-            }
+            known.insert(addr, PeerResult { answered, at });
             known
         });
     }
@@ -167,6 +177,14 @@
     }
 }
 
-/// An entry that has not answered for this long counts as unresponsive: two rounds of asking for
+/// Result of a call to another entry.
+#[derive(Debug, Clone, Copy)]
+struct PeerResult {
+    answered: bool,
+    /// When the call ended, on the boot clock.
+    at: Duration,
+}
+
+/// Calls that ended longer ago do not tell whether this entry is isolated: two rounds of asking for
 /// newer configurations.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(2200);
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -5,7 +5,7 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result};
-use model::{JobId, JobState};
+use model::{Epoch, JobId, JobState};
 use wire::{Call, CellView, KnownState, Leader, Reply};
 
 use crate::entry::Entry;
@@ -15,6 +15,10 @@
 pub(crate) async fn answer(entry: Arc<Entry>, call: Call) -> Result<Reply> {
     match call {
         Call::CellView => Ok(Reply::CellView(cell_view(&entry))),
+        Call::CellViewAfter(epoch) => {
+            wait_for_newer_owner(&entry, epoch).await;
+            Ok(Reply::CellView(cell_view(&entry)))
+        }
         Call::LeaderElected(leader) => {
             accept_announcement(&entry, leader);
             Ok(Reply::Done)
@@ -92,6 +96,30 @@
     Error::not_run(ErrorKind::StaleEpoch, "this entry does not own the cell").report()
 }
 
+/// How long an agent that asks for a newer owner waits at most. A connection that goes silent is noticed by the agent soon
+/// after this time.
+pub(crate) const OWNER_WAIT: Duration = Duration::from_secs(4);
+
+/// Waits until an owner with a higher epoch is known, at most for [`OWNER_WAIT`].
+async fn wait_for_newer_owner(entry: &Entry, epoch: Epoch) {
+    let mut members = entry.board.members.changes();
+    let mut announcements = entry.board.announced_leader.changes();
+    let is_newer = |leader: Leader| leader.epoch > epoch;
+    let newer_owner = async {
+        while !entry.board.leader().is_some_and(is_newer) {
+            let changed = tokio::select! {
+                changed = members.changed() => changed,
+                changed = announcements.changed() => changed,
+            };
+            if changed.is_err() {
+                return;
+            }
+        }
+    };
+    // After the wait, the agent gets the current state and asks again.
+    let _ = tokio::time::timeout(OWNER_WAIT, newer_owner).await;
+}
+
 fn cell_view(entry: &Entry) -> CellView {
     let mut entries = entry.other_entries();
     entries.push(entry.settings.addr);
--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -28,6 +28,13 @@
 /// If the store takes longer than this, the other entries are asked as well. This is longer than a
 /// slow store takes to answer.
 const HEDGE_DELAY: Duration = Duration::from_millis(350);
+/// Number of entries that are asked at the same time to store a job. Each of them writes to the store.
+const RELAY_BATCH: usize = 4;
+/// Maximum number of entries that are asked, so that a refusal is quick while the store rejects all of
+/// them. If it rejects half of the entries, one submission in 256 is refused without need.
+const MAX_RELAYS: usize = 8;
+/// Delay after which more entries are asked: several times the latency between regions.
+const RELAY_DELAY: Duration = Duration::from_millis(120);
 /// Delay after which a client should retry if the store rejects this entry and its peers.
 const CLIENT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -144,40 +151,62 @@
     }
 }
 
-/// Asks all responsive entries concurrently to store a job; returns `None` if there are none.
+/// Asks responsive entries to store a job, a few at a time, until one has stored it or the deadline
+/// has passed; returns `None` if there are none.
 async fn relay_to_entries(
     entry: &Arc<Entry>,
     id: JobId,
     job: &AcceptedJob,
     deadline: Duration,
 ) -> Option<Result<()>> {
-    let remaining = deadline.saturating_sub(boot_now());
+    let addrs = entry.responsive_entries().into_iter();
+    let mut addrs = addrs.take(MAX_RELAYS).peekable();
     let mut calls = JoinSet::new();
-    for addr in entry.responsive_entries() {
-        let submission = Submission {
-            id,
-            job: job.clone(),
-        };
-        let call = Call::Submit(Box::new(submission));
-        let entry = Arc::clone(entry);
-        calls.spawn(async move { entry.call(addr, &call, remaining).await });
-    }
     let mut result: Option<Result<()>> = None;
-    while let Some(answer) = calls.join_next().await {
-        let Ok(answer) = answer else {
-            continue;
+    loop {
+        let remaining = deadline.saturating_sub(boot_now());
+        if addrs.peek().is_none() && calls.is_empty() {
+            return result;
+        }
+        if !remaining.is_zero() {
+            for addr in addrs.by_ref().take(RELAY_BATCH) {
+                let submission = Submission {
+                    id,
+                    job: job.clone(),
+                };
+                let call = Call::Submit(Box::new(submission));
+                let entry = Arc::clone(entry);
+                calls.spawn(async move { entry.call(addr, &call, remaining).await });
+            }
+        } else if calls.is_empty() {
+            return result;
+        }
+        // The calls have timeouts of their own.
+        let batch_wait = if addrs.peek().is_some() && !remaining.is_zero() {
+            RELAY_DELAY
+        } else {
+            RELAYED_TIMEOUT
         };
-        match answer {
-            Ok(_) => return Some(Ok(())),
-            Err(report) => {
-                let may_be_stored = report.current_context().verdict != Verdict::NotRun;
-                if may_be_stored || result.is_none() {
-                    result = Some(Err(report));
+        let batch_end = tokio::time::sleep(batch_wait);
+        tokio::pin!(batch_end);
+        loop {
+            let answer = tokio::select! {
+                answer = calls.join_next() => answer,
+                () = &mut batch_end => break,
+            };
+            match answer {
+                None => break,
+                Some(Ok(Ok(_))) => return Some(Ok(())),
+                Some(Ok(Err(report))) => {
+                    let may_be_stored = report.current_context().verdict != Verdict::NotRun;
+                    if may_be_stored || result.is_none() {
+                        result = Some(Err(report));
+                    }
                 }
+                Some(Err(_)) => {}
             }
         }
     }
-    result
 }
 
 /// Stores a job that another entry relayed.
--- a/components/cell/tests/agent.rs
+++ b/components/cell/tests/agent.rs
@@ -76,6 +76,10 @@
 
 #[derive(Default)]
 struct OwnerState {
+    /// The owner that calls for the state of the cell return; this one if not set.
+    leader: Option<Leader>,
+    /// Whether reports get no reply.
+    silent: bool,
     starts: VecDeque<StartOrder>,
     stops: VecDeque<TaskRun>,
     reports: Vec<WorkerReport>,
@@ -127,20 +131,40 @@
 }
 
 async fn answer(addr: SocketAddr, state: Arc<Mutex<OwnerState>>, call: Call) -> Result<Reply> {
-    let Call::Report(report) = call else {
-        return Ok(Reply::CellView(CellView {
-            leader: Some(Leader {
-                entry: "entry".into(),
-                addr,
-                epoch: EPOCH,
-            }),
+    let own = Leader {
+        entry: "entry".into(),
+        addr,
+        epoch: EPOCH,
+    };
+    let view = |leader| {
+        Ok(Reply::CellView(CellView {
+            leader: Some(leader),
             entries: vec![addr],
-        }));
+        }))
+    };
+    let leader = || {
+        let state = state.lock().expect("lock is not poisoned");
+        state.leader.clone().unwrap_or_else(|| own.clone())
+    };
+    let report = match call {
+        Call::Report(report) => report,
+        Call::CellViewAfter(epoch) => {
+            while leader().epoch <= epoch {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+            return view(leader());
+        }
+        _ => return view(leader()),
     };
+    let silent = state.lock().expect("lock is not poisoned").silent;
+    if silent {
+        std::future::pending::<()>().await;
+    }
     tokio::time::sleep(POLL_INTERVAL).await;
+    let epoch = leader().epoch;
     let mut state = state.lock().expect("lock is not poisoned");
     let instructions = Instructions {
-        epoch: EPOCH,
+        epoch,
         report_sent_at: report.sent_at,
         incarnation: report.incarnation,
         acknowledged: 0,
@@ -241,3 +265,48 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against an agent that learns of a new owner only when its report to the previous one, which lost power, times
+/// out. A new owner waits for the reports of all agents before it places the jobs that it found.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_reports_to_new_owner_before_timeout()
+-> std::result::Result<(), Box<dyn std::error::Error>> {
+    let (entry, previous, next) = (
+        Owner::start().await?,
+        Owner::start().await?,
+        Owner::start().await?,
+    );
+    let leader = |owner: &Owner, epoch| Leader {
+        entry: "owner".into(),
+        addr: owner.addr,
+        epoch,
+    };
+    previous.update(|state| state.silent = true);
+    let first = leader(&previous, EPOCH);
+    entry.update(|state| state.leader = Some(first));
+    let second = leader(&next, EPOCH + 1);
+    next.update(|state| state.leader = Some(second.clone()));
+    let settings = AgentSettings {
+        agent: "agent".into(),
+        service: "optics".into(),
+        seeds: vec![entry.addr],
+        max_lease: Duration::from_secs(6),
+    };
+    let shutdown = CancellationToken::new();
+    let client = Arc::new(UnresponsiveWorker::default()) as Arc<dyn WorkerClient>;
+    let directory = Arc::new(NoDirectory);
+    let (handle, ended) = cell::agent::start(settings, client, directory, SECRET, shutdown.clone());
+    handle
+        .notify(announcement(1))
+        .await
+        .expect("agent is running");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    entry.update(|state| state.leader = Some(second));
+    let reported = next.reported(|report| report.incarnation.is_some());
+    // Reports time out after 1.6 s.
+    let reported = tokio::time::timeout(Duration::from_millis(800), reported).await;
+    assert!(reported.is_ok(), "no report within 800 ms");
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
--- a/components/graph/src/order.rs
+++ b/components/graph/src/order.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{AccountId, JobId};
 
-use crate::job::{Job, Phase, Unit, UnitId};
+use crate::job::{Job, Phase, UnitId};
 use crate::scheduler::Scheduler;
 
 /// The highest priority. Its jobs are urgent: they may reserve resources, preempt other jobs and use the headroom.
@@ -38,14 +38,17 @@
                 continue;
             }
             let deadline = job.deadline();
-            let waiting = job.units.iter();
-            let waiting = waiting.filter(|(_, unit)| unit.phase == Phase::Waiting);
-            let (ready, delayed): (Vec<(&UnitId, &Unit)>, Vec<(&UnitId, &Unit)>) =
-                waiting.partition(|(_, unit)| now >= unit.not_before);
-            for (_, unit) in delayed {
-                next_backoff_end = next_backoff_end.min(unit.not_before);
+            let mut ready = Vec::new();
+            for (id, unit) in &job.units {
+                if unit.phase != Phase::Waiting {
+                    continue;
+                }
+                if now >= unit.not_before {
+                    ready.push(*id);
+                } else {
+                    next_backoff_end = next_backoff_end.min(unit.not_before);
+                }
             }
-            let ready: Vec<UnitId> = ready.into_iter().map(|(id, _)| *id).collect();
             let mut unblocked: IndexMap<(u32, u32), bool> = IndexMap::new();
             for id in ready {
                 let step = (id.occurrence, id.step);
--- a/components/wire/src/messages/mod.rs
+++ b/components/wire/src/messages/mod.rs
@@ -98,6 +98,9 @@
     Submit(Box<Submission>),
     /// Entry to entry: store a cancellation, because the sender cannot reach the store.
     CancelJob(Cancellation),
+    /// Agent to entry: wait for a limited time until the cell has an owner with a higher epoch, and return the state of the
+    /// cell.
+    CellViewAfter(Epoch),
 }
 
 /// The reply to a call.
