--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -16,6 +16,7 @@
 use crate::clock::boot_now;
 use crate::dependency::Dependency;
 use crate::settings::AgentSettings;
+use crate::supervise;
 
 /// How long the worker may delay the reply to a poll until a run ends. Each poll renews the leases.
 const POLL_WAIT: Duration = Duration::from_secs(1);
@@ -91,10 +92,13 @@
     }
 
     /// Runs until the task is cancelled or all handles are dropped.
-    pub(crate) async fn run(mut self, mut notices: mpsc::Receiver<WorkerNotice>) {
+    pub(crate) async fn run(mut self, notices: &mut mpsc::Receiver<WorkerNotice>) {
         self.poll(None, false);
         self.report();
-        tokio::spawn(follow_owner(Arc::clone(&self.link), self.tx.clone()));
+        let (link, tx) = (Arc::clone(&self.link), self.tx.clone());
+        supervise::spawn("owner_changes", move || {
+            follow_owner(Arc::clone(&link), tx.clone())
+        });
         loop {
             tokio::select! {
                 notice = notices.recv() => match notice {
@@ -176,9 +180,9 @@
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let timeout = request.wait.unwrap_or_default() + POLL_TIMEOUT_MARGIN;
-            let result = client.poll(&request, timeout).await;
+            let poll = supervise::catch_panic("poll", client.poll(&request, timeout)).await;
             let event = Event::Polled {
-                result,
+                result: poll.flatten(),
                 epoch: request.epoch,
                 requested_at: now,
                 extra,
@@ -269,8 +273,9 @@
         let owner_changes = self.owner_changes;
         let tx = self.tx.clone();
         tokio::spawn(async move {
+            let report = supervise::catch_panic("report", link.report(report, epoch)).await;
             let event = Event::InstructionsReceived {
-                result: link.report(report, epoch).await,
+                result: report.flatten(),
                 owner_changes,
             };
             // The send fails only if the agent has ended.
--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -17,6 +17,7 @@
 use wire::{Key, Peers};
 
 use crate::settings::AgentSettings;
+use crate::supervise;
 
 pub use link::{EntryDirectory, StoreDirectory};
 pub use worker_client::{
@@ -26,6 +27,9 @@
 /// Capacity of the notice queue; a worker sends one announcement per second.
 const NOTICE_QUEUE_CAPACITY: usize = 16;
 
+/// Delay before an agent starts anew after a panic.
+const AGENT_RESTART_DELAY: Duration = Duration::from_millis(200);
+
 /// Announcement of a worker about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
@@ -81,12 +85,28 @@
     let (tx, rx) = mpsc::channel(NOTICE_QUEUE_CAPACITY);
     let peers = Peers::new(Key::from_secret(secret));
     let link = link::Link::new(peers, &settings, directory);
-    let actor = actor::Actor::new(settings, client, link);
-    let running = tokio::spawn(shutdown.run_until_cancelled_owned(actor.run(rx)));
+    let run = run_supervised(settings, client, link, rx);
+    let running = shutdown.run_until_cancelled_owned(run);
     let ended = tokio::spawn(async move {
-        if let Err(e) = running.await {
-            log::error!(target: "limpethook", error:% = e; "agent_failed");
-        }
+        running.await;
     });
     (AgentHandle { tx }, ended)
 }
+
+/// Runs the agent. After a panic it starts anew, as if the process had been restarted: it learns the runs of its worker
+/// from the next poll.
+async fn run_supervised(
+    settings: AgentSettings,
+    client: Arc<dyn WorkerClient>,
+    link: Arc<link::Link>,
+    mut notices: mpsc::Receiver<WorkerNotice>,
+) {
+    loop {
+        let actor = actor::Actor::new(settings.clone(), Arc::clone(&client), Arc::clone(&link));
+        let run = actor.run(&mut notices);
+        if supervise::catch_panic("agent", run).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(AGENT_RESTART_DELAY).await;
+    }
+}
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -11,6 +11,7 @@
 use crate::agent::state::OrderState;
 use crate::agent::worker_client::{StartReply, StartRequest, WorkerClient};
 use crate::clock::boot_now;
+use crate::supervise;
 
 /// Timeout of a start call. The members of a gang wait for each other for only a few seconds.
 const START_TIMEOUT: Duration = Duration::from_millis(450);
@@ -66,8 +67,12 @@
         let client = Arc::clone(&self.client);
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let mut outcome =
-                send_start_with_retries(&*client, &name, &request, &retries_cancelled).await;
+            let start = send_start_with_retries(&*client, &name, &request, &retries_cancelled);
+            let start = supervise::catch_panic("start", start).await;
+            let mut outcome = start.unwrap_or_else(|report| StartOutcome {
+                reply: Err(report),
+                unanswered: true,
+            });
             outcome.unanswered |= unanswered;
             // The send fails only if the agent has ended.
             let _ = tx.send(Event::Started(request.run, outcome)).await;
@@ -123,7 +128,8 @@
         let epoch = self.state.epoch;
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let stopped = client.stop(run, epoch, STOP_TIMEOUT).await;
+            let stop = client.stop(run, epoch, STOP_TIMEOUT);
+            let stopped = supervise::catch_panic("stop", stop).await.flatten();
             // The send fails only if the agent has ended.
             let _ = tx.send(Event::Stopped(run, stopped)).await;
         });
--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -33,7 +33,6 @@
 
 /// Follows the configuration for the lifetime of the process.
 pub(crate) async fn run(entry: Arc<Entry>) {
-    tokio::spawn(poll_entries(Arc::clone(&entry)));
     loop {
         if let Err(report) = watch_store(&entry).await {
             entry.record_store_result(false, report.current_context());
@@ -95,7 +94,7 @@
 }
 
 /// Periodically asks the other entries for a newer configuration.
-async fn poll_entries(entry: Arc<Entry>) {
+pub(crate) async fn poll_entries(entry: Arc<Entry>) {
     let mut ticks = entry.timer.subscribe_every(POLL_INTERVAL);
     while ticks.recv().await.is_some() {
         fetch_from_entries(&entry).await;
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::dependency::Dependency;
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
-use crate::{configure, members, ownership, serve};
+use crate::{configure, members, ownership, serve, supervise};
 
 /// Decodes the value stored under the configuration key.
 pub type DecodeConfiguration = fn(&[u8]) -> Result<Configuration>;
@@ -87,12 +87,24 @@
             move |_, call| serve::answer(Arc::clone(&handler_entry), call),
             CancellationToken::new(),
         ));
-        tokio::spawn(configure::run(Arc::clone(&entry)));
-        tokio::spawn(members::run(Arc::clone(&entry)));
-        tokio::spawn(ownership::run(Arc::clone(&entry)));
+        entry.supervise("configuration_watch", configure::run);
+        entry.supervise("configuration_poll", configure::poll_entries);
+        entry.supervise("members", members::run);
+        entry.supervise("registration", members::register);
+        entry.supervise("ownership", ownership::run);
         Ok(entry)
     }
 
+    /// Runs a controller for the lifetime of the entry.
+    fn supervise<F, Fut>(self: &Arc<Self>, name: &'static str, controller: F)
+    where
+        F: Fn(Arc<Self>) -> Fut + Send + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let entry = Arc::clone(self);
+        supervise::spawn(name, move || controller(Arc::clone(&entry)));
+    }
+
     /// Returns whether the entry can serve requests.
     pub fn is_ready(&self) -> bool {
         let configured = self.board.configuration.load().version > 0;
--- a/components/cell/src/leader/load.rs
+++ b/components/cell/src/leader/load.rs
@@ -86,7 +86,7 @@
 
 impl StoredRecords {
     fn add_record(&mut self, id: JobId, found: &KvPair) {
-        match records::decode(&found.key, &found.value) {
+        match decode_record(found) {
             Ok(JobRecord::Accepted(spec)) => {
                 let job = LoadedJob {
                     id,
@@ -114,9 +114,21 @@
     })
 }
 
+/// Decodes and checks the record of a job.
+fn decode_record(found: &KvPair) -> Result<JobRecord> {
+    let record: JobRecord = records::decode(&found.key, &found.value)?;
+    if let JobRecord::Accepted(job) = &record
+        && let Err(problem) = job.check()
+    {
+        let message = format!("the record {} is invalid: {problem}", found.key);
+        return Err(Error::not_run(ErrorKind::Corrupt, message).report());
+    }
+    Ok(record)
+}
+
 /// Decodes the record of a job that has not ended.
 pub(crate) fn decode_accepted(found: &KvPair) -> Option<Arc<AcceptedJob>> {
-    match records::decode(&found.key, &found.value) {
+    match decode_record(found) {
         Ok(JobRecord::Accepted(job)) => Some(Arc::new(job)),
         Ok(JobRecord::Ended { .. }) => None,
         Err(report) => {
--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -21,6 +21,7 @@
 use crate::entry::Entry;
 use crate::leader::writer::{StoredJob, WriteKind};
 use crate::serve::not_owner_error;
+use crate::supervise;
 
 pub(crate) use load::read_progress;
 
@@ -162,8 +163,25 @@
         end: CancellationToken::new(),
     };
     let watch = watch::run(Arc::clone(entry), handle.clone(), loaded.revision);
-    tokio::spawn(handle.until_ended(watch));
-    let actor = actor::Actor::new(Arc::clone(entry), handle.clone(), leader.epoch, loaded);
-    tokio::spawn(actor.run(rx));
+    let (entry, epoch, running) = (Arc::clone(entry), leader.epoch, handle.clone());
+    let scheduling = async move {
+        // The construction applies the records, so it is supervised as well.
+        actor::Actor::new(entry, running, epoch, loaded)
+            .run(rx)
+            .await;
+    };
+    tokio::spawn(end_with(handle.clone(), "owner", scheduling));
+    tokio::spawn(end_with(
+        handle.clone(),
+        "job_watch",
+        handle.until_ended(watch),
+    ));
     Ok(handle)
 }
+
+/// Runs a part of the owner. The ownership ends with it, so that another entry takes over if it panics.
+async fn end_with<T>(handle: LeaderHandle, name: &str, part: impl Future<Output = T>) {
+    // The panic has been logged.
+    let _ = supervise::catch_panic(name, part).await;
+    handle.end();
+}
--- a/components/cell/src/leader/writer.rs
+++ b/components/cell/src/leader/writer.rs
@@ -16,6 +16,7 @@
 use crate::leader::{Event, LeaderHandle};
 use crate::records::{self, JobRecord, Roster};
 use crate::submit::write_with_timeout;
+use crate::supervise;
 
 /// Ends per transaction: each takes four of the 32 entries that the store accepts, and the key of
 /// the owner takes one.
@@ -84,7 +85,14 @@
     /// Writes in a background task until everything is stored, then notifies the owner.
     pub(crate) fn start(self: &Arc<Self>, write: Write) {
         let write = write_until_stored(Arc::clone(self), write);
-        tokio::spawn(self.handle.until_ended(write));
+        let handle = self.handle.clone();
+        let write = handle.until_ended(write);
+        tokio::spawn(async move {
+            // Without the result of the write, the owner would never write the same jobs again.
+            if supervise::catch_panic("writer", write).await.is_err() {
+                handle.end();
+            }
+        });
     }
 
     /// Makes one attempt; returns the revision once everything is stored.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod settings;
 mod submit;
+mod supervise;
 
 pub use advisor::{Advisor, Approval};
 pub use board::{CellBoard, JobStates};
--- a/components/cell/src/members.rs
+++ b/components/cell/src/members.rs
@@ -36,7 +36,6 @@
 
 /// Follows the members for the lifetime of the process.
 pub(crate) async fn run(entry: Arc<Entry>) {
-    tokio::spawn(register(Arc::clone(&entry)));
     loop {
         if let Err(report) = watch_store(&entry).await {
             entry.record_store_result(false, report.current_context());
@@ -139,7 +138,7 @@
 }
 
 /// Keeps the address of this entry registered until the shutdown.
-async fn register(entry: Arc<Entry>) {
+pub(crate) async fn register(entry: Arc<Entry>) {
     let mut lease = None;
     let mut ticks = entry.timer.subscribe_every(REGISTRATION_RENEWAL_INTERVAL);
     loop {
--- a/components/cell/tests/agent.rs
+++ b/components/cell/tests/agent.rs
@@ -33,6 +33,10 @@
     incarnation: Mutex<Incarnation>,
     starts: AtomicUsize,
     stops: AtomicUsize,
+    /// Number of the next polls that panic.
+    panics: AtomicUsize,
+    /// Number of polls that were answered and allowed the worker to wait, of which one always is in progress.
+    regular_polls: AtomicUsize,
 }
 
 #[async_trait]
@@ -54,7 +58,14 @@
     }
 
     async fn poll(&self, request: &PollRequest, _timeout: Duration) -> Result<PollReply> {
+        let panics = self.panics.load(Ordering::Relaxed);
+        self.panics
+            .store(panics.saturating_sub(1), Ordering::Relaxed);
+        assert!(panics == 0, "injected panic");
         tokio::time::sleep(request.wait.unwrap_or_default().min(POLL_INTERVAL)).await;
+        if request.wait.is_some() {
+            self.regular_polls.fetch_add(1, Ordering::Relaxed);
+        }
         Ok(PollReply {
             incarnation: Some(*self.incarnation.lock().expect("lock is not poisoned")),
             clock: Duration::from_secs(1),
@@ -310,3 +321,39 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against an agent that never polls its worker again, whose leases then lapse, after an unexpected error in one
+/// poll.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_survives_panic_in_poll() -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(UnresponsiveWorker::default());
+    worker.panics.store(3, Ordering::Relaxed);
+    let settings = AgentSettings {
+        agent: "agent".into(),
+        service: "optics".into(),
+        seeds: vec![owner.addr],
+        max_lease: Duration::from_secs(6),
+    };
+    let shutdown = CancellationToken::new();
+    let client = Arc::clone(&worker) as Arc<dyn WorkerClient>;
+    let directory = Arc::new(NoDirectory);
+    let (handle, ended) = cell::agent::start(settings, client, directory, SECRET, shutdown.clone());
+    handle
+        .notify(announcement(0))
+        .await
+        .expect("agent is running");
+    owner
+        .reported(|report| report.confirmed_epoch == EPOCH)
+        .await;
+    let polled = async {
+        while worker.regular_polls.load(Ordering::Relaxed) < 3 {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let polled = tokio::time::timeout(REPORT_TIMEOUT, polled).await;
+    assert!(polled.is_ok(), "the worker is polled no more");
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
--- /dev/null
+++ b/components/cell/tests/entry.rs
@@ -0,0 +1,139 @@
+//! An entry whose store returns odd entries, and whose controllers panic.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use cell::{Configuration, Entry, EntrySettings};
+use common::{MemoryStore, SECRET, free_addr, scheduler_settings};
+use errors::{Error, ErrorKind, Result};
+use model::{AcceptedJob, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
+use std::sync::Arc;
+use store::{KvStore, Precondition};
+use tokio_util::sync::CancellationToken;
+
+const CONFIGURATION_KEY: &str = "operator/configuration";
+const TIMEOUT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Set while decoding a configuration panics.
+static DECODE_PANICS: AtomicBool = AtomicBool::new(false);
+
+/// Decodes a configuration whose value is its version.
+fn decode(value: &[u8]) -> Result<Configuration> {
+    assert!(!DECODE_PANICS.load(Ordering::Acquire), "injected panic");
+    let text = std::str::from_utf8(value).unwrap_or_default();
+    let version = text
+        .parse()
+        .map_err(|e| Error::not_run(ErrorKind::Corrupt, format!("not a version: {e}")).report())?;
+    Ok(Configuration {
+        version,
+        ..Configuration::default()
+    })
+}
+
+async fn start_entry(store: &Arc<MemoryStore>) -> Result<(Arc<Entry>, CancellationToken)> {
+    let settings = EntrySettings {
+        entry: "entry".into(),
+        addr: free_addr(),
+        seeds: Vec::new(),
+        configuration_key: CONFIGURATION_KEY.into(),
+        scheduler: scheduler_settings(),
+        retention: Duration::from_mins(2),
+        min_store_lease: Duration::from_secs(1),
+    };
+    let shutdown = CancellationToken::new();
+    let store = Arc::clone(store) as Arc<dyn store::TransactionStore>;
+    let entry = Entry::start(settings, store, None, decode, SECRET, shutdown.clone()).await?;
+    Ok((entry, shutdown))
+}
+
+async fn put(store: &MemoryStore, key: &str, value: &[u8]) -> Result<()> {
+    let value = bytes::Bytes::copy_from_slice(value);
+    store.put(key, value, Precondition::Any, None).await?;
+    Ok(())
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let fulfilled = async {
+        while !condition() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, fulfilled)
+        .await
+        .expect("condition in time");
+}
+
+fn job() -> AcceptedJob {
+    AcceptedJob {
+        account: "faro".into(),
+        queue: "batch".into(),
+        policy: QueuePolicy {
+            service: "optics".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            needs_approval: false,
+        },
+        graph: JobGraph {
+            body: "body".into(),
+            steps: vec![Step {
+                tasks: 1,
+                resources: ResourceVector::default(),
+                expected: Duration::from_secs(1),
+                ..Step::default()
+            }],
+            recurrence: None,
+        },
+        accepted_at: cell::clock::wall_now(),
+    }
+}
+
+/// Guards against a configuration controller that stops following the store after a panic.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_survives_panic() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let (entry, shutdown) = start_entry(&store).await?;
+    wait_until(|| entry.board.configuration.load().version == 1).await;
+    DECODE_PANICS.store(true, Ordering::Release);
+    put(&store, CONFIGURATION_KEY, b"2").await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    DECODE_PANICS.store(false, Ordering::Release);
+    wait_until(|| entry.board.configuration.load().version == 2).await;
+    shutdown.cancel();
+    Ok(())
+}
+
+/// Guards against entries of other writers among those of the cell that stop an entry from following the owner, or an owner
+/// from starting: unreadable values, and jobs with sizes and times that overflow.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_skips_odd_records() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let nested = vec![b'['; 100_000];
+    put(&store, "limpethook/cell/entries/odd", &nested).await?;
+    put(&store, "limpethook/cell/unknown", b"\xff\xfe").await?;
+    put(&store, "limpethook/jobs/00000000000000aa", &nested).await?;
+    put(&store, "limpethook/jobs/not-a-job", b"").await?;
+    put(&store, "limpethook/progress/00000000000000aa", &nested).await?;
+    let mut endless = job();
+    endless.graph.steps[0].tasks = u32::MAX;
+    let mut overflowing = job();
+    overflowing.graph.steps[0].expected = Duration::MAX;
+    overflowing.policy.stretch = f64::NAN;
+    for (id, job) in [("ab", endless), ("ac", overflowing)] {
+        let key = format!("limpethook/jobs/00000000000000{id}");
+        put(&store, &key, &common::accepted_record(job)).await?;
+    }
+    let (entry, shutdown) = start_entry(&store).await?;
+    wait_until(|| entry.board.states.load().epoch > 0).await;
+    entry.submit(7, job(), TIMEOUT).await?;
+    wait_until(|| entry.board.states.load().jobs.contains_key(&7)).await;
+    assert_eq!(entry.job_state(7).await?, Some(JobState::Queued));
+    shutdown.cancel();
+    Ok(())
+}
--- a/components/model/src/graph.rs
+++ b/components/model/src/graph.rs
@@ -161,6 +161,13 @@
         if tasks.saturating_mul(u64::from(self.occurrences())) > MAX_TASKS {
             return Err("the job has more than 65,536 tasks over all its occurrences");
         }
+        let recurrence = self.recurrence.iter();
+        let recurrence = recurrence.flat_map(|recurrence| [recurrence.first, recurrence.interval]);
+        let steps = self.steps.iter();
+        let mut durations = steps.map(|step| step.expected).chain(recurrence);
+        if durations.any(|duration| duration > MAX_DURATION) {
+            return Err("a duration is longer than a thousand years");
+        }
         Ok(())
     }
 }
@@ -180,6 +187,25 @@
     pub accepted_at: Duration,
 }
 
+impl AcceptedJob {
+    /// Checks a job that was read from the store, which another version of the program may have written.
+    ///
+    /// The error describes the first problem found.
+    pub fn check(&self) -> std::result::Result<(), &'static str> {
+        self.graph.check()?;
+        if !(0.0..=MAX_STRETCH).contains(&self.policy.stretch) {
+            return Err("the stretch of the queue is out of range");
+        }
+        if self.policy.target > MAX_DURATION || self.accepted_at > MAX_DURATION {
+            return Err("a duration is longer than a thousand years");
+        }
+        Ok(())
+    }
+}
+
+/// Maximum stretch of a queue that is read from the store.
+const MAX_STRETCH: f64 = 1e6;
+
 /// The scheduling policy of a queue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueuePolicy {
