Mend the known failures of drain, ports, lease renewal and reclaims

drain_entry_under_load: an entry stopped serving at the moment at which no request was counted as in progress. A client that sent its next request on an open connection at that moment got no response. Responses of a draining entry now end their connection, and the entry serves until it has been idle for 200 ms. owner_outlives_refused_connections: the test refused connections before the owner had read its records, when it does not renew yet. It now waits for owner_starts; what it checks is unchanged. Start of the stand-in: a port was checked, released and then taken by another test process. Each test process now uses a loopback address of its own, made from its process id. Reclaims counted as failed runs: a job that was reclaimed seven times was refused at its first failure. Failures are counted without reclaims; requeue_after_reclaims_counts_failures_only fails before and passes now.

--- a/components/entry/src/drain.rs
+++ b/components/entry/src/drain.rs
@@ -8,6 +8,10 @@
 /// How often the number of requests in flight is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long the entry has to be idle before it stops serving. In this time, the clients of open connections get a response
+/// that ends their connection.
+const IDLE_PERIOD: Duration = Duration::from_millis(200);
+
 /// Time for the handlers of aborted requests to return their verdicts.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -45,12 +49,21 @@
     }
     let started = timer::now();
     let mut ticks = cx.timer.subscribe_every(POLL_INTERVAL);
-    while in_flight() > 0 {
-        let elapsed = timer::now().saturating_duration_since(started);
-        if cx
-            .settings
-            .drain_timeout
-            .is_some_and(|limit| elapsed >= limit)
+    let mut idle_since = started;
+    loop {
+        let now = timer::now();
+        if in_flight() > 0 {
+            idle_since = now;
+        } else if now.saturating_duration_since(idle_since) >= IDLE_PERIOD {
+            break;
+        }
+        let elapsed = now.saturating_duration_since(started);
+        let is_busy = in_flight() > 0;
+        if is_busy
+            && cx
+                .settings
+                .drain_timeout
+                .is_some_and(|limit| elapsed >= limit)
         {
             log::warn!(target: "limpethook", requests_in_flight = in_flight(); "drain_timed_out");
             return false;
--- a/components/harness/src/ports.rs
+++ b/components/harness/src/ports.rs
@@ -14,12 +14,20 @@
 static NEXT_OFFSET: LazyLock<AtomicU16> =
     LazyLock::new(|| AtomicU16::new(fastrand::u16(PORT_RANGE)));
 
+/// The loopback address of this process. Other test processes use other addresses, so that none of them can take a port
+/// between the check and its use.
+static HOST: LazyLock<Ipv4Addr> = LazyLock::new(|| {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    // 127.0.0.0/8 is the loopback network; its first quarter is left to other uses.
+    Ipv4Addr::new(127, 64 | (high & 63), middle, low)
+});
+
 /// Returns a loopback address whose port is free for TCP and UDP.
 pub fn free_addr() -> Result<SocketAddr> {
     for _ in PORT_RANGE {
         let offset = NEXT_OFFSET.fetch_add(1, Ordering::Relaxed);
         let port = PORT_RANGE.start + offset % (PORT_RANGE.end - PORT_RANGE.start);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let addr = SocketAddr::from((*HOST, port));
         if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
--- a/components/model/src/job.rs
+++ b/components/model/src/job.rs
@@ -35,6 +35,8 @@
     pub attempt: Attempt,
     /// Number of earlier attempts whose gang started; an attempt with a refused reservation does not count.
     pub runs: u32,
+    /// Number of these attempts that were stopped to reclaim capacity and not because they failed.
+    pub reclaims: u32,
     /// When the owner accepted the job.
     pub accepted_at: Instant,
     /// Accelerator seconds used by earlier attempts.
@@ -88,6 +90,7 @@
             request: self.request,
             attempt: self.attempt,
             runs: self.runs,
+            reclaims: self.reclaims,
             accepted_at: self.accepted_at,
             attained_service: self.attained_service,
             state,
@@ -102,6 +105,7 @@
             request,
             attempt: first_attempt(epoch),
             runs: 0,
+            reclaims: 0,
             accepted_at: now,
             attained_service: 0.0,
             state: Queued { since: now },
@@ -132,12 +136,19 @@
 }
 
 impl Job<Active> {
-    /// Returns a stopped or failed job to the queue for its next attempt.
-    pub fn requeue(self, now: Instant) -> Job<Queued> {
+    /// Returns the number of attempts that failed, including the current one if it did.
+    pub fn failures(&self, current_failed: bool) -> u32 {
+        (self.runs + u32::from(current_failed)).saturating_sub(self.reclaims)
+    }
+
+    /// Returns a stopped or failed job to the queue for its next attempt; `reclaimed` tells whether it was stopped to
+    /// reclaim capacity.
+    pub fn requeue(self, reclaimed: bool, now: Instant) -> Job<Queued> {
         let ran = now.saturating_duration_since(self.state.since);
         let accelerators = self.request.shape.map_or(0, |s| s.total().accelerators);
         let mut job = self.with_state(Queued { since: now });
         job.runs += 1;
+        job.reclaims += u32::from(reclaimed);
         job.attained_service += ran.as_secs_f64() * f64::from(accelerators);
         job.attempt += 1;
         job
--- a/components/placement/src/apply.rs
+++ b/components/placement/src/apply.rs
@@ -151,6 +151,7 @@
         request,
         attempt: gang.attempt,
         runs: attempt_within_epoch(gang.attempt).saturating_sub(1),
+        reclaims: 0,
         accepted_at: gang.state.since,
         attained_service: 0.0,
         state,
@@ -191,9 +192,8 @@
     }
 }
 
-/// Number of runs from which a failure is no longer retried, so that a repeating failure ends in a refusal. Runs that
-/// were stopped by a reclaim are included in the number, but a reclaim itself does not lead to a refusal.
-const MAX_RUNS: u32 = 8;
+/// Number of failed runs after which a job is refused. Runs that were stopped by a reclaim do not count.
+const MAX_FAILURES: u32 = 8;
 
 fn finish_job(cx: &mut StepContext, job: &Job<Active>, end: GangEnd, cancelled: bool) {
     let reclaimed = end == GangEnd::Stopped;
@@ -213,8 +213,8 @@
             "cancelled while running",
         );
         cx.refuse(job.id(), error);
-    } else if (reclaimed || job.runs + 1 < MAX_RUNS) && may_run_again(job, &error) {
-        cx.enqueue(job.clone().requeue(cx.now));
+    } else if job.failures(!reclaimed) < MAX_FAILURES && may_run_again(job, &error) {
+        cx.enqueue(job.clone().requeue(reclaimed, cx.now));
     } else {
         cx.refuse(job.id(), error);
     }
--- a/components/placement/tests/feasible.rs
+++ b/components/placement/tests/feasible.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{Cell, placed, shape};
-use errors::{ErrorKind, Verdict};
+use errors::{Error, ErrorKind, Verdict};
 use model::Adjacency;
 use placement::{Action, Event, GangEnd};
 
@@ -93,3 +93,23 @@
         cell.confirm(&actions);
     }
 }
+
+/// Guards against refusing a job at its first failure because its earlier runs were stopped by reclaims.
+#[test]
+fn requeue_after_reclaims_counts_failures_only() {
+    let mut cell = Cell::new(1);
+    let mut request = cell.request("plot", shape(1, 8, Adjacency::Worker));
+    request.idempotent = true;
+    let mut gang = cell.run(request).id;
+    let failure = || GangEnd::Failed(Error::may_have_run(ErrorKind::Unavailable, "a task failed"));
+    let ends = (0..7)
+        .map(|_| GangEnd::Stopped)
+        .chain((0..7).map(|_| failure()));
+    for end in ends {
+        let actions = cell.end(gang, end);
+        assert!(refusals(&actions).is_empty());
+        gang = common::reserved(&actions)[0];
+        cell.confirm(&actions);
+    }
+    assert_eq!(refusals(&cell.end(gang, failure())).len(), 1);
+}
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -199,6 +199,15 @@
     let client = deployment.client()?;
     let body = Client::job(1, 2, &task_body(100));
     assert!(client.submit("batch", "00000000000000f9", &body).await.0);
+    // The lease is renewed only after the owner has read the records.
+    let owner_starts = async || -> Result<bool> {
+        let logs = [0, 1].map(|index| deployment.log(Target::Entry(index)));
+        let [first, second] = logs;
+        Ok(first?.contains("event=owner_starts") || second?.contains("event=owner_starts"))
+    };
+    while !owner_starts().await? {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     let proxies = [0, 1].map(|index| deployment.store_proxy(Target::Entry(index)));
     for proxy in &proxies {
         proxy.set_mode(ProxyMode::Refuse);
