Refuse submissions at once while an outage of the store is confirmed

Cause: while the store was away, each submission asked up to eight other entries first, 30 to 90 ms with two regions, although they had just answered that they can't reach the store either. Clients that try five times waited for up to 0.3 s in all.

Change: if none of the asked entries can reach the store, submissions are refused without asking for 150 ms, as long as this entry can't reach the store either. The refusal is as certain as before, because nothing is written.

Test: submit_in_outage_is_refused_at_once.

--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -41,6 +42,8 @@
     /// Cancelled when the shutdown begins.
     pub(crate) shutdown: CancellationToken,
     store_availability: Dependency,
+    /// When no entry was last found that could reach the store, in milliseconds on the boot clock.
+    outage_confirmed_at_ms: AtomicU64,
     /// Result of the last call to each other entry that was called.
     peer_results: ArcSwap<IndexMap<SocketAddr, PeerResult>>,
 }
@@ -80,6 +83,7 @@
             timer: Timer::start(),
             shutdown,
             store_availability: Dependency::new(false),
+            outage_confirmed_at_ms: AtomicU64::new(0),
             peer_results: ArcSwap::default(),
         });
         let handler_entry = Arc::clone(&entry);
@@ -172,6 +176,20 @@
         self.store_availability.is_lost()
     }
 
+    /// Records that neither this entry nor any that it asked can reach the store.
+    pub(crate) fn confirm_outage(&self) {
+        let now = u64::try_from(boot_now().as_millis()).unwrap_or(u64::MAX);
+        self.outage_confirmed_at_ms.store(now, Ordering::Release);
+    }
+
+    /// Returns whether it was confirmed recently that no entry can reach the store, and this one
+    /// still cannot.
+    pub(crate) fn is_outage_confirmed(&self) -> bool {
+        let confirmed_at = self.outage_confirmed_at_ms.load(Ordering::Acquire);
+        let confirmed_until = Duration::from_millis(confirmed_at) + OUTAGE_CONFIRMATION;
+        self.is_store_lost() && confirmed_at > 0 && boot_now() < confirmed_until
+    }
+
     /// Waits until the store answers again.
     pub(crate) async fn wait_for_store(&self) {
         self.store_availability.wait_until_regained().await;
@@ -189,6 +207,10 @@
     }
 }
 
+/// How long submissions are refused without asking other entries after none of them could reach the
+/// store: a few times the latency between regions, so that the return of the store is noticed soon.
+const OUTAGE_CONFIRMATION: Duration = Duration::from_millis(150);
+
 /// Result of a call to another entry.
 #[derive(Debug, Clone, Copy)]
 struct PeerResult {
--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -43,7 +43,8 @@
     /// runs because of this submission.
     ///
     /// The other entries are asked as soon as the store is slow to answer this one. While the store
-    /// is unreachable, this entry writes nothing to it, so that a refusal is immediate and certain.
+    /// is unreachable, this entry writes nothing to it, so that a refusal is certain. It is immediate
+    /// if no other entry could reach the store a moment ago.
     pub async fn submit(
         self: &Arc<Self>,
         id: JobId,
@@ -52,6 +53,9 @@
     ) -> Result<()> {
         let now = boot_now();
         let deadline = now + timeout.min(OUTCOME_TIMEOUT);
+        if self.is_outage_confirmed() {
+            return Err(refusal(&store_unreachable()));
+        }
         if self.is_store_lost() {
             return store_via_entries(self, id, &job, deadline).await;
         }
@@ -141,7 +145,13 @@
     tokio::pin!(relayed);
     tokio::select! {
         relayed = &mut relayed => match relayed {
-            Some(result) => result.map_err(|report| refusal(&report)),
+            Some(Ok(())) => Ok(()),
+            Some(Err(report)) => {
+                if report.current_context().verdict == Verdict::NotRun {
+                    entry.confirm_outage();
+                }
+                Err(refusal(&report))
+            }
             None => Err(refusal(&store_unreachable())),
         },
         () = entry.wait_for_store() => match store_with_retries(entry, id, job, deadline).await {
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -2,11 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use errors::Result;
+use errors::{Error, ErrorKind, Result};
 use graph::SchedulerSettings;
 use indexmap::IndexMap;
 use model::{AcceptedJob, JobEnd, QueueId, Revision};
@@ -24,6 +25,8 @@
 pub(crate) struct MemoryStore {
     state: Mutex<State>,
     changed: Notify,
+    /// Whether all calls are refused.
+    pub(crate) is_down: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -71,14 +74,25 @@
     }
 }
 
+impl MemoryStore {
+    fn check_up(&self) -> Result<()> {
+        if self.is_down.load(Ordering::Acquire) {
+            return Err(Error::not_run(ErrorKind::Unavailable, "the store is down").report());
+        }
+        Ok(())
+    }
+}
+
 #[async_trait]
 impl KvStore for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<KvPair>> {
+        self.check_up()?;
         let state = self.state.lock().expect("lock is not poisoned");
         Ok(state.pairs.get(key).cloned())
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
+        self.check_up()?;
         let state = self.state.lock().expect("lock is not poisoned");
         let pairs = state.pairs.values();
         Ok(Listing {
@@ -117,6 +131,7 @@
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<WatchOutcome> {
+        self.check_up()?;
         let found = async {
             loop {
                 let changed = self.changed.notified();
@@ -128,10 +143,10 @@
                             *revision > after && key.starts_with(prefix)
                         }
                     };
-                    let changes: Vec<Change> =
+                    let found: Vec<Change> =
                         state.history.iter().filter(matches).cloned().collect();
-                    if !changes.is_empty() {
-                        return (changes, state.revision);
+                    if !found.is_empty() {
+                        return (found, state.revision);
                     }
                 }
                 changed.await;
@@ -143,6 +158,7 @@
     }
 
     async fn grant_lease(&self, _ttl: Duration) -> Result<LeaseId> {
+        self.check_up()?;
         let mut state = self.state.lock().expect("lock is not poisoned");
         state.leases += 1;
         Ok(state.leases)
@@ -160,6 +176,7 @@
 #[async_trait]
 impl TransactionStore for MemoryStore {
     async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome> {
+        self.check_up()?;
         let mut state = self.state.lock().expect("lock is not poisoned");
         let mut expected = transaction.preconditions.iter();
         if expected.any(|(key, revision)| state.revision_of(key) != *revision) {
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -2,16 +2,19 @@
 
 mod common;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
 use common::{MemoryStore, SECRET, free_addr, scheduler_settings};
 use errors::{Error, ErrorKind, Result};
 use model::{AcceptedJob, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
-use std::sync::Arc;
 use store::{KvStore, Precondition};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use wire::{Call, CellView, Key, Reply, Server};
 
 const CONFIGURATION_KEY: &str = "operator/configuration";
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,11 +36,14 @@
     })
 }
 
-async fn start_entry(store: &Arc<MemoryStore>) -> Result<(Arc<Entry>, CancellationToken)> {
+async fn start_entry(
+    store: &Arc<MemoryStore>,
+    seeds: Vec<SocketAddr>,
+) -> Result<(Arc<Entry>, CancellationToken)> {
     let settings = EntrySettings {
         entry: "entry".into(),
         addr: free_addr(),
-        seeds: Vec::new(),
+        seeds,
         configuration_key: CONFIGURATION_KEY.into(),
         scheduler: scheduler_settings(),
         retention: Duration::from_mins(2),
@@ -97,7 +103,7 @@
 async fn configuration_survives_panic() -> Result<()> {
     let store = Arc::new(MemoryStore::default());
     put(&store, CONFIGURATION_KEY, b"1").await?;
-    let (entry, shutdown) = start_entry(&store).await?;
+    let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
     wait_until(|| entry.board.configuration.load().version == 1).await;
     DECODE_PANICS.store(true, Ordering::Release);
     put(&store, CONFIGURATION_KEY, b"2").await?;
@@ -129,7 +135,7 @@
         let key = format!("limpethook/jobs/00000000000000{id}");
         put(&store, &key, &common::accepted_record(job)).await?;
     }
-    let (entry, shutdown) = start_entry(&store).await?;
+    let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
     wait_until(|| entry.board.states.load().epoch > 0).await;
     entry.submit(7, job(), TIMEOUT).await?;
     wait_until(|| entry.board.states.load().jobs.contains_key(&7)).await;
@@ -137,3 +143,58 @@
     shutdown.cancel();
     Ok(())
 }
+
+/// Starts another entry that cannot reach the store, and counts the submissions that it is asked to store.
+async fn start_cut_off_entry() -> std::io::Result<(SocketAddr, Arc<AtomicUsize>)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let submissions: Arc<AtomicUsize> = Arc::default();
+    let counter = Arc::clone(&submissions);
+    let answer = move |_, call| {
+        let counter = Arc::clone(&counter);
+        async move {
+            match call {
+                Call::Submit(_) => {
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    Err(Error::not_run(ErrorKind::Unavailable, "the store is down").report())
+                }
+                Call::ConfigurationAfter(_) => Ok(Reply::Configuration(None)),
+                _ => Ok(Reply::CellView(CellView::default())),
+            }
+        }
+    };
+    let server = Server::new(listener, Key::from_secret(SECRET));
+    tokio::spawn(server.serve(answer, CancellationToken::new()));
+    Ok((addr, submissions))
+}
+
+/// Guards against refusals that are late because each submission asks the other entries again, although none of them could
+/// reach the store a moment ago.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_in_outage_is_refused_at_once() -> std::result::Result<(), Box<dyn std::error::Error>>
+{
+    let store = Arc::new(MemoryStore::default());
+    let put = put(&store, CONFIGURATION_KEY, b"1").await;
+    assert!(put.is_ok());
+    let (other, submissions) = start_cut_off_entry().await?;
+    let started = start_entry(&store, vec![other]).await;
+    let (entry, shutdown) = started.map_err(|report| report.to_string())?;
+    wait_until(|| entry.board.states.load().epoch > 0).await;
+    store.is_down.store(true, Ordering::Release);
+    let refused = async |id| {
+        let refused = entry.submit(id, job(), TIMEOUT).await;
+        let error = refused.expect_err("the store is down");
+        let error = error.current_context();
+        assert!(error.retry_after.is_some(), "{error:?}");
+        assert_eq!(error.verdict, errors::Verdict::NotRun);
+    };
+    refused(1).await;
+    let asked = submissions.load(Ordering::Relaxed);
+    assert!(asked > 0, "the other entry is asked first");
+    for id in 2..8 {
+        refused(id).await;
+    }
+    assert_eq!(submissions.load(Ordering::Relaxed), asked);
+    shutdown.cancel();
+    Ok(())
+}
