Take the newest configuration of all entries after a restart in an outage

Cause: an entry that starts while the store is away applied the first configuration that another entry returned. An entry that was cut off for a while has an old one, so a token that had been withdrawn was accepted again until a newer answer arrived.

--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -101,15 +101,20 @@
     }
 }
 
-/// Asks some of the other entries concurrently for a newer configuration.
+/// Asks some of the other entries concurrently for a newer configuration, and applies the newest.
+///
+/// An entry without a configuration asks all of them. Some may be cut off and have an old one, with
+/// tokens that have been withdrawn since.
 async fn fetch_from_entries(entry: &Arc<Entry>) {
     let version = entry.board.configuration.load().version;
-    let mut fetches = JoinSet::new();
-    let count = if entry.is_store_lost() {
+    let count = if version == 0 {
+        usize::MAX
+    } else if entry.is_store_lost() {
         OUTAGE_SAMPLE_SIZE
     } else {
         SAMPLE_SIZE
     };
+    let mut fetches = JoinSet::new();
     for addr in entry.sample_entries(count) {
         let entry = Arc::clone(entry);
         fetches.spawn(async move {
@@ -117,15 +122,24 @@
             entry.call(addr, &call, FETCH_TIMEOUT).await
         });
     }
+    let mut newest: Option<Configuration> = None;
     while let Some(answer) = fetches.join_next().await {
         let Ok(Ok(Reply::Configuration(Some((_, encoded))))) = answer else {
             continue;
         };
-        match records::decode("configuration from a peer", &encoded) {
-            Ok(configuration) => apply(entry, configuration, "peer"),
+        match records::decode::<Configuration>("configuration from a peer", &encoded) {
+            Ok(configuration) => {
+                let known = newest.as_ref().map_or(0, |newest| newest.version);
+                if configuration.version > known {
+                    newest = Some(configuration);
+                }
+            }
             Err(report) => {
                 log::error!(target: "limpethook", error:% = report.current_context(); "configuration_unreadable");
             }
         }
     }
+    if let Some(configuration) = newest {
+        apply(entry, configuration, "peer");
+    }
 }
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -154,8 +154,12 @@
     Ok(())
 }
 
-/// Starts another entry that cannot reach the store, and counts the submissions that it is asked to store.
-async fn start_cut_off_entry() -> std::io::Result<(SocketAddr, Arc<AtomicUsize>)> {
+/// Starts another entry that cannot reach the store and has this version of the configuration, and counts the submissions
+/// that it is asked to store.
+async fn start_cut_off_entry(
+    version: u64,
+    delay: Duration,
+) -> std::io::Result<(SocketAddr, Arc<AtomicUsize>)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     let submissions: Arc<AtomicUsize> = Arc::default();
@@ -168,7 +172,16 @@
                     counter.fetch_add(1, Ordering::Relaxed);
                     Err(Error::not_run(ErrorKind::Unavailable, "the store is down").report())
                 }
-                Call::ConfigurationAfter(_) => Ok(Reply::Configuration(None)),
+                Call::ConfigurationAfter(after) => {
+                    tokio::time::sleep(delay).await;
+                    let configuration = Configuration {
+                        version,
+                        ..Configuration::default()
+                    };
+                    let encoded = postcard::to_stdvec(&configuration).unwrap_or_default();
+                    let newer = (version > after).then_some((version, encoded));
+                    Ok(Reply::Configuration(newer))
+                }
                 _ => Ok(Reply::CellView(CellView::default())),
             }
         }
@@ -186,7 +199,7 @@
     let store = Arc::new(MemoryStore::default());
     let put = put(&store, CONFIGURATION_KEY, b"1").await;
     assert!(put.is_ok());
-    let (other, submissions) = start_cut_off_entry().await?;
+    let (other, submissions) = start_cut_off_entry(1, Duration::ZERO).await?;
     let started = start_entry(&store, vec![other]).await;
     let (entry, shutdown) = started.map_err(|report| report.to_string())?;
     wait_until(|| entry.board.states.load().epoch > 0).await;
@@ -228,3 +241,30 @@
     shutdown_strong.cancel();
     Ok(())
 }
+
+/// Guards against a token that has been withdrawn and is accepted again after a restart: an entry that starts while the
+/// store is away takes the newest configuration of all other entries, not that of the first one to answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_in_outage_takes_newest_configuration()
+-> std::result::Result<(), Box<dyn std::error::Error>> {
+    let store = Arc::new(MemoryStore::default());
+    store.is_down.store(true, Ordering::Release);
+    let mut seeds = Vec::new();
+    for _ in 0..9 {
+        seeds.push(start_cut_off_entry(3, Duration::ZERO).await?.0);
+    }
+    let late = Duration::from_millis(100);
+    seeds.push(start_cut_off_entry(9, late).await?.0);
+    let started = start_entry(&store, seeds).await;
+    let (entry, shutdown) = started.map_err(|report| report.to_string())?;
+    let mut changes = entry.board.configuration.changes();
+    let version = tokio::time::timeout(TIMEOUT, async {
+        while entry.board.configuration.load().version == 0 {
+            changes.changed().await?;
+        }
+        Ok::<u64, Box<dyn std::error::Error>>(entry.board.configuration.load().version)
+    });
+    assert_eq!(version.await??, 9);
+    shutdown.cancel();
+    Ok(())
+}
