Let runs on draining workers end if they can, and move hopeless ones at once

Cause: all runs on a draining worker were stopped 1.4 s before it leaves.

Change: a run that is expected to end in time goes on. A run without checkpoints that needs at least twice the remaining time is stopped at the notice; the others are stopped as before.

--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod approvals;
 mod changes;
+mod drain;
 mod ends;
 mod estimates;
 mod fit;
--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -6,6 +6,9 @@
 
 use crate::job::{UnitId, UnitKey};
 
+/// Progress from which the pace of a run tells when it will end.
+const MIN_PERCENT_FOR_PACE: u32 = 10;
+
 /// A run placed on a worker, in state `S` of its life cycle.
 ///
 /// The placement is removed when the end of the run is reported, or when the worker can no longer be executing it.
@@ -202,6 +205,21 @@
         Self::Running(placement)
     }
 
+    /// Returns the time that the run is expected to need until it ends: by its progress, or by the expected run time while it
+    /// has made little.
+    pub(crate) fn remaining_time(&self, expected: Duration, now: Duration) -> Duration {
+        let elapsed = now.saturating_sub(self.placed_at());
+        match self {
+            Self::Running(placement) if placement.state.percent >= MIN_PERCENT_FOR_PACE => {
+                let state = &placement.state;
+                let worked = state.progressed_at.saturating_sub(state.started_at);
+                let total = worked * 100 / state.percent;
+                total.saturating_sub(now.saturating_sub(state.started_at))
+            }
+            _ => expected.saturating_sub(elapsed),
+        }
+    }
+
     /// Returns the run time since the last checkpoint, which would be repeated if the run was killed now.
     pub(crate) fn time_since_checkpoint(&self, now: Duration) -> Duration {
         match self {
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -1,9 +1,9 @@
-//! Preemption: stops runs to free resources for urgent units, and on workers that are about to shut down.
+//! Preemption: stops runs to free resources for urgent units.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::{AgentId, JobId, ResourceVector};
+use model::{JobId, ResourceVector};
 
 use crate::fit::{Candidate, TrustLevel, racks_to_try, trusted_candidates};
 use crate::job::{Job, UnitKey};
@@ -26,9 +26,6 @@
 /// lower priority can be. Otherwise an urgent run that has just started would be the cheapest victim, although its job
 /// would then miss its deadline.
 const URGENT_STOP_COST: f64 = 1e6;
-/// Added to the longest stop time when runs are stopped before a drain deadline: the time to order and report the stop
-/// and to start the task elsewhere.
-const DRAIN_STOP_MARGIN: Duration = Duration::from_millis(500);
 
 impl Scheduler {
     /// Returns whether a unit may get a new reservation: it has none, or one that did not preempt and that is not recent.
@@ -218,20 +215,6 @@
             since_checkpoint
         }
     }
-
-    /// Stops the runs on draining workers early enough that they can take a checkpoint before the drain deadline.
-    pub(crate) fn stop_runs_before_drain(&mut self, now: Duration) {
-        let margin = self.settings.max_stop_time + DRAIN_STOP_MARGIN;
-        let draining: Vec<AgentId> = self
-            .workers
-            .values()
-            .filter(|worker| worker.drain_deadline.is_some_and(|at| now + margin >= at))
-            .map(|worker| worker.agent.clone())
-            .collect();
-        if !draining.is_empty() {
-            self.stop_where(|_, agent| draining.contains(agent));
-        }
-    }
 }
 
 /// Returns a worker with its units that may be stopped, which are those in `costs`.
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -403,8 +403,8 @@
             .iter()
             .map(|(run, running)| {
                 let work = arrivals[(run.task.job - 1) as usize].work;
-                let worked = running.working_since.map(|since| now.saturating_sub(since));
-                let share = worked.unwrap_or_default().div_duration_f64(work);
+                let elapsed = running.working_since.map(|since| now.saturating_sub(since));
+                let share = elapsed.unwrap_or_default().div_duration_f64(work);
                 RunReport {
                     run: *run,
                     status: RunStatus::Running {
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -43,10 +43,11 @@
 fn fleet(workers: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(workers, seed);
     let accelerators = workers as f64 * f64::from(WORKER_CAPACITY.accelerators);
-    let guaranteed = (accelerators * 0.62) as u32 / ACCOUNTS;
-    let guarantees = (0..ACCOUNTS).map(|index| (format!("account-{index}").into(), guaranteed));
-    let guarantees: IndexMap<_, _> = guarantees.collect();
-    fleet.scheduler().configure(IndexMap::new(), guarantees);
+    let share = (accelerators * 0.62) as u32 / ACCOUNTS;
+    let accounts = (0..ACCOUNTS).map(|index| (format!("account-{index}").into(), share));
+    fleet
+        .scheduler()
+        .configure(IndexMap::new(), accounts.collect());
     fleet
 }
 
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -265,7 +265,9 @@
     cell.accept(8, job(2, vec![gang(8)]));
     cell.plan_and_start();
     cell.advance(ms(1_200));
-    names.iter().for_each(|name| cell.report(name));
+    for name in names {
+        cell.report(name);
+    }
     let mut urgent = job(0, vec![gang(8)]);
     urgent.graph.steps[0].expected = ms(60_000);
     cell.accept(9, urgent);
@@ -295,9 +297,9 @@
     cell.accept(8, urgent);
     cell.scheduler.plan(cell.now, ms(1_000));
     assert_eq!(stopped_jobs(&mut cell).len(), 4, "one worker is free");
-    let mut guaranteed = job(0, vec![gang(4)]);
-    guaranteed.account = "puerto".into();
-    cell.accept(9, guaranteed);
+    let mut preferred = job(0, vec![gang(4)]);
+    preferred.account = "puerto".into();
+    cell.accept(9, preferred);
     cell.scheduler.plan(cell.now, ms(1_000));
     assert_eq!(cell.instructions("w1").starts.len(), 4, "it is taken");
     cell.scheduler.plan(cell.now, ms(1_000));
@@ -408,6 +410,54 @@
     assert_eq!(cell.instructions(&agent).stops.len(), 1);
 }
 
+/// Returns a cell with a run of 2 s on a worker that drains after a time, and the agent of the worker. Half of the run is
+/// done.
+fn cell_with_draining_run(remaining_ms: u64) -> (TestCell, String) {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    let agent = cell.agent_of(task(7, 0, 0)).expect("the task runs");
+    cell.advance(ms(1_000));
+    let run = cell.workers[&agent].report.runs[0].run;
+    cell.workers[&agent].report.runs = vec![running(run, 50)];
+    cell.workers[&agent].report.draining = Some(ms(remaining_ms));
+    cell.report(&agent);
+    (cell, agent.into())
+}
+
+/// Guards against losing the work of a run that would have ended before its worker leaves.
+#[test]
+fn plan_keeps_run_that_ends_before_drain_deadline() {
+    let (mut cell, agent) = cell_with_draining_run(1_300);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert!(cell.instructions(&agent).stops.is_empty());
+}
+
+/// Guards against a run that goes on until its worker leaves although it can neither end nor save its work by then.
+#[test]
+fn plan_stops_hopeless_run_at_drain_notice() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r1")]);
+    let mut long = step(1);
+    long.expected = ms(20_000);
+    cell.accept(7, job(1, vec![long.clone()]));
+    let saved = Step {
+        supports_checkpoints: true,
+        ..long
+    };
+    cell.accept(8, job(1, vec![saved]));
+    cell.plan_and_start();
+    for agent in ["w1", "w2"] {
+        cell.workers[agent].report.draining = Some(ms(5_000));
+        cell.report(agent);
+    }
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(
+        stopped_jobs(&mut cell),
+        vec![7],
+        "the other one saves its work later"
+    );
+}
+
 /// Guards against a run without progress that occupies its worker indefinitely.
 #[test]
 fn plan_stops_hanging_run() {
