Keep the ownership during a shutdown until another entry can take over

Change: an entry that shuts down keeps the ownership until another entry is registered, at most for the time in which it serves its open connections.

Test: ownership_is_kept_until_successor_starts fails before the change (no owner after 1 s).

--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -231,6 +231,8 @@
     async fn renew_until_lost(&mut self, handle: &LeaderHandle) -> &'static str {
         let outage_grace = self.entry.settings.scheduler.store_outage_grace;
         let ttl = LEASE_TTL.max(self.entry.settings.min_store_lease);
+        let leaving = wait_until_leaving(self.entry);
+        tokio::pin!(leaving);
         loop {
             let delay = if boot_now() < self.valid_until {
                 RENEWAL_INTERVAL
@@ -239,7 +241,7 @@
             };
             tokio::select! {
                 () = tokio::time::sleep(delay) => {}
-                () = self.entry.shutdown.cancelled() => return "leaving",
+                () = &mut leaving => return "leaving",
                 () = handle.wait_until_ended() => return "fenced",
             }
             if self.is_replaced() {
@@ -280,6 +282,23 @@
     }
 }
 
+/// Waits until the entry shuts down and another one can take over, at most until the end of the
+/// handover time.
+///
+/// During a rolling restart of a few entries, all of them may be shutting down at the same time.
+async fn wait_until_leaving(entry: &Entry) {
+    entry.shutdown.cancelled().await;
+    let mut changes = entry.board.members.changes();
+    let has_successor = || {
+        let members = entry.board.members.load();
+        let mut names = members.entries.keys();
+        names.any(|name| *name != entry.settings.entry)
+    };
+    let successor = async { while !has_successor() && changes.changed().await.is_ok() {} };
+    // Without a successor, the ownership ends just before the process does.
+    let _ = tokio::time::timeout(entry.settings.handover_time, successor).await;
+}
+
 /// Confirms that earlier owners have ended, which shortens the wait for agents that do not report.
 async fn confirm_earlier_ended(
     entry: Arc<Entry>,
--- a/components/cell/src/settings.rs
+++ b/components/cell/src/settings.rs
@@ -25,6 +25,8 @@
     pub retention: Duration,
     /// Shortest lease that the store grants.
     pub min_store_lease: Duration,
+    /// How long an entry that shuts down keeps the ownership while no other entry can take over.
+    pub handover_time: Duration,
 }
 
 /// Settings of an agent.
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -58,6 +58,7 @@
         scheduler: scheduler_settings(),
         retention: Duration::from_mins(2),
         min_store_lease: Duration::from_secs(1),
+        handover_time: Duration::from_secs(5),
     };
     let shutdown = CancellationToken::new();
     let store = Arc::clone(store) as Arc<dyn store::TransactionStore>;
@@ -268,3 +269,26 @@
     shutdown.cancel();
     Ok(())
 }
+
+/// Guards against a cell without an owner while all entries shut down during a rolling restart: the last one goes on until
+/// another one has started.
+#[tokio::test(flavor = "multi_thread")]
+async fn ownership_is_kept_until_successor_starts() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let owns = |entry: &Entry| entry.board.states.load().epoch > 0;
+    let (last, shutdown_last) = start_entry_with_share(&store, "last", 1.0, Vec::new()).await?;
+    wait_until(|| owns(&last)).await;
+    shutdown_last.cancel();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(owns(&last), "no other entry can take over");
+    let (next, shutdown_next) = start_entry_with_share(&store, "next", 1.0, Vec::new()).await?;
+    let handed_over = tokio::time::timeout(Duration::from_secs(1), async {
+        while !owns(&next) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    });
+    assert!(handed_over.await.is_ok(), "the successor owns the cell");
+    shutdown_next.cancel();
+    Ok(())
+}
