Keep last attempts off workers that failed the unit, and move the trust in workers to a module

A waiting unit reserved the free resources of the worker that had failed it, and was then placed by that reservation.

Plans of recurring jobs are made when the next occurrence is due, not up to 200 ms later. graph/src/trust.rs has what was in fit.rs.

--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -9,6 +9,7 @@
 use crate::job::{Job, Unit, UnitId};
 use crate::reservations::WorkerResources;
 use crate::scheduler::Scheduler;
+use crate::trust::{TrustLevel, is_last_attempt, trusted_candidates, waits_for_sound_workers};
 use crate::worker::Worker;
 
 /// Workers with the number of tasks of a unit that each runs.
@@ -130,16 +131,7 @@
         } else {
             pack_on_racks(&sound, &racks, unit.1.tasks)
         };
-        // A gang fails if any of its workers does. Like a last attempt, it waits for half of its remaining slack before it
-        // uses suspect workers, if the others could hold it.
-        let max_slots = sound.iter().map(|candidate| candidate.max_slots);
-        let could_fit = max_slots.fold(0, u32::saturating_add) >= unit.1.tasks;
-        let ready_at = unit.1.ready_at.unwrap_or(now);
-        let latest_start = job
-            .deadline()
-            .saturating_sub(job.expected_task_time(unit.0));
-        let waits = could_fit && now < ready_at + latest_start.saturating_sub(ready_at) / 2;
-        if assignment.is_some() || (waits && (is_last || unit.1.tasks > 1)) {
+        if assignment.is_some() || waits_for_sound_workers(job, unit, &sound, now) {
             return assignment;
         }
         pack_on_racks(&all, &racks, unit.1.tasks)
@@ -159,40 +151,6 @@
     prefixes.find_map(|workers| pack_on_racks(workers, racks, tasks))
 }
 
-/// Returns the candidates whose workers are trusted with a unit at a level.
-pub(crate) fn trusted_candidates<'a, 'b>(
-    unit: &Unit,
-    candidates: &'b [Candidate<'a>],
-    level: TrustLevel,
-    now: Duration,
-) -> Vec<&'b Candidate<'a>> {
-    // A probe is a single task that has not failed before.
-    let may_probe = unit.tasks == 1 && unit.failures() == 0;
-    let is_trusted = |candidate: &&Candidate<'_>| {
-        let worker = candidate.worker;
-        let is_trusted = !worker.is_suspect() || (may_probe && worker.accepts_probe(now));
-        let is_sound = is_trusted && !unit.avoided_workers.contains(&worker.agent);
-        match level {
-            TrustLevel::NotSuspect => is_sound,
-            TrustLevel::Any => true,
-        }
-    };
-    candidates.iter().filter(is_trusted).collect()
-}
-
-/// How far a worker is trusted with a unit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TrustLevel {
-    /// No run has failed on it since the last successful one, and none of the unit ever.
-    NotSuspect,
-    /// Any worker.
-    Any,
-}
-
-fn is_last_attempt(job: &Job, unit: &Unit) -> bool {
-    unit.failures() > 0 && unit.failures() + 1 >= job.policy.max_attempts
-}
-
 /// Packs tasks on the workers of the first rack that has room for all of them.
 fn pack_on_racks(
     workers: &[&Candidate<'_>],
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -204,6 +204,12 @@
         Some(recurrence.first + recurrence.interval * occurrence)
     }
 
+    /// Returns the Unix time at which the next occurrence that was not created yet is due.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        let has_next = self.created_occurrences < self.spec.graph.occurrences();
+        has_next.then(|| self.due_at(self.created_occurrences))?
+    }
+
     fn create_occurrence(&mut self, occurrence: u32) {
         self.created_occurrences = self.created_occurrences.max(occurrence + 1);
         let spec = Arc::clone(&self.spec);
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -43,6 +43,7 @@
 mod reports;
 mod reservations;
 mod scheduler;
+mod trust;
 mod victims;
 mod worker;
 
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -13,8 +13,7 @@
 use crate::scheduler::Scheduler;
 use crate::victims::Selection;
 
-/// Interval of the plans that depend only on time: due schedules, hanging runs, quarantines and waits for a better
-/// place.
+/// Longest interval of the plans that depend only on time: hanging runs, quarantines and waits for a better place.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How to proceed with a unit that is ready.
@@ -38,13 +37,15 @@
             return;
         }
         if is_due {
-            for job in self.jobs.values_mut() {
-                if job.end.is_none() {
-                    job.create_due_occurrences(unix_time);
+            self.next_plan_at = now + PLAN_INTERVAL;
+            for job in self.jobs.values_mut().filter(|job| job.end.is_none()) {
+                job.create_due_occurrences(unix_time);
+                if let Some(due) = job.next_due() {
+                    let due_at = now + due.saturating_sub(unix_time);
+                    self.next_plan_at = self.next_plan_at.min(due_at);
                 }
             }
             self.stop_hanging_runs(now);
-            self.next_plan_at = now + PLAN_INTERVAL;
         }
         self.plan_needed = false;
         self.drop_stale_reservations(now);
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -5,12 +5,13 @@
 use indexmap::IndexMap;
 use model::{JobId, ResourceVector};
 
-use crate::fit::{Candidate, TrustLevel, racks_to_try, trusted_candidates};
+use crate::fit::{Candidate, racks_to_try};
 use crate::job::{Job, UnitKey};
 use crate::order::{ReadyUnit, URGENT_PRIORITY};
 use crate::placement::AnyPlacement;
 use crate::reservations::{FleetResources, PlacementOptions};
 use crate::scheduler::{Reservation, Scheduler};
+use crate::trust::{TrustLevel, trusted_candidates, waits_for_sound_workers};
 use crate::victims::{PreemptibleWorker, Selection, StopCost, select_victims};
 
 /// Added to the longest stop time to get the time after which a reservation expires.
@@ -104,8 +105,18 @@
         fleet: &FleetResources,
         now: Duration,
     ) -> Option<Selection> {
-        let mut levels = [TrustLevel::NotSuspect, TrustLevel::Any].into_iter();
-        levels.find_map(|level| self.cheapest_selection(ready, options, level, fleet, now))
+        let job = self.jobs.get(&ready.job)?;
+        let unit = job.units.get(&ready.unit)?;
+        let candidates = &options.candidates;
+        let sound = trusted_candidates(unit, candidates, TrustLevel::NotSuspect, now);
+        let levels: &[TrustLevel] = if waits_for_sound_workers(job, (ready.unit, unit), &sound, now)
+        {
+            &[TrustLevel::NotSuspect]
+        } else {
+            &[TrustLevel::NotSuspect, TrustLevel::Any]
+        };
+        let mut levels = levels.iter();
+        levels.find_map(|level| self.cheapest_selection(ready, options, *level, fleet, now))
     }
 
     fn cheapest_selection(
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -306,6 +306,37 @@
     assert_eq!(stopped_jobs(&mut cell).len(), 4, "another one is freed");
 }
 
+/// Guards against a job that fails because its last attempt goes to the worker that failed the one before, by way of a
+/// reservation of its free resources.
+#[test]
+fn plan_last_attempt_avoids_failed_worker() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r1")]);
+    let urgent = || {
+        let mut urgent = job(0, vec![gang(4)]);
+        urgent.policy.max_attempts = 2;
+        urgent
+    };
+    cell.accept(7, urgent());
+    cell.accept(8, urgent());
+    cell.plan_and_start();
+    let failed_on = cell.agent_of(task(8, 0, 0)).expect("the task runs");
+    cell.end_run(task(8, 0, 0), RunEnd::Failed);
+    for index in 1..4 {
+        cell.end_run(task(8, 0, index), RunEnd::Broken);
+    }
+    for _ in 0..4 {
+        cell.advance(ms(100));
+        cell.plan_and_start();
+        assert_eq!(cell.run_number(task(8, 0, 0)), None);
+    }
+    cell.end_run(task(7, 0, 0), RunEnd::Done);
+    for index in 1..4 {
+        cell.end_run(task(7, 0, index), RunEnd::Broken);
+    }
+    cell.plan_and_start();
+    assert_ne!(cell.agent_of(task(8, 0, 0)).expect("it runs"), failed_on);
+}
+
 /// Returns a cell with one of two workers in use and recent urgent jobs, all of which have ended.
 fn busy_cell_with_demand() -> TestCell {
     let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
