Let guaranteed units preempt before they take what is reserved for others

Guaranteed units took their reserved workers as soon as these were free, although they could have preempted other work themselves; each time the gang had to preempt again.

Change: a guaranteed unit takes reserved resources only if it can't preempt, or if its stops are overdue (the longest stop time and 0.3 s).

Tests: plan_guaranteed_job_leaves_reservations_if_it_can_preempt fails before the change, and plan_guaranteed_job_takes_reservation_after_stop_time guards its limit. plan_replaces_taken_reservation took the reserved worker by a guaranteed job, which now preempts; an unknown run takes it instead, and the check is unchanged.

--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -16,6 +16,9 @@
 /// Longest interval of the plans that depend only on time: hanging runs, quarantines and waits for a better place.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Added to the longest stop time: the time to order and report a stop.
+const STOP_REPORT_MARGIN: Duration = Duration::from_millis(300);
+
 /// How to proceed with a unit that is ready.
 enum Decision {
     /// Place it on these workers, with these resources for each task.
@@ -96,8 +99,9 @@
 
     /// Decides how to proceed with a unit that is ready.
     ///
-    /// A guaranteed unit may take resources that are reserved for units without a guarantee, but only if it does not
-    /// fit otherwise, because those units would then have to preempt further runs.
+    /// A guaranteed unit may take resources that are reserved for units without a guarantee, which would then have to
+    /// preempt further runs. It does so only if it can't preempt runs itself, or if their resources do not become free in
+    /// time.
     fn decide(
         &self,
         ready: ReadyUnit,
@@ -113,34 +117,50 @@
         if !self.may_fit(ready, fleet, excluded) {
             return Decision::Wait;
         }
-        let filters: &[ReservationFilter] = if ready.guaranteed {
-            &[ReservationFilter::All, ReservationFilter::Guaranteed]
-        } else {
-            &[ReservationFilter::All]
+        let unreserved = self.decide_within(ready, ReservationFilter::All, fleet, excluded, now);
+        let is_settled = match &unreserved {
+            Decision::Place(..) => true,
+            Decision::Reserve(..) => !self.is_overdue(ready, now),
+            Decision::Wait => self.has_preempted(ready) && !self.is_overdue(ready, now),
         };
-        let mut failed_options = Vec::new();
-        for filter in filters {
-            let Some(options) = self.placement_options(ready, *filter, fleet, excluded, now) else {
-                return Decision::Wait;
-            };
-            if let Some(assignment) = self.choose_workers(ready, &options, now) {
-                return Decision::Place(assignment, options.task_resources);
-            }
-            failed_options.push(options);
+        if is_settled || !ready.guaranteed {
+            return unreserved;
+        }
+        self.decide_within(ready, ReservationFilter::Guaranteed, fleet, excluded, now)
+    }
+
+    /// Decides how to proceed with a unit that may not use the resources of the selected reservations.
+    fn decide_within(
+        &self,
+        ready: ReadyUnit,
+        filter: ReservationFilter,
+        fleet: &FleetResources,
+        excluded: &[bool],
+        now: Duration,
+    ) -> Decision {
+        let Some(options) = self.placement_options(ready, filter, fleet, excluded, now) else {
+            return Decision::Wait;
+        };
+        if let Some(assignment) = self.choose_workers(ready, &options, now) {
+            return Decision::Place(assignment, options.task_resources);
         }
         if ready.priority != URGENT_PRIORITY || !self.may_reserve(ready, now) {
             return Decision::Wait;
         }
-        let mut options = failed_options.iter();
-        let selected = options.find_map(|options| {
-            let selection = self.select_preemption(ready, options, fleet, now)?;
-            Some((selection, options.task_resources))
-        });
-        selected.map_or(Decision::Wait, |(selection, task_resources)| {
-            Decision::Reserve(selection, task_resources)
+        let selection = self.select_preemption(ready, &options, fleet, now);
+        selection.map_or(Decision::Wait, |selection| {
+            Decision::Reserve(selection, options.task_resources)
         })
     }
 
+    /// Returns whether a unit has waited for longer than the runs that it preempted need to stop.
+    fn is_overdue(&self, ready: ReadyUnit, now: Duration) -> bool {
+        let job = self.jobs.get(&ready.job);
+        let unit = job.and_then(|job| job.units.get(&ready.unit));
+        let ready_at = unit.and_then(|unit| unit.ready_at).unwrap_or(now);
+        now >= ready_at + self.settings.max_stop_time + STOP_REPORT_MARGIN
+    }
+
     /// Returns whether a unit may fit now, without looking at its requirements other than resources. Urgent units may also
     /// preempt.
     fn may_fit(&self, ready: ReadyUnit, fleet: &FleetResources, excluded: &[bool]) -> bool {
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -29,6 +29,12 @@
 const URGENT_STOP_COST: f64 = 1e6;
 
 impl Scheduler {
+    /// Returns whether runs were stopped for a unit that still waits for their resources.
+    pub(crate) fn has_preempted(&self, ready: ReadyUnit) -> bool {
+        let reservation = self.reservations.get(&(ready.job, ready.unit));
+        reservation.is_some_and(|reservation| reservation.preempts)
+    }
+
     /// Returns whether a unit may get a new reservation: it has none, or one that did not preempt and that is not recent.
     pub(crate) fn may_reserve(&self, ready: ReadyUnit, now: Duration) -> bool {
         let reservation = self.reservations.get(&(ready.job, ready.unit));
--- a/components/graph/tests/placing.rs
+++ b/components/graph/tests/placing.rs
@@ -275,10 +275,9 @@
     assert_eq!(stopped_jobs(&mut cell), vec![8; 8]);
 }
 
-/// Guards against an urgent gang that waits until its reservation expires although a guaranteed job has taken a reserved
-/// worker: it preempts elsewhere with the next plan.
-#[test]
-fn plan_replaces_taken_reservation() {
+/// Returns a cell with one free worker and two whose gangs of the lowest priority may be preempted. An urgent gang that needs
+/// two workers waits for the stop of one gang.
+fn cell_with_reservation() -> TestCell {
     let names = ["w1", "w2", "w3"];
     let mut cell = TestCell::new(1, names.map(|name| worker(name, "r1")).into());
     let guarantees = IndexMap::from([("puerto".into(), 4)]);
@@ -287,23 +286,60 @@
         cell.accept(id, job(2, vec![gang(4)]));
         cell.plan_and_start();
     }
-    let free_job = cell.workers["w1"].report.runs[0].run.task.job;
-    cell.end_run(task(free_job, 0, 0), RunEnd::Done);
+    let ended = cell.workers["w1"].report.runs[0].run.task.job;
+    cell.end_run(task(ended, 0, 0), RunEnd::Done);
     for index in 1..4 {
-        cell.end_run(task(free_job, 0, index), RunEnd::Broken);
+        cell.end_run(task(ended, 0, index), RunEnd::Broken);
     }
     let mut urgent = job(0, vec![gang(8)]);
     urgent.graph.steps[0].expected = ms(60_000);
     cell.accept(8, urgent);
     cell.scheduler.plan(cell.now, ms(1_000));
     assert_eq!(stopped_jobs(&mut cell).len(), 4, "one worker is free");
+    cell
+}
+
+/// Guards against an urgent gang that waits until its reservation expires although the resources of a reserved worker were
+/// taken: it preempts elsewhere with the next plan.
+#[test]
+fn plan_replaces_taken_reservation() {
+    let mut cell = cell_with_reservation();
+    let unknown = TaskRun::new(task(99, 0, 0), owner_run_number(1, 900));
+    cell.workers["w1"].report.runs.push(running(unknown, 10));
+    cell.report("w1");
+    cell.scheduler.plan(cell.now, ms(1_000));
+    let stopped = stopped_jobs(&mut cell);
+    let preempted = stopped.iter().filter(|job| **job != 99);
+    assert_eq!(preempted.count(), 4, "another worker is freed");
+}
+
+/// Guards against a guaranteed job that takes a reserved worker although it could preempt other work: the unit that waits
+/// for the worker would have to preempt in its place, and start later.
+#[test]
+fn plan_guaranteed_job_leaves_reservations_if_it_can_preempt() {
+    let mut cell = cell_with_reservation();
+    let mut preferred = job(0, vec![gang(4)]);
+    preferred.account = "puerto".into();
+    cell.accept(9, preferred);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert!(cell.instructions("w1").starts.is_empty());
+    assert_eq!(stopped_jobs(&mut cell).len(), 4);
+}
+
+/// Guards against a guaranteed job that waits for runs which do not stop, although a reserved worker is free.
+#[test]
+fn plan_guaranteed_job_takes_reservation_after_stop_time() {
+    let mut cell = cell_with_reservation();
     let mut preferred = job(0, vec![gang(4)]);
     preferred.account = "puerto".into();
     cell.accept(9, preferred);
     cell.scheduler.plan(cell.now, ms(1_000));
-    assert_eq!(cell.instructions("w1").starts.len(), 4, "it is taken");
+    cell.advance(ms(1_300));
+    for agent in cell.agents() {
+        cell.report(&agent);
+    }
     cell.scheduler.plan(cell.now, ms(1_000));
-    assert_eq!(stopped_jobs(&mut cell).len(), 4, "another one is freed");
+    assert_eq!(cell.instructions("w1").starts.len(), 4);
 }
 
 /// Guards against a job that fails because its last attempt goes to the worker that failed the one before, by way of a
