Log which runs a crash of a worker ended, and how long each had lived

Agents now log worker_crashed with the time that each run is known to have survived, and runs_lost names the tasks. No logic changed.

--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod actor;
 mod link;
 mod orders;
+mod sightings;
 mod state;
 mod worker_client;
 
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -6,10 +6,11 @@
 use indexmap::IndexMap;
 use model::{
     EndReport, Epoch, Incarnation, Refusal, ResourceVector, RunReport, RunStatus, ServiceId,
-    TaskRun, WorkerReport,
+    TaskRun, WorkerCrash, WorkerReport,
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::agent::sightings::Sightings;
 use crate::agent::worker_client::{ListedRun, PollReply};
 use crate::agent::{Announcement, StartReply};
 use crate::settings::AgentSettings;
@@ -74,6 +75,10 @@
     listed: Vec<ListedRun>,
     ends: Vec<EndReport>,
     leaving: bool,
+    /// What the current incarnation is known to have run.
+    sightings: Sightings,
+    /// Whether the current incarnation has crashed.
+    crashed: bool,
 }
 
 impl State {
@@ -102,6 +107,8 @@
             listed: Vec::new(),
             ends: Vec::new(),
             leaving: false,
+            sightings: Sightings::default(),
+            crashed: false,
         }
     }
 
@@ -148,6 +155,7 @@
         if self.incarnation == Some(incarnation) {
             return;
         }
+        self.record_crash();
         log::info!(
             target: "limpethook",
             incarnation = incarnation, before = self.incarnation.unwrap_or(0);
@@ -178,6 +186,34 @@
         self.ends.clear();
         self.leaving = false;
         self.leaves_at = None;
+        self.sightings = Sightings::default();
+        self.crashed = false;
+    }
+
+    /// Records that the current incarnation of the worker has crashed, with everything that ran on it. A worker that was
+    /// draining has ended as planned.
+    fn record_crash(&mut self) {
+        let Some(incarnation) = self.incarnation.filter(|_| !self.crashed) else {
+            return;
+        };
+        self.crashed = true;
+        if self.is_draining() {
+            return;
+        }
+        let may_have_started =
+            |order: &OrderState| matches!(order, OrderState::Starting | OrderState::Unanswered);
+        let unanswered = self.orders.iter();
+        let unanswered = unanswered.filter(|(_, (order, _))| may_have_started(order));
+        let unanswered: Vec<TaskRun> = unanswered.map(|(run, _)| *run).collect();
+        let crash = WorkerCrash {
+            incarnation,
+            runs: self.sightings.crashed_runs(&unanswered),
+        };
+        log::warn!(
+            target: "limpethook",
+            incarnation = incarnation, runs = crash.runs.len(), survived:% = SurvivalTimes(&crash);
+            "worker_crashed"
+        );
     }
 
     /// Returns the end of a lease on the clock of the worker, if leases may be renewed and the
@@ -209,6 +245,7 @@
             self.begin(incarnation);
         }
         self.refused_connections = 0;
+        self.sightings.record_answer(now);
         self.clock_sample = Some((reply.clock, now));
         if reply.fenced {
             return false;
@@ -221,6 +258,7 @@
         self.last_poll_at = self.last_poll_at.max(Some(requested_at));
         let known: Vec<TaskRun> = self.listed.iter().map(|listed| listed.run).collect();
         let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
+        self.sightings.record_listed(&reply.runs, requested_at, now);
         self.listed = reply.runs;
         self.ends = reply.ends;
         let outcome_reached = self.reconcile_orders(requested_at, now);
@@ -260,6 +298,9 @@
 
     pub(crate) fn record_refused_connection(&mut self) {
         self.refused_connections = self.refused_connections.saturating_add(1);
+        if self.refused_connections >= ABSENT_AFTER_REFUSALS {
+            self.record_crash();
+        }
     }
 
     /// Returns whether nothing can be running on the worker any more.
@@ -296,6 +337,12 @@
         if !matches!(self.orders.get(&run), Some((OrderState::Starting, _))) {
             return;
         }
+        if reply.is_some() {
+            self.sightings.record_answer(now);
+        }
+        if reply == Some(StartReply::Yes) {
+            self.sightings.record_start(run, now);
+        }
         let order = match reply {
             Some(StartReply::Yes) => OrderState::Started,
             // The lease expired on the way; the owner sends the order again.
@@ -380,3 +427,20 @@
         reports
     }
 }
+
+/// Formats the runs of a crash for the log: how long each is known to have lived.
+struct SurvivalTimes<'a>(&'a WorkerCrash);
+
+impl std::fmt::Display for SurvivalTimes<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (index, crashed) in self.0.runs.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{}/{}:", crashed.run.task, crashed.run.run)?;
+            match crashed.survived {
+                Some(survived) => write!(f, "{}ms", survived.as_millis())?,
+                None => write!(f, "unanswered")?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -129,7 +129,7 @@
         if !lost.is_empty() {
             log::warn!(
                 target: "limpethook",
-                agent:% = agent, runs = lost.len(), heard_ms = worker.last_report_at.as_millis(), reason = reason;
+                agent:% = agent, runs = lost.len(), tasks:% = TaskList(&lost), heard_ms = worker.last_report_at.as_millis(), reason = reason;
                 "runs_lost"
             );
         }
@@ -333,3 +333,16 @@
     worker.lost = report.absent;
     changed
 }
+
+/// Formats the tasks of runs for the log.
+struct TaskList<'a>(&'a IndexMap<TaskId, AnyPlacement>);
+
+impl std::fmt::Display for TaskList<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (index, (task, placement)) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{task}/{}", placement.task_run().run)?;
+        }
+        Ok(())
+    }
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -29,6 +29,9 @@
 pub use location::Location;
 pub use request::Request;
 pub use resources::Resources;
-pub use run::{EndReport, Instructions, Refusal, RunReport, RunStatus, StartOrder, WorkerReport};
+pub use run::{
+    CrashedRun, EndReport, Instructions, Refusal, RunReport, RunStatus, StartOrder, WorkerCrash,
+    WorkerReport,
+};
 pub use shape::{Adjacency, Shape};
 pub use worker::Worker;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -64,6 +64,24 @@
     pub checkpoint: Box<str>,
 }
 
+/// A run that ended because its worker crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// The run.
+    pub run: TaskRun,
+    /// How long it is known to have lived, measured between answers of the worker; `None` if its start was not answered.
+    pub survived: Option<Duration>,
+}
+
+/// A crash of a worker, with everything that ran on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCrash {
+    /// The incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// Its runs.
+    pub runs: Vec<CrashedRun>,
+}
+
 /// The state of a worker as its agent reports it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
