--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -243,6 +243,24 @@
         self.report(&agent);
     }
 
+    /// Crashes a worker. Its agent finds nothing at its address and reports that.
+    pub(crate) fn crash(&mut self, agent: &str) {
+        let worker = &mut self.workers[agent];
+        worker.report.absent = true;
+        worker.report.runs.clear();
+        worker.report.ends.clear();
+        self.report(agent);
+    }
+
+    /// Starts a crashed worker again.
+    pub(crate) fn restart(&mut self, agent: &str) {
+        let worker = &mut self.workers[agent];
+        worker.report.absent = false;
+        worker.report.incarnation = worker.report.incarnation.map(|last| last + 1);
+        worker.next_end_sequence = 1;
+        self.report(agent);
+    }
+
     /// Returns the agent of the worker that runs a task.
     pub(crate) fn agent_of(&self, task: TaskId) -> Option<AgentId> {
         let runs_task =
