Give up tasks that crash the workers that start them

Jobs beside it were started again and again, up to 24 were never finished, and on a small fleet almost nobody was served.

Cause: a run that ends with its worker has no end report, so neither a failed attempt nor anything else was recorded. The unit was ready again in the same millisecond, together with its neighbours, on the next worker. Class of fault: a retry without memory of the cause of the last failure.

Change: agents report crashes of their worker with the time that each run is known to have lived, until the crash is stored. The owner attributes a crash to the units on probation (0.5 s), stores that with the progress of their jobs before it places them again, and gives each suspect a trial: nothing else starts beside it until it has survived its probation, on the worker with the least unsaved work. A unit is given up after two crashes in trials, three during probations, or five in a row. A suspect that survives is cleared. Records of progress keep their form: the crashes follow the units, and records without them are read as before.

Ruled out: counting lost runs as failed attempts (neighbours and tasks on workers that lose power would be given up), holding back all starts of a kind of request, and a longer backoff (the same crashes, later).

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -52,6 +52,8 @@
     OwnerChanged,
     PollDue,
     ConfirmEpochDue,
+    /// The probation of a run on trial is over if the worker still answers.
+    TrialDue,
     ReportDue,
 }
 
@@ -159,6 +161,7 @@
                     self.poll(None, true);
                 }
             }
+            Event::TrialDue => self.poll(None, true),
             Event::ReportDue => {
                 if self.reports_in_flight == 0 {
                     self.report();
@@ -252,7 +255,7 @@
         }
     }
 
-    fn send_after(&self, delay: Duration, event: Event) {
+    pub(super) fn send_after(&self, delay: Duration, event: Event) {
         let tx = self.tx.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
@@ -310,6 +313,7 @@
         if instructions.epoch < self.state.epoch {
             return;
         }
+        self.state.forget_crashes(&instructions.stored_crashes);
         if instructions.epoch > self.state.epoch {
             log::info!(target: "limpethook", epoch = instructions.epoch, before = self.state.epoch; "owner_epoch_adopted");
             self.state.epoch = instructions.epoch;
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use errors::{Result, Verdict};
+use graph::PROBATION;
 use model::{Refusal, StartOrder, TaskRun};
 use tokio_util::sync::CancellationToken;
 
@@ -55,6 +56,9 @@
             return;
         };
         let retries_cancelled = self.state.begin_start(order.run, now);
+        if order.trial {
+            self.state.begin_trial(order.run);
+        }
         let request = StartRequest {
             run: order.run,
             body,
@@ -90,6 +94,9 @@
                     "start_answered"
                 );
                 self.state.record_start_reply(run, Some(reply), now);
+                if reply == StartReply::Yes && self.state.is_on_trial(run) {
+                    self.send_after(PROBATION, Event::TrialDue);
+                }
                 let may_still_start = outcome.unanswered
                     && matches!(reply, StartReply::Refused(refusal) if refusal != Refusal::Outdated);
                 if reply == StartReply::Refused(Refusal::Outdated) {
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -1,9 +1,10 @@
 //! State of a worker as known to its agent, and the reports built from it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use graph::lapse_after;
-use indexmap::IndexMap;
+use graph::{PROBATION, lapse_after};
+use indexmap::{IndexMap, IndexSet};
 use model::{
     EndReport, Epoch, Incarnation, Refusal, ResourceVector, RunReport, RunStatus, ServiceId,
     TaskRun, WorkerCrash, WorkerReport,
@@ -21,6 +22,10 @@
 /// How long the outcome of an order is kept in case the order is repeated.
 const OUTCOME_RETENTION: Duration = Duration::from_mins(1);
 
+/// Maximum number of crashes that are kept for the owner. Without an owner nothing is started, so that workers crash
+/// seldom.
+const MAX_UNSTORED_CRASHES: usize = 16;
+
 /// State of an order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum OrderState {
@@ -79,6 +84,10 @@
     sightings: Sightings,
     /// Whether the current incarnation has crashed.
     crashed: bool,
+    /// Crashes that no owner has stored yet, oldest first.
+    crashes: VecDeque<WorkerCrash>,
+    /// Runs of which the owner waits to learn that they have survived their probation.
+    trials: IndexSet<TaskRun>,
 }
 
 impl State {
@@ -109,6 +118,8 @@
             leaving: false,
             sightings: Sightings::default(),
             crashed: false,
+            crashes: VecDeque::new(),
+            trials: IndexSet::new(),
         }
     }
 
@@ -188,6 +199,7 @@
         self.leaves_at = None;
         self.sightings = Sightings::default();
         self.crashed = false;
+        self.trials.clear();
     }
 
     /// Records that the current incarnation of the worker has crashed, with everything that ran on it. A worker that was
@@ -214,6 +226,40 @@
             incarnation = incarnation, runs = crash.runs.len(), survived:% = SurvivalTimes(&crash);
             "worker_crashed"
         );
+        if crash.runs.is_empty() {
+            return;
+        }
+        if self.crashes.len() >= MAX_UNSTORED_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash);
+    }
+
+    /// Forgets the crashes that the owner has stored.
+    pub(crate) fn forget_crashes(&mut self, stored: &[Incarnation]) {
+        self.crashes
+            .retain(|crash| !stored.contains(&crash.incarnation));
+    }
+
+    /// Records that the owner waits to learn that a run has survived its probation.
+    pub(crate) fn begin_trial(&mut self, run: TaskRun) {
+        self.trials.insert(run);
+    }
+
+    /// Returns whether a run is on trial.
+    pub(crate) fn is_on_trial(&self, run: TaskRun) -> bool {
+        self.trials.contains(&run)
+    }
+
+    /// Ends the trials of the runs that have survived their probation; returns whether there are any.
+    fn end_survived_trials(&mut self) -> bool {
+        let before = self.trials.len();
+        let sightings = &self.sightings;
+        self.trials.retain(|run| {
+            let survived = sightings.survived(*run);
+            survived.is_none_or(|survived| survived < PROBATION)
+        });
+        self.trials.len() < before
     }
 
     /// Returns the end of a lease on the clock of the worker, if leases may be renewed and the
@@ -262,7 +308,8 @@
         self.listed = reply.runs;
         self.ends = reply.ends;
         let outcome_reached = self.reconcile_orders(requested_at, now);
-        has_changes || outcome_reached || run_appeared
+        let trial_ended = self.end_survived_trials();
+        has_changes || outcome_reached || run_appeared || trial_ended
     }
 
     /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
@@ -378,10 +425,15 @@
             complete: self.is_complete(),
             runs: self.run_reports(now),
             ends: self.ends.clone(),
+            crashes: self.crashes.iter().cloned().collect(),
             sent_at: now,
         }
     }
 
+    fn survived(&self, run: TaskRun) -> Duration {
+        self.sightings.survived(run).unwrap_or_default()
+    }
+
     /// Returns whether a poll was sent after every order of an earlier process of this agent had
     /// arrived or expired. The worker refuses orders that arrive after the end of their lease.
     fn is_complete(&self) -> bool {
@@ -399,6 +451,7 @@
                 status: RunStatus::Running {
                     percent: listed.percent,
                     checkpoint: listed.checkpoint.clone(),
+                    survived: self.survived(listed.run),
                 },
             })
             .collect();
@@ -418,6 +471,7 @@
                 OrderState::Started => RunStatus::Running {
                     percent: 0,
                     checkpoint: Box::default(),
+                    survived: self.survived(*run),
                 },
                 OrderState::Refused(refusal) => RunStatus::Refused(*refusal),
                 OrderState::Gone => RunStatus::StoppedBeforeStart,
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -231,6 +231,15 @@
             let seconds = &self.entry.metrics.start_seconds;
             seconds.observe(wait.as_secs_f64());
         }
+        for suspects in self.scheduler.take_crash_suspects() {
+            let label = match suspects {
+                0 => "none",
+                1 => "one",
+                _ => "several",
+            };
+            let crashes = &self.entry.metrics.worker_crashes;
+            crashes.with_label_values(&[label]).inc();
+        }
         self.scheduler.compact_ended_jobs();
         if self.published_version != Some(self.scheduler.status_version()) {
             self.published_version = Some(self.scheduler.status_version());
--- a/components/cell/src/leader/load.rs
+++ b/components/cell/src/leader/load.rs
@@ -108,7 +108,7 @@
 
 /// Decodes the progress of a job. An unreadable value is logged and counts as no progress.
 pub(crate) fn read_progress(found: &KvPair) -> Progress {
-    records::decode(&found.key, &found.value).unwrap_or_else(|report| {
+    records::decode_progress(&found.key, &found.value).unwrap_or_else(|report| {
         log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
         Progress::default()
     })
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -22,6 +22,8 @@
     pub owner: IntCounterVec,
     /// Time from the acceptance of a job to its first running task in seconds.
     pub start_seconds: Histogram,
+    /// Crashes of workers by the number of units to which they point.
+    pub worker_crashes: IntCounterVec,
 }
 
 impl Metrics {
@@ -55,6 +57,11 @@
                 "Events of the owner",
                 &["event"],
             )?,
+            worker_crashes: counters(
+                "limpethook_worker_crashes_total",
+                "Crashes of workers",
+                &["suspects"],
+            )?,
             submit_seconds: histogram(
                 "limpethook_job_submit_seconds",
                 "Time from a submission to its answer",
--- a/components/cell/src/records.rs
+++ b/components/cell/src/records.rs
@@ -1,7 +1,9 @@
 //! Values in the store.
 
 use bytes::Bytes;
+use error_stack::Report;
 use errors::{Error, ErrorKind, Result};
+use graph::Progress;
 use indexmap::IndexSet;
 use model::{AcceptedJob, AgentId, EntryId, JobEnd, QueueId};
 use serde::de::DeserializeOwned;
@@ -54,11 +56,26 @@
 
 /// Decodes a value; `key` identifies it in the error.
 pub(crate) fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T> {
-    postcard::from_bytes(value).map_err(|e| {
-        Error::not_run(
-            ErrorKind::Corrupt,
-            format!("cannot decode the record {key}: {e}"),
-        )
-        .report()
-    })
+    postcard::from_bytes(value).map_err(|e| unreadable(key, &e))
+}
+
+/// Decodes the progress of a job. Records of versions that stored no crashes end after the units.
+pub(crate) fn decode_progress(key: &str, value: &[u8]) -> Result<Progress> {
+    let decoded = postcard::take_from_bytes(value).and_then(|(units, rest)| {
+        let crashes = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Progress { units, crashes })
+    });
+    decoded.map_err(|e| unreadable(key, &e))
+}
+
+fn unreadable(key: &str, e: &postcard::Error) -> Report<Error> {
+    Error::not_run(
+        ErrorKind::Corrupt,
+        format!("cannot decode the record {key}: {e}"),
+    )
+    .report()
 }
--- a/components/cell/tests/agent.rs
+++ b/components/cell/tests/agent.rs
@@ -182,6 +182,7 @@
         bodies: Vec::new(),
         starts: state.starts.drain(..).collect(),
         stops: state.stops.drain(..).collect(),
+        stored_crashes: Vec::new(),
     };
     state.reports.push(*report);
     Ok(Reply::Instructions(Box::new(instructions)))
@@ -250,6 +251,7 @@
             checkpoint: Box::default(),
             approval: None,
             repeated: false,
+            trial: false,
         });
     });
     owner.reported(is_open).await;
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -6,6 +6,7 @@
 use model::{AgentId, ResourceVector, Step, TaskId};
 
 use crate::approvals::StepId;
+use crate::crashes::is_blocked_by_trial;
 use crate::job::{Job, Unit, UnitId};
 use crate::reservations::WorkerResources;
 use crate::scheduler::Scheduler;
@@ -23,6 +24,8 @@
     pub(crate) worker: &'a Worker,
     /// Resources that are free and not reserved for other units.
     pub(crate) free: ResourceVector,
+    /// Whether a trial keeps the unit from starting on the worker now.
+    pub(crate) blocked: bool,
     /// Number of tasks of the unit that may be placed on the worker now, within the spread limit of the step.
     pub(crate) slots: u32,
     /// Number of tasks of the unit that might be placed if all resources of the worker were free. The spread limit
@@ -85,12 +88,15 @@
                 limit.saturating_sub(tasks_on_worker(worker, job, id))
             });
             let max_tasks = remaining_spread.min(unit.tasks);
-            let free = available[index];
+            let free: ResourceVector = available[index];
+            let blocked = is_blocked_by_trial(worker, unit, now);
+            let slots = free.fit_count(task_resources).min(max_tasks);
             Candidate {
                 index,
                 worker,
                 free,
-                slots: free.fit_count(task_resources).min(max_tasks),
+                blocked,
+                slots: if blocked { 0 } else { slots },
                 max_slots: worker.capacity.fit_count(task_resources).min(max_tasks),
             }
         };
@@ -119,7 +125,9 @@
         let is_last = is_last_attempt(job, unit.1);
         let all: Vec<&Candidate<'_>> = candidates.iter().collect();
         let sound = trusted_candidates(unit.1, candidates, TrustLevel::NotSuspect, now);
-        let assignment = if is_last {
+        let assignment = if unit.1.is_suspect() {
+            pack_at_least_risk(sound.clone(), &racks, unit.1.tasks, now)
+        } else if is_last {
             pack_on_proven_workers(sound.clone(), &racks, unit.1.tasks)
         } else if step.data_rack.is_some() && unit.1.tasks == 1 {
             // Another attempt on the rack with the data costs less time than a run on another rack.
@@ -145,9 +153,30 @@
     racks: &[Option<Box<str>>],
     tasks: u32,
 ) -> Option<Assignment> {
-    sound.retain(|candidate| candidate.slots > 0);
     sound.sort_by_key(|candidate| std::cmp::Reverse(candidate.worker.last_sound_start));
-    let mut prefixes = (1..=sound.len()).map(|count| &sound[..count]);
+    pack_on_first(&sound, racks, tasks)
+}
+
+/// Packs a suspect on the workers with the least work that a crash would destroy.
+fn pack_at_least_risk(
+    mut workers: Vec<&Candidate<'_>>,
+    racks: &[Option<Box<str>>],
+    tasks: u32,
+    now: Duration,
+) -> Option<Assignment> {
+    workers.sort_by_cached_key(|candidate| candidate.worker.unsaved_work(now));
+    pack_on_first(&workers, racks, tasks)
+}
+
+/// Packs tasks on as few of the first workers as possible.
+fn pack_on_first(
+    workers: &[&Candidate<'_>],
+    racks: &[Option<Box<str>>],
+    tasks: u32,
+) -> Option<Assignment> {
+    let usable = workers.iter().copied();
+    let usable: Vec<&Candidate<'_>> = usable.filter(|candidate| candidate.slots > 0).collect();
+    let mut prefixes = (1..=usable.len()).map(|count| &usable[..count]);
     prefixes.find_map(|workers| pack_on_racks(workers, racks, tasks))
 }
 
--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -53,7 +53,11 @@
             bodies: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            stored_crashes: Vec::new(),
         };
+        if let Some(worker) = self.workers.get(agent) {
+            instructions.stored_crashes = self.stored_crashes(worker);
+        }
         let Some(worker) = self.workers.get_mut(agent) else {
             return instructions;
         };
@@ -71,7 +75,8 @@
                     if may_start && needs_sending(placement.state.sent_at, now) =>
                 {
                     let repeated = placement.state.sent_at.replace(now).is_some();
-                    starting.push((placement.task_run, placement.job, placement.unit, repeated));
+                    let (id, unit, trial) = (placement.job, placement.unit, placement.trial);
+                    starting.push((placement.task_run, (id, unit), repeated, trial));
                 }
                 AnyPlacement::Stopping(placement)
                     if needs_sending(placement.state.sent_at, now) =>
@@ -89,7 +94,7 @@
             }
         }
         let mut bodies: IndexMap<JobId, Box<str>> = IndexMap::new();
-        for (run, id, unit, repeated) in starting {
+        for (run, (id, unit), repeated, trial) in starting {
             let Some((body, checkpoint)) = self.start_payload(id, unit) else {
                 continue;
             };
@@ -102,6 +107,7 @@
                 checkpoint,
                 approval,
                 repeated,
+                trial,
             });
         }
         instructions.bodies = bodies.into_iter().collect();
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -6,8 +6,9 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{AcceptedJob, AgentId, JobEnd, JobId, QueuePolicy, RunNumber, Step};
 
+use crate::crashes::RunCrash;
 use crate::estimates::Estimates;
-use crate::progress::{Progress, UnitProgress};
+use crate::progress::{Progress, UnitCrashes, UnitProgress};
 
 /// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
 const FAULTY_JOB_WORKERS: usize = 3;
@@ -58,6 +59,11 @@
     pub(crate) checkpoint_percent: u32,
     /// Number of runs that were stopped because they made no progress.
     pub(crate) hang_count: u32,
+    /// The runs under which workers crashed, as far as they were not refuted.
+    pub(crate) crashes: Vec<RunCrash>,
+    /// Version of the job that contains the latest crash that made the unit a suspect; it is not placed before that is
+    /// stored.
+    pub(crate) crash_version: u64,
     /// Earliest time of the next placement.
     pub(crate) not_before: Duration,
     /// Agents of the workers on which runs failed; other workers are preferred.
@@ -85,6 +91,8 @@
             start_checkpoint: Box::default(),
             checkpoint_percent: 0,
             hang_count: 0,
+            crashes: Vec::new(),
+            crash_version: 0,
             not_before: Duration::ZERO,
             avoided_workers: Vec::new(),
             ready_at: None,
@@ -230,11 +238,7 @@
     /// Restores progress from the store.
     pub(crate) fn restore(&mut self, progress: &Progress) {
         for saved in &progress.units {
-            while self.created_occurrences <= saved.occurrence
-                && self.created_occurrences < self.spec.graph.occurrences()
-            {
-                self.create_occurrence(self.created_occurrences);
-            }
+            self.create_occurrences_up_to(saved.occurrence);
             let id = UnitId {
                 occurrence: saved.occurrence,
                 step: saved.step,
@@ -250,6 +254,27 @@
             }
             self.started = true;
         }
+        for saved in &progress.crashes {
+            self.create_occurrences_up_to(saved.occurrence);
+            let id = UnitId {
+                occurrence: saved.occurrence,
+                step: saved.step,
+                first: saved.first,
+            };
+            if let Some(unit) = self.units.get_mut(&id) {
+                unit.crashes.clone_from(&saved.crashes);
+                self.started = true;
+            }
+        }
+    }
+
+    /// Creates the occurrences up to this one that were not created yet.
+    fn create_occurrences_up_to(&mut self, occurrence: u32) {
+        while self.created_occurrences <= occurrence
+            && self.created_occurrences < self.spec.graph.occurrences()
+        {
+            self.create_occurrence(self.created_occurrences);
+        }
     }
 
     /// Returns the progress to store.
@@ -266,8 +291,17 @@
             failed_runs: unit.failed_runs.clone(),
             checkpoint: unit.checkpoint.clone(),
         });
+        let suspects = self.units.iter();
+        let suspects = suspects.filter(|(_, unit)| !unit.crashes.is_empty());
+        let crashes = suspects.map(|(id, unit)| UnitCrashes {
+            occurrence: id.occurrence,
+            step: id.step,
+            first: id.first,
+            crashes: unit.crashes.clone(),
+        });
         Progress {
             units: units.collect(),
+            crashes: crashes.collect(),
         }
     }
 
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -15,6 +15,8 @@
 //! - Recovery is the first phase of an owner: jobs of earlier owners are not placed until the runs of all agents in the
 //!   roster are known, or the leases of the others have lapsed. A run that an earlier owner started is adopted if its
 //!   unit still needs it.
+//! - A run is on probation until it has lived for a while. A unit that may have crashed a worker during its probation is
+//!   a suspect, and its next run gets a trial: no other unit starts on its workers during its probation.
 //! - A worker is unconfirmed until it has confirmed the epoch of this owner, absent if its agent reports that nothing
 //!   runs on it, and lost if it is absent or its lease has lapsed.
 //!
@@ -26,6 +28,7 @@
 
 mod approvals;
 mod changes;
+mod crashes;
 mod drain;
 mod ends;
 mod estimates;
@@ -49,5 +52,6 @@
 
 pub use approvals::{ApprovalRequest, StepId};
 pub use changes::{Change, Content};
-pub use progress::{Progress, UnitProgress};
+pub use crashes::{CrashEvidence, PROBATION, RunCrash};
+pub use progress::{Progress, UnitCrashes, UnitProgress};
 pub use scheduler::{LoadedJob, Scheduler, SchedulerSettings, lapse_after};
--- a/components/graph/src/order.rs
+++ b/components/graph/src/order.rs
@@ -40,7 +40,7 @@
             let deadline = job.deadline();
             let mut ready = Vec::new();
             for (id, unit) in &job.units {
-                if unit.phase != Phase::Waiting {
+                if unit.phase != Phase::Waiting || unit.crash_version > job.stored_version {
                     continue;
                 }
                 if now >= unit.not_before {
--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -4,6 +4,7 @@
 
 use model::{JobId, ResourceVector, TaskRun};
 
+use crate::crashes::PROBATION;
 use crate::job::{UnitId, UnitKey};
 
 /// Progress from which the pace of a run tells when it will end.
@@ -23,6 +24,8 @@
     pub(crate) resources: ResourceVector,
     /// When the run was placed.
     pub(crate) placed_at: Duration,
+    /// Whether the unit was a suspect when the run was placed.
+    pub(crate) trial: bool,
     /// Data of the state.
     pub(crate) state: S,
 }
@@ -45,6 +48,8 @@
     pub(crate) progressed_at: Duration,
     /// When a new checkpoint was last reported.
     pub(crate) checkpointed_at: Option<Duration>,
+    /// How long the run is known to have lived.
+    pub(crate) survived: Duration,
 }
 
 /// The run is being stopped; its resources stay occupied until its end is known.
@@ -64,6 +69,7 @@
             task_run: self.task_run,
             resources: self.resources,
             placed_at: self.placed_at,
+            trial: self.trial,
             state,
         }
     }
@@ -83,6 +89,7 @@
             percent: 0,
             progressed_at: now,
             checkpointed_at: None,
+            survived: Duration::ZERO,
         })
     }
 }
@@ -113,10 +120,53 @@
             task_run,
             resources,
             placed_at: now,
+            trial: false,
             state: Starting { sent_at: None },
         })
     }
 
+    /// Marks the run, which was just placed, as a trial if `trial` is set.
+    pub(crate) fn with_trial(mut self, trial: bool) -> Self {
+        if let Self::Starting(placement) = &mut self {
+            placement.trial = trial;
+        }
+        self
+    }
+
+    /// Returns whether the run is the trial of a suspect.
+    pub(crate) fn is_trial(&self) -> bool {
+        match self {
+            Self::Starting(placement) => placement.trial,
+            Self::Running(placement) => placement.trial,
+            Self::Stopping(placement) => placement.trial,
+        }
+    }
+
+    /// Returns whether the run is on probation: a crash of its worker would point to its unit. A run that is being stopped
+    /// starts nothing any more.
+    pub(crate) fn is_on_probation(&self) -> bool {
+        match self {
+            Self::Starting(_) => true,
+            Self::Running(placement) => placement.state.survived < PROBATION,
+            Self::Stopping(_) => false,
+        }
+    }
+
+    /// Returns whether the run is known to have survived its probation.
+    pub(crate) fn has_survived_probation(&self) -> bool {
+        matches!(self, Self::Running(placement) if placement.state.survived >= PROBATION)
+    }
+
+    /// Applies how long the run is reported to have lived; returns whether it has just survived its probation.
+    pub(crate) fn record_survived(&mut self, survived: Duration) -> bool {
+        let Self::Running(placement) = self else {
+            return false;
+        };
+        let before = placement.state.survived;
+        placement.state.survived = before.max(survived);
+        before < PROBATION && survived >= PROBATION
+    }
+
     /// Returns the task and the run number.
     pub(crate) fn task_run(&self) -> TaskRun {
         match self {
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -226,6 +226,7 @@
         unit.active_runs = unit.tasks;
         unit.placed_at = now;
         unit.start_checkpoint = unit.checkpoint.clone();
+        let is_trial = unit.is_suspect();
         let ready_at = unit.ready_at.take().unwrap_or(now);
         let mut index = unit_id.first;
         for (agent, tasks) in assignment {
@@ -241,14 +242,16 @@
                 };
                 let task_run = TaskRun::new(task, run_number);
                 let placement = AnyPlacement::new(id, unit_id, task_run, resources, now);
-                worker.placements.insert(task, placement);
+                worker
+                    .placements
+                    .insert(task, placement.with_trial(is_trial));
                 index += 1;
             }
         }
         log::info!(
             target: "limpethook",
             job:% = format_args!("{id:016x}"), occurrence = unit_id.occurrence, step = unit_id.step, first = unit_id.first,
-            run = run_number, workers:? = assignment, waited_ms = now.saturating_sub(ready_at).as_millis(),
+            run = run_number, trial = is_trial, workers:? = assignment, waited_ms = now.saturating_sub(ready_at).as_millis(),
             expected_ms = job.expected_task_time(unit_id).as_millis(), queue:% = job.spec.queue;
             "unit_placed"
         );
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -140,7 +140,8 @@
         let task_resources = options.task_resources;
         let costs = self.stop_costs(ready, now);
         let mut by_rack: IndexMap<&str, Vec<PreemptibleWorker<'_>>> = IndexMap::new();
-        for candidate in trusted_candidates(unit, candidates, level, now) {
+        let candidates_of_level = trusted_candidates(unit, candidates, level, now);
+        for candidate in candidates_of_level.into_iter().filter(|c| !c.blocked) {
             let index = candidate.index;
             // The resources that will be free once the stopping runs have ended and the other units with reservations
             // have been placed.
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -21,14 +21,14 @@
         now: Duration,
     ) {
         let run = report.run;
-        let (percent, checkpoint) = match &report.status {
+        let (percent, checkpoint, survived) = match &report.status {
             RunStatus::Refused(_) | RunStatus::StoppedBeforeStart => return,
-            RunStatus::Starting => (0, ""),
+            RunStatus::Starting => (0, "", Duration::ZERO),
             RunStatus::Running {
                 percent,
                 checkpoint,
-                ..
-            } => (*percent, &**checkpoint),
+                survived,
+            } => (*percent, &**checkpoint, *survived),
         };
         if !self.adopt_run(agent, run.task, run.run, now) {
             let resources = self.task_resources(run.task);
@@ -47,7 +47,11 @@
         };
         let unit = placement.unit_key();
         *placement = placement.clone().with_progress(now, percent, false);
+        let has_survived = placement.record_survived(survived);
         self.record_progress(agent, unit, run.task, percent, checkpoint, now);
+        if has_survived {
+            self.clear_suspect(unit);
+        }
     }
 
     fn task_resources(&self, task: TaskId) -> Option<ResourceVector> {
@@ -98,7 +102,9 @@
         unit.placed_at = now;
         let run = TaskRun::new(task, run_number);
         let placement = AnyPlacement::new(task.job, unit_id, run, resources, now);
-        worker.placements.insert(task, placement);
+        worker
+            .placements
+            .insert(task, placement.with_trial(unit.is_suspect()));
         log::info!(target: "limpethook", task:% = task, run = run.run, agent:% = agent; "run_adopted");
         true
     }
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -25,6 +25,7 @@
         }
         worker.last_report_sent_at = report.sent_at;
         worker.last_report_at = now;
+        self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             // The agent has had no contact with a worker since it started, and nothing listens at the worker's address.
             self.mark_worker_lost(&report.agent, &report.runs, now, "worker_absent");
@@ -34,7 +35,11 @@
         if report.incarnation.is_none() {
             return;
         }
-        if worker.incarnation != report.incarnation {
+        let known = self
+            .workers
+            .get(&report.agent)
+            .map(|worker| worker.incarnation);
+        if known != Some(report.incarnation) {
             self.replace_incarnation(report, now);
         }
         let Some(worker) = self.workers.get_mut(&report.agent) else {
@@ -186,15 +191,20 @@
             RunStatus::Running {
                 percent,
                 checkpoint,
-                ..
+                survived,
             } => {
                 let unit = placement.unit_key();
                 let placed_at = placement.placed_at();
                 *placement = placement.clone().with_progress(now, *percent, false);
+                let has_survived = placement.record_survived(*survived);
                 if *percent > 0 {
                     worker.record_sound_start(placed_at);
                 }
                 self.record_progress(agent, unit, task, *percent, checkpoint, now);
+                if has_survived {
+                    self.plan_needed = true;
+                    self.clear_suspect(unit);
+                }
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
             RunStatus::StoppedBeforeStart => self.remove_run(agent, task, now),
@@ -234,6 +244,7 @@
         if percent >= unit.checkpoint_percent {
             unit.checkpoint = checkpoint.into();
             unit.checkpoint_percent = percent;
+            unit.clear_survived_crashes();
         }
         let worker = self.workers.get_mut(agent);
         if let Some(placement) = worker.and_then(|worker| worker.placements.get_mut(&task)) {
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -140,8 +140,10 @@
         }
         Some(PlacementOptions {
             task_resources: resources_per_task(job.step(ready.unit)),
+            own_reservation: self
+                .satisfied_reservation(ready, &available)
+                .filter(|assignment| !is_any_blocked(assignment, &candidates)),
             candidates,
-            own_reservation: self.satisfied_reservation(ready, &available),
             reserved_by_others,
         })
     }
@@ -181,6 +183,15 @@
     }
 }
 
+/// Returns whether a trial keeps a unit from starting on any of the assigned workers.
+fn is_any_blocked(assignment: &Assignment, candidates: &[Candidate<'_>]) -> bool {
+    let mut blocked = candidates.iter().filter(|candidate| candidate.blocked);
+    blocked.any(|candidate| {
+        let mut agents = assignment.iter().map(|(agent, _)| agent);
+        agents.any(|agent| *agent == candidate.worker.agent)
+    })
+}
+
 /// Returns the resources available now: the free ones less the reserved ones. The resources of runs that are being stopped
 /// count towards the reservations first, and only the remainder is subtracted from the free resources.
 pub(crate) fn available_resources(
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -91,6 +91,8 @@
     pub(crate) estimates: Estimates,
     /// Times from the acceptance of jobs to their first running task, collected for the metrics.
     pub(crate) start_delays: Vec<Duration>,
+    /// Number of suspects of each recorded crash, collected for the metrics.
+    pub(crate) crash_suspects: Vec<usize>,
     /// Incremented when a job state or queue count that clients can query may have changed.
     pub(crate) status_version: u64,
     /// Jobs within the guarantees of their client accounts, as of the latest plan.
@@ -130,6 +132,7 @@
             urgent_demand: UrgentDemand::default(),
             estimates: Estimates::default(),
             start_delays: Vec::new(),
+            crash_suspects: Vec::new(),
             status_version: 0,
             guaranteed: IndexSet::new(),
             pending_agents: roster,
@@ -318,9 +321,11 @@
     }
 
     /// Returns the agents whose workers may have runs: all known ones except lost workers without runs, and those whose
-    /// runs are not known yet. The next owner waits for these agents.
+    /// runs are not known yet, and the agents that still report a crash. The next owner waits for these agents.
     pub fn roster(&self) -> IndexSet<AgentId> {
-        let may_have_runs = |worker: &&Worker| !worker.lost || !worker.placements.is_empty();
+        let may_have_runs = |worker: &&Worker| {
+            !worker.lost || !worker.placements.is_empty() || !worker.unstored_crashes.is_empty()
+        };
         let known = self.workers.values().filter(may_have_runs);
         let known = known.map(|worker| worker.agent.clone());
         known.chain(self.pending_agents.iter().cloned()).collect()
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -6,6 +6,7 @@
 use model::{AgentId, Incarnation, JobId, ResourceVector, ServiceId, TaskId, TaskRun};
 
 use crate::placement::AnyPlacement;
+use crate::preempt::accelerator_equivalents;
 
 /// Index of the rack name in the labels of a worker; index 0 has the kind of the worker.
 const RACK_LABEL_INDEX: usize = 1;
@@ -68,6 +69,9 @@
     pub(crate) unstored_ends: Vec<(u64, JobId, u64)>,
     /// The last sequence number acknowledged to the worker.
     pub(crate) acknowledged_sequence: u64,
+    /// Reported crashes by incarnation, each with the job versions that contain it. A crash is kept until its agent no
+    /// longer reports it.
+    pub(crate) unstored_crashes: IndexMap<Incarnation, IndexMap<JobId, u64>>,
     /// Jobs with failed runs since the last successful run.
     pub(crate) failed_jobs: Vec<JobId>,
     /// When a run last failed, if none has succeeded since.
@@ -101,6 +105,7 @@
             last_end_sequence: 0,
             unstored_ends: Vec::new(),
             acknowledged_sequence: 0,
+            unstored_crashes: IndexMap::new(),
             failed_jobs: Vec::new(),
             last_failure_at: None,
             last_sound_start: None,
@@ -134,6 +139,16 @@
             .fold(ResourceVector::default(), ResourceVector::saturating_add)
     }
 
+    /// Returns the run time since the last checkpoints of all runs, multiplied by the accelerator equivalents of each.
+    pub(crate) fn unsaved_work(&self, now: Duration) -> Duration {
+        let placements = self.placements.values();
+        let unsaved = placements.map(|placement| {
+            let weight = accelerator_equivalents(placement.resources());
+            placement.time_since_checkpoint(now).mul_f64(weight)
+        });
+        unsaved.sum()
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: Duration) -> bool {
         self.confirmed
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -7,8 +7,9 @@
 use graph::{Content, LoadedJob, Progress, Scheduler, SchedulerSettings};
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AcceptedJob, AgentId, EndReport, Instructions, JobGraph, JobId, JobState, QueuePolicy, Refusal,
-    ResourceVector, RunEnd, RunReport, RunStatus, Step, TaskId, TaskRun, WorkerReport,
+    AcceptedJob, AgentId, CrashedRun, EndReport, Instructions, JobGraph, JobId, JobState,
+    QueuePolicy, Refusal, ResourceVector, RunEnd, RunReport, RunStatus, Step, TaskId, TaskRun,
+    WorkerCrash, WorkerReport,
 };
 
 /// Resources of one task.
@@ -29,6 +30,8 @@
 pub(crate) struct TestWorker {
     pub(crate) report: WorkerReport,
     next_end_sequence: u64,
+    /// When each run was first reported.
+    started_at: IndexMap<TaskRun, Duration>,
 }
 
 /// A scheduler with simulated workers and a simulated clock.
@@ -124,9 +127,11 @@
             complete: false,
             runs: Vec::new(),
             ends: Vec::new(),
+            crashes: Vec::new(),
             sent_at: Duration::ZERO,
         },
         next_end_sequence: 1,
+        started_at: IndexMap::new(),
     }
 }
 
@@ -189,6 +194,7 @@
         self.now += ms(1);
         let worker = &mut self.workers[agent];
         worker.report.sent_at = self.now;
+        worker.update_survived(self.now);
         self.scheduler.report(&worker.report, self.now);
     }
 
@@ -203,6 +209,9 @@
             }
             let acknowledged = instructions.acknowledged;
             worker.report.ends.retain(|end| end.sequence > acknowledged);
+            let stored = instructions.stored_crashes;
+            let is_unstored = |crash: &WorkerCrash| !stored.contains(&crash.incarnation);
+            worker.report.crashes.retain(is_unstored);
             self.report(&agent);
         }
     }
@@ -245,19 +254,13 @@
 
     /// Crashes a worker. Its agent finds nothing at its address and reports that.
     pub(crate) fn crash(&mut self, agent: &str) {
-        let worker = &mut self.workers[agent];
-        worker.report.absent = true;
-        worker.report.runs.clear();
-        worker.report.ends.clear();
+        self.workers[agent].crash();
         self.report(agent);
     }
 
     /// Starts a crashed worker again.
     pub(crate) fn restart(&mut self, agent: &str) {
-        let worker = &mut self.workers[agent];
-        worker.report.absent = false;
-        worker.report.incarnation = worker.report.incarnation.map(|last| last + 1);
-        worker.next_end_sequence = 1;
+        self.workers[agent].restart();
         self.report(agent);
     }
 
@@ -294,12 +297,51 @@
     }
 }
 
+impl TestWorker {
+    pub(crate) fn crash(&mut self) {
+        self.report.absent = true;
+        let runs = std::mem::take(&mut self.report.runs);
+        let crashed = |report: RunReport| CrashedRun {
+            run: report.run,
+            survived: survived(&report),
+        };
+        self.report.crashes.push(WorkerCrash {
+            incarnation: self.report.incarnation.expect("the worker has reported"),
+            runs: runs.into_iter().map(crashed).collect(),
+        });
+        self.report.ends.clear();
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.report.absent = false;
+        self.report.incarnation = self.report.incarnation.map(|last| last + 1);
+        self.next_end_sequence = 1;
+    }
+
+    fn update_survived(&mut self, now: Duration) {
+        for report in &mut self.report.runs {
+            let started_at = *self.started_at.entry(report.run).or_insert(now);
+            if let RunStatus::Running { survived, .. } = &mut report.status {
+                *survived = now.saturating_sub(started_at);
+            }
+        }
+    }
+}
+
+fn survived(report: &RunReport) -> Option<Duration> {
+    match report.status {
+        RunStatus::Running { survived, .. } => Some(survived),
+        _ => None,
+    }
+}
+
 pub(crate) fn running(run: TaskRun, percent: u32) -> RunReport {
     RunReport {
         run,
         status: RunStatus::Running {
             percent,
             checkpoint: Box::default(),
+            survived: Duration::ZERO,
         },
     }
 }
--- a/components/graph/tests/ends.rs
+++ b/components/graph/tests/ends.rs
@@ -126,6 +126,7 @@
             failed_runs: vec![1, run.run],
             checkpoint: Box::default(),
         }],
+        crashes: Vec::new(),
     };
     cell.load(7, job(1, vec![step(1)]), Some(progress));
     cell.report("w1");
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -257,6 +257,7 @@
                 complete: false,
                 runs: Vec::new(),
                 ends: Vec::new(),
+                crashes: Vec::new(),
                 sent_at: Duration::ZERO,
             };
             let worker = SimulatedWorker {
@@ -410,6 +411,7 @@
                     status: RunStatus::Running {
                         percent: (share * 100.0).clamp(0.0, 99.0) as u32,
                         checkpoint: Box::default(),
+                        survived: elapsed.unwrap_or_default(),
                     },
                 }
             })
@@ -520,5 +522,6 @@
         bodies: Vec::new(),
         starts: Vec::new(),
         stops: Vec::new(),
+        stored_crashes: Vec::new(),
     }
 }
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -35,6 +35,8 @@
         percent: u32,
         /// Latest checkpoint; empty if there is none.
         checkpoint: Box<str>,
+        /// How long the run is known to have lived, measured between answers of the worker.
+        survived: Duration,
     },
     /// The worker refused the start order and will not execute it.
     Refused(Refusal),
@@ -113,6 +115,8 @@
     pub runs: Vec<RunReport>,
     /// Ends that are not acknowledged yet, in order.
     pub ends: Vec<EndReport>,
+    /// Crashes of the worker that no owner has stored yet.
+    pub crashes: Vec<WorkerCrash>,
     /// When the report was created, by the boot clock of the agent.
     pub sent_at: Duration,
 }
@@ -128,6 +132,8 @@
     pub approval: Option<Box<str>>,
     /// Whether the order was sent before, in which case the earlier one may still be executed.
     pub repeated: bool,
+    /// Whether the owner waits to learn that the run has survived its start.
+    pub trial: bool,
 }
 
 /// The owner's response to a report.
@@ -147,6 +153,8 @@
     pub starts: Vec<StartOrder>,
     /// Runs to stop.
     pub stops: Vec<TaskRun>,
+    /// Incarnations whose crashes are stored and need not be reported any more.
+    pub stored_crashes: Vec<Incarnation>,
 }
 
 impl TaskRun {
