Test the reports of crashes by agents, and a deadly task beside the real daemons

deadly_task_is_given_up_across_owners runs the daemons on the stand-in, kills an entry with each crash, and checks that the task is given up after at most five crashes and that the job beside it completes. agent_reports_crash_until_stored guards against a crash that is lost with the owner, agent_reports_survival_of_trial against trials that last until the next regular poll.

--- a/components/cell/tests/agent.rs
+++ b/components/cell/tests/agent.rs
@@ -2,15 +2,15 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use cell::AgentSettings;
 use cell::agent::{
-    Announcement, EntryDirectory, PollReply, PollRequest, StartReply, StartRequest, WorkerClient,
-    WorkerNotice,
+    AgentHandle, Announcement, EntryDirectory, ListedRun, PollReply, PollRequest, StartReply,
+    StartRequest, WorkerClient, WorkerNotice,
 };
 use errors::{Error, ErrorKind, Result};
 use model::{
@@ -76,6 +76,69 @@
     }
 }
 
+/// A worker that starts everything, and that can be taken down and up again.
+#[derive(Default)]
+struct SteadyWorker {
+    incarnation: AtomicU64,
+    is_down: AtomicBool,
+    runs: Mutex<Vec<TaskRun>>,
+    /// Number of polls that did not allow the worker to wait.
+    immediate_polls: AtomicUsize,
+}
+
+impl SteadyWorker {
+    fn check(&self) -> Result<()> {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(Error::not_run(ErrorKind::NotFound, "connection refused").report());
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl WorkerClient for SteadyWorker {
+    async fn start(
+        &self,
+        _name: &str,
+        request: &StartRequest,
+        _timeout: Duration,
+    ) -> Result<StartReply> {
+        self.check()?;
+        let mut runs = self.runs.lock().expect("lock is not poisoned");
+        runs.push(request.run);
+        Ok(StartReply::Yes)
+    }
+
+    async fn stop(&self, _run: TaskRun, _epoch: u64, _timeout: Duration) -> Result<()> {
+        self.check()
+    }
+
+    async fn poll(&self, request: &PollRequest, _timeout: Duration) -> Result<PollReply> {
+        self.check()?;
+        if request.wait.is_none() {
+            self.immediate_polls.fetch_add(1, Ordering::Relaxed);
+        }
+        let end = tokio::time::Instant::now() + request.wait.unwrap_or_default();
+        while tokio::time::Instant::now() < end {
+            tokio::time::sleep(POLL_INTERVAL).await;
+            self.check()?;
+        }
+        let runs = self.runs.lock().expect("lock is not poisoned");
+        let listed = runs.iter().map(|run| ListedRun {
+            run: *run,
+            checkpoint: Box::default(),
+            percent: 0,
+        });
+        Ok(PollReply {
+            incarnation: Some(self.incarnation.load(Ordering::Relaxed)),
+            clock: Duration::from_secs(1),
+            fenced: false,
+            runs: listed.collect(),
+            ends: Vec::new(),
+        })
+    }
+}
+
 struct NoDirectory;
 
 #[async_trait]
@@ -93,6 +156,8 @@
     silent: bool,
     starts: VecDeque<StartOrder>,
     stops: VecDeque<TaskRun>,
+    /// Crashes that are confirmed with each reply.
+    stored_crashes: Vec<Incarnation>,
     reports: Vec<WorkerReport>,
 }
 
@@ -182,7 +247,7 @@
         bodies: Vec::new(),
         starts: state.starts.drain(..).collect(),
         stops: state.stops.drain(..).collect(),
-        stored_crashes: Vec::new(),
+        stored_crashes: state.stored_crashes.clone(),
     };
     state.reports.push(*report);
     Ok(Reply::Instructions(Box::new(instructions)))
@@ -359,3 +424,99 @@
     ended.await?;
     Ok(())
 }
+
+/// Starts an agent beside a steady worker, which has started one run on trial.
+async fn start_with_trial(
+    owner: &Owner,
+    worker: &Arc<SteadyWorker>,
+    shutdown: &CancellationToken,
+) -> (AgentHandle, tokio::task::JoinHandle<()>) {
+    worker.incarnation.store(1, Ordering::Relaxed);
+    let settings = AgentSettings {
+        agent: "agent".into(),
+        service: "optics".into(),
+        seeds: vec![owner.addr],
+        max_lease: Duration::from_secs(6),
+    };
+    let client = Arc::clone(worker) as Arc<dyn WorkerClient>;
+    let directory = Arc::new(NoDirectory);
+    let (handle, ended) = cell::agent::start(settings, client, directory, SECRET, shutdown.clone());
+    handle
+        .notify(announcement(1))
+        .await
+        .expect("agent is running");
+    owner
+        .reported(|report| report.confirmed_epoch == EPOCH)
+        .await;
+    owner.update(|state| {
+        state.starts.push_back(StartOrder {
+            run: run(),
+            checkpoint: Box::default(),
+            approval: None,
+            repeated: false,
+            trial: true,
+        });
+    });
+    owner.reported(|report| survived(report).is_some()).await;
+    (handle, ended)
+}
+
+/// Returns how long the run is reported to have lived.
+fn survived(report: &WorkerReport) -> Option<Duration> {
+    let mut runs = report.runs.iter();
+    runs.find_map(|found| match found.status {
+        RunStatus::Running { survived, .. } if found.run == run() => Some(survived),
+        _ => None,
+    })
+}
+
+/// Guards against a crash that is lost with the owner: the agent reports it until it is stored, also after the worker has
+/// come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_reports_crash_until_stored() -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(SteadyWorker::default());
+    let shutdown = CancellationToken::new();
+    let (_handle, ended) = start_with_trial(&owner, &worker, &shutdown).await;
+    worker.is_down.store(true, Ordering::Relaxed);
+    let report = owner.reported(|report| report.absent).await;
+    assert_eq!(report.crashes.len(), 1);
+    assert_eq!(report.crashes[0].incarnation, 1);
+    let crashed = &report.crashes[0].runs;
+    assert_eq!(crashed.len(), 1);
+    assert_eq!(crashed[0].run, run());
+    assert!(crashed[0].survived.is_some(), "the start was answered");
+    worker.runs.lock().expect("lock is not poisoned").clear();
+    worker.incarnation.store(2, Ordering::Relaxed);
+    worker.is_down.store(false, Ordering::Relaxed);
+    let report = owner.reported(|report| report.incarnation == Some(2)).await;
+    assert_eq!(report.crashes.len(), 1, "not stored yet");
+    owner.update(|state| state.stored_crashes.push(1));
+    owner.reported(|report| report.crashes.is_empty()).await;
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
+
+/// Guards against a trial that lasts until the next regular poll, while other tasks wait for the worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_reports_survival_of_trial() -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(SteadyWorker::default());
+    let shutdown = CancellationToken::new();
+    let (_handle, ended) = start_with_trial(&owner, &worker, &shutdown).await;
+    // Regular polls let the worker wait for a second.
+    let polls = worker.immediate_polls.load(Ordering::Relaxed);
+    let polled = async {
+        while worker.immediate_polls.load(Ordering::Relaxed) == polls {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let polled = tokio::time::timeout(REPORT_TIMEOUT, polled).await;
+    assert!(polled.is_ok(), "the worker is not polled for the trial");
+    let has_survived = |report: &WorkerReport| survived(report) >= Some(graph::PROBATION);
+    owner.reported(has_survived).await;
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -1,6 +1,6 @@
 //! Behaviour under single faults.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform_standin::{Client, ProxyMode, Result, StoreFaults, Target, TaskBody};
 
@@ -297,3 +297,53 @@
     assert_eq!(deployment.checker.violations(), Vec::<String>::new());
     Ok(())
 }
+
+/// Guards against a task that crashes worker after worker, also while owners are lost one after the other, and against
+/// giving up the jobs beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadly_task_is_given_up_across_owners() -> Result<()> {
+    let mut deployment = start_deployment("deadly_task_is_given_up_across_owners", 2, 4).await?;
+    let client = deployment.client()?;
+    let deadly = TaskBody {
+        deadly: Some(1),
+        ..task_body(300)
+    };
+    let (deadly_job, other_job) = ("00000000000000fd", "00000000000000fe");
+    assert!(
+        client
+            .submit("batch", other_job, &Client::job(1, 8, &task_body(4_000)))
+            .await
+            .0
+    );
+    assert!(
+        client
+            .submit("batch", deadly_job, &Client::job(1, 3, &deadly))
+            .await
+            .0
+    );
+    let deadline = Instant::now() + OUTCOME_TIMEOUT;
+    let mut crashes = 0;
+    let mut outcome = String::new();
+    while outcome != "failed" && Instant::now() < deadline {
+        for index in 0..deployment.workers.len() {
+            if !deployment.workers[index].is_up() {
+                crashes += 1;
+                let entry = Target::Entry(crashes % 2);
+                deployment.kill(entry);
+                deployment.launch(entry)?;
+                deployment.restart_worker(index).await?;
+            }
+        }
+        outcome = client
+            .outcome("batch", deadly_job, Duration::from_millis(100))
+            .await;
+    }
+    assert_eq!(outcome, "failed", "after {crashes} crashes");
+    assert!(crashes <= 5, "{crashes} crashes");
+    assert_eq!(
+        client.outcome("batch", other_job, OUTCOME_TIMEOUT).await,
+        "completed"
+    );
+    assert_eq!(deployment.checker.violations(), Vec::<String>::new());
+    Ok(())
+}
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -133,6 +133,7 @@
         let body = TaskBody {
             run_ms: rng.u64(100..2_500),
             gang: if gang { tasks as usize } else { 0 },
+            deadly: None,
             fail: rng.u8(..12) == 0,
             gpu: rng.u32(1..4),
             predecessors: if steps > 1 { tasks } else { 0 },
