Withdraw pending starts that a shrunken worker has no room for

What callers would see: more tasks on a worker than its capacity allows. Cause: a start is placed against the capacity of that moment and its order waits for the next report of the agent, which may be seconds late while the agent is cut off; the owner then sent the order with the reply to the very report that states the smaller capacity. Class of fault: a decision that is carried out after its premise has changed.

Change: when a report changes the capacity, units whose pending starts no longer fit are stopped, the latest first. What runs goes on. Evidence: instructions_withdraw_start_beyond_shrunken_capacity failed before (the reply held both starts) and passes. Ruled out: stopping runs that exceed the capacity, which the rule does not ask for, and refusing at the agent, which does not know what tasks need.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::{AgentId, Refusal, RunReport, RunStatus, TaskId, WorkerReport};
+use model::{AgentId, Refusal, ResourceVector, RunReport, RunStatus, TaskId, WorkerReport};
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
@@ -45,7 +45,11 @@
         let Some(worker) = self.workers.get_mut(&report.agent) else {
             return;
         };
+        let capacity_changed = worker.capacity != report.capacity;
         self.plan_needed |= update_description(worker, report, now);
+        if capacity_changed {
+            self.withdraw_starts_beyond_capacity(&report.agent);
+        }
         if report.absent {
             self.mark_worker_lost(&report.agent, &report.runs, now, "worker_absent");
             self.mark_runs_known(&report.agent, now);
@@ -64,6 +68,26 @@
         self.mark_runs_known(&report.agent, now);
     }
 
+    /// Stops the units whose pending starts do not fit on a worker any more. Their orders may be delayed, while an agent is
+    /// cut off, until the smaller capacity binds. An unknown capacity withdraws nothing.
+    fn withdraw_starts_beyond_capacity(&mut self, agent: &AgentId) {
+        let Some(worker) = self.workers.get(agent) else {
+            return;
+        };
+        if worker.capacity == ResourceVector::default() {
+            return;
+        }
+        let capacity = worker.capacity;
+        for (job, unit) in worker.units_beyond_capacity() {
+            log::info!(
+                target: "limpethook",
+                job:% = format_args!("{job:016x}"), step = unit.step, first = unit.first, agent:% = agent, capacity:? = capacity;
+                "start_withdrawn"
+            );
+            self.stop_unit(job, unit);
+        }
+    }
+
     /// Applies a report about a worker that has not confirmed the epoch of this owner, if it lists all runs that the
     /// worker can have. Otherwise the jobs of earlier owners would wait for a worker that does not respond. The worker
     /// gets no new tasks until it confirms.
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{AgentId, Incarnation, JobId, ResourceVector, ServiceId, TaskId, TaskRun};
 
+use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
 use crate::preempt::accelerator_equivalents;
 
@@ -119,15 +120,36 @@
         self.labels.get(RACK_LABEL_INDEX).map_or("", |label| label)
     }
 
-    /// Returns the resources that no run occupies. An orphan run of unknown size counts as the whole worker.
+    /// Returns the resources that no run occupies.
     pub(crate) fn free_resources(&self) -> ResourceVector {
+        self.capacity.saturating_sub(self.used_resources())
+    }
+
+    /// Returns the resources that runs occupy. An orphan run of unknown size counts as the whole worker.
+    fn used_resources(&self) -> ResourceVector {
         let placed = self.placements.values().map(AnyPlacement::resources);
         let orphans = self.orphan_runs.values();
         let orphans = orphans.map(|orphan| orphan.resources.unwrap_or(self.capacity));
-        let used = placed
+        placed
             .chain(orphans)
-            .fold(ResourceVector::default(), ResourceVector::saturating_add);
-        self.capacity.saturating_sub(used)
+            .fold(ResourceVector::default(), ResourceVector::saturating_add)
+    }
+
+    /// Returns the units whose pending starts do not fit into the capacity any more, the latest ones first. The capacity may
+    /// have shrunk after they were placed.
+    pub(crate) fn units_beyond_capacity(&self) -> IndexSet<UnitKey> {
+        let mut units = IndexSet::new();
+        let mut used = self.used_resources();
+        for placement in self.placements.values().rev() {
+            if self.capacity.fit_count(used) >= 1 {
+                break;
+            }
+            if matches!(placement, AnyPlacement::Starting(_)) {
+                used = used.saturating_sub(placement.resources());
+                units.insert(placement.unit_key());
+            }
+        }
+        units
     }
 
     /// Returns the resources that the stopping runs will free.
