Count a crash under a run whose stop was not answered

Such a run may still have been on the worker, because its start is known only from a call that got no answer. It counts like a run whose start was not answered: as a suspect, not towards the two crashes in trials.

--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -212,8 +212,12 @@
         if self.is_draining() {
             return;
         }
-        let may_have_started =
-            |order: &OrderState| matches!(order, OrderState::Starting | OrderState::Unanswered);
+        let may_have_started = |order: &OrderState| {
+            matches!(
+                order,
+                OrderState::Starting | OrderState::Unanswered | OrderState::Stopping
+            )
+        };
         let unanswered = self.orders.iter();
         let unanswered = unanswered.filter(|(_, (order, _))| may_have_started(order));
         let unanswered: Vec<TaskRun> = unanswered.map(|(run, _)| *run).collect();
