Free what orphan runs occupy once they are stopped

Cause: an agent whose stop was not answered reports an ended run once more, and the owner stops it as an orphan. After the stop the agent repeats the outcome for a minute, and the owner kept the orphan as long as the run was in the report in whatever state. Class of fault: the presence of an entry was taken for its state. Older than this issue.

Change: an orphan is kept only while it is reported as starting or running.

Evidence: report_frees_resources_of_stopped_orphan failed before (3 of 4 tasks started) and passes. Ruled out: adoption of ended runs as the cause (they are stopped and removed, and the gangs were waiting).

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -193,9 +193,15 @@
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             let orphans = worker.orphan_runs.len();
-            worker
-                .orphan_runs
-                .retain(|orphan, _| report.runs.iter().any(|run| run.run == *orphan));
+            // The agent repeats the outcome of an order for a while after the run has ended.
+            let may_exist = |report: &RunReport| {
+                let RunReport { status, .. } = report;
+                matches!(status, RunStatus::Starting | RunStatus::Running { .. })
+            };
+            worker.orphan_runs.retain(|orphan, _| {
+                let mut runs = report.runs.iter();
+                runs.any(|run| run.run == *orphan && may_exist(run))
+            });
             self.plan_needed |= worker.orphan_runs.len() < orphans;
         }
     }
--- a/components/graph/tests/owners.rs
+++ b/components/graph/tests/owners.rs
@@ -330,3 +330,30 @@
     let roster = cell.scheduler.roster();
     assert!(roster.contains("w1") && !roster.contains("w2"));
 }
+
+/// Guards against workers that are held for runs that have ended: an agent whose stop was answered late reports an ended
+/// run once more, and its outcome for a minute.
+#[test]
+fn report_frees_resources_of_stopped_orphan() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(4)]));
+    cell.plan_and_start();
+    let stopped = TaskRun::new(task(7, 0, 0), cell.run_number(task(7, 0, 0)).unwrap_or(0));
+    for index in 0..4 {
+        cell.end_run(task(7, 0, index), RunEnd::Done);
+    }
+    cell.store_changes();
+    let mut report_as = |status: RunStatus| {
+        cell.workers["w1"].report.runs = vec![RunReport {
+            run: stopped,
+            status,
+        }];
+        cell.report("w1");
+    };
+    report_as(RunStatus::Starting);
+    report_as(RunStatus::StoppedBeforeStart);
+    cell.accept(8, job(1, vec![step(4)]));
+    cell.plan_and_start();
+    let started = (0..4).filter(|index| cell.agent_of(task(8, 0, *index)).is_some());
+    assert_eq!(started.count(), 4);
+}
