Test the load pattern of tasks that crash their workers

A tenth of a mixed load on 160 simulated workers has a task that crashes each worker that starts it. The simulated owner now answers every report, as the real one does: before, idle workers lost their leases and a large gang waited for ever, which is a fault of the simulation only.

--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -9,8 +9,8 @@
 use graph::{Scheduler, SchedulerSettings};
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AcceptedJob, AgentId, EndReport, Instructions, JobEnd, JobId, JobState, ResourceVector, RunEnd,
-    RunNumber, RunReport, RunStatus, TaskRun, WorkerReport,
+    AcceptedJob, AgentId, CrashedRun, EndReport, Instructions, JobEnd, JobId, JobState,
+    ResourceVector, RunEnd, RunNumber, RunReport, RunStatus, TaskRun, WorkerCrash, WorkerReport,
 };
 
 use crate::report::{JobOutcome, LoadReport};
@@ -25,6 +25,12 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a failing worker ends what it starts.
 const FAILURE_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a deadly task crashes its worker.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+/// Time until an agent knows that its worker has crashed.
+const CRASH_DETECTION: Duration = Duration::from_millis(320);
+/// Time until a crashed worker is back.
+const DOWNTIME: Duration = Duration::from_secs(3);
 
 pub(crate) const SETTINGS: SchedulerSettings = SchedulerSettings {
     max_lease: Duration::from_secs(10),
@@ -51,6 +57,8 @@
     pub(crate) class: &'static str,
     pub(crate) job: AcceptedJob,
     pub(crate) work: Duration,
+    /// Whether its first task crashes each worker that starts it.
+    pub(crate) deadly: bool,
 }
 
 /// A change of the fleet or of the load during a run.
@@ -73,6 +81,9 @@
     Deliver(AgentId, Instructions),
     End(AgentId, TaskRun, RunEnd),
     Leave(AgentId),
+    Crash(AgentId),
+    CrashDetected(AgentId, WorkerCrash),
+    Restart(AgentId),
     Report(AgentId),
     Tick,
 }
@@ -94,6 +105,7 @@
     fails: bool,
     joined_at: Duration,
     first_run_at: Option<Duration>,
+    is_down: bool,
 }
 
 /// Members of a gang that are present on their workers.
@@ -185,9 +197,22 @@
             Event::Deliver(agent, instructions) => self.deliver(&agent, &instructions),
             Event::End(agent, run, end) => self.end(&agent, run, end),
             Event::Leave(agent) => self.leave(&agent),
+            Event::Crash(agent) => self.crash(&agent),
+            Event::CrashDetected(agent, crash) => {
+                let report = &mut self.workers[&agent].report;
+                report.absent = true;
+                report.crashes.push(crash);
+                self.send_report(&agent);
+            }
+            Event::Restart(agent) => self.restart(&agent),
             Event::Report(agent) => {
                 self.send_report(&agent);
                 if self.workers.contains_key(&agent) {
+                    // The reply renews the lease of the worker.
+                    let orders = self
+                        .scheduler
+                        .instructions(&agent, self.now, true, self.now);
+                    self.push(self.now + LATENCY, Event::Deliver(agent.clone(), orders));
                     self.push(self.now + REPORT_INTERVAL, Event::Report(agent));
                 }
             }
@@ -267,6 +292,7 @@
                 fails: false,
                 joined_at: self.now,
                 first_run_at: None,
+                is_down: false,
             };
             self.workers.insert(agent.clone(), worker);
             // Reports of a fleet are spread over the interval.
@@ -282,6 +308,12 @@
         };
         let acknowledged = instructions.acknowledged;
         worker.report.ends.retain(|end| end.sequence > acknowledged);
+        let stored = &instructions.stored_crashes;
+        let is_unstored = |crash: &WorkerCrash| !stored.contains(&crash.incarnation);
+        worker.report.crashes.retain(is_unstored);
+        if worker.is_down {
+            return;
+        }
         for start in &instructions.starts {
             self.start(agent, start.run);
         }
@@ -310,6 +342,11 @@
                 stopping: false,
             },
         );
+        if arrival.deadly && run.task.index == 0 {
+            let starts = self.report.deadly_starts.entry(run.task.job);
+            *starts.or_default() += 1;
+            self.push(now + CRASH_DELAY, Event::Crash(agent.clone()));
+        }
         if fails {
             self.push(
                 now + FAILURE_DELAY,
@@ -373,15 +410,60 @@
                 + f64::from(step.resources.millicores) / 8_000.0;
             self.report.thrown_away += wasted.as_secs_f64() * equivalents;
         }
+        if end == RunEnd::Done {
+            self.gangs.swap_remove(&gang_of(run, step.gang));
+        } else {
+            self.break_gang(run);
+        }
+        let at = self.now + LATENCY;
+        self.push(at, Event::Deliver(agent.clone(), no_orders()));
+    }
+
+    /// Takes a worker down, with everything that runs on it.
+    fn crash(&mut self, agent: &AgentId) {
+        let now = self.now;
+        let worker = &mut self.workers[agent];
+        if std::mem::replace(&mut worker.is_down, true) {
+            return;
+        }
+        let runs = std::mem::take(&mut worker.runs);
+        worker.report.ends.clear();
+        let crashed = runs.iter().map(|(run, running)| CrashedRun {
+            run: *run,
+            survived: Some(now - running.started_at),
+        });
+        let crash = WorkerCrash {
+            incarnation: worker.report.incarnation.unwrap_or_default(),
+            runs: crashed.collect(),
+        };
+        for run in runs.keys() {
+            self.break_gang(*run);
+        }
+        let detected = Event::CrashDetected(agent.clone(), crash);
+        self.push(now + CRASH_DETECTION, detected);
+        self.push(now + DOWNTIME, Event::Restart(agent.clone()));
+    }
+
+    /// Ends the other members of the gang of a run that has ended.
+    fn break_gang(&mut self, run: TaskRun) {
+        let arrival = &self.arrivals[(run.task.job - 1) as usize];
+        let step = &arrival.job.graph.steps[run.task.step as usize];
         let gang = gang_of(run, step.gang);
         for (agent, member) in self.gangs.swap_remove(&gang).unwrap_or_default() {
-            if member != run && end != RunEnd::Done {
+            if member != run {
                 let at = self.now + BREAK_DELAY;
                 self.push(at, Event::End(agent, member, RunEnd::Broken));
             }
         }
-        let at = self.now + LATENCY;
-        self.push(at, Event::Deliver(agent.clone(), no_orders()));
+    }
+
+    fn restart(&mut self, agent: &AgentId) {
+        let worker = &mut self.workers[agent];
+        worker.is_down = false;
+        worker.next_end_sequence = 1;
+        worker.report.absent = false;
+        worker.report.incarnation = worker.report.incarnation.map(|last| last + 1);
+        self.send_report(agent);
     }
 
     fn leave(&mut self, agent: &AgentId) {
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -222,6 +222,38 @@
     );
 }
 
+/// Pattern: jobs of all classes whose first task crashes each worker that starts it.
+///
+/// Guards against such tasks taking down worker after worker, against giving up the jobs beside them, and against urgent
+/// work that waits for workers on which suspects are on trial.
+#[test]
+fn load_deadly_tasks_spare_other_jobs() {
+    let mut rng = Rng::with_seed(9);
+    let mut fleet = fleet(WORKERS, 9);
+    let mut arrivals = mixed_load(seconds(30), 0.7, &mut rng);
+    let from_5_to_20 = seconds(5)..seconds(20);
+    let during = arrivals.iter_mut();
+    let during = during.filter(|arrival| from_5_to_20.contains(&arrival.at));
+    for arrival in during.step_by(5) {
+        arrival.deadly = true;
+        arrival.class = "deadly";
+    }
+    fleet.arrive(arrivals);
+    let report = fleet.run(seconds(120));
+    report.print("deadly tasks");
+    let starts = report.deadly_starts.values().max();
+    assert!(starts <= Some(&5), "{:?}", report.deadly_starts);
+    let is_open = |job: &&report::JobOutcome| job.ended.is_none();
+    assert_eq!(report.jobs.iter().filter(is_open).count(), 0);
+    let failed = [URGENT, LARGE, SMALL].map(|class| report.failed(class.name));
+    assert_eq!(failed, [0; 3], "urgent, large and small jobs that failed");
+    let started = report.share_started_within(URGENT.name, URGENT_START);
+    assert!(
+        started >= 0.95,
+        "{started} of the urgent jobs started in time"
+    );
+}
+
 /// Prints the means over several seeds, to compare two versions of the scheduler in pairs. `LOAD_SEEDS` is the number of
 /// seeds and `LOAD_FACTOR` the load, both optional.
 #[test]
--- a/components/graph/tests/load/report.rs
+++ b/components/graph/tests/load/report.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use model::JobId;
+
 /// The course of one job.
 #[derive(Debug, Clone)]
 pub(crate) struct JobOutcome {
@@ -46,6 +49,8 @@
     pub(crate) idle_while_waiting: Vec<f64>,
     /// When each worker joined, and how long it waited for its first run.
     pub(crate) first_runs: Vec<(Duration, Option<Duration>)>,
+    /// Number of starts of each task that crashes its workers, by job.
+    pub(crate) deadly_starts: IndexMap<JobId, u32>,
     pub(crate) decisions: u32,
     /// Processor time of all decisions.
     pub(crate) decision_time: Duration,
--- a/components/graph/tests/load/workload.rs
+++ b/components/graph/tests/load/workload.rs
@@ -131,6 +131,7 @@
         };
         let account = rng.u32(0..ACCOUNTS).min(rng.u32(0..ACCOUNTS));
         Arrival {
+            deadly: false,
             at,
             class: self.name,
             work,
