--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -430,7 +430,7 @@
         worker.report.ends.clear();
         let crashed = runs.iter().map(|(run, running)| CrashedRun {
             run: *run,
-            survived: Some(now - running.started_at),
+            survived: Some(now.saturating_sub(running.started_at)),
         });
         let crash = WorkerCrash {
             incarnation: worker.report.incarnation.unwrap_or_default(),
