Drop agents from the roster once the crash of their worker is stored

An agent that was lost after it had reported a crash stayed on the roster, because only its own next report removed the crash. Each next owner would have waited for it until its lease could have lapsed, up to 15 s. Found in reading; introduced with the reports of crashes. roster_has_agent_until_crash_is_stored failed before and passes.

--- a/components/graph/src/crashes.rs
+++ b/components/graph/src/crashes.rs
@@ -126,17 +126,17 @@
             crashes.any(|crash| crash.incarnation == *crashed)
         };
         worker
-            .unstored_crashes
+            .reported_crashes
             .retain(|crashed, _| is_reported(crashed));
         for crash in &report.crashes {
             let worker = self.workers.get(agent);
-            if worker.is_some_and(|worker| worker.unstored_crashes.contains_key(&crash.incarnation))
+            if worker.is_some_and(|worker| worker.reported_crashes.contains_key(&crash.incarnation))
             {
                 continue;
             }
             let versions = self.apply_crash(agent, crash, now);
             if let Some(worker) = self.workers.get_mut(agent) {
-                worker.unstored_crashes.insert(crash.incarnation, versions);
+                worker.reported_crashes.insert(crash.incarnation, versions);
             }
         }
     }
@@ -255,11 +255,16 @@
             let job = self.jobs.get(id);
             job.is_none_or(|job| job.stored_version >= *version)
         };
-        let crashes = worker.unstored_crashes.iter();
+        let crashes = worker.reported_crashes.iter();
         let stored = crashes.filter(|(_, versions)| versions.iter().all(is_stored));
         stored.map(|(incarnation, _)| *incarnation).collect()
     }
 
+    /// Returns whether a crash of a worker was reported that is not stored. The next owner has to hear its agent.
+    pub(crate) fn has_unstored_crash(&self, worker: &Worker) -> bool {
+        self.stored_crashes(worker).len() < worker.reported_crashes.len()
+    }
+
     /// Clears a suspect whose run has survived its probation on all of its workers.
     pub(crate) fn clear_suspect(&mut self, (id, unit_id): UnitKey) {
         let placements = self.workers.values().flat_map(|w| w.placements.values());
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -321,10 +321,10 @@
     }
 
     /// Returns the agents whose workers may have runs: all known ones except lost workers without runs, and those whose
-    /// runs are not known yet, and the agents that still report a crash. The next owner waits for these agents.
+    /// runs are not known yet, and the agents of workers with a crash that is not stored. The next owner waits for these agents.
     pub fn roster(&self) -> IndexSet<AgentId> {
         let may_have_runs = |worker: &&Worker| {
-            !worker.lost || !worker.placements.is_empty() || !worker.unstored_crashes.is_empty()
+            !worker.lost || !worker.placements.is_empty() || self.has_unstored_crash(worker)
         };
         let known = self.workers.values().filter(may_have_runs);
         let known = known.map(|worker| worker.agent.clone());
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -72,7 +72,7 @@
     pub(crate) acknowledged_sequence: u64,
     /// Reported crashes by incarnation, each with the job versions that contain it. A crash is kept until its agent no
     /// longer reports it.
-    pub(crate) unstored_crashes: IndexMap<Incarnation, IndexMap<JobId, u64>>,
+    pub(crate) reported_crashes: IndexMap<Incarnation, IndexMap<JobId, u64>>,
     /// Jobs with failed runs since the last successful run.
     pub(crate) failed_jobs: Vec<JobId>,
     /// When a run last failed, if none has succeeded since.
@@ -106,7 +106,7 @@
             last_end_sequence: 0,
             unstored_ends: Vec::new(),
             acknowledged_sequence: 0,
-            unstored_crashes: IndexMap::new(),
+            reported_crashes: IndexMap::new(),
             failed_jobs: Vec::new(),
             last_failure_at: None,
             last_sound_start: None,
--- a/components/graph/tests/crashes.rs
+++ b/components/graph/tests/crashes.rs
@@ -358,3 +358,16 @@
     let state = cell.state(7);
     assert_eq!(state, Some(JobState::Ended(JobEnd::Failed)));
 }
+
+/// Guards against a next owner that does not hear of a crash, and against one that waits for an agent that is gone although
+/// its crash is stored.
+#[test]
+fn roster_has_agent_until_crash_is_stored() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    cell.crash("w1");
+    assert!(cell.scheduler.roster().contains("w1"));
+    cell.store_changes();
+    assert!(!cell.scheduler.roster().contains("w1"));
+}
