--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -255,13 +255,14 @@
         self.trials.contains(&run)
     }
 
-    /// Ends the trials of the runs that have survived their probation; returns whether there are any.
-    fn end_survived_trials(&mut self) -> bool {
+    /// Ends the trials of the runs that have survived their probation, and of those that ended before; returns whether
+    /// there are any.
+    fn end_trials(&mut self) -> bool {
         let before = self.trials.len();
-        let sightings = &self.sightings;
-        self.trials.retain(|run| {
-            let survived = sightings.survived(*run);
-            survived.is_none_or(|survived| survived < PROBATION)
+        let (sightings, orders) = (&self.sightings, &self.orders);
+        self.trials.retain(|run| match sightings.survived(*run) {
+            Some(survived) => survived < PROBATION,
+            None => matches!(orders.get(run), Some((OrderState::Starting, _))),
         });
         self.trials.len() < before
     }
@@ -312,7 +313,7 @@
         self.listed = reply.runs;
         self.ends = reply.ends;
         let outcome_reached = self.reconcile_orders(requested_at, now);
-        let trial_ended = self.end_survived_trials();
+        let trial_ended = self.end_trials();
         has_changes || outcome_reached || run_appeared || trial_ended
     }
 
