--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, free_addr, scheduler_settings};
+use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
 use errors::{Error, ErrorKind, Result};
-use model::{AcceptedJob, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
+use graph::{Progress, UnitProgress};
+use model::{AcceptedJob, JobEnd, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
 use store::{KvStore, Precondition};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -292,3 +293,46 @@
     shutdown_next.cancel();
     Ok(())
 }
+
+/// Guards against running tasks again after an upgrade: the progress records of earlier versions hold no crashes of workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn load_reads_progress_without_crashes() -> std::result::Result<(), Box<dyn std::error::Error>>
+{
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let done = UnitProgress {
+        occurrence: 0,
+        step: 0,
+        first: 0,
+        done: true,
+        failed_runs: Vec::new(),
+        checkpoint: Box::default(),
+    };
+    let earlier = postcard::to_stdvec(&vec![done.clone()])?;
+    put(
+        &store,
+        "limpethook/jobs/0000000000000007",
+        &accepted_record(job()),
+    )
+    .await?;
+    put(&store, "limpethook/progress/0000000000000007", &earlier).await?;
+    let current = postcard::to_stdvec(&Progress {
+        units: vec![done],
+        crashes: Vec::new(),
+    })?;
+    put(
+        &store,
+        "limpethook/jobs/0000000000000008",
+        &accepted_record(job()),
+    )
+    .await?;
+    put(&store, "limpethook/progress/0000000000000008", &current).await?;
+    let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
+    let is_completed = |id| {
+        let states = entry.board.states.snapshot();
+        states.jobs.get(&id) == Some(&JobState::Ended(JobEnd::Completed))
+    };
+    wait_until(|| is_completed(7) && is_completed(8)).await;
+    shutdown.cancel();
+    Ok(())
+}
