--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -321,7 +321,8 @@
     }
 
     /// Returns the agents whose workers may have runs: all known ones except lost workers without runs, and those whose
-    /// runs are not known yet, and the agents of workers with a crash that is not stored. The next owner waits for these agents.
+    /// runs are not known yet. Agents whose reports of a crash are not stored are among them. The next owner waits for
+    /// these agents.
     pub fn roster(&self) -> IndexSet<AgentId> {
         let may_have_runs = |worker: &&Worker| {
             !worker.lost || !worker.placements.is_empty() || self.has_unstored_crash(worker)
