--- a/components/membership/src/liveness.rs
+++ b/components/membership/src/liveness.rs
@@ -5,7 +5,7 @@
 
 use board::{Agent, Membership};
 use errors::{Error, ErrorKind, Result};
-use model::{AgentId, Announced, Endpoint, EndpointId, Revision};
+use model::{AgentId, Announced, Endpoint, EndpointId, Incarnation, Revision};
 
 /// Interval between the heartbeats of an agent.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -18,6 +18,8 @@
 pub struct Heartbeat {
     /// The agent.
     pub agent: AgentId,
+    /// Its process.
+    pub incarnation: Incarnation,
     /// Its endpoint, if it has one.
     pub endpoint: Option<EndpointId>,
     /// Free slots of the endpoint.
@@ -37,6 +39,23 @@
     pub endpoints: Vec<EndpointId>,
 }
 
+/// Returns an error if a later process of the agent has announced itself. An announcement that was delayed until then would
+/// end the gangs that the later process runs.
+pub fn check_announcement(
+    membership: &Membership,
+    agent: &AgentId,
+    incarnation: Incarnation,
+) -> Result<()> {
+    let known = membership.agents.get(agent);
+    match known.map(|known| known.incarnation) {
+        Some(known) if known > incarnation => {
+            let message = "a later process of the agent has announced itself";
+            Err(Error::not_run(ErrorKind::Conflict, message).report())
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Records an agent and its endpoint; a new announcement of a known agent replaces the previous one.
 pub fn announce(membership: &mut Membership, agent: Agent, endpoint: Option<Endpoint<Announced>>) {
     remove_endpoints(membership, &agent.id);
@@ -48,9 +67,10 @@
     }
 }
 
-/// Applies a heartbeat; an unknown agent must announce itself first.
+/// Applies a heartbeat; an unknown agent, or a new process of a known one, must announce itself first.
 pub fn heartbeat(membership: &mut Membership, report: &Heartbeat, now: Instant) -> Result<()> {
-    let Some(agent) = membership.agents.get_mut(&report.agent) else {
+    let known = membership.agents.get_mut(&report.agent);
+    let Some(agent) = known.filter(|agent| agent.incarnation == report.incarnation) else {
         let error = Error::not_run(ErrorKind::NotFound, "the agent has not announced itself");
         return Err(error.report());
     };
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -5,9 +5,10 @@
 use board::{Agent, Membership};
 use membership::fencing::{EpochOrder, Fence};
 use membership::liveness::{
-    Heartbeat, LostAgent, SILENCE_LIMIT, announce, heartbeat, remove_silent_agents,
+    Heartbeat, LostAgent, SILENCE_LIMIT, announce, check_announcement, heartbeat,
+    remove_silent_agents,
 };
-use model::{Announced, Endpoint, Location};
+use model::{AgentId, Announced, Endpoint, Location};
 
 fn announced(now: Instant) -> Membership {
     let addr = "127.0.0.1:1".parse().unwrap();
@@ -41,6 +42,7 @@
 fn report(draining: bool) -> Heartbeat {
     Heartbeat {
         agent: "a".into(),
+        incarnation: 1,
         endpoint: Some("p".into()),
         free: 3,
         config_revision: 1,
@@ -60,6 +62,33 @@
     assert!(membership.serving.is_empty() && membership.draining.contains_key("p"));
 }
 
+/// Guards against a new process of an agent that is taken for the previous one, whose gangs have ended with it.
+#[test]
+fn heartbeat_of_new_incarnation_asks_for_announcement() {
+    let now = Instant::now();
+    let mut membership = announced(now);
+    let restarted = Heartbeat {
+        incarnation: 2,
+        ..report(false)
+    };
+    assert!(heartbeat(&mut membership, &restarted, now).is_err());
+    assert!(membership.serving.is_empty());
+}
+
+/// Guards against an announcement of an earlier process that arrives late and ends the gangs of the present one.
+#[test]
+fn check_announcement_rejects_earlier_incarnation() {
+    let mut membership = announced(Instant::now());
+    let agent: AgentId = "a".into();
+    for (incarnation, is_accepted) in [(0, false), (1, true), (2, true)] {
+        let checked = check_announcement(&membership, &agent, incarnation);
+        assert_eq!(checked.is_ok(), is_accepted, "incarnation {incarnation}");
+    }
+    // An agent that was silent for long is not known any more.
+    remove_silent_agents(&mut membership, Instant::now() + SILENCE_LIMIT);
+    assert!(check_announcement(&membership, &agent, 0).is_ok());
+}
+
 /// Guards against a crashed agent that stays in the directory.
 #[test]
 fn remove_silent_agents_after_limit() {
--- a/components/owner/src/members.rs
+++ b/components/owner/src/members.rs
@@ -154,6 +154,16 @@
             Error::not_run(ErrorKind::Unavailable, "this process does not own the cell").report(),
         );
     }
+    if let Err(report) =
+        liveness::check_announcement(membership, &announce.agent, announce.incarnation)
+    {
+        log::warn!(
+            target: "limpethook",
+            agent:% = announce.agent, incarnation = announce.incarnation, error:% = report.current_context();
+            "announcement_rejected"
+        );
+        return Err(report);
+    }
     log::info!(
         target: "limpethook",
         agent:% = announce.agent, addr:% = announce.addr, workers = announce.workers.len(),
@@ -214,6 +224,7 @@
     }
     let beat = liveness::Heartbeat {
         agent: heartbeat.agent.clone(),
+        incarnation: heartbeat.incarnation,
         endpoint: endpoint_of_agent(membership, &heartbeat.agent),
         free: heartbeat.free,
         config_revision: heartbeat.revision,
