--- a/components/cell/src/agent/sightings.rs
+++ b/components/cell/src/agent/sightings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{CrashedRun, TaskRun};
 
 use crate::agent::worker_client::ListedRun;
@@ -35,9 +35,9 @@
         requested_at: Duration,
         now: Duration,
     ) {
-        let is_listed = |run: &TaskRun| listed.iter().any(|listed| listed.run == *run);
+        let runs: IndexSet<TaskRun> = listed.iter().map(|listed| listed.run).collect();
         self.first_seen
-            .retain(|run, seen_at| is_listed(run) || *seen_at >= requested_at);
+            .retain(|run, seen_at| runs.contains(run) || *seen_at >= requested_at);
         for listed in listed {
             self.record_start(listed.run, now);
         }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -231,17 +231,14 @@
             .for_each(CancellationToken::cancel);
         self.unanswered_starts
             .retain(|_, since| now < *since + OUTCOME_RETENTION);
-        let (listed, ends) = (&self.listed, &self.ends);
-        let ran_before = |run: &TaskRun| {
-            listed.iter().any(|listed| listed.run == *run) || ends.iter().any(|end| end.run == *run)
-        };
+        let (listed, ended) = (self.listed_runs(), self.ended_runs());
         self.orders.retain(|run, (order, _)| {
             // An attempt in flight may reach the new incarnation, even if the run was stopped in the previous one.
             if self.start_retries.contains_key(run) {
                 *order = OrderState::Starting;
                 return true;
             }
-            *order == OrderState::Started && !ran_before(run)
+            *order == OrderState::Started && !listed.contains(run) && !ended.contains(run)
         });
         self.stray_starts = self.unanswered_starts.keys().copied().collect();
         for run in &self.stray_starts {
@@ -379,7 +376,7 @@
         };
         self.confirmed_epoch = self.confirmed_epoch.max(epoch);
         self.last_poll_at = self.last_poll_at.max(Some(requested_at));
-        let known: Vec<TaskRun> = self.listed.iter().map(|listed| listed.run).collect();
+        let known = self.listed_runs();
         let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
         self.sightings.record_listed(&reply.runs, requested_at, now);
         self.listed = reply.runs;
@@ -403,9 +400,9 @@
     /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
     fn reconcile_orders(&mut self, requested_at: Duration, now: Duration) -> bool {
         let mut outcome_reached = false;
+        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
         for (run, (order, changed_at)) in &mut self.orders {
-            let listed = self.listed.iter().any(|listed| listed.run == *run);
-            let ended = self.ends.iter().any(|end| end.run == *run);
+            let (listed, ended) = (listed_runs.contains(run), ended_runs.contains(run));
             match order {
                 OrderState::Stopped(at) if *at <= requested_at && !listed && !ended => {
                     *order = OrderState::Gone;
@@ -425,8 +422,7 @@
                 order,
                 OrderState::Refused(_) | OrderState::Gone | OrderState::Started
             );
-            let listed = self.listed.iter().any(|listed| listed.run == *run);
-            !final_order || listed || now < *changed_at + OUTCOME_RETENTION
+            !final_order || listed_runs.contains(run) || now < *changed_at + OUTCOME_RETENTION
         });
         outcome_reached
     }
@@ -437,7 +433,8 @@
             return Vec::new();
         }
         let mut runs = std::mem::take(&mut self.stray_starts);
-        runs.retain(|run| !self.listed.iter().any(|listed| listed.run == *run));
+        let listed = self.listed_runs();
+        runs.retain(|run| !listed.contains(run));
         runs
     }
 
@@ -548,8 +545,12 @@
         self.unanswered_starts.insert(run, now);
     }
 
-    fn has_ended(&self, run: TaskRun) -> bool {
-        self.ends.iter().any(|end| end.run == run)
+    fn listed_runs(&self) -> IndexSet<TaskRun> {
+        self.listed.iter().map(|listed| listed.run).collect()
+    }
+
+    fn ended_runs(&self) -> IndexSet<TaskRun> {
+        self.ends.iter().map(|end| end.run).collect()
     }
 
     /// Builds the report for the owner.
@@ -601,9 +602,9 @@
                 },
             })
             .collect();
+        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
         for (run, (order, _)) in &self.orders {
-            let listed = self.listed.iter().any(|listed| listed.run == *run);
-            let ended = self.has_ended(*run);
+            let (listed, ended) = (listed_runs.contains(run), ended_runs.contains(run));
             // An absent worker does not carry out starts that it left unanswered.
             let dropped = absent && *order == OrderState::Unanswered;
             if listed || ended || dropped {
--- a/components/graph/src/approvals.rs
+++ b/components/graph/src/approvals.rs
@@ -6,12 +6,15 @@
 use indexmap::IndexMap;
 use model::{AgentId, Incarnation, JobId};
 
-use crate::job::{Phase, Unit, UnitId};
+use crate::job::UnitId;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
 /// Maximum number of workers in one request, because the response time of the advisor grows with it.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
+/// Maximum number of occurrences of a step that hold or request an approval while they wait; the advisor answers one
+/// request after the other.
+const MAX_APPROVED_OCCURRENCES: usize = 16;
 /// A request without a response is repeated after this time.
 const REQUEST_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// An approval is used only if it stays valid for this long, the time that a start order takes to reach the worker.
@@ -87,20 +90,25 @@
         requests
     }
 
-    /// Returns the steps that need an approval request and have waiting units whose dependencies are done.
+    /// Returns the steps that need an approval request and have waiting units whose dependencies are done. Of the
+    /// occurrences of a step, only the first ones are considered.
     fn unapproved_steps(&self, now: Duration) -> Vec<StepId> {
         let mut steps = Vec::new();
         for job in self.jobs.values() {
             if !job.policy.needs_approval || job.end.is_some() || job.awaiting_recovery {
                 continue;
             }
-            let is_ready = |(id, unit): &(&UnitId, &Unit)| {
-                unit.phase == Phase::Waiting && job.is_unblocked(**id)
-            };
-            for (id, _) in job.units.iter().filter(is_ready) {
-                let step = StepId::of(job.id, *id);
-                if !steps.contains(&step) && self.needs_request(step, now) {
-                    steps.push(step);
+            for step in job.ready.steps() {
+                let occurrences = job.ready.occurrences_of(step);
+                for occurrence in occurrences.take(MAX_APPROVED_OCCURRENCES) {
+                    let step = StepId {
+                        job: job.id,
+                        occurrence,
+                        step,
+                    };
+                    if self.needs_request(step, now) {
+                        steps.push(step);
+                    }
                 }
             }
         }
--- a/components/graph/src/changes.rs
+++ b/components/graph/src/changes.rs
@@ -67,12 +67,8 @@
         let Some(job) = self.jobs.get_mut(&job) else {
             return;
         };
-        let before = job.stored_version;
-        job.stored_version = before.max(version);
         // Units wait until their crashes are stored.
-        let newly_stored = before + 1..=version;
-        let mut units = job.units.values();
-        self.plan_needed |= units.any(|unit| newly_stored.contains(&unit.crash_version));
+        self.plan_needed |= job.mark_stored(version);
         self.status_version += 1;
         for worker in self.workers.values_mut() {
             worker
--- a/components/graph/src/crashes.rs
+++ b/components/graph/src/crashes.rs
@@ -213,7 +213,7 @@
         }
         let long_running = job.step(unit_id).long_running;
         let unit = job.units.get_mut(&unit_id)?;
-        if unit.phase == Phase::Done {
+        if unit.phase() == Phase::Done {
             return None;
         }
         let is_new = unit.record_crash(run, evidence);
@@ -223,7 +223,7 @@
             job.mark_changed();
         }
         if is_new && evidence > CrashEvidence::Survived {
-            job.units[&unit_id].crash_version = job.version;
+            job.await_crash_stored(unit_id);
         }
         log::warn!(
             target: "limpethook",
@@ -284,7 +284,7 @@
         let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
-        let is_complete = unit.phase == Phase::Active && unit.active_runs == unit.tasks;
+        let is_complete = unit.phase() == Phase::Active && unit.active_runs == unit.tasks;
         if !unit.is_suspect() || !is_complete {
             return;
         }
--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -73,7 +73,7 @@
         }
         // The end of the current run, or of one that has no placement here: it was started by an earlier owner and not
         // adopted, or it was removed when its worker was lost. All of these are applied alike.
-        if !end.checkpoint.is_empty() && unit.phase != Phase::Done {
+        if !end.checkpoint.is_empty() && unit.phase() != Phase::Done {
             unit.checkpoint = end.checkpoint.clone();
         }
         match end.end {
@@ -117,15 +117,15 @@
         let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
-        if unit.phase == Phase::Done {
+        if unit.phase() == Phase::Done {
             return;
         }
         if long_running {
             self.requeue_unit(id, unit_id, now);
             return;
         }
-        unit.phase = Phase::Done;
         unit.checkpoint = Box::default();
+        job.complete(unit_id);
         job.mark_changed();
         if job.end.is_none() && job.is_complete() {
             job.end = Some(JobEnd::Completed);
@@ -158,7 +158,7 @@
         let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
-        if unit.phase == Phase::Done {
+        if unit.phase() == Phase::Done {
             return;
         }
         if !unit.failed_runs.contains(&end.run.run) {
@@ -189,11 +189,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if let Some(unit) = job.units.get_mut(&unit_id)
-            && !unit.avoided_workers.contains(agent)
-        {
-            unit.avoided_workers.push(agent.clone());
-        }
+        job.record_failed_on(unit_id, agent);
         if !job.is_likely_faulty()
             && let Some(worker) = self.workers.get_mut(agent)
         {
@@ -208,18 +204,17 @@
     /// Returns a unit to waiting after one of its runs ended without completing it, or a long-running task ended. If
     /// the unit has other runs, they are stopped first, and the unit returns to waiting with the last of their ends.
     fn requeue_unit(&mut self, id: JobId, unit_id: UnitId, now: Duration) {
-        let unit = self
-            .jobs
-            .get_mut(&id)
-            .and_then(|job| job.units.get_mut(&unit_id));
-        let Some(unit) = unit.filter(|unit| unit.phase == Phase::Active) else {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let unit = job.units.get(&unit_id);
+        let Some(unit) = unit.filter(|unit| unit.phase() == Phase::Active) else {
             return;
         };
         if unit.active_runs > 0 {
             self.stop_unit(id, unit_id);
             return;
         }
-        unit.phase = Phase::Waiting;
-        unit.ready_at = Some(now);
+        job.requeue(unit_id, now);
     }
 }
--- a/components/graph/src/estimates.rs
+++ b/components/graph/src/estimates.rs
@@ -86,15 +86,21 @@
         let run_number = placement.task_run.run;
         let is_full_run = unit.start_checkpoint.is_empty() && self.is_own_run(run_number);
         // The first completed member completes its gang, and the run times of the others are not counted.
-        let is_first = unit.phase == Phase::Active && unit.run_number == run_number;
+        let is_first = unit.phase() == Phase::Active && unit.run_number == run_number;
         if step.long_running || !is_full_run || !is_first {
             return;
         }
         let queue = job.spec.queue.clone();
         let run_time = now.saturating_sub(placement.state.started_at);
         self.estimates.observe(&queue, step.expected, run_time);
+        self.relearned_queues.insert(queue);
+    }
+
+    /// Updates the expected run times of the jobs in queues with new estimates.
+    pub(crate) fn update_expected_times(&mut self) {
+        let queues = std::mem::take(&mut self.relearned_queues);
         let jobs = self.jobs.values_mut();
-        for job in jobs.filter(|job| job.end.is_none() && job.spec.queue == queue) {
+        for job in jobs.filter(|job| job.end.is_none() && queues.contains(&job.spec.queue)) {
             job.update_expected_times(&self.estimates);
         }
     }
--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -118,7 +118,7 @@
     fn start_payload(&self, id: JobId, unit: UnitId) -> Option<(Box<str>, Box<str>)> {
         let job = self.jobs.get(&id)?;
         let unit = job.units.get(&unit)?;
-        let is_active = unit.phase == Phase::Active;
+        let is_active = unit.phase() == Phase::Active;
         is_active.then(|| (job.spec.graph.body.clone(), unit.start_checkpoint.clone()))
     }
 }
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -9,12 +9,13 @@
 use crate::crashes::RunCrash;
 use crate::estimates::Estimates;
 use crate::progress::{Progress, UnitCrashes, UnitProgress};
+use crate::ready::{ReadyUnits, StepHeads};
 
 /// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
 const FAULTY_JOB_WORKERS: usize = 3;
 
 /// Identifies a unit within its job: a single task, or all tasks of a gang.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct UnitId {
     /// The occurrence of the job, from 0.
     pub(crate) occurrence: u32,
@@ -43,8 +44,8 @@
 pub(crate) struct Unit {
     /// Number of tasks.
     pub(crate) tasks: u32,
-    /// State in the life cycle.
-    pub(crate) phase: Phase,
+    /// State in the life cycle, changed by the methods of [`Job`].
+    phase: Phase,
     /// Number of the latest run.
     pub(crate) run_number: RunNumber,
     /// Number of placements of the latest run that have not ended.
@@ -75,6 +76,11 @@
 }
 
 impl Unit {
+    /// Returns the state in the life cycle.
+    pub(crate) fn phase(&self) -> Phase {
+        self.phase
+    }
+
     /// Returns the number of failed runs.
     pub(crate) fn failures(&self) -> u32 {
         u32::try_from(self.failed_runs.len()).unwrap_or(u32::MAX)
@@ -114,10 +120,22 @@
     pub(crate) accepted_at: Duration,
     /// Expected run time of one task, by step.
     expected_task_times: Vec<Duration>,
+    /// Sum of the expected run times of one task of each step.
+    expected_time: Duration,
+    /// Upper bound of the accelerators that it uses at once.
+    total_accelerators: u32,
     /// The units of the occurrences created so far.
     pub(crate) units: IndexMap<UnitId, Unit>,
     /// Number of occurrences created so far.
     pub(crate) created_occurrences: u32,
+    /// The units that are ready.
+    pub(crate) ready: ReadyUnits,
+    /// Agents of the workers on which its runs failed.
+    failed_on: IndexSet<AgentId>,
+    /// Whether any of its units is done.
+    has_done_unit: bool,
+    /// The latest version that contains a crash for which a unit waits.
+    latest_crash_version: u64,
     /// Whether a task has ever started.
     pub(crate) started: bool,
     /// Whether its units are not placed because recovery has not ended: workers whose runs are not known yet may still
@@ -145,6 +163,12 @@
             id,
             policy: spec.policy.clone(),
             expected_task_times: Vec::new(),
+            expected_time: Duration::ZERO,
+            total_accelerators: total_accelerators(&spec.graph.steps),
+            ready: ReadyUnits::new(&spec.graph.steps),
+            failed_on: IndexSet::new(),
+            has_done_unit: false,
+            latest_crash_version: 0,
             spec,
             accepted_at,
             units: IndexMap::new(),
@@ -167,11 +191,12 @@
         self.expected_task_times = steps
             .map(|step| estimates.expected(queue, step.expected))
             .collect();
+        self.expected_time = self.expected_task_times.iter().sum();
     }
 
     /// Returns the sum of the expected run times of one task of each step.
     pub(crate) fn expected_time(&self) -> Duration {
-        self.expected_task_times.iter().sum()
+        self.expected_time
     }
 
     /// Returns the expected run time of a task of a unit.
@@ -233,6 +258,7 @@
                 self.units.insert(id, Unit::new(tasks));
             }
         }
+        self.ready.add_occurrence(occurrence);
     }
 
     /// Restores progress from the store.
@@ -250,7 +276,7 @@
             unit.failed_runs.clone_from(&saved.failed_runs);
             unit.checkpoint = saved.checkpoint.clone();
             if saved.done {
-                unit.phase = Phase::Done;
+                self.complete(id);
             }
             self.started = true;
         }
@@ -305,33 +331,130 @@
         }
     }
 
-    /// Returns whether all steps that a unit depends on are done.
-    pub(crate) fn is_unblocked(&self, id: UnitId) -> bool {
-        let after = &self.step(id).after;
-        after.iter().all(|step| {
-            self.units
-                .iter()
-                .filter(|(other, _)| other.occurrence == id.occurrence && other.step == *step)
-                .all(|(_, unit)| unit.phase == Phase::Done)
-        })
+    /// Records that a run of a unit was placed.
+    pub(crate) fn activate(&mut self, id: UnitId) -> Option<&mut Unit> {
+        self.ready.remove(id);
+        let unit = self.units.get_mut(&id)?;
+        unit.phase = Phase::Active;
+        Some(unit)
+    }
+
+    /// Returns a unit to waiting after its run has ended.
+    pub(crate) fn requeue(&mut self, id: UnitId, now: Duration) {
+        if let Some(unit) = self.units.get_mut(&id) {
+            unit.phase = Phase::Waiting;
+            unit.ready_at = Some(now);
+            self.ready.add(id);
+        }
+    }
+
+    /// Records that the work of a unit is complete.
+    pub(crate) fn complete(&mut self, id: UnitId) {
+        let unit = self.units.get_mut(&id);
+        if let Some(unit) = unit.filter(|unit| unit.phase != Phase::Done) {
+            unit.phase = Phase::Done;
+            self.has_done_unit = true;
+            self.ready.complete(id);
+        }
+    }
+
+    /// Records since when the units that became ready are, and returns to those whose backoff has passed.
+    pub(crate) fn update_ready(&mut self, now: Duration) {
+        for id in self.ready.take_new() {
+            if let Some(unit) = self.units.get_mut(&id) {
+                unit.ready_at.get_or_insert(now);
+            }
+        }
+        while let Some(id) = self.ready.take_due(now) {
+            self.add_if_waiting(id);
+        }
+    }
+
+    /// Returns to the units whose crashes are stored.
+    fn resume_stored(&mut self) {
+        for id in self.ready.take_unstored() {
+            self.add_if_waiting(id);
+        }
+    }
+
+    fn add_if_waiting(&mut self, id: UnitId) {
+        let unit = self.units.get(&id);
+        if unit.is_some_and(|unit| unit.phase == Phase::Waiting) {
+            self.ready.add(id);
+        }
+    }
+
+    /// Returns the next unit of a step that can be placed now, after another one if that is given. Those that have to wait
+    /// on the way there are put aside.
+    pub(crate) fn next_ready(
+        &mut self,
+        step: u32,
+        after: Option<UnitId>,
+        now: Duration,
+    ) -> Option<UnitId> {
+        loop {
+            let id = self.ready.next_of_step(step, after)?;
+            let unit = self.units.get(&id)?;
+            if unit.phase != Phase::Waiting {
+                // It was adopted or restored before its step became ready.
+                self.ready.remove(id);
+            } else if unit.crash_version > self.stored_version {
+                self.ready.await_store(id);
+            } else if unit.not_before > now {
+                self.ready.delay(id, unit.not_before);
+            } else {
+                return Some(id);
+            }
+        }
+    }
+
+    /// Returns the first unit of each step that can be placed now.
+    pub(crate) fn step_heads(&mut self, now: Duration) -> StepHeads {
+        let steps: Vec<u32> = self.ready.steps().collect();
+        let mut heads = StepHeads::default();
+        for step in steps {
+            if let Some(unit) = self.next_ready(step, None, now) {
+                heads.push(unit);
+            }
+        }
+        heads
+    }
+
+    /// Records that a unit waits until its latest crash, which the present version contains, is stored.
+    pub(crate) fn await_crash_stored(&mut self, id: UnitId) {
+        if let Some(unit) = self.units.get_mut(&id) {
+            unit.crash_version = self.version;
+            self.latest_crash_version = self.version;
+        }
+    }
+
+    /// Records that a version was stored; returns whether units may have waited for that.
+    pub(crate) fn mark_stored(&mut self, version: u64) -> bool {
+        let before = self.stored_version;
+        self.stored_version = before.max(version);
+        self.resume_stored();
+        before < self.latest_crash_version
     }
 
     /// Returns whether all units of all occurrences are done.
     pub(crate) fn is_complete(&self) -> bool {
-        self.created_occurrences >= self.spec.graph.occurrences()
-            && self.units.values().all(|unit| unit.phase == Phase::Done)
+        self.created_occurrences >= self.spec.graph.occurrences() && self.ready.all_done()
+    }
+
+    /// Records that a run of a unit failed on a worker, which the unit then avoids.
+    pub(crate) fn record_failed_on(&mut self, id: UnitId, agent: &AgentId) {
+        if let Some(unit) = self.units.get_mut(&id)
+            && !unit.avoided_workers.contains(agent)
+        {
+            unit.avoided_workers.push(agent.clone());
+        }
+        self.failed_on.insert(agent.clone());
     }
 
     /// Returns whether failures are more likely to be the fault of the job than of the workers: it has failed on several
     /// workers and none of its units has completed.
     pub(crate) fn is_likely_faulty(&self) -> bool {
-        let failed_on: IndexSet<&AgentId> = self
-            .units
-            .values()
-            .flat_map(|unit| &unit.avoided_workers)
-            .collect();
-        failed_on.len() >= FAULTY_JOB_WORKERS
-            && !self.units.values().any(|unit| unit.phase == Phase::Done)
+        self.failed_on.len() >= FAULTY_JOB_WORKERS && !self.has_done_unit
     }
 
     /// Records that the job has a change to store.
@@ -342,9 +465,13 @@
     /// Returns an upper bound of the accelerators that the job uses at once: the sum over all steps, as if they all ran
     /// in parallel.
     pub(crate) fn total_accelerators(&self) -> u32 {
-        let steps = self.spec.graph.steps.iter();
-        steps
-            .map(|step| step.tasks.saturating_mul(step.resources.accelerators))
-            .fold(0, u32::saturating_add)
+        self.total_accelerators
     }
 }
+
+fn total_accelerators(steps: &[Step]) -> u32 {
+    steps
+        .iter()
+        .map(|step| step.tasks.saturating_mul(step.resources.accelerators))
+        .fold(0, u32::saturating_add)
+}
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -42,6 +42,7 @@
 mod plan;
 mod preempt;
 mod progress;
+mod ready;
 mod recovery;
 mod reports;
 mod reservations;
--- a/components/graph/src/order.rs
+++ b/components/graph/src/order.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{AccountId, JobId};
 
-use crate::job::{Job, Phase, UnitId};
+use crate::job::{Job, UnitId};
 use crate::scheduler::Scheduler;
 
 /// The highest priority. Its jobs are urgent: they may reserve resources, preempt other jobs and use the headroom.
@@ -21,57 +21,58 @@
     pub(crate) guaranteed: bool,
     /// The priority of its queue.
     pub(crate) priority: u32,
-    /// The time by which the job should end.
-    pub(crate) deadline: Duration,
+}
+
+/// A job with ready units.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadyJob {
+    pub(crate) job: JobId,
+    /// Whether it is urgent and within the guarantee of its client account.
+    guaranteed: bool,
+    /// The priority of its queue.
+    priority: u32,
+    /// The time by which it should end.
+    deadline: Duration,
+}
+
+impl ReadyJob {
+    /// Returns one of its units.
+    pub(crate) fn unit(self, unit: UnitId) -> ReadyUnit {
+        ReadyUnit {
+            job: self.job,
+            unit,
+            guaranteed: self.guaranteed,
+            priority: self.priority,
+        }
+    }
 }
 
 impl Scheduler {
-    /// Updates the set of guaranteed jobs, and returns the units that are ready for placement: guaranteed ones first,
-    /// then by priority and deadline. Sets `ready_at` of the units that have become ready.
-    pub(crate) fn update_ready_units(&mut self, now: Duration) -> Vec<ReadyUnit> {
+    /// Updates the set of guaranteed jobs, and returns the jobs with units that are ready for placement: guaranteed ones
+    /// first, then by priority and deadline. Sets `ready_at` of the units that have become ready.
+    pub(crate) fn update_ready_jobs(&mut self, now: Duration) -> Vec<ReadyJob> {
         self.guaranteed = self.guaranteed_jobs();
         let guaranteed = &self.guaranteed;
-        let mut ready_units = Vec::new();
-        let mut next_backoff_end = Duration::MAX;
+        let mut ready_jobs = Vec::new();
         for job in self.jobs.values_mut() {
             if job.end.is_some() || job.awaiting_recovery {
                 continue;
             }
-            let deadline = job.deadline();
-            let mut ready = Vec::new();
-            for (id, unit) in &job.units {
-                if unit.phase != Phase::Waiting || unit.crash_version > job.stored_version {
-                    continue;
-                }
-                if now >= unit.not_before {
-                    ready.push(*id);
-                } else {
-                    next_backoff_end = next_backoff_end.min(unit.not_before);
-                }
-            }
-            let mut unblocked: IndexMap<(u32, u32), bool> = IndexMap::new();
-            for id in ready {
-                let step = (id.occurrence, id.step);
-                let is_unblocked = unblocked
-                    .entry(step)
-                    .or_insert_with(|| job.is_unblocked(id));
-                if !*is_unblocked {
-                    continue;
-                }
-                let unit = &mut job.units[&id];
-                unit.ready_at.get_or_insert(now);
-                ready_units.push(ReadyUnit {
+            job.update_ready(now);
+            if job.ready.steps().next().is_some() {
+                ready_jobs.push(ReadyJob {
                     job: job.id,
-                    unit: id,
                     guaranteed: guaranteed.contains(&job.id),
                     priority: job.policy.priority,
-                    deadline,
+                    deadline: job.deadline(),
                 });
             }
+            if let Some(due) = job.ready.next_due() {
+                self.next_plan_at = self.next_plan_at.min(due);
+            }
         }
-        self.next_plan_at = self.next_plan_at.min(next_backoff_end);
-        ready_units.sort_by_key(|unit| (!unit.guaranteed, unit.priority, unit.deadline));
-        ready_units
+        ready_jobs.sort_by_key(|job| (!job.guaranteed, job.priority, job.deadline));
+        ready_jobs
     }
 
     /// Returns the urgent jobs within the guarantees of their client accounts.
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
 use model::{JobId, ResourceVector, TaskId, TaskRun};
 
 use crate::fit::{Assignment, resources_per_task};
-use crate::job::{Phase, UnitId};
-use crate::order::{ReadyUnit, URGENT_PRIORITY};
+use crate::job::UnitId;
+use crate::order::{ReadyJob, ReadyUnit, URGENT_PRIORITY};
 use crate::placement::AnyPlacement;
 use crate::reservations::{FleetResources, PlacementOptions, ReservationFilter};
 use crate::scheduler::Scheduler;
@@ -41,6 +40,7 @@
         }
         if is_due {
             self.next_plan_at = now + PLAN_INTERVAL;
+            self.update_expected_times();
             for job in self.jobs.values_mut().filter(|job| job.end.is_none()) {
                 job.create_due_occurrences(unix_time);
                 if let Some(due) = job.next_due() {
@@ -52,23 +52,41 @@
         }
         self.plan_needed = false;
         self.drop_stale_reservations(now);
-        let ready_units = self.update_ready_units(now);
-        if ready_units.is_empty() {
+        let ready_jobs = self.update_ready_jobs(now);
+        if ready_jobs.is_empty() {
             return;
         }
         let mut fleet = self.fleet_resources();
         let headroom = self.headroom_workers(&fleet, now);
-        let mut unplaced_steps: IndexSet<(JobId, u32)> = IndexSet::new();
-        for ready in ready_units {
-            // The units of a step have the same requirements: once one could not be placed, the others are skipped.
-            let step = (ready.job, ready.unit.step);
-            if unplaced_steps.contains(&step) {
+        for ready_job in ready_jobs {
+            self.plan_job(ready_job, &mut fleet, &headroom, now);
+        }
+    }
+
+    /// Places the ready units of a job. The units of a step have the same requirements: once one could not be placed, the
+    /// others are not tried.
+    fn plan_job(
+        &mut self,
+        ready_job: ReadyJob,
+        fleet: &mut FleetResources,
+        headroom: &[bool],
+        now: Duration,
+    ) {
+        let job = self.jobs.get_mut(&ready_job.job);
+        let mut heads = job.map(|job| job.step_heads(now)).unwrap_or_default();
+        while let Some(unit) = heads.pop() {
+            if !self.place_or_reserve(ready_job.unit(unit), fleet, headroom, now) {
                 continue;
             }
-            if !self.place_or_reserve(ready, &mut fleet, &headroom, now) {
-                unplaced_steps.insert(step);
+            let job = self.jobs.get_mut(&ready_job.job);
+            if let Some(next) = job.and_then(|job| job.next_ready(unit.step, Some(unit), now)) {
+                heads.push(next);
             }
         }
+        let job = self.jobs.get(&ready_job.job);
+        if let Some(due) = job.and_then(|job| job.ready.next_due()) {
+            self.next_plan_at = self.next_plan_at.min(due);
+        }
     }
 
     /// Places a unit and returns whether it was placed. If an urgent unit was not placed, resources are reserved for
@@ -218,10 +236,9 @@
             return;
         };
         let resources = resources_per_task(job.step(unit_id));
-        let Some(unit) = job.units.get_mut(&unit_id) else {
+        let Some(unit) = job.activate(unit_id) else {
             return;
         };
-        unit.phase = Phase::Active;
         unit.run_number = run_number;
         unit.active_runs = unit.tasks;
         unit.placed_at = now;
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -83,10 +83,10 @@
         };
         let awaiting_recovery = job.awaiting_recovery;
         let resources = resources_per_task(job.step(unit_id));
-        let Some(unit) = job.units.get_mut(&unit_id) else {
+        let Some(unit) = job.units.get(&unit_id) else {
             return false;
         };
-        let is_needed = match unit.phase {
+        let is_needed = match unit.phase() {
             // During recovery, the run is adopted unless a newer run of the unit is known.
             Phase::Waiting => awaiting_recovery && unit.run_number <= run_number,
             // Another member of the same run of a gang was adopted before.
@@ -96,7 +96,9 @@
         if !is_needed {
             return false;
         }
-        unit.phase = Phase::Active;
+        let Some(unit) = job.activate(unit_id) else {
+            return false;
+        };
         unit.run_number = run_number;
         unit.active_runs += 1;
         unit.placed_at = now;
@@ -140,7 +142,7 @@
         for job in self.jobs.values_mut() {
             job.awaiting_recovery = false;
             for (id, unit) in &job.units {
-                if unit.phase == Phase::Active && unit.active_runs < unit.tasks {
+                if unit.phase() == Phase::Active && unit.active_runs < unit.tasks {
                     partial.push((job.id, *id));
                 }
             }
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-use model::{AgentId, Refusal, ResourceVector, RunReport, RunStatus, TaskId, WorkerReport};
+use indexmap::{IndexMap, IndexSet};
+use model::{
+    AgentId, Refusal, ResourceVector, RunReport, RunStatus, TaskId, TaskRun, WorkerReport,
+};
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
@@ -184,17 +186,13 @@
         let Some(worker) = self.workers.get(&report.agent) else {
             return;
         };
+        let listed: IndexSet<TaskRun> = report.runs.iter().map(|run| run.run).collect();
         // A run that was reported before and is missing now has ended without an end report.
         let missing: Vec<TaskId> = worker
             .placements
             .iter()
             .filter(|(_, placement)| matches!(placement, AnyPlacement::Running(_)))
-            .filter(|(_, placement)| {
-                !report
-                    .runs
-                    .iter()
-                    .any(|run| run.run == placement.task_run())
-            })
+            .filter(|(_, placement)| !listed.contains(&placement.task_run()))
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
@@ -203,14 +201,15 @@
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             let orphans = worker.orphan_runs.len();
             // The agent repeats the outcome of an order for a while after the run has ended.
-            let may_exist = |report: &RunReport| {
+            let may_exist = |report: &&RunReport| {
                 let RunReport { status, .. } = report;
                 matches!(status, RunStatus::Starting | RunStatus::Running { .. })
             };
-            worker.orphan_runs.retain(|orphan, _| {
-                let mut runs = report.runs.iter();
-                runs.any(|run| run.run == *orphan && may_exist(run))
-            });
+            let existing = report.runs.iter().filter(may_exist);
+            let existing: IndexSet<TaskRun> = existing.map(|run| run.run).collect();
+            worker
+                .orphan_runs
+                .retain(|orphan, _| existing.contains(orphan));
             self.plan_needed |= worker.orphan_runs.len() < orphans;
         }
     }
@@ -332,23 +331,21 @@
     pub(crate) fn record_run_removal(&mut self, placement: &AnyPlacement, now: Duration) {
         self.plan_needed = true;
         let (id, unit_id) = placement.unit_key();
-        let Some(unit) = self
-            .jobs
-            .get_mut(&id)
-            .and_then(|job| job.units.get_mut(&unit_id))
-        else {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
         if unit.run_number != placement.task_run().run {
             return;
         }
         unit.active_runs = unit.active_runs.saturating_sub(1);
-        if unit.phase != Phase::Active {
+        if unit.phase() != Phase::Active {
             return;
         }
         if unit.active_runs == 0 {
-            unit.phase = Phase::Waiting;
-            unit.ready_at = Some(now);
+            job.requeue(unit_id, now);
         } else {
             self.stop_unit(id, unit_id);
         }
@@ -381,8 +378,9 @@
 
 /// Returns what remains of the runs of a worker that is absent: starts in flight.
 fn may_still_start(report: &WorkerReport) -> impl Fn(&AnyPlacement) -> Remainder {
-    |placement| {
-        if !placement.was_reported() && lists(report, placement) {
+    let listed = listed_runs(report);
+    move |placement| {
+        if !placement.was_reported() && listed.contains(&placement.task_run()) {
             Remainder::UnwantedStart
         } else {
             Remainder::Nothing
@@ -393,26 +391,27 @@
 /// Returns what the next incarnation of a worker has of the runs of the previous one. It has what the agent lists under
 /// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation.
 fn has_moved(report: &WorkerReport) -> impl Fn(&AnyPlacement) -> Remainder {
-    |placement| {
-        let is_starting = |listed: &RunReport| {
-            listed.run == placement.task_run() && listed.status == RunStatus::Starting
-        };
-        let pending = !placement.was_reported() && report.runs.iter().any(is_starting);
-        if pending || (placement.is_stopping() && lists(report, placement)) {
+    let listed = listed_runs(report);
+    let starting = report.runs.iter();
+    let starting = starting.filter(|listed| listed.status == RunStatus::Starting);
+    let starting: IndexSet<TaskRun> = starting.map(|listed| listed.run).collect();
+    move |placement| {
+        let run = placement.task_run();
+        let is_pending = !placement.was_reported() && starting.contains(&run);
+        if !listed.contains(&run) {
+            Remainder::Nothing
+        } else if is_pending || placement.is_stopping() {
             Remainder::UnwantedStart
-        } else if lists(report, placement) {
-            Remainder::Run
         } else {
-            Remainder::Nothing
+            Remainder::Run
         }
     }
 }
 
-/// Returns whether a report lists a run, or its end.
-fn lists(report: &WorkerReport, placement: &AnyPlacement) -> bool {
-    let run = placement.task_run();
-    report.runs.iter().any(|listed| listed.run == run)
-        || report.ends.iter().any(|end| end.run == run)
+/// Returns the runs that a report lists, or whose ends it lists.
+fn listed_runs(report: &WorkerReport) -> IndexSet<TaskRun> {
+    let runs = report.runs.iter().map(|listed| listed.run);
+    runs.chain(report.ends.iter().map(|end| end.run)).collect()
 }
 
 /// Returns whether a later report of the same agent was applied before. An agent reports again while an earlier report is
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -54,7 +54,7 @@
         let is_waiting = |(job, unit): &UnitKey| {
             let job = jobs.get(job).filter(|job| job.end.is_none());
             let unit = job.and_then(|job| job.units.get(unit));
-            unit.is_some_and(|unit| unit.phase == Phase::Waiting)
+            unit.is_some_and(|unit| unit.phase() == Phase::Waiting)
         };
         self.reservations.retain(|unit, reservation| {
             reservation.expires_at > now
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -89,6 +89,8 @@
     pub(crate) urgent_demand: UrgentDemand,
     /// Learned run times by queue.
     pub(crate) estimates: Estimates,
+    /// Queues whose estimates have changed since the expected run times of their jobs were updated.
+    pub(crate) relearned_queues: IndexSet<QueueId>,
     /// Times from the acceptance of jobs to their first running task, collected for the metrics.
     pub(crate) start_delays: Vec<Duration>,
     /// Number of suspects of each recorded crash, collected for the metrics.
@@ -131,6 +133,7 @@
             approvals: IndexMap::new(),
             urgent_demand: UrgentDemand::default(),
             estimates: Estimates::default(),
+            relearned_queues: IndexSet::new(),
             start_delays: Vec::new(),
             crash_suspects: Vec::new(),
             status_version: 0,
