--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -271,7 +271,12 @@
             Some(ActiveFault::DroppedResponses(index))
         }
         8 => {
-            deployment.restart_worker(rng.usize(..AGENTS)).await?;
+            let index = rng.usize(..AGENTS);
+            // A copy draws the delay, so that the plays of earlier seeds stay as they are.
+            let announced_after = Duration::from_millis(rng.clone().u64(..1_500));
+            deployment
+                .restart_worker_announced_after(index, announced_after)
+                .await?;
             None
         }
         _ => {
