--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //! and reports its state.
 
 mod actor;
+mod incarnation;
 mod link;
 mod orders;
 mod sightings;
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -20,7 +20,7 @@
 /// runs with it.
 const ABSENT_AFTER_REFUSALS: u32 = 2;
 /// How long the outcome of an order is kept in case the order is repeated.
-const OUTCOME_RETENTION: Duration = Duration::from_mins(1);
+pub(super) const OUTCOME_RETENTION: Duration = Duration::from_mins(1);
 
 /// Maximum number of crashes that are kept for the owner. Without an owner nothing is started, so that workers crash
 /// seldom.
@@ -48,58 +48,58 @@
 
 #[derive(Debug)]
 pub(crate) struct State {
-    settings: AgentSettings,
+    pub(super) settings: AgentSettings,
     pub(crate) name: Box<str>,
     pub(crate) incarnation: Option<Incarnation>,
-    sequence: u64,
-    service: ServiceId,
-    capacity: ResourceVector,
-    labels: Vec<Box<str>>,
+    pub(super) sequence: u64,
+    pub(super) service: ServiceId,
+    pub(super) capacity: ResourceVector,
+    pub(super) labels: Vec<Box<str>>,
     /// When the worker leaves, if it is draining.
-    leaves_at: Option<Duration>,
+    pub(super) leaves_at: Option<Duration>,
     /// Highest epoch of an owner.
     pub(crate) epoch: Epoch,
     /// Highest epoch that the worker has confirmed.
     pub(crate) confirmed_epoch: Epoch,
     /// When this process started tracking the worker.
-    started_at: Duration,
+    pub(super) started_at: Duration,
     /// When the latest accepted poll of this incarnation was sent.
-    last_poll_at: Option<Duration>,
+    pub(super) last_poll_at: Option<Duration>,
     /// Leases may be renewed until this time.
     pub(crate) renewable_until: Duration,
     /// Clock of the worker and boot clock, read at the same moment.
-    clock_sample: Option<(Duration, Duration)>,
+    pub(super) clock_sample: Option<(Duration, Duration)>,
     /// All leases have expired by this time.
-    leases_expire_at: Duration,
-    refused_connections: u32,
+    pub(super) leases_expire_at: Duration,
+    pub(super) refused_connections: u32,
     pub(crate) acknowledged: u64,
     pub(crate) orders: IndexMap<TaskRun, (OrderState, Duration)>,
     /// Starts that are still being sent, whatever the state of their orders; cancelling a token
     /// stops further attempts.
-    start_retries: IndexMap<TaskRun, CancellationToken>,
+    pub(super) start_retries: IndexMap<TaskRun, CancellationToken>,
     /// Runs with a start attempt that was not answered, and when that was known. The attempt may still be carried out,
     /// also by a later incarnation.
-    unanswered_starts: IndexMap<TaskRun, Duration>,
+    pub(super) unanswered_starts: IndexMap<TaskRun, Duration>,
     /// Runs that the current incarnation has to reject, because an attempt to start them in an earlier one may still
     /// arrive.
-    stray_starts: Vec<TaskRun>,
+    pub(super) stray_starts: Vec<TaskRun>,
     /// Starts that wait for a poll, with the bodies of their jobs.
-    deferred_starts: IndexMap<TaskRun, (StartOrder, Box<str>)>,
-    /// Announcement of a new incarnation that no poll has shown yet.
-    unpolled_announcement: Option<Announcement>,
+    pub(super) deferred_starts: IndexMap<TaskRun, (StartOrder, Box<str>)>,
+    /// Announcement of a new incarnation that no poll has shown yet, and when it arrived.
+    pub(super) unpolled_announcement: Option<(Announcement, Duration)>,
     /// When a poll last failed.
-    poll_failed_at: Duration,
-    listed: Vec<ListedRun>,
-    ends: Vec<EndReport>,
-    leaving: bool,
+    pub(super) poll_failed_at: Duration,
+    pub(super) listed: Vec<ListedRun>,
+    pub(super) ends: Vec<EndReport>,
+    pub(super) leaving: bool,
     /// What the current incarnation is known to have run.
-    sightings: Sightings,
+    pub(super) sightings: Sightings,
     /// Whether the current incarnation has crashed.
-    crashed: bool,
+    pub(super) crashed: bool,
     /// Crashes that no owner has stored yet, oldest first.
-    crashes: VecDeque<WorkerCrash>,
+    pub(super) crashes: VecDeque<WorkerCrash>,
     /// Runs of which the owner waits to learn that they have survived their probation.
-    trials: IndexSet<TaskRun>,
+    pub(super) trials: IndexSet<TaskRun>,
 }
 
 impl State {
@@ -150,49 +150,6 @@
         self.leaves_at.is_some() || self.leaving
     }
 
-    /// Applies an announcement; returns whether the owner has to learn of a change.
-    ///
-    /// The first announcement of a new incarnation only asks for a poll, which shows what runs there.
-    pub(crate) fn apply_announcement(&mut self, announcement: Announcement, now: Duration) -> bool {
-        let older = self
-            .incarnation
-            .is_some_and(|own| announcement.incarnation < own);
-        let repeated = self.incarnation == Some(announcement.incarnation)
-            && announcement.sequence <= self.sequence;
-        if older || repeated {
-            return false;
-        }
-        if self
-            .incarnation
-            .is_some_and(|own| announcement.incarnation != own)
-        {
-            let known = self.unpolled_announcement.as_ref();
-            if known.is_none_or(|known| known.incarnation <= announcement.incarnation) {
-                self.unpolled_announcement = Some(announcement);
-            }
-            return false;
-        }
-        self.describe(announcement, now)
-    }
-
-    /// Returns whether a new incarnation has announced itself that was not polled yet.
-    pub(crate) fn awaits_poll(&self) -> bool {
-        self.unpolled_announcement.is_some()
-    }
-
-    /// Adopts the incarnation of an announcement, and what it says; returns whether the owner has to learn of a change.
-    fn describe(&mut self, announcement: Announcement, now: Duration) -> bool {
-        let before = (self.incarnation, self.capacity, self.is_draining());
-        self.begin(announcement.incarnation, &[], now);
-        self.sequence = announcement.sequence;
-        self.name = announcement.name;
-        self.service = announcement.service;
-        self.capacity = announcement.capacity;
-        self.labels = announcement.labels;
-        self.leaves_at = announcement.draining.map(|left| now + left);
-        before != (self.incarnation, self.capacity, self.is_draining())
-    }
-
     /// Marks the worker as leaving if the name matches.
     pub(crate) fn mark_leaving(&mut self, name: &str) {
         if *self.name == *name {
@@ -200,72 +157,9 @@
         }
     }
 
-    /// Resets the state if the worker has another incarnation than before.
-    ///
-    /// The agent learns of a new incarnation only some time after it began, and the answer to a start does not tell which
-    /// incarnation gave it. What the previous incarnation is not known to have run is kept until a poll shows whether the
-    /// new one runs it. `found` are the runs that the new one is known to have.
-    fn begin(&mut self, incarnation: Incarnation, found: &[TaskRun], now: Duration) {
-        if self.incarnation == Some(incarnation) {
-            return;
-        }
-        self.record_crash(found);
-        log::info!(
-            target: "limpethook",
-            incarnation = incarnation, before = self.incarnation.unwrap_or(0);
-            "worker_began"
-        );
-        if self.incarnation.is_some() {
-            // The capacity of a new incarnation is not known before it announces itself.
-            self.capacity = ResourceVector::default();
-        }
-        self.incarnation = Some(incarnation);
-        self.sequence = 0;
-        self.confirmed_epoch = 0;
-        self.acknowledged = 0;
-        self.clock_sample = None;
-        self.last_poll_at = None;
-        self.refused_connections = 0;
-        self.start_retries
-            .values()
-            .for_each(CancellationToken::cancel);
-        self.unanswered_starts
-            .retain(|_, since| now < *since + OUTCOME_RETENTION);
-        let (listed, ended) = (self.listed_runs(), self.ended_runs());
-        self.orders.retain(|run, (order, _)| {
-            // An attempt in flight may reach the new incarnation, even if the run was stopped in the previous one.
-            if self.start_retries.contains_key(run) {
-                *order = OrderState::Starting;
-                return true;
-            }
-            *order == OrderState::Started && !listed.contains(run) && !ended.contains(run)
-        });
-        self.stray_starts = self.unanswered_starts.keys().copied().collect();
-        for run in &self.stray_starts {
-            let unanswered = (OrderState::Unanswered, now);
-            self.orders.entry(*run).or_insert(unanswered);
-        }
-        if !self.orders.is_empty() {
-            log::info!(
-                target: "limpethook",
-                incarnation = incarnation, runs = self.orders.len(), unanswered = self.stray_starts.len();
-                "runs_unlocated"
-            );
-        }
-        // The owner addressed these starts to the previous incarnation.
-        self.deferred_starts.clear();
-        self.listed.clear();
-        self.ends.clear();
-        self.leaving = false;
-        self.leaves_at = None;
-        self.sightings = Sightings::default();
-        self.crashed = false;
-        self.trials.clear();
-    }
-
     /// Records that the current incarnation of the worker has crashed, with everything that ran on it, which does not
     /// include the runs `found` on the next incarnation. A worker that was draining has ended as planned.
-    fn record_crash(&mut self, found: &[TaskRun]) {
+    pub(super) fn record_crash(&mut self, found: &[TaskRun]) {
         let Some(incarnation) = self.incarnation.filter(|_| !self.crashed) else {
             return;
         };
@@ -366,7 +260,7 @@
         if requested_at >= self.poll_failed_at {
             self.clock_sample = Some((reply.clock, now));
         }
-        let described = self.apply_polled_announcement(now);
+        let described = self.apply_polled_announcement(requested_at, now);
         if reply.fenced {
             return described;
         }
@@ -386,17 +280,6 @@
         has_changes || outcome_reached || run_appeared || trial_ended || described
     }
 
-    /// Applies the announcement that waited for a poll, if the incarnation that answered sent it.
-    fn apply_polled_announcement(&mut self, now: Duration) -> bool {
-        let own = self.incarnation;
-        let polled = self
-            .unpolled_announcement
-            .take_if(|announcement| Some(announcement.incarnation) <= own);
-        polled
-            .filter(|announcement| Some(announcement.incarnation) == own)
-            .is_some_and(|announcement| self.describe(announcement, now))
-    }
-
     /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
     fn reconcile_orders(&mut self, requested_at: Duration, now: Duration) -> bool {
         let mut outcome_reached = false;
@@ -427,57 +310,6 @@
         outcome_reached
     }
 
-    /// Takes the runs that the current incarnation has to reject, once a poll has shown that it does not run them.
-    pub(crate) fn take_stray_starts(&mut self) -> Vec<TaskRun> {
-        if self.last_poll_at.is_none() {
-            return Vec::new();
-        }
-        let mut runs = std::mem::take(&mut self.stray_starts);
-        let listed = self.listed_runs();
-        runs.retain(|run| !listed.contains(run));
-        runs
-    }
-
-    /// Records that a poll was not answered. Another incarnation may answer the next one: until then, nothing is started,
-    /// and no lease is renewed and no end acknowledged by what the previous one has told. Returns whether the owner has to
-    /// learn of a change: a new incarnation that does not answer has ended the runs of the previous one, too.
-    pub(crate) fn record_failed_poll(&mut self, now: Duration) -> bool {
-        self.poll_failed_at = now;
-        self.clock_sample = None;
-        let announcement = self.unpolled_announcement.take();
-        announcement.is_some_and(|announcement| self.describe(announcement, now))
-    }
-
-    /// Returns whether the incarnation that the next call reaches is the one that is known.
-    pub(crate) fn knows_incarnation(&self) -> bool {
-        self.clock_sample.is_some() && !self.awaits_poll()
-    }
-
-    /// Returns up to which end the worker may forget ends: none while the incarnation that answers is not known, because
-    /// each one numbers its ends anew.
-    pub(crate) fn acknowledgeable(&self) -> u64 {
-        if self.knows_incarnation() {
-            self.acknowledged
-        } else {
-            0
-        }
-    }
-
-    /// Keeps a start until a poll shows which incarnation it reaches.
-    pub(crate) fn defer_start(&mut self, order: StartOrder, body: Box<str>) {
-        self.deferred_starts.insert(order.run, (order, body));
-    }
-
-    /// Takes the starts that waited for a poll.
-    pub(crate) fn take_deferred_starts(&mut self) -> IndexMap<TaskRun, (StartOrder, Box<str>)> {
-        std::mem::take(&mut self.deferred_starts)
-    }
-
-    /// Forgets a start that waits for a poll.
-    pub(crate) fn forget_deferred_start(&mut self, run: TaskRun) {
-        self.deferred_starts.swap_remove(&run);
-    }
-
     pub(crate) fn record_refused_connection(&mut self) {
         self.refused_connections = self.refused_connections.saturating_add(1);
         if self.refused_connections >= ABSENT_AFTER_REFUSALS {
@@ -545,11 +377,11 @@
         self.unanswered_starts.insert(run, now);
     }
 
-    fn listed_runs(&self) -> IndexSet<TaskRun> {
+    pub(super) fn listed_runs(&self) -> IndexSet<TaskRun> {
         self.listed.iter().map(|listed| listed.run).collect()
     }
 
-    fn ended_runs(&self) -> IndexSet<TaskRun> {
+    pub(super) fn ended_runs(&self) -> IndexSet<TaskRun> {
         self.ends.iter().map(|end| end.run).collect()
     }
 
--- a/components/cell/tests/agent/restarts.rs
+++ b/components/cell/tests/agent/restarts.rs
@@ -223,3 +223,20 @@
     }
     fixture.stop().await
 }
+
+/// Guards against an announcement of another sender, with an incarnation that does not answer, that ends the starts and
+/// leases of the worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_of_other_sender_is_dropped() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.announce(u64::MAX).await;
+    fixture.order_start();
+    fixture
+        .wait_for_worker(|worker| !worker.life().runs.is_empty())
+        .await;
+    let report = fixture
+        .reported(|report| status_of_run(report).is_some())
+        .await;
+    assert_eq!(report.incarnation, Some(1));
+    fixture.stop().await
+}
