--- a/components/cell/tests/agent/main.rs
+++ b/components/cell/tests/agent/main.rs
@@ -49,6 +49,16 @@
     };
     TaskRun::new(task, 1)
 }
+fn start_order(trial: bool) -> StartOrder {
+    StartOrder {
+        run: run(),
+        checkpoint: Box::default(),
+        approval: None,
+        repeated: false,
+        trial,
+    }
+}
+
 fn is_open(report: &WorkerReport) -> bool {
     let mut runs = report.runs.iter();
     runs.any(|open| open.run == run() && open.status == RunStatus::Starting)
@@ -63,31 +73,11 @@
     let owner = Owner::start().await?;
     let worker = Arc::new(UnresponsiveWorker::default());
     *worker.incarnation.lock().expect("lock is not poisoned") = 1;
-    let settings = AgentSettings {
-        agent: "agent".into(),
-        service: "optics".into(),
-        seeds: vec![owner.addr],
-        max_lease: Duration::from_secs(6),
-    };
     let shutdown = CancellationToken::new();
     let client = Arc::clone(&worker) as Arc<dyn WorkerClient>;
-    let directory = Arc::new(NoDirectory);
-    let (handle, ended) = cell::agent::start(settings, client, directory, SECRET, shutdown.clone());
-    handle
-        .notify(announcement(1))
-        .await
-        .expect("agent is running");
-    owner
-        .reported(|report| report.confirmed_epoch == EPOCH)
-        .await;
+    let (handle, ended) = start_agent(&owner, client, &shutdown).await;
     owner.update(|state| {
-        state.starts.push_back(StartOrder {
-            run: run(),
-            checkpoint: Box::default(),
-            approval: None,
-            repeated: false,
-            trial: false,
-        });
+        state.starts.push_back(start_order(false));
     });
     owner.reported(is_open).await;
     owner.update(|state| state.stops.push_back(run()));
@@ -229,13 +219,7 @@
     let client = Arc::clone(worker) as Arc<dyn WorkerClient>;
     let (handle, ended) = start_agent(owner, client, shutdown).await;
     owner.update(|state| {
-        state.starts.push_back(StartOrder {
-            run: run(),
-            checkpoint: Box::default(),
-            approval: None,
-            repeated: false,
-            trial: true,
-        });
+        state.starts.push_back(start_order(true));
     });
     owner.reported(|report| survived(report).is_some()).await;
     (handle, ended)
--- a/components/cell/tests/agent/restarts.rs
+++ b/components/cell/tests/agent/restarts.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::Ordering;
 
 use cell::agent::AgentHandle;
-use model::{EndReport, RunEnd, RunReport, RunStatus, StartOrder, WorkerReport};
+use model::{EndReport, RunEnd, RunReport, RunStatus, WorkerReport};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::owner::Owner;
 use crate::worker::RestartingWorker;
-use crate::{POLL_INTERVAL, REPORT_TIMEOUT, SEVERAL_ATTEMPTS, announcement, run, start_agent};
+use crate::{
+    POLL_INTERVAL, REPORT_TIMEOUT, SEVERAL_ATTEMPTS, announcement, run, start_agent, start_order,
+};
 
 type TestResult = Result<(), Box<dyn std::error::Error>>;
 
@@ -41,13 +43,7 @@
 
     fn order_start(&self) {
         self.owner.update(|state| {
-            state.starts.push_back(StartOrder {
-                run: run(),
-                checkpoint: Box::default(),
-                approval: None,
-                repeated: false,
-                trial: false,
-            });
+            state.starts.push_back(start_order(false));
         });
     }
 
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -358,7 +358,7 @@
         }
     }
 
-    /// Records since when the units that became ready are, and returns to those whose backoff has passed.
+    /// Sets `ready_at` of the units that became ready, and makes those ready whose backoff has passed.
     pub(crate) fn update_ready(&mut self, now: Duration) {
         for id in self.ready.take_new() {
             if let Some(unit) = self.units.get_mut(&id) {
@@ -370,7 +370,8 @@
         }
     }
 
-    /// Returns to the units whose crashes are stored.
+    /// Makes the units ready that were put aside until their crashes are stored; the next plan puts those aside again that
+    /// still wait.
     fn resume_stored(&mut self) {
         for id in self.ready.take_unstored() {
             self.add_if_waiting(id);
--- a/components/graph/src/ready.rs
+++ b/components/graph/src/ready.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
 
 use indexmap::IndexSet;
@@ -81,19 +82,17 @@
                 open_dependencies: *dependencies,
             });
         }
-        for step in (0_u32..).zip(&self.dependencies) {
-            if *step.1 == 0 {
-                add_step(
-                    &mut self.by_step,
-                    &mut self.new,
-                    &self.unit_counts,
-                    occurrence,
-                    step.0,
-                );
+        for step in 0..self.step_count() {
+            if self.dependencies[step as usize] == 0 {
+                self.add_step(occurrence, step);
             }
         }
     }
 
+    fn step_count(&self) -> u32 {
+        u32::try_from(self.unit_counts.len()).unwrap_or(u32::MAX)
+    }
+
     fn index(&self, occurrence: u32, step: u32) -> usize {
         occurrence as usize * self.unit_counts.len() + step as usize
     }
@@ -107,22 +106,29 @@
         if self.steps[index].open_units > 0 {
             return;
         }
-        for step in &self.dependents[unit.step as usize] {
-            let index = self.index(unit.occurrence, *step);
-            let state = &mut self.steps[index];
-            state.open_dependencies -= 1;
-            if state.open_dependencies == 0 {
-                add_step(
-                    &mut self.by_step,
-                    &mut self.new,
-                    &self.unit_counts,
-                    unit.occurrence,
-                    *step,
-                );
+        for number in 0..self.dependents[unit.step as usize].len() {
+            let step = self.dependents[unit.step as usize][number];
+            let index = self.index(unit.occurrence, step);
+            self.steps[index].open_dependencies -= 1;
+            if self.steps[index].open_dependencies == 0 {
+                self.add_step(unit.occurrence, step);
             }
         }
     }
 
+    /// Adds all units of a step whose dependencies are done.
+    fn add_step(&mut self, occurrence: u32, step: u32) {
+        let units = self.by_step.entry(step).or_default();
+        for first in 0..self.unit_counts[step as usize] {
+            units.insert((occurrence, first));
+            self.new.push(UnitId {
+                occurrence,
+                step,
+                first,
+            });
+        }
+    }
+
     /// Adds a unit whose run has ended without completing it, unless its step still depends on others: a new owner may
     /// learn of a run before it learns of the ends that it depended on.
     pub(crate) fn add(&mut self, unit: UnitId) {
@@ -200,7 +206,6 @@
 
     /// Returns the first ready unit of a step, after another one if that is given.
     pub(crate) fn next_of_step(&self, step: u32, after: Option<UnitId>) -> Option<UnitId> {
-        use std::ops::Bound::{Excluded, Unbounded};
         let units = self.by_step.get(&step)?;
         let start = after.map_or(Unbounded, |unit| Excluded((unit.occurrence, unit.first)));
         let (occurrence, first) = units.range((start, Unbounded)).next()?;
@@ -212,24 +217,6 @@
     }
 }
 
-fn add_step(
-    by_step: &mut BTreeMap<u32, BTreeSet<(u32, u32)>>,
-    new: &mut Vec<UnitId>,
-    unit_counts: &[u32],
-    occurrence: u32,
-    step: u32,
-) {
-    let units = by_step.entry(step).or_default();
-    for first in 0..unit_counts[step as usize] {
-        units.insert((occurrence, first));
-        new.push(UnitId {
-            occurrence,
-            step,
-            first,
-        });
-    }
-}
-
 /// The next unit of each step that a plan has to look at, in the order of occurrences, steps and tasks.
 #[derive(Debug, Default)]
 pub(crate) struct StepHeads(BinaryHeap<Reverse<UnitId>>);
