--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -332,7 +332,7 @@
         self.state.forget_crashes(&instructions.stored_crashes);
         if instructions.epoch > self.state.epoch {
             log::info!(target: "limpethook", epoch = instructions.epoch, before = self.state.epoch; "owner_epoch_adopted");
-            self.state.epoch = instructions.epoch;
+            self.state.adopt_epoch(instructions.epoch);
             self.poll(None, true);
         }
         let renewable_until = instructions.report_sent_at + self.state.max_lease();
--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -9,7 +9,7 @@
 
 use crate::agent::Announcement;
 use crate::agent::sightings::Sightings;
-use crate::agent::state::{OUTCOME_RETENTION, OrderState, State};
+use crate::agent::state::{ABSENT_AFTER_REFUSALS, OUTCOME_RETENTION, OrderState, State};
 
 impl State {
     /// Applies an announcement; returns whether the owner has to learn of a change.
@@ -165,9 +165,12 @@
         }
     }
 
-    /// Keeps a start until a poll shows which incarnation it reaches.
+    /// Keeps a start until a poll shows which incarnation it reaches. A start on a worker that was reported as absent is
+    /// dropped, because the owner places the task elsewhere.
     pub(crate) fn defer_start(&mut self, order: StartOrder, body: Box<str>) {
-        self.deferred_starts.insert(order.run, (order, body));
+        if self.refused_connections < ABSENT_AFTER_REFUSALS {
+            self.deferred_starts.insert(order.run, (order, body));
+        }
     }
 
     /// Takes the starts that waited for a poll.
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -53,6 +53,7 @@
             return;
         }
         if !self.state.knows_incarnation() {
+            log::info!(target: "limpethook", task:% = order.run.task, run = order.run.run; "start_deferred");
             self.state.defer_start(order, body);
             return;
         }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -18,7 +18,7 @@
 
 /// Number of consecutive refused connections after which the worker process counts as gone, and its
 /// runs with it.
-const ABSENT_AFTER_REFUSALS: u32 = 2;
+pub(super) const ABSENT_AFTER_REFUSALS: u32 = 2;
 /// How long the outcome of an order is kept in case the order is repeated.
 pub(super) const OUTCOME_RETENTION: Duration = Duration::from_mins(1);
 
@@ -221,6 +221,13 @@
         self.trials.len() < before
     }
 
+    /// Adopts the epoch of a new owner. Starts that still wait were ordered by the previous one, and the new one does not
+    /// know of them.
+    pub(crate) fn adopt_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+        self.deferred_starts.clear();
+    }
+
     /// Returns the end of a lease on the clock of the worker, if leases may be renewed and the
     /// clock is known.
     pub(crate) fn lease_end(&mut self, now: Duration) -> Option<Duration> {
@@ -314,6 +321,8 @@
         self.refused_connections = self.refused_connections.saturating_add(1);
         if self.refused_connections >= ABSENT_AFTER_REFUSALS {
             self.record_crash(&[]);
+            // The owner places these tasks elsewhere once it learns that the worker is absent.
+            self.deferred_starts.clear();
         }
     }
 
--- a/components/cell/tests/agent/restarts.rs
+++ b/components/cell/tests/agent/restarts.rs
@@ -7,11 +7,13 @@
 use model::{EndReport, RunEnd, RunReport, RunStatus, WorkerReport};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use wire::Leader;
 
 use crate::owner::Owner;
 use crate::worker::RestartingWorker;
 use crate::{
-    POLL_INTERVAL, REPORT_TIMEOUT, SEVERAL_ATTEMPTS, announcement, run, start_agent, start_order,
+    EPOCH, POLL_INTERVAL, REPORT_TIMEOUT, SEVERAL_ATTEMPTS, announcement, run, start_agent,
+    start_order,
 };
 
 type TestResult = Result<(), Box<dyn std::error::Error>>;
@@ -59,6 +61,13 @@
             .expect("the worker gets there in time");
     }
 
+    /// Waits until a regular poll that was in progress has ended and the next one has failed.
+    async fn fail_present_poll(&self) {
+        let failing = self.worker.failing_polls.load(Ordering::Relaxed);
+        self.wait_for_worker(|worker| worker.failing_polls.load(Ordering::Relaxed) < failing)
+            .await;
+    }
+
     async fn announce(&self, incarnation: u64) {
         let notice = announcement(incarnation);
         self.handle.notify(notice).await.expect("agent is running");
@@ -198,6 +207,56 @@
     fixture.stop().await
 }
 
+/// Guards against a start of the previous owner that waits for a poll and is sent under the epoch of the next owner, which
+/// may have placed the task elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_after_failed_poll_ends_with_its_owner() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture
+        .worker
+        .failing_polls
+        .store(usize::MAX, Ordering::Relaxed);
+    fixture.fail_present_poll().await;
+    fixture.order_start();
+    tokio::time::sleep(10 * POLL_INTERVAL).await;
+    let next = Leader {
+        entry: "entry".into(),
+        addr: fixture.owner.addr,
+        epoch: EPOCH + 1,
+    };
+    fixture.owner.update(|state| state.leader = Some(next));
+    fixture
+        .reported(|report| report.owner_epoch == EPOCH + 1)
+        .await;
+    fixture.worker.failing_polls.store(0, Ordering::Relaxed);
+    fixture
+        .reported(|report| report.confirmed_epoch == EPOCH + 1)
+        .await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    assert!(fixture.worker.life().runs.is_empty());
+    fixture.stop().await
+}
+
+/// Guards against a start that waits for a poll and is sent after the agent has reported that nothing listens at the address
+/// of the worker, upon which the task was placed elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_after_failed_poll_ends_with_absence() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.worker.is_refusing.store(true, Ordering::Relaxed);
+    fixture
+        .worker
+        .failing_polls
+        .store(usize::MAX, Ordering::Relaxed);
+    fixture.fail_present_poll().await;
+    fixture.order_start();
+    fixture.reported(|report| report.absent).await;
+    fixture.worker.failing_polls.store(0, Ordering::Relaxed);
+    fixture.reported(|report| !report.absent).await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    assert!(fixture.worker.life().runs.is_empty());
+    fixture.stop().await
+}
+
 /// Guards against a task that runs twice: no attempt to start a run was answered, its worker restarted, and the owner
 /// started the task elsewhere, before an attempt was carried out by the next process.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -146,6 +146,8 @@
     pub(crate) loses_starts: AtomicBool,
     /// Number of the next polls that fail.
     pub(crate) failing_polls: AtomicUsize,
+    /// Whether failing polls are refused, as if nothing listened at the address.
+    pub(crate) is_refusing: AtomicBool,
 }
 
 impl RestartingWorker {
@@ -205,6 +207,9 @@
         let failing = self.failing_polls.load(Ordering::Relaxed);
         if failing > 0 {
             self.failing_polls.store(failing - 1, Ordering::Relaxed);
+            if self.is_refusing.load(Ordering::Relaxed) {
+                return Err(Error::not_run(ErrorKind::NotFound, "connection refused").report());
+            }
             return Err(lost());
         }
         let incarnation = {
