Log what an agent concludes a new process of its worker from, and runs that a list lacks

The logs could not tell an announcement of another sender from a restart of the worker, nor a run that a list lacked from one that ended: worker_began had no evidence, and the owner removed single runs without a line. worker_began names its evidence, announcement_dropped an announcement whose process does not answer, worker_replaced and run_missing what the owner concluded. No logic is changed.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -26,7 +26,7 @@
                 false
             }
             Some(_) if announcement.sequence <= self.sequence => false,
-            _ => self.describe(announcement, now),
+            _ => self.describe(announcement, "announcement", now),
         }
     }
 
@@ -36,9 +36,9 @@
     }
 
     /// Adopts the incarnation of an announcement, and what it says; returns whether the owner has to learn of a change.
-    fn describe(&mut self, announcement: Announcement, now: Duration) -> bool {
+    fn describe(&mut self, announcement: Announcement, evidence: &str, now: Duration) -> bool {
         let before = (self.incarnation, self.capacity, self.is_draining());
-        self.begin(announcement.incarnation, &[], now);
+        self.begin(announcement.incarnation, evidence, &[], now);
         self.sequence = announcement.sequence;
         self.name = announcement.name;
         self.service = announcement.service;
@@ -52,15 +52,23 @@
     ///
     /// The agent learns of a new incarnation only some time after it began, and the answer to a start does not tell which
     /// incarnation gave it. What the previous incarnation is not known to have run is kept until a poll shows whether the
-    /// new one runs it. `found` are the runs that the new one is known to have.
-    pub(super) fn begin(&mut self, incarnation: Incarnation, found: &[TaskRun], now: Duration) {
+    /// new one runs it. `evidence` says for the log what showed the change. `found` are the runs that the new one is known to
+    /// have.
+    pub(super) fn begin(
+        &mut self,
+        incarnation: Incarnation,
+        evidence: &str,
+        found: &[TaskRun],
+        now: Duration,
+    ) {
         if self.incarnation == Some(incarnation) {
             return;
         }
         self.record_crash(found);
         log::info!(
             target: "limpethook",
-            incarnation = incarnation, before = self.incarnation.unwrap_or(0);
+            incarnation = incarnation, before = self.incarnation.unwrap_or(0), evidence = evidence,
+            listed = self.listed.len(), found = found.len();
             "worker_began"
         );
         if self.incarnation.is_some() {
@@ -124,9 +132,19 @@
             .take_if(|(announcement, received_at)| {
                 Some(announcement.incarnation) <= own || requested_at >= *received_at
             });
-        polled
-            .filter(|(announcement, _)| Some(announcement.incarnation) == own)
-            .is_some_and(|(announcement, _)| self.describe(announcement, now))
+        let Some((announcement, _)) = polled else {
+            return false;
+        };
+        if Some(announcement.incarnation) != own {
+            log::warn!(
+                target: "limpethook",
+                worker:% = announcement.name, service:% = announcement.service, incarnation = announcement.incarnation,
+                polled = own.unwrap_or(0);
+                "announcement_dropped"
+            );
+            return false;
+        }
+        self.describe(announcement, "poll", now)
     }
 
     /// Takes the runs that the current incarnation has to reject, once a poll has shown that it does not run them.
@@ -147,7 +165,9 @@
         self.poll_failed_at = now;
         self.clock_sample = None;
         let announcement = self.unpolled_announcement.take();
-        announcement.is_some_and(|(announcement, _)| self.describe(announcement, now))
+        announcement.is_some_and(|(announcement, _)| {
+            self.describe(announcement, "announcement before a failed poll", now)
+        })
     }
 
     /// Returns whether the incarnation that the next call reaches is the one that is known.
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -260,7 +260,7 @@
             let running = reply.runs.iter().map(|listed| listed.run);
             let ended = reply.ends.iter().map(|end| end.run);
             let found: Vec<TaskRun> = running.chain(ended).collect();
-            self.begin(incarnation, &found, now);
+            self.begin(incarnation, "poll", &found, now);
         }
         self.refused_connections = 0;
         self.sightings.record_answer(now);
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -120,6 +120,12 @@
             return;
         };
         if worker.incarnation.is_some() {
+            log::info!(
+                target: "limpethook",
+                agent:% = report.agent, before = worker.incarnation.unwrap_or(0), incarnation = report.incarnation.unwrap_or(0),
+                runs = report.runs.len(), ends = report.ends.len();
+                "worker_replaced"
+            );
             self.mark_worker_lost(&report.agent, now, "worker_replaced", has_moved(report));
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
@@ -196,6 +202,11 @@
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
+            log::warn!(
+                target: "limpethook",
+                agent:% = report.agent, task:% = task, listed = report.runs.len(), ends = report.ends.len();
+                "run_missing"
+            );
             self.remove_run(&report.agent, task, now);
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
