Say in the lists of a worker's runs whether they are complete

A list leaves out rows that cannot be read, and the ends beyond the 500 that a worker lists at a time. The decoder and the agent's report say so; nothing acts on it yet.

--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -91,6 +91,8 @@
     pub(super) poll_failed_at: Duration,
     pub(super) listed: Vec<ListedRun>,
     pub(super) ends: Vec<EndReport>,
+    /// Whether the latest lists hold all runs and ends.
+    pub(super) lists_complete: bool,
     pub(super) leaving: bool,
     /// What the current incarnation is known to have run.
     pub(super) sightings: Sightings,
@@ -132,6 +134,7 @@
             poll_failed_at: Duration::ZERO,
             listed: Vec::new(),
             ends: Vec::new(),
+            lists_complete: true,
             leaving: false,
             sightings: Sightings::default(),
             crashed: false,
@@ -282,6 +285,7 @@
         self.sightings.record_listed(&reply.runs, requested_at, now);
         self.listed = reply.runs;
         self.ends = reply.ends;
+        self.lists_complete = reply.complete;
         let outcome_reached = self.reconcile_orders(requested_at, now);
         let trial_ended = self.end_trials();
         has_changes || outcome_reached || run_appeared || trial_ended || described
@@ -411,6 +415,7 @@
             confirmed_epoch: self.confirmed_epoch,
             owner_epoch: self.epoch,
             complete: self.is_complete(),
+            lists_complete: self.lists_complete,
             runs: self.run_reports(now),
             ends: self.ends.clone(),
             crashes: self.crashes.iter().cloned().collect(),
--- a/components/cell/src/agent/worker_client.rs
+++ b/components/cell/src/agent/worker_client.rs
@@ -67,6 +67,8 @@
     pub clock: Duration,
     /// Whether the worker has seen a higher epoch and therefore ignored the request.
     pub fenced: bool,
+    /// Whether the lists hold all runs and all ends: none was left out because it could not be read or did not fit.
+    pub complete: bool,
     /// Runs that have not ended.
     pub runs: Vec<ListedRun>,
     /// Ends that have not been acknowledged.
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -54,6 +54,7 @@
             incarnation: Some(*self.incarnation.lock().expect("lock is not poisoned")),
             clock: Duration::from_secs(1),
             fenced: false,
+            complete: true,
             runs: Vec::new(),
             ends: Vec::new(),
         })
@@ -117,6 +118,7 @@
             incarnation: Some(self.incarnation.load(Ordering::Relaxed)),
             clock: Duration::from_secs(1),
             fenced: false,
+            complete: true,
             runs: listed.collect(),
             ends: Vec::new(),
         })
@@ -175,6 +177,7 @@
             incarnation: Some(life.incarnation),
             clock: Duration::from_secs(1),
             fenced: false,
+            complete: true,
             runs: listed.collect(),
             ends: life.ends.clone(),
         }
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -125,6 +125,7 @@
             confirmed_epoch: 0,
             owner_epoch: 0,
             complete: false,
+            lists_complete: true,
             runs: Vec::new(),
             ends: Vec::new(),
             crashes: Vec::new(),
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -280,6 +280,7 @@
                 confirmed_epoch: 1,
                 owner_epoch: 1,
                 complete: false,
+                lists_complete: true,
                 runs: Vec::new(),
                 ends: Vec::new(),
                 crashes: Vec::new(),
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -111,6 +111,8 @@
     ///
     /// This is false while orders from an earlier process of this agent can still reach the worker.
     pub complete: bool,
+    /// Whether the worker listed all of its runs and ends, so that a run which is in neither list has ended or never began.
+    pub lists_complete: bool,
     /// Runs that have not ended.
     pub runs: Vec<RunReport>,
     /// Ends that are not acknowledged yet, in order.
