--- a/components/cell/tests/agent/restarts.rs
+++ b/components/cell/tests/agent/restarts.rs
@@ -16,18 +16,18 @@
     start_order,
 };
 
-type TestResult = Result<(), Box<dyn std::error::Error>>;
+pub(crate) type TestResult = Result<(), Box<dyn std::error::Error>>;
 
-struct Fixture {
-    owner: Owner,
-    worker: Arc<RestartingWorker>,
+pub(crate) struct Fixture {
+    pub(crate) owner: Owner,
+    pub(crate) worker: Arc<RestartingWorker>,
     handle: AgentHandle,
     ended: JoinHandle<()>,
     shutdown: CancellationToken,
 }
 
 impl Fixture {
-    async fn start() -> std::io::Result<Self> {
+    pub(crate) async fn start() -> std::io::Result<Self> {
         let owner = Owner::start().await?;
         let worker = Arc::new(RestartingWorker::default());
         worker.restart();
@@ -43,14 +43,14 @@
         })
     }
 
-    fn order_start(&self) {
+    pub(crate) fn order_start(&self) {
         self.owner.update(|state| {
             state.starts.push_back(start_order(false));
         });
     }
 
     /// Waits until the present process of the worker satisfies a condition.
-    async fn wait_for_worker(&self, is_met: impl Fn(&RestartingWorker) -> bool) {
+    pub(crate) async fn wait_for_worker(&self, is_met: impl Fn(&RestartingWorker) -> bool) {
         let met = async {
             while !is_met(&self.worker) {
                 tokio::time::sleep(POLL_INTERVAL).await;
@@ -62,23 +62,23 @@
     }
 
     /// Waits until a regular poll that was in progress has ended and the next one has failed.
-    async fn fail_present_poll(&self) {
+    pub(crate) async fn fail_present_poll(&self) {
         let failing = self.worker.failing_polls.load(Ordering::Relaxed);
         self.wait_for_worker(|worker| worker.failing_polls.load(Ordering::Relaxed) < failing)
             .await;
     }
 
-    async fn announce(&self, incarnation: u64) {
+    pub(crate) async fn announce(&self, incarnation: u64) {
         let notice = announcement(incarnation);
         self.handle.notify(notice).await.expect("agent is running");
     }
 
-    async fn reported(&self, matches: impl Fn(&WorkerReport) -> bool) -> WorkerReport {
+    pub(crate) async fn reported(&self, matches: impl Fn(&WorkerReport) -> bool) -> WorkerReport {
         self.owner.reported(matches).await
     }
 
     /// Returns the reports about an incarnation.
-    fn reports_about(&self, incarnation: u64) -> Vec<WorkerReport> {
+    pub(crate) fn reports_about(&self, incarnation: u64) -> Vec<WorkerReport> {
         let mut found = Vec::new();
         self.owner.update(|state| {
             let reports = state.reports.iter();
@@ -88,14 +88,14 @@
         found
     }
 
-    async fn stop(self) -> TestResult {
+    pub(crate) async fn stop(self) -> TestResult {
         self.shutdown.cancel();
         self.ended.await?;
         Ok(())
     }
 }
 
-fn status_of_run(report: &WorkerReport) -> Option<&RunStatus> {
+pub(crate) fn status_of_run(report: &WorkerReport) -> Option<&RunStatus> {
     let mut runs = report.runs.iter();
     let found: Option<&RunReport> = runs.find(|found| found.run == run());
     found.map(|found| &found.status)
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod job_lifecycle;
+mod other_senders;
 mod soak;
 
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/tests/platform/other_senders.rs
@@ -0,0 +1,162 @@
+//! Announcements of other senders that reach the real daemons in the names of workers.
+
+use std::time::Duration;
+
+use platform_standin::{Client, Deployment, OtherAnnouncement, Result, TaskBody};
+
+use crate::start_deployment;
+
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which submitted tasks start.
+const START_TIME: Duration = Duration::from_millis(800);
+/// How long a worker answers nothing; several polls time out.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Starts a job of ten tasks that run for five seconds, on two workers.
+async fn start_tasks(deployment: &Deployment, id: &str) -> Result<Client> {
+    let client = deployment.client()?;
+    let body = TaskBody {
+        run_ms: 5_000,
+        gpu: 1,
+        ..TaskBody::default()
+    };
+    let job = Client::job(1, 10, &body);
+    assert!(client.submit("batch", id, &job).await.0);
+    tokio::time::sleep(START_TIME).await;
+    assert_eq!(deployment.checker.start_count(), 10);
+    Ok(client)
+}
+
+/// Checks that each task has run exactly once, and that all workers are used again afterwards.
+async fn check_single_runs(deployment: &Deployment, client: &Client, id: &str) {
+    let outcome = client.outcome("batch", id, OUTCOME_TIMEOUT).await;
+    assert_eq!(outcome, "completed");
+    assert_eq!(deployment.checker.violations(), Vec::<String>::new());
+    assert_eq!(deployment.checker.start_count(), 10);
+    // Needs all accelerators of both workers.
+    let body = TaskBody {
+        run_ms: 1_000,
+        gpu: 8,
+        gang: 2,
+        ..TaskBody::default()
+    };
+    let next = "00000000000000ff";
+    assert!(
+        client
+            .submit("batch", next, &Client::job(1, 2, &body))
+            .await
+            .0
+    );
+    let outcome = client.outcome("batch", next, OUTCOME_TIMEOUT).await;
+    assert_eq!(outcome, "completed", "a worker is not used any more");
+}
+
+async fn run_beside(
+    name: &str,
+    announcement: OtherAnnouncement,
+    silence: Option<Duration>,
+) -> Result<()> {
+    let deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    if let Some(silence) = silence {
+        deployment.workers[0].fall_silent(silence);
+    }
+    for _ in 0..8 {
+        // The agent may not acknowledge the announcement.
+        announcement.send(&deployment.workers[0]).await?;
+        tokio::time::sleep(SILENCE / 10).await;
+    }
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
+
+/// Guards against tasks that run twice, and a worker that is ignored for good, after another sender announced a later process
+/// of a worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_keeps_runs() -> Result<()> {
+    run_beside(
+        "announce_later_process_keeps_runs",
+        OtherAnnouncement::LaterProcess,
+        None,
+    )
+    .await
+}
+
+/// Guards against the same with a service that nobody has configured.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_of_unknown_service_keeps_runs() -> Result<()> {
+    let announcement = OtherAnnouncement::LaterProcessOfUnknownService;
+    run_beside(
+        "announce_later_process_of_unknown_service_keeps_runs",
+        announcement,
+        None,
+    )
+    .await
+}
+
+/// Guards against the same while the worker answers nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_beside_silence_keeps_runs() -> Result<()> {
+    let announcement = OtherAnnouncement::LaterProcess;
+    run_beside(
+        "announce_later_process_beside_silence_keeps_runs",
+        announcement,
+        Some(SILENCE),
+    )
+    .await
+}
+
+/// Guards against the same while the worker answers nothing, with a service that nobody has configured.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_of_unknown_service_beside_silence_keeps_runs() -> Result<()> {
+    let name = "announce_later_process_of_unknown_service_beside_silence_keeps_runs";
+    let announcement = OtherAnnouncement::LaterProcessOfUnknownService;
+    run_beside(name, announcement, Some(SILENCE)).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through a sender that names a service which nobody has
+/// configured.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_unknown_service_keeps_worker() -> Result<()> {
+    run_beside(
+        "announce_unknown_service_keeps_worker",
+        OtherAnnouncement::UnknownService,
+        None,
+    )
+    .await
+}
+
+/// Guards against a worker that counts as leaving because another sender said so.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_departure_keeps_worker() -> Result<()> {
+    run_beside(
+        "announce_departure_keeps_worker",
+        OtherAnnouncement::Departure,
+        None,
+    )
+    .await
+}
+
+/// Guards against an agent that ends or stops following its worker after announcements that cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_unreadable_keeps_runs() -> Result<()> {
+    let announcement = OtherAnnouncement::Unreadable;
+    run_beside(
+        "announce_unreadable_keeps_runs",
+        announcement,
+        Some(SILENCE),
+    )
+    .await
+}
+
+/// Guards against an announcement without most of its fields that replaces what the worker said.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_incomplete_keeps_worker() -> Result<()> {
+    run_beside(
+        "announce_incomplete_keeps_worker",
+        OtherAnnouncement::Incomplete,
+        None,
+    )
+    .await
+}
