Keep runs placed that an incomplete list of a worker lacks

Tasks ran again whose ends did not fit into the 500 that a worker lists at a time, or whose rows could not be read: a user saw a task run twice, on two workers or after its end.

The owner took each run for gone that a report lacked, also if the list of the worker was not complete. It now removes placed and orphan runs only because of a complete list or a listed end, and does not believe an agent that concluded StoppedBeforeStart from an incomplete list. Ends are applied and acknowledged as before, so that the rest of the list follows.

Four of the five new tests of graph/tests/proofs.rs failed before; the fifth guards the acknowledgement. They pass, as do the other tests of graph/tests/{owners,ends,crashes,placing}.rs.

--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -38,6 +38,7 @@
         self.plan_needed = true;
         let task = end.run.task;
         let worker = self.workers.get_mut(agent)?;
+        worker.orphan_runs.shift_remove(&end.run);
         let known = worker.placements.get(&task);
         let was_placed = known.is_some_and(|placement| placement.task_run() == end.run);
         let placement = if was_placed {
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -110,7 +110,7 @@
         );
         self.apply_ends(report, now);
         for run in &report.runs {
-            self.apply_run(&report.agent, run, now);
+            self.apply_run(report, run, now);
         }
         self.mark_runs_known(&report.agent, now);
     }
@@ -185,9 +185,14 @@
     }
 
     /// Applies the reported runs of a worker and removes those that the report no longer lists.
+    ///
+    /// Only a complete list proves by the absence of a run that it has ended. The worker may have cut off the end of a run.
     fn apply_runs(&mut self, report: &WorkerReport, now: Duration) {
         for run in &report.runs {
-            self.apply_run(&report.agent, run, now);
+            self.apply_run(report, run, now);
+        }
+        if !report.lists_complete {
+            return;
         }
         let Some(worker) = self.workers.get(&report.agent) else {
             return;
@@ -225,17 +230,18 @@
         }
     }
 
-    fn apply_run(&mut self, agent: &AgentId, report: &RunReport, now: Duration) {
+    fn apply_run(&mut self, report: &WorkerReport, run: &RunReport, now: Duration) {
+        let agent = &report.agent;
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
-        let task = report.run.task;
+        let task = run.run.task;
         let known = worker.placements.get_mut(&task);
-        let Some(placement) = known.filter(|placement| placement.task_run() == report.run) else {
-            self.handle_unknown_run(agent, report, now);
+        let Some(placement) = known.filter(|placement| placement.task_run() == run.run) else {
+            self.handle_unknown_run(agent, run, now);
             return;
         };
-        match &report.status {
+        match &run.status {
             RunStatus::Starting => {}
             RunStatus::Running {
                 percent,
@@ -256,7 +262,11 @@
                 }
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
-            RunStatus::StoppedBeforeStart => self.remove_run(agent, task, now),
+            RunStatus::StoppedBeforeStart if report.lists_complete => {
+                self.remove_run(agent, task, now);
+            }
+            // The agent concludes this from a list without the run, which proves nothing if it is incomplete.
+            RunStatus::StoppedBeforeStart => {}
         }
     }
 
--- /dev/null
+++ b/components/graph/tests/proofs.rs
@@ -0,0 +1,117 @@
+//! What proves that a run has ended. A task whose run is taken for gone without proof runs twice.
+
+mod common;
+
+use common::{TestCell, ended, gang, job, ms, owner_run_number, running, step, task, worker};
+use model::{JobEnd, JobState, RunEnd, RunStatus, TaskRun};
+
+impl TestCell {
+    /// Reports that a worker left some of its runs or ends out of its list.
+    fn report_incomplete(&mut self, agent: &str) {
+        self.workers[agent].report.lists_complete = false;
+        self.report(agent);
+    }
+
+    /// Reports a complete list.
+    fn report_complete(&mut self, agent: &str) {
+        self.workers[agent].report.lists_complete = true;
+        self.report(agent);
+    }
+
+    /// Returns the numbers of the runs that are ordered to start now.
+    fn started_runs(&mut self) -> Vec<u64> {
+        self.scheduler.plan(self.now, ms(1_000));
+        let agents = self.agents();
+        let starts = agents
+            .iter()
+            .flat_map(|agent| self.instructions(agent).starts);
+        starts.map(|start| start.run.run).collect()
+    }
+}
+
+/// Guards against running tasks again whose ends do not fit into the 500 that a worker lists at a time.
+#[test]
+fn report_incomplete_list_keeps_missing_runs() {
+    for step in [step(4), gang(4)] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+        cell.accept(7, job(1, vec![step]));
+        cell.plan_and_start();
+        let mut left_out = Vec::new();
+        for agent in cell.agents() {
+            let runs = std::mem::take(&mut cell.workers[&agent].report.runs);
+            left_out.push((agent.clone(), runs));
+            cell.report_incomplete(&agent);
+        }
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        for (agent, runs) in left_out {
+            cell.workers[&agent].report.runs = runs;
+            cell.report_complete(&agent);
+        }
+        for index in 0..4 {
+            cell.end_run(task(7, 0, index), RunEnd::Done);
+        }
+        cell.store_changes();
+        assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+    }
+}
+
+/// Guards against a worker whose resources count as free while a run that its list left out occupies them, and against a run
+/// that is never placed again after a complete list lacks it.
+#[test]
+fn report_complete_list_frees_missing_runs() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(4)]));
+    cell.plan_and_start();
+    cell.workers["w1"].report.runs.clear();
+    cell.report_incomplete("w1");
+    cell.accept(8, job(1, vec![step(1)]));
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.report_complete("w1");
+    assert_eq!(cell.started_runs().len(), 4);
+}
+
+/// Guards against placing a task again because its agent found neither its run nor its end in an incomplete list.
+#[test]
+fn report_incomplete_list_keeps_stopped_runs() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    let agent = cell.agent_of(task(7, 0, 0)).expect("the task runs");
+    cell.workers[&agent].report.runs[0].status = RunStatus::StoppedBeforeStart;
+    cell.report_incomplete(&agent);
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.report_complete(&agent);
+    assert_eq!(cell.started_runs().len(), 1);
+}
+
+/// Guards against overloading a worker whose list left out a run that this owner does not know.
+#[test]
+fn report_incomplete_list_keeps_orphans() {
+    let orphan = TaskRun::new(task(99, 0, 0), owner_run_number(1, 1));
+    for end_is_listed in [false, true] {
+        let mut cell = TestCell::new(2, vec![worker("w1", "r1")]);
+        cell.workers["w1"].report.runs.push(running(orphan, 0));
+        cell.report("w1");
+        cell.accept(7, job(1, vec![step(1)]));
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        let report = &mut cell.workers["w1"].report;
+        report.runs.clear();
+        if end_is_listed {
+            report.ends.push(ended(1, orphan, RunEnd::Stopped));
+        }
+        cell.report_incomplete("w1");
+        assert_eq!(cell.started_runs().len(), usize::from(end_is_listed));
+    }
+}
+
+/// Guards against ends that are never listed because those before them are not acknowledged while the list is incomplete.
+#[test]
+fn report_incomplete_list_acknowledges_its_ends() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(2)]));
+    cell.plan_and_start();
+    cell.workers["w1"].report.lists_complete = false;
+    cell.end_run(task(7, 0, 0), RunEnd::Done);
+    cell.store_changes();
+    assert_eq!(cell.instructions("w1").acknowledged, 1);
+}
