Keep runs that the next process of a worker may have but did not list

A task could run twice if its start reached the next process of its worker and that process listed only a part of its runs in its first answer.

The owner removed all runs of the previous process that the first report of the next one lacked, and all orphan runs whatever it listed. It now needs a complete list for that. Runs that may have moved stay placed, starts without an answer are stopped, and orphan runs stay until a complete list lacks them.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -410,16 +410,19 @@
 }
 
 /// Returns what the next incarnation of a worker has of the runs of the previous one. It has what the agent lists under
-/// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation.
+/// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation. It may have
+/// any run if its list is incomplete.
 fn has_moved(report: &WorkerReport) -> impl Fn(&AnyPlacement) -> Remainder {
     let listed = listed_runs(report);
+    let is_complete = report.lists_complete;
     let starting = report.runs.iter();
     let starting = starting.filter(|listed| listed.status == RunStatus::Starting);
     let starting: IndexSet<TaskRun> = starting.map(|listed| listed.run).collect();
     move |placement| {
         let run = placement.task_run();
-        let is_pending = !placement.was_reported() && starting.contains(&run);
-        if !listed.contains(&run) {
+        let is_listed = listed.contains(&run);
+        let is_pending = !placement.was_reported() && (starting.contains(&run) || !is_listed);
+        if !is_listed && is_complete {
             Remainder::Nothing
         } else if is_pending || placement.is_stopping() {
             Remainder::UnwantedStart
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -179,11 +179,11 @@
             && now >= self.quarantined_until
     }
 
-    /// Sets a new incarnation and resets the state that belongs to the previous one.
+    /// Sets a new incarnation and resets the state that belongs to the previous one. Orphan runs stay until a complete list
+    /// of the new incarnation lacks them, because they may have begun in it.
     pub(crate) fn start_incarnation(&mut self, incarnation: Option<Incarnation>) {
         self.incarnation = incarnation;
         self.confirmed = false;
-        self.orphan_runs.clear();
         self.last_end_sequence = 0;
         self.unstored_ends.clear();
         self.acknowledged_sequence = 0;
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{TestCell, ended, gang, job, ms, owner_run_number, running, step, task, worker};
-use model::{JobEnd, JobState, RunEnd, RunStatus, TaskRun};
+use model::{JobEnd, JobState, RunEnd, RunReport, RunStatus, TaskRun};
 
 impl TestCell {
     /// Reports that a worker left some of its runs or ends out of its list.
@@ -115,3 +115,64 @@
     cell.store_changes();
     assert_eq!(cell.instructions("w1").acknowledged, 1);
 }
+
+/// Guards against a second run of a task that began on the next process of its worker, which listed only a part of its runs, and
+/// against a task that is never placed again after that process has listed all.
+#[test]
+fn report_new_incarnation_incomplete_keeps_runs() {
+    for step in [step(2), gang(2)] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+        cell.accept(7, job(1, vec![step]));
+        cell.plan_and_start();
+        let runs = std::mem::take(&mut cell.workers["w1"].report.runs);
+        cell.workers["w1"].report.incarnation = Some(2);
+        cell.report_incomplete("w1");
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        cell.workers["w1"].report.runs = runs;
+        cell.report_complete("w1");
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        cell.workers["w1"].report.runs.clear();
+        cell.report_complete("w1");
+        assert_eq!(cell.started_runs().len(), 2);
+    }
+}
+
+/// Guards against a second run of a task whose start may have reached the next process of its worker, which listed only a part
+/// of its runs. The start is not wanted there, because that process may be another kind of worker.
+#[test]
+fn report_new_incarnation_incomplete_stops_pending_start() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, run) = cell.first_start();
+    cell.workers[&agent].report.incarnation = Some(2);
+    cell.report_incomplete(&agent);
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.report_complete(&agent);
+    assert_eq!(cell.instructions(&agent).stops, Vec::new());
+    cell.advance(ms(700));
+    assert_eq!(cell.instructions(&agent).stops, vec![run]);
+    let stopped = RunReport {
+        run,
+        status: RunStatus::StoppedBeforeStart,
+    };
+    cell.workers[&agent].report.runs = vec![stopped];
+    cell.report_complete(&agent);
+    assert_eq!(cell.started_runs().len(), 1);
+}
+
+/// Guards against overloading the next process of a worker with a run that it has but has not listed.
+#[test]
+fn report_new_incarnation_incomplete_keeps_orphans() {
+    let orphan = TaskRun::new(task(99, 0, 0), owner_run_number(1, 1));
+    let mut cell = TestCell::new(2, vec![worker("w1", "r1")]);
+    cell.workers["w1"].report.runs.push(running(orphan, 0));
+    cell.report("w1");
+    cell.accept(7, job(1, vec![step(1)]));
+    let report = &mut cell.workers["w1"].report;
+    report.incarnation = Some(2);
+    report.runs.clear();
+    cell.report_incomplete("w1");
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.report_complete("w1");
+    assert_eq!(cell.started_runs().len(), 1);
+}
