Complete a unit with the late end of its earlier run

A task that was done ran once more, to its end: its worker had been cut off for longer than its lease, the task was placed again, and then the end done of the first run was listed.

The owner applied only failures of earlier runs, and acknowledged the other ends without effect, so that a restart of the later run was a start after an end that had been taken note of. A late done now completes the unit, and the later run, or all members of the later run of a gang, are stopped. A long-running task goes on.

--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -49,6 +49,7 @@
         let unit_id = self.unit_of(task)?;
         let job = self.jobs.get_mut(&task.job)?;
         let ended = job.end.is_some();
+        let long_running = job.step(unit_id).long_running;
         let unit = job.units.get_mut(&unit_id)?;
         log::info!(
             target: "limpethook",
@@ -65,10 +66,19 @@
         if was_placed && unit.run_number == end.run.run {
             unit.active_runs = unit.active_runs.saturating_sub(1);
         } else if end.run.run < unit.run_number {
-            // The late end of an earlier run, after which the unit was placed again. Only a failure matters: it counts
-            // as a failed attempt.
-            if end.end == RunEnd::Failed {
-                self.record_failed_run(agent, end, unit_id, now);
+            // The late end of an earlier run, after which the unit was placed again. A failure counts as a failed attempt. A
+            // success completes the unit, unless its task is long-running, and the later run is not needed any more.
+            match end.end {
+                RunEnd::Done if !long_running => {
+                    self.complete_unit(agent, task.job, unit_id, now);
+                    self.stop_unit(task.job, unit_id);
+                }
+                RunEnd::Failed => self.record_failed_run(agent, end, unit_id, now),
+                RunEnd::Done
+                | RunEnd::Stopped
+                | RunEnd::Lapsed
+                | RunEnd::Broken
+                | RunEnd::Alone => {}
             }
             return Some(task.job);
         }
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -6,6 +6,20 @@
 use model::{JobEnd, JobState, RunEnd, RunReport, RunStatus, TaskRun};
 
 impl TestCell {
+    /// Lets the lease of a worker lapse, whose agent is cut off, while the other agents report.
+    fn lapse(&mut self, agent: &str) {
+        for _ in 0..7 {
+            self.advance(ms(1_000));
+            for other in self.agents() {
+                if &*other != agent {
+                    self.report(&other);
+                    self.instructions(&other);
+                }
+            }
+        }
+        self.scheduler.expire_leases(self.now);
+    }
+
     /// Reports that a worker left some of its runs or ends out of its list.
     fn report_incomplete(&mut self, agent: &str) {
         self.workers[agent].report.lists_complete = false;
@@ -176,3 +190,58 @@
     cell.report_complete("w1");
     assert_eq!(cell.started_runs().len(), 1);
 }
+
+/// Guards against running a task once more whose earlier run is done: its end was listed after the task had been placed again,
+/// and was dropped.
+#[test]
+fn report_completes_unit_with_late_end_of_earlier_run() {
+    for step in [step(2), gang(2)] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+        cell.workers["w2"].report.draining = Some(ms(60_000));
+        cell.report("w2");
+        cell.accept(7, job(1, vec![step]));
+        cell.plan_and_start();
+        cell.workers["w2"].report.draining = None;
+        cell.lapse("w1");
+        let again = cell.started_runs();
+        assert_eq!(again.len(), 2);
+        for index in 0..2 {
+            let run = TaskRun::new(task(7, 0, index), again[index as usize]);
+            cell.workers["w2"].report.runs.push(running(run, 0));
+        }
+        cell.report("w2");
+        for index in 0..2 {
+            cell.end_run(task(7, 0, index), RunEnd::Done);
+        }
+        assert_eq!(cell.instructions("w2").stops.len(), 2);
+        for index in 0..2 {
+            cell.end_run(task(7, 0, index), RunEnd::Stopped);
+        }
+        cell.store_changes();
+        assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    }
+}
+
+/// Guards against stopping a long-running task because an earlier run of it has ended, which completes nothing.
+#[test]
+fn report_keeps_long_running_task_after_late_end() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let mut long_running = step(1);
+    long_running.long_running = true;
+    cell.accept(7, job(1, vec![long_running]));
+    cell.plan_and_start();
+    let agent = cell.agent_of(task(7, 0, 0)).expect("the task runs");
+    let other = if &*agent == "w1" { "w2" } else { "w1" };
+    cell.lapse(&agent);
+    let again = cell.started_runs();
+    let run = TaskRun::new(task(7, 0, 0), again[0]);
+    cell.workers[other].report.runs.push(running(run, 0));
+    cell.report(other);
+    let earlier = cell.workers[&agent].report.runs.remove(0).run;
+    let report = &mut cell.workers[&agent].report;
+    report.ends.push(ended(1, earlier, RunEnd::Done));
+    cell.report(&agent);
+    assert_eq!(cell.instructions(other).stops, Vec::new());
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+}
