Await a complete list before a new owner knows the runs of a worker

A new owner started tasks a second time that its predecessor had started: the first list of their worker left out their rows. Any report of a worker that had confirmed the epoch counted as hearing all its runs, so that recovery ended, and the worker was given new tasks beside runs that the owner did not know of.

Only a complete list ends the wait for an agent, also one of a worker that has not confirmed the epoch, and a worker gets new tasks only after one.

report_incomplete_list_does_not_end_recovery failed before and passes. Clippy: one match arm for both statuses that change nothing.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -66,10 +66,13 @@
         self.apply_ends(report, now);
         self.apply_runs(report, now);
         if let Some(worker) = self.workers.get_mut(&report.agent) {
-            self.plan_needed |= !worker.confirmed;
+            self.plan_needed |= !worker.confirmed || !worker.runs_known;
             worker.confirmed = true;
+            worker.runs_known |= report.lists_complete;
+        }
+        if report.lists_complete {
+            self.mark_runs_known(&report.agent, now);
         }
-        self.mark_runs_known(&report.agent, now);
     }
 
     /// Stops the units whose pending starts do not fit on a worker any more. Their orders may be delayed, while an agent is
@@ -96,10 +99,11 @@
     /// worker can have. Otherwise the jobs of earlier owners would wait for a worker that does not respond. The worker
     /// gets no new tasks until it confirms.
     ///
-    /// The list is complete if the agent obeys this owner, so that it passes on no more orders of earlier owners, and
-    /// if no order sent by an earlier process of the agent can still arrive.
+    /// The list is complete if the worker left nothing out of it, the agent obeys this owner, so that it passes on no more
+    /// orders of earlier owners, and no order sent by an earlier process of the agent can still arrive.
     fn apply_unconfirmed_report(&mut self, report: &WorkerReport, now: Duration) {
-        let is_complete = report.complete && report.owner_epoch >= self.epoch;
+        let is_complete =
+            report.complete && report.lists_complete && report.owner_epoch >= self.epoch;
         if !is_complete || !self.pending_agents.contains(&report.agent) {
             return;
         }
@@ -242,7 +246,6 @@
             return;
         };
         match &run.status {
-            RunStatus::Starting => {}
             RunStatus::Running {
                 percent,
                 checkpoint,
@@ -265,8 +268,8 @@
             RunStatus::StoppedBeforeStart if report.lists_complete => {
                 self.remove_run(agent, task, now);
             }
-            // The agent concludes this from a list without the run, which proves nothing if it is incomplete.
-            RunStatus::StoppedBeforeStart => {}
+            // The agent concludes that a run was stopped from a list without it, which proves nothing if it is incomplete.
+            RunStatus::StoppedBeforeStart | RunStatus::Starting => {}
         }
     }
 
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -46,8 +46,11 @@
     pub(crate) labels: Vec<Box<str>>,
     /// When the worker shuts down, set while it drains.
     pub(crate) drain_deadline: Option<Duration>,
-    /// Whether the worker confirmed the epoch of this owner and its runs are known; it gets no orders before.
+    /// Whether the worker confirmed the epoch of this owner; it gets no orders before.
     pub(crate) confirmed: bool,
+    /// Whether this owner has applied a complete list of the runs of this incarnation. Runs of earlier owners that a list left
+    /// out occupy resources, so that the worker gets no new tasks before.
+    pub(crate) runs_known: bool,
     /// Whether the worker is absent, or its lease has lapsed.
     pub(crate) lost: bool,
     /// When the owner last replied to the agent.
@@ -97,6 +100,7 @@
             labels: Vec::new(),
             drain_deadline: None,
             confirmed: false,
+            runs_known: false,
             lost: false,
             last_answered_at: now,
             last_report_sent_at: Duration::ZERO,
@@ -174,6 +178,7 @@
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: Duration) -> bool {
         self.confirmed
+            && self.runs_known
             && !self.lost
             && self.drain_deadline.is_none()
             && now >= self.quarantined_until
@@ -184,6 +189,7 @@
     pub(crate) fn start_incarnation(&mut self, incarnation: Option<Incarnation>) {
         self.incarnation = incarnation;
         self.confirmed = false;
+        self.runs_known = false;
         self.last_end_sequence = 0;
         self.unstored_ends.clear();
         self.acknowledged_sequence = 0;
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -245,3 +245,30 @@
     assert_eq!(cell.instructions(other).stops, Vec::new());
     assert_eq!(cell.started_runs(), Vec::<u64>::new());
 }
+
+/// Guards against a new owner that takes a task for not started because a worker left its run out of its first list: the owner
+/// placed it elsewhere, or overloaded the worker with its own tasks.
+#[test]
+fn report_incomplete_list_does_not_end_recovery() {
+    for confirmed_epoch in [1, 2] {
+        let workers = vec![worker("w1", "r1"), worker("w2", "r2")];
+        let mut cell = TestCell::without_reports(2, workers, &["w1", "w2"]);
+        cell.load(7, job(1, vec![step(1)]), None);
+        cell.report("w1");
+        let report = &mut cell.workers["w2"].report;
+        (report.owner_epoch, report.complete) = (2, true);
+        report.confirmed_epoch = confirmed_epoch;
+        cell.report_incomplete("w2");
+        cell.accept(8, job(1, vec![step(8)]));
+        assert_eq!(cell.started_runs().len(), 4, "{confirmed_epoch}");
+        assert!(cell.instructions("w2").starts.is_empty());
+        let run = TaskRun::new(task(7, 0, 0), owner_run_number(1, 5));
+        cell.workers["w2"].report.runs.push(running(run, 10));
+        cell.report_complete("w2");
+        assert!(!cell.started_runs().contains(&run.run));
+        cell.workers["w2"].report.confirmed_epoch = 2;
+        cell.end_run(task(7, 0, 0), RunEnd::Done);
+        cell.store_changes();
+        assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+    }
+}
