End recovery only when the leases that the new owner renewed have lapsed

A task ran twice after a change of the owner beside a worker that received calls and whose answers were lost, or whose list stayed incomplete: 15.6 s after the change, its tasks were placed elsewhere while it went on.

The deadline of recovery allowed for the leases that earlier owners had renewed. The new owner answers reports about workers whose runs it does not know, so that their leases go on past the deadline. It now waits until those have lapsed as well, and stops to renew them at the deadline, so that recovery ends one lease later. It then says so by a report_sent_at of zero in its reply.

try_end_recovery_waits_for_renewed_lease (unconfirmed worker, incomplete list) failed before and passes; the other tests of graph pass (all test files but load).

--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -37,7 +37,7 @@
     /// Returns the orders for an agent and records that they were sent.
     ///
     /// They are part of the reply to the report sent at `report_sent_at`, with which the agent may renew the lease of
-    /// its worker. `may_start` is false while the owner cannot renew its own lease, so that no task is started.
+    /// its worker. They name a time of zero if it may not. `may_start` is false while the owner cannot renew its own lease, so that no task is started.
     pub fn instructions(
         &mut self,
         agent: &AgentId,
@@ -45,9 +45,14 @@
         may_start: bool,
         now: Duration,
     ) -> Instructions {
+        let renews = self.renews_lease(agent, now);
         let mut instructions = Instructions {
             epoch: self.epoch,
-            report_sent_at,
+            report_sent_at: if renews {
+                report_sent_at
+            } else {
+                Duration::ZERO
+            },
             incarnation: None,
             acknowledged: 0,
             bodies: Vec::new(),
@@ -61,7 +66,9 @@
         let Some(worker) = self.workers.get_mut(agent) else {
             return instructions;
         };
-        worker.last_answered_at = now;
+        if renews {
+            worker.last_renewed_at = now;
+        }
         instructions.incarnation = worker.incarnation;
         if !worker.confirmed {
             return instructions;
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -118,16 +118,34 @@
         }
     }
 
+    /// Returns whether a lease that this owner renewed may not have lapsed yet.
+    fn may_hold_lease(&self, agent: &AgentId, now: Duration) -> bool {
+        let worker = self.workers.get(agent);
+        worker.is_some_and(|worker| !worker.has_lapsed(self.settings.max_lease, now))
+    }
+
+    /// Returns whether this owner renews the lease of a worker. It stops to do so for those whose runs are still not known when
+    /// the leases that earlier owners renewed have lapsed, so that recovery ends when those leases have lapsed too.
+    pub(crate) fn renews_lease(&self, agent: &AgentId, now: Duration) -> bool {
+        let is_overdue = self.recovery_deadline.is_some_and(|at| now >= at);
+        !is_overdue || !self.pending_agents.contains(agent)
+    }
+
     /// Ends recovery if the runs of all agents in the roster are known, or the leases of the other workers have lapsed;
     /// otherwise does nothing.
     ///
+    /// The deadline tells when the leases have lapsed that earlier owners renewed. This owner renews leases too: those of
+    /// workers that it has heard of, but whose runs it does not know.
+    ///
     /// Afterwards, the jobs of earlier owners may be placed. Gangs that were adopted only in part are stopped, because
     /// their members would wait for those that are missing.
     pub fn try_end_recovery(&mut self, now: Duration) {
         let Some(deadline) = self.recovery_deadline else {
             return;
         };
-        if !self.pending_agents.is_empty() && now < deadline {
+        let mut pending = self.pending_agents.iter();
+        let may_have_runs = |agent| now < deadline || self.may_hold_lease(agent, now);
+        if pending.any(may_have_runs) {
             return;
         }
         log::info!(
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -9,7 +9,7 @@
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
-use crate::scheduler::{Scheduler, lapse_after};
+use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
 /// Delay before a unit is placed again after a refused start.
@@ -377,10 +377,9 @@
 
     /// Marks the workers as lost whose leases have lapsed since the last replies to their agents.
     pub fn expire_leases(&mut self, now: Duration) {
-        let lapse_time = lapse_after(self.settings.max_lease);
+        let max_lease = self.settings.max_lease;
         let workers = self.workers.values();
-        let lapsed =
-            workers.filter(|worker| !worker.lost && now > worker.last_answered_at + lapse_time);
+        let lapsed = workers.filter(|worker| !worker.lost && worker.has_lapsed(max_lease, now));
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
 use crate::preempt::accelerator_equivalents;
+use crate::scheduler::lapse_after;
 
 /// Index of the rack name in the labels of a worker; index 0 has the kind of the worker.
 const RACK_LABEL_INDEX: usize = 1;
@@ -53,13 +54,13 @@
     pub(crate) runs_known: bool,
     /// Whether the worker is absent, or its lease has lapsed.
     pub(crate) lost: bool,
-    /// When the owner last replied to the agent.
+    /// When the owner last replied to the agent so that it may renew the lease of the worker.
     ///
     /// A lease of the worker ends at most [`max_lease`] after the agent sent the report that the owner replied to. The
     /// report was sent before the reply, so `max_lease` after this time is an upper bound.
     ///
     /// [`max_lease`]: crate::scheduler::SchedulerSettings::max_lease
-    pub(crate) last_answered_at: Duration,
+    pub(crate) last_renewed_at: Duration,
     /// `sent_at` of the latest report.
     pub(crate) last_report_sent_at: Duration,
     /// When the latest report arrived.
@@ -102,7 +103,7 @@
             confirmed: false,
             runs_known: false,
             lost: false,
-            last_answered_at: now,
+            last_renewed_at: now,
             last_report_sent_at: Duration::ZERO,
             last_report_at: now,
             placements: IndexMap::new(),
@@ -119,6 +120,11 @@
         }
     }
 
+    /// Returns whether the lease has lapsed that this owner last let the agent renew.
+    pub(crate) fn has_lapsed(&self, max_lease: Duration, now: Duration) -> bool {
+        now > self.last_renewed_at + lapse_after(max_lease)
+    }
+
     /// Returns the name of the rack.
     pub(crate) fn rack(&self) -> &str {
         self.labels.get(RACK_LABEL_INDEX).map_or("", |label| label)
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
-use common::{TestCell, ended, gang, job, ms, owner_run_number, running, step, task, worker};
+use std::time::Duration;
+
+use common::{
+    TestCell, ended, gang, job, ms, owner_run_number, running, settings, step, task, worker,
+};
+use graph::lapse_after;
 use model::{JobEnd, JobState, RunEnd, RunReport, RunStatus, TaskRun};
 
 impl TestCell {
@@ -272,3 +277,37 @@
         assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
     }
 }
+
+/// Guards against a second run of a task on a worker that the agent reports, but whose runs this owner does not know when the
+/// leases have lapsed that earlier owners renewed: this owner renews its lease. It must stop that, or recovery never ends.
+#[test]
+fn try_end_recovery_waits_for_renewed_lease() {
+    for (confirmed_epoch, lists_complete) in [(1, true), (2, false)] {
+        let workers = vec![worker("w1", "r1"), worker("w2", "r2")];
+        let mut cell = TestCell::without_reports(2, workers, &["w1", "w2"]);
+        cell.load(7, job(1, vec![step(1)]), None);
+        let report = &mut cell.workers["w2"].report;
+        (report.confirmed_epoch, report.lists_complete) = (confirmed_epoch, lists_complete);
+        let mut lease_end = Duration::ZERO;
+        for _ in 0..240 {
+            cell.advance(ms(100));
+            cell.scheduler.expire_leases(cell.now);
+            cell.scheduler.try_end_recovery(cell.now);
+            for agent in cell.agents() {
+                cell.report(&agent);
+            }
+            cell.scheduler.plan(cell.now, ms(1_000));
+            let starts = cell.instructions("w1").starts;
+            let renewed_at = cell.instructions("w2").report_sent_at;
+            if !starts.is_empty() {
+                break;
+            }
+            lease_end = lease_end.max(renewed_at + lapse_after(settings().max_lease));
+        }
+        assert!(cell.now >= lease_end, "{confirmed_epoch} {lists_complete}");
+        assert!(
+            cell.now < lease_end + ms(500),
+            "{confirmed_epoch} {lists_complete}"
+        );
+    }
+}
