Require a lapsed lease before a report with an earlier time replaces a worker

All tasks of a worker could run twice after a report about its earlier process arrived over 10 s late, for example out of the connection of a paused process: the owner took it for the first one of a machine that had taken the place of the worker's, and the runs for gone. On the other hand, the runs of a machine that really had been replaced were taken for gone while their lease lasted.

The difference of the two times of sending proves neither. A report with an earlier time now counts only if the latest one arrived longer ago than a lease lasts; reports from before that can no longer renew it.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -9,13 +9,11 @@
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Scheduler, lapse_after};
 use crate::worker::Worker;
 
 /// Delay before a unit is placed again after a refused start.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
-/// A report arrives at most this long after a later one of the same agent; a few times the timeout of a report.
-const MAX_REPORT_DELAY: Duration = Duration::from_secs(10);
 
 impl Scheduler {
     /// Applies a report, unless a later one of the agent has overtaken it.
@@ -24,7 +22,7 @@
             .workers
             .entry(report.agent.clone())
             .or_insert_with(|| Worker::new(report.agent.clone(), now));
-        if is_overtaken(worker, report) {
+        if is_overtaken(worker, report, self.settings.max_lease, now) {
             return;
         }
         worker.last_report_sent_at = report.sent_at;
@@ -442,16 +440,20 @@
 
 /// Returns whether a later report of the same agent was applied before. An agent reports again while an earlier report is
 /// in flight, which may be about an earlier incarnation of the worker.
-fn is_overtaken(worker: &Worker, report: &WorkerReport) -> bool {
-    let Some(age) = worker
-        .last_report_sent_at
-        .checked_sub(report.sent_at)
-        .filter(|age| !age.is_zero())
-    else {
+fn is_overtaken(
+    worker: &Worker,
+    report: &WorkerReport,
+    max_lease: Duration,
+    now: Duration,
+) -> bool {
+    if report.sent_at >= worker.last_report_sent_at {
         return false;
-    };
-    // The boot clock of a machine that has taken the place of another one starts anew.
-    worker.incarnation == report.incarnation || age < MAX_REPORT_DELAY
+    }
+    // The boot clock of a machine that has taken the place of another one starts anew. A late report may be about another
+    // incarnation as well, so that this needs the proof that nothing runs on the other machine any more: an agent renews a
+    // lease to its longest time after it sent a report, and sent none since the latest one that arrived.
+    let is_replaced = now > worker.last_report_at + lapse_after(max_lease);
+    worker.incarnation == report.incarnation || !is_replaced
 }
 
 /// Updates the attributes of a worker from a report, and returns whether any changed that matters to placement.
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -311,3 +311,51 @@
         );
     }
 }
+
+/// Guards against a report about an earlier process of a worker that arrives long after the next process has begun, and takes the
+/// runs of that for lost. A report may wait for seconds in the connection of a process that is paused.
+#[test]
+fn report_overtaken_for_long_is_ignored() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let overtaken = cell.workers["w1"].report.clone();
+    cell.workers["w1"].report.incarnation = Some(2);
+    cell.report("w1");
+    cell.accept(7, job(1, vec![step(8)]));
+    cell.plan_and_start();
+    for _ in 0..30 {
+        cell.advance(ms(1_000));
+        for agent in cell.agents() {
+            cell.report(&agent);
+            cell.instructions(&agent);
+        }
+        cell.scheduler.report(&overtaken, cell.now);
+        cell.scheduler.expire_leases(cell.now);
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    }
+}
+
+/// Guards against a second run of a task on a machine that was given the name of another one, whose worker goes on until its lease
+/// ends, and against ignoring the machine for good. The boot clock of the new machine starts anew.
+#[test]
+fn report_of_replaced_machine_frees_runs_after_lease() {
+    for uptime in [ms(90_000), ms(1_000)] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+        cell.accept(7, job(1, vec![step(1)]));
+        cell.plan_and_start();
+        let reported_at = cell.now;
+        let lease_end = reported_at + lapse_after(settings().max_lease);
+        let mut report = cell.workers["w1"].report.clone();
+        report.incarnation = Some(9);
+        report.runs.clear();
+        for beat in 0..80 {
+            cell.advance(ms(100));
+            report.sent_at = uptime + ms(100 * beat);
+            cell.scheduler.expire_leases(cell.now);
+            cell.scheduler.report(&report, cell.now);
+            if !cell.started_runs().is_empty() {
+                break;
+            }
+        }
+        assert!(cell.now > lease_end && cell.now < lease_end + ms(500));
+    }
+}
