Free the pending starts of an absent worker when its lease has lapsed

A task was never placed again if its start was in flight to a worker that was reported absent, and the machine was removed before its agent told what had become of the start: the job stayed unfinished.

Such a start stays placed, and occupies resources, until a report about it. Lapsed leases were looked for only among workers that were not marked as lost yet. They are now also looked for among lost workers with runs.

expire_leases_frees_pending_start_of_absent_worker failed before and passes; the other tests of graph pass (all test files but load).

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -373,11 +373,14 @@
         }
     }
 
-    /// Marks the workers as lost whose leases have lapsed since the last replies to their agents.
+    /// Marks the workers as lost whose leases have lapsed since the last replies to their agents, and removes what an absent
+    /// worker may still have started.
     pub fn expire_leases(&mut self, now: Duration) {
         let max_lease = self.settings.max_lease;
         let workers = self.workers.values();
-        let lapsed = workers.filter(|worker| !worker.lost && worker.has_lapsed(max_lease, now));
+        let may_have_runs = |worker: &&Worker| !worker.lost || !worker.placements.is_empty();
+        let lapsed = workers.filter(may_have_runs);
+        let lapsed = lapsed.filter(|worker| worker.has_lapsed(max_lease, now));
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -359,3 +359,26 @@
         assert!(cell.now > lease_end && cell.now < lease_end + ms(500));
     }
 }
+
+/// Guards against a task that is never placed again: a start was in flight to a worker that was reported absent, and then its
+/// machine was removed, so that no report told what became of the start.
+#[test]
+fn expire_leases_frees_pending_start_of_absent_worker() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, run) = cell.first_start();
+    let pending = RunReport {
+        run,
+        status: RunStatus::Starting,
+    };
+    let report = &mut cell.workers[&agent].report;
+    report.runs = vec![pending];
+    report.absent = true;
+    cell.report(&agent);
+    cell.instructions(&agent);
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.workers.shift_remove(&agent);
+    cell.lapse(&agent);
+    assert_eq!(cell.started_runs().len(), 1);
+    assert!(!cell.scheduler.roster().contains(&agent));
+}
