Adopt starts in flight of an earlier owner as starts, not as running

A task could run twice after a change of the owner: its start was in flight, the agent of the worker started again, and the first list lacked the run. The owner placed the task elsewhere, and the start arrived.

The new owner took a run that was reported as starting for one that the worker had listed, so that a list without it proved its end, a restart of the worker freed it, and its job was shown as running. A start that was lost was repaired only by the detection of hanging tasks, which put the worker in quarantine. Such a run is now adopted in the state starting, with its order counted as sent: the owner repeats it.

--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -133,6 +133,14 @@
         self
     }
 
+    /// Records that an earlier owner sent the start order, so that it counts as repeated when it is sent again.
+    pub(crate) fn with_start_sent(mut self, now: Duration) -> Self {
+        if let Self::Starting(placement) = &mut self {
+            placement.state.sent_at = Some(now);
+        }
+        self
+    }
+
     /// Returns whether the run is the trial of a suspect.
     pub(crate) fn is_trial(&self) -> bool {
         match self {
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -21,15 +21,12 @@
         now: Duration,
     ) {
         let run = report.run;
-        let (percent, checkpoint, survived) = match &report.status {
-            RunStatus::Refused(_) | RunStatus::StoppedBeforeStart => return,
-            RunStatus::Starting => (0, "", Duration::ZERO),
-            RunStatus::Running {
-                percent,
-                checkpoint,
-                survived,
-            } => (*percent, &**checkpoint, *survived),
-        };
+        if matches!(
+            report.status,
+            RunStatus::Refused(_) | RunStatus::StoppedBeforeStart
+        ) {
+            return;
+        }
         if !self.adopt_run(agent, run.task, run.run, now) {
             let resources = self.task_resources(run.task);
             if let Some(worker) = self.workers.get_mut(agent) {
@@ -41,14 +38,23 @@
             }
             return;
         }
+        // The worker has not answered a start in flight, so that its absence from a list does not prove its end.
+        let RunStatus::Running {
+            percent,
+            checkpoint,
+            survived,
+        } = &report.status
+        else {
+            return;
+        };
         let worker = self.workers.get_mut(agent);
         let Some(placement) = worker.and_then(|worker| worker.placements.get_mut(&run.task)) else {
             return;
         };
         let unit = placement.unit_key();
-        *placement = placement.clone().with_progress(now, percent, false);
-        let has_survived = placement.record_survived(survived);
-        self.record_progress(agent, unit, run.task, percent, checkpoint, now);
+        *placement = placement.clone().with_progress(now, *percent, false);
+        let has_survived = placement.record_survived(*survived);
+        self.record_progress(agent, unit, run.task, *percent, checkpoint, now);
         if has_survived {
             self.clear_suspect(unit);
         }
@@ -99,14 +105,18 @@
         let Some(unit) = job.activate(unit_id) else {
             return false;
         };
+        if unit.active_runs == 0 {
+            unit.start_checkpoint = unit.checkpoint.clone();
+        }
         unit.run_number = run_number;
         unit.active_runs += 1;
         unit.placed_at = now;
         let run = TaskRun::new(task, run_number);
         let placement = AnyPlacement::new(task.job, unit_id, run, resources, now);
+        let placement = placement.with_trial(unit.is_suspect());
         worker
             .placements
-            .insert(task, placement.with_trial(unit.is_suspect()));
+            .insert(task, placement.with_start_sent(now));
         log::info!(target: "limpethook", task:% = task, run = run.run, agent:% = agent; "run_adopted");
         true
     }
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -382,3 +382,33 @@
     assert_eq!(cell.started_runs().len(), 1);
     assert!(!cell.scheduler.roster().contains(&agent));
 }
+
+/// Guards against a second run of a task whose start was in flight when the owner changed: the new owner took it for running, and
+/// for ended when the next process of its agent, which does not know the order, reported a list without it.
+#[test]
+fn report_adopts_pending_start_as_pending() {
+    let run = TaskRun::new(task(7, 0, 0), owner_run_number(1, 5));
+    let pending = RunReport {
+        run,
+        status: RunStatus::Starting,
+    };
+    let workers = vec![worker("w1", "r1"), worker("w2", "r2")];
+    let mut cell = TestCell::without_reports(2, workers, &["w1", "w2"]);
+    cell.load(7, job(1, vec![step(1)]), None);
+    cell.workers["w1"].report.runs.push(pending);
+    for agent in cell.agents() {
+        cell.report(&agent);
+    }
+    assert_eq!(cell.state(7), Some(JobState::Queued));
+    cell.workers["w1"].report.runs.clear();
+    cell.report("w1");
+    assert_eq!(cell.started_runs(), Vec::<u64>::new());
+    cell.advance(ms(700));
+    let starts = cell.instructions("w1").starts;
+    assert!(starts.len() == 1 && starts[0].run == run && starts[0].repeated);
+    cell.workers["w1"].report.runs.push(running(run, 0));
+    cell.report("w1");
+    cell.end_run(task(7, 0, 0), RunEnd::Done);
+    cell.store_changes();
+    assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+}
