Keep starts of an earlier owner that are in flight to an absent worker

A task could run twice after a change of the owner while its worker restarted: the start that the earlier owner had ordered reached the next process of the worker after the new owner had placed the task elsewhere.

The new owner ended its recovery with the report that the worker was absent, and ignored the starts in flight that the report listed. It now adopts them, or counts them as orphan runs, and has them stopped like its own ones before their tasks are placed.

report_absent_adopts_pending_start_of_earlier_owner failed before and passes; the other tests of graph pass (all test files but load).

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -30,8 +30,7 @@
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             // The agent has had no contact with a worker since it started, and nothing listens at the worker's address.
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
-            self.mark_runs_known(&report.agent, now);
+            self.apply_absence(report, now);
             return;
         }
         if report.incarnation.is_none() {
@@ -53,8 +52,7 @@
             self.withdraw_starts_beyond_capacity(&report.agent);
         }
         if report.absent {
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
-            self.mark_runs_known(&report.agent, now);
+            self.apply_absence(report, now);
             return;
         }
         if report.confirmed_epoch < self.epoch {
@@ -73,6 +71,18 @@
         }
     }
 
+    /// Applies a report about a worker that is absent. What it had has ended, but a start in flight may reach the next process,
+    /// also one that an earlier owner ordered.
+    fn apply_absence(&mut self, report: &WorkerReport, now: Duration) {
+        for run in &report.runs {
+            if run.status == RunStatus::Starting {
+                self.apply_run(report, run, now);
+            }
+        }
+        self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
+        self.mark_runs_known(&report.agent, now);
+    }
+
     /// Stops the units whose pending starts do not fit on a worker any more. Their orders may be delayed, while an agent is
     /// cut off, until the smaller capacity binds. An unknown capacity withdraws nothing.
     fn withdraw_starts_beyond_capacity(&mut self, agent: &AgentId) {
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -412,3 +412,30 @@
     cell.store_changes();
     assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
 }
+
+/// Guards against a second run of a task whose start was in flight to an absent worker when the owner changed. The new owner ended
+/// its recovery with the report that listed the start, and placed the task elsewhere.
+#[test]
+fn report_absent_adopts_pending_start_of_earlier_owner() {
+    for step in [step(1), gang(2)] {
+        let run = TaskRun::new(task(7, 0, 0), owner_run_number(1, 5));
+        let workers = vec![worker("w1", "r1"), worker("w2", "r2")];
+        let mut cell = TestCell::without_reports(2, workers, &["w1", "w2"]);
+        let tasks = step.tasks as usize;
+        cell.load(7, job(1, vec![step]), None);
+        let report = &mut cell.workers["w1"].report;
+        report.absent = true;
+        report.runs = vec![RunReport {
+            run,
+            status: RunStatus::Starting,
+        }];
+        for agent in cell.agents() {
+            cell.report(&agent);
+        }
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        assert!(cell.scheduler.roster().contains("w1"));
+        cell.workers["w1"].report.runs.clear();
+        cell.report("w1");
+        assert_eq!(cell.started_runs().len(), tasks);
+    }
+}
