Apply the ends that the report of an absent worker lists

A task ran once more although its worker had listed its end as done: the agent reported the end together with the absence of the worker, because an earlier report was lost or the owner had changed.

The owner returned before it looked at the ends and freed the run with the others of the worker. It now applies the ends first.

report_absent_applies_listed_ends failed before and passes; the other tests of graph pass (all test files but load).

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -72,8 +72,9 @@
     }
 
     /// Applies a report about a worker that is absent. What it had has ended, but a start in flight may reach the next process,
-    /// also one that an earlier owner ordered.
+    /// also one that an earlier owner ordered. The ends that it had listed are as true as before.
     fn apply_absence(&mut self, report: &WorkerReport, now: Duration) {
+        self.apply_ends(report, now);
         for run in &report.runs {
             if run.status == RunStatus::Starting {
                 self.apply_run(report, run, now);
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -439,3 +439,27 @@
         assert_eq!(cell.started_runs().len(), tasks);
     }
 }
+
+/// Guards against running a task again whose end was listed in the same report as the absence of its worker, or in a report to a
+/// new owner.
+#[test]
+fn report_absent_applies_listed_ends() {
+    for step in [step(1), gang(2)] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+        cell.accept(7, job(1, vec![step.clone()]));
+        cell.plan_and_start();
+        let agent = cell.agent_of(task(7, 0, 0)).expect("the task runs");
+        cell.workers[&agent].report.absent = true;
+        cell.end_run(task(7, 0, 0), RunEnd::Done);
+        let absent = cell.workers[&agent].clone();
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        cell.store_changes();
+        assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+
+        let mut cell = TestCell::without_reports(2, vec![absent], &[&*agent]);
+        cell.load(7, job(1, vec![step]), None);
+        cell.report(&agent);
+        cell.store_changes();
+        assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
+    }
+}
