Await the end of a run whose start was refused as outdated

A worker refuses a start as outdated if it has had the run. An owner that learns of this before the end would place the task again, also if the run is done.

Outdated counted like the other refusals, which prove that the run will not start. The owner now stops such a run, and waits for its end or for the agent to find that it is gone.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -336,6 +336,12 @@
             task:% = task, run = placement.task_run().run, agent:% = agent, refusal:? = refusal;
             "start_refused"
         );
+        if refusal == Refusal::Outdated {
+            // The worker has had this run, or a later one, and lists its end.
+            let stopping = placement.clone().into_stopping();
+            worker.placements.insert(task, stopping);
+            return;
+        }
         if refusal == Refusal::Unhealthy {
             worker.quarantine(now);
         }
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use common::{
-    TestCell, ended, gang, job, ms, owner_run_number, running, settings, step, task, worker,
+    TestCell, ended, gang, job, ms, owner_run_number, refused, running, settings, step, task,
+    worker,
 };
 use graph::lapse_after;
-use model::{JobEnd, JobState, RunEnd, RunReport, RunStatus, TaskRun};
+use model::{JobEnd, JobState, Refusal, RunEnd, RunReport, RunStatus, TaskRun};
 
 impl TestCell {
     /// Lets the lease of a worker lapse, whose agent is cut off, while the other agents report.
@@ -463,3 +464,34 @@
         assert_eq!(cell.state(7), Some(JobState::Ended(JobEnd::Completed)));
     }
 }
+
+/// Guards against running a task again whose start was refused because the worker has had the run: its end is listed later.
+#[test]
+fn report_outdated_start_awaits_its_end() {
+    for end in [RunEnd::Done, RunEnd::Stopped] {
+        let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+        cell.accept(7, job(1, vec![step(1)]));
+        let (agent, run) = cell.first_start();
+        cell.workers[&agent].report.runs = vec![refused(run, Refusal::Outdated)];
+        cell.report(&agent);
+        cell.advance(ms(1_000));
+        cell.report(&agent);
+        assert_eq!(cell.started_runs(), Vec::<u64>::new());
+        cell.end_run(task(7, 0, 0), end);
+        assert_eq!(cell.started_runs().len(), usize::from(end != RunEnd::Done));
+    }
+}
+
+/// Guards against a run that occupies its worker for good: the worker refused its start as outdated and has forgotten its end.
+#[test]
+fn report_outdated_start_ends_with_stop() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, run) = cell.first_start();
+    cell.workers[&agent].report.runs = vec![refused(run, Refusal::Outdated)];
+    cell.report(&agent);
+    assert_eq!(cell.instructions(&agent).stops, vec![run]);
+    cell.workers[&agent].report.runs[0].status = RunStatus::StoppedBeforeStart;
+    cell.report(&agent);
+    assert_eq!(cell.started_runs().len(), 1);
+}
