Let reports wait while their agent is being removed from the roster

A task could run twice if the owner ended within a second or so after a worker came back: the roster without the worker was being written, the worker was given a task, and the next owner, which does not wait for agents that the roster lacks, started the task elsewhere.

The owner kept to the roster that it had last seen stored until the write was answered. Agents that a write removes now leave its copy when the write begins, so that their next reports wait until the roster contains them again. A write is due whenever the stored roster differs from what the scheduler needs, in either direction.

report_waits_while_agent_leaves_roster (cell/tests/entry.rs) failed before (a start in the reply while the store was down) and passes, as do the other 7 tests of that file.

--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -51,6 +51,7 @@
     in_flight: InFlightWrites,
     pending_reports: IndexMap<AgentId, PendingReport>,
     job_revisions: IndexMap<JobId, JobRevisions>,
+    /// Agents that are certainly in the stored roster.
     roster: IndexSet<AgentId>,
     roster_revision: Revision,
     awaiting_roster: Vec<(WorkerReport, oneshot::Sender<Instructions>)>,
@@ -355,10 +356,11 @@
         let mut agents = self.scheduler.roster();
         let awaiting_roster = self.awaiting_roster.iter();
         agents.extend(awaiting_roster.map(|(report, _)| report.agent.clone()));
-        let has_departed = self.roster.iter().any(|agent| !agents.contains(agent));
-        if self.awaiting_roster.is_empty() && !has_departed {
+        if agents == self.roster {
             return;
         }
+        // The store may lack the agents that are removed from now on. Their next reports wait for the roster again.
+        self.roster.retain(|agent| agents.contains(agent));
         self.in_flight.roster = true;
         self.writer
             .start(Write::Roster(agents, self.roster_revision));
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -11,15 +11,23 @@
 use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
 use errors::{Error, ErrorKind, Result};
 use graph::{Progress, UnitProgress};
-use model::{AcceptedJob, JobEnd, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
+use model::{
+    AcceptedJob, JobEnd, JobGraph, JobState, QueuePolicy, ResourceVector, Step, WorkerReport,
+};
 use store::{KvStore, Precondition};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use wire::{Call, CellView, Key, Reply, Server};
+use wire::{Call, CellView, Key, Peers, Reply, Server};
 
 const CONFIGURATION_KEY: &str = "operator/configuration";
 const TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Resources of a task that fills a worker.
+const ONE_TASK: ResourceVector = ResourceVector {
+    accelerators: 0,
+    millicores: 1_000,
+    memory_mb: 1_000,
+};
 
 /// Set while decoding a configuration panics.
 static DECODE_PANICS: AtomicBool = AtomicBool::new(false);
@@ -336,3 +344,72 @@
     shutdown.cancel();
     Ok(())
 }
+
+/// Returns the report of an agent about a worker with room for one task.
+fn worker_report(epoch: u64, absent: bool, sent_at: Duration) -> WorkerReport {
+    WorkerReport {
+        agent: "w1".into(),
+        name: "worker".into(),
+        service: "optics".into(),
+        incarnation: Some(1),
+        capacity: ONE_TASK,
+        labels: vec!["a".into(), "r1".into()],
+        draining: None,
+        absent,
+        confirmed_epoch: epoch,
+        owner_epoch: epoch,
+        complete: true,
+        lists_complete: true,
+        runs: Vec::new(),
+        ends: Vec::new(),
+        crashes: Vec::new(),
+        sent_at,
+    }
+}
+
+/// Guards against a task that is started on a worker that the stored roster lacks, so that the next owner does not wait for its
+/// agent and starts the task elsewhere: the worker was absent, and came back while the roster without it was being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn report_waits_while_agent_leaves_roster()
+-> std::result::Result<(), Box<dyn std::error::Error>> {
+    let store = Arc::new(MemoryStore::default());
+    assert!(put(&store, CONFIGURATION_KEY, b"1").await.is_ok());
+    let mut waiting = job();
+    waiting.graph.steps[0].resources = ONE_TASK;
+    let key = "limpethook/jobs/0000000000000007";
+    assert!(put(&store, key, &accepted_record(waiting)).await.is_ok());
+    let started = start_entry(&store, Vec::new()).await;
+    let (entry, shutdown) = started.map_err(|report| report.to_string())?;
+    wait_until(|| entry.board.states.load().epoch > 0).await;
+    let epoch = entry.board.states.load().epoch;
+    let peers = Peers::new(Key::from_secret(SECRET));
+    let send = async |report: WorkerReport, timeout| {
+        let call = Call::Report(Box::new(report));
+        match peers.call(entry.settings.addr, &call, timeout).await {
+            Ok(Reply::Instructions(instructions)) => Some(instructions.starts.len()),
+            _ => None,
+        }
+    };
+    let report = |absent, seconds| worker_report(epoch, absent, Duration::from_secs(seconds));
+    let draining = WorkerReport {
+        draining: Some(TIMEOUT),
+        ..report(false, 1)
+    };
+    assert_eq!(send(draining, TIMEOUT).await, Some(0));
+    store.is_down.store(true, Ordering::Release);
+    let absent = send(report(true, 2), TIMEOUT).await;
+    assert_eq!(absent, Some(0));
+    let unwritten = send(report(false, 3), Duration::from_millis(1_500)).await;
+    assert_eq!(unwritten, None, "the roster is not written");
+    store.is_down.store(false, Ordering::Release);
+    let written = send(report(false, 4), TIMEOUT).await;
+    assert_eq!(written, Some(1));
+    let roster = store.get("limpethook/roster").await;
+    let roster = roster
+        .map_err(|report| report.to_string())?
+        .expect("a roster");
+    let agents: Vec<String> = postcard::from_bytes(&roster.value)?;
+    assert_eq!(agents, vec!["w1"]);
+    shutdown.cancel();
+    Ok(())
+}
