End an owner at once that has promised a later one not to renew leases

A task could run twice after two quick changes of the owner: a new owner placed tasks one lease after the other entries had promised to let no agent renew a lease, while one of them did.

An entry that answers the announcement of a later owner ends its own ownership if it has begun. One that was still loading its jobs began afterwards and answered agents until its next renewal, for 0.5 s or more. An owner now compares its epoch before it loads the jobs, and ends as soon as the entry learns of a later one.

--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -201,7 +201,14 @@
     /// Acts as the owner until the ownership ends.
     async fn lead(mut self) {
         let entry = self.entry;
-        log::info!(target: "limpethook", epoch = self.leader.epoch; "ownership_begins");
+        let epoch = self.leader.epoch;
+        if is_replaced(entry, epoch) {
+            log::info!(target: "limpethook", epoch = epoch; "ownership_outdated");
+            self.release().await;
+            tokio::time::sleep(ACQUIRE_RETRY_DELAY).await;
+            return;
+        }
+        log::info!(target: "limpethook", epoch = epoch; "ownership_begins");
         let handle = match leader::start(entry, &self.leader, self.valid_until).await {
             Ok(handle) => handle,
             Err(report) => {
@@ -220,33 +227,31 @@
             handle.clone(),
         );
         tokio::spawn(handle.until_ended(confirmation));
-        let reason = self.renew_until_lost(&handle).await;
+        // An entry that knows of a later owner has promised to let no agent renew a lease, maybe before it started as the owner.
+        let reason = tokio::select! {
+            biased;
+            () = wait_until_replaced(entry, epoch) => "replaced",
+            () = wait_until_leaving(entry) => "leaving",
+            () = handle.wait_until_ended() => "fenced",
+            reason = self.renew_until_lost(&handle) => reason,
+        };
         entry.board.local_leader.publish(None);
         handle.end();
         log::info!(target: "limpethook", epoch = self.leader.epoch, reason = reason; "ownership_ends");
         self.release().await;
     }
 
-    /// Renews the lease until the ownership ends; returns the reason.
+    /// Renews the lease until it ends; returns the reason.
     async fn renew_until_lost(&mut self, handle: &LeaderHandle) -> &'static str {
         let outage_grace = self.entry.settings.scheduler.store_outage_grace;
         let ttl = LEASE_TTL.max(self.entry.settings.min_store_lease);
-        let leaving = wait_until_leaving(self.entry);
-        tokio::pin!(leaving);
         loop {
             let delay = if boot_now() < self.valid_until {
                 RENEWAL_INTERVAL
             } else {
                 RENEWAL_RETRY_DELAY
             };
-            tokio::select! {
-                () = tokio::time::sleep(delay) => {}
-                () = &mut leaving => return "leaving",
-                () = handle.wait_until_ended() => return "fenced",
-            }
-            if self.is_replaced() {
-                return "replaced";
-            }
+            tokio::time::sleep(delay).await;
             let sent_at = boot_now();
             let renewal = self.entry.store.renew_lease(self.lease);
             match tokio::time::timeout(RENEWAL_TIMEOUT, renewal).await {
@@ -270,11 +275,6 @@
         }
     }
 
-    fn is_replaced(&self) -> bool {
-        let newest = self.entry.board.leader();
-        newest.is_some_and(|leader| leader.epoch > self.leader.epoch)
-    }
-
     async fn release(self) {
         if let Err(report) = self.entry.store.revoke_lease(self.lease).await {
             log::info!(target: "limpethook", error:% = report.current_context(); "lease_revocation_failed");
@@ -282,6 +282,24 @@
     }
 }
 
+/// Returns whether this entry knows of a later owner than that of an epoch.
+fn is_replaced(entry: &Entry, epoch: Epoch) -> bool {
+    let newest = entry.board.leader();
+    newest.is_some_and(|leader| leader.epoch > epoch)
+}
+
+/// Waits until this entry knows of a later owner than that of an epoch.
+async fn wait_until_replaced(entry: &Entry, epoch: Epoch) {
+    let mut announced = entry.board.announced_leader.changes();
+    let mut members = entry.board.members.changes();
+    while !is_replaced(entry, epoch) {
+        tokio::select! {
+            _ = announced.changed() => {}
+            _ = members.changed() => {}
+        }
+    }
+}
+
 /// Waits until the entry shuts down and another one can take over, at most until the end of the
 /// handover time.
 ///
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -17,7 +17,7 @@
 use store::{KvStore, Precondition};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use wire::{Call, CellView, Key, Peers, Reply, Server};
+use wire::{Call, CellView, Key, Leader, Peers, Reply, Server};
 
 const CONFIGURATION_KEY: &str = "operator/configuration";
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -413,3 +413,34 @@
     shutdown.cancel();
     Ok(())
 }
+
+/// Guards against an owner that lets agents renew leases after it has promised a later owner not to: the promise was given while
+/// it was still loading its jobs, so that nothing ended. The later owner counts the leases as lapsed one lease after the promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_keeps_earlier_owner_from_answering() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
+    wait_until(|| entry.board.states.load().epoch > 0).await;
+    let epoch = entry.board.states.load().epoch;
+    let peers = Peers::new(Key::from_secret(SECRET));
+    // The entry acquires the cell again, with an epoch below this one.
+    let announcement = Call::LeaderElected(Leader {
+        entry: "later".into(),
+        addr: free_addr(),
+        epoch: epoch + 1_000_000,
+    });
+    let addr = entry.settings.addr;
+    peers.call(addr, &announcement, TIMEOUT).await?;
+    let mut answered = 0;
+    for beat in 0..100 {
+        let report = worker_report(epoch, false, POLL_INTERVAL * beat);
+        let call = Call::Report(Box::new(report));
+        let reply = peers.call(addr, &call, POLL_INTERVAL * 5).await;
+        answered += u32::from(matches!(reply, Ok(Reply::Instructions(_))));
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert_eq!(answered, 0);
+    shutdown.cancel();
+    Ok(())
+}
