Do not take runs for hanging that an incomplete list leaves out

A healthy task was stopped and started again, and its worker quarantined, 4 s after the lists of the worker had begun to leave its row out.

The detection of hanging runs counted the time since the last change of the progress, also while no list showed it. The time now begins anew with each incomplete list that lacks the run.

stop_hanging_runs_spares_runs_left_out failed before and passes; the other tests of graph pass (all test files but load).

--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -246,6 +246,13 @@
         }
     }
 
+    /// Records that the worker left the run out of its list, so that it may have made progress.
+    pub(crate) fn record_left_out(&mut self, now: Duration) {
+        if let Self::Running(placement) = self {
+            placement.state.progressed_at = now;
+        }
+    }
+
     /// Applies progress reported by the worker; `checkpointed` tells whether the report has a new checkpoint.
     pub(crate) fn with_progress(self, now: Duration, percent: u32, checkpointed: bool) -> Self {
         let mut placement = match self {
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -204,13 +204,16 @@
         for run in &report.runs {
             self.apply_run(report, run, now);
         }
-        if !report.lists_complete {
-            return;
-        }
-        let Some(worker) = self.workers.get(&report.agent) else {
+        let Some(worker) = self.workers.get_mut(&report.agent) else {
             return;
         };
         let listed: IndexSet<TaskRun> = report.runs.iter().map(|run| run.run).collect();
+        if !report.lists_complete {
+            let placements = worker.placements.values_mut();
+            let left_out = placements.filter(|placement| !listed.contains(&placement.task_run()));
+            left_out.for_each(|placement| placement.record_left_out(now));
+            return;
+        }
         // A run that was reported before and is missing now has ended without an end report.
         let missing: Vec<TaskId> = worker
             .placements
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -495,3 +495,23 @@
     cell.report(&agent);
     assert_eq!(cell.started_runs().len(), 1);
 }
+
+/// Guards against stopping a healthy run as hanging, and its worker from being used, because the lists of the worker leave it out.
+#[test]
+fn stop_hanging_runs_spares_runs_left_out() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    let runs = std::mem::take(&mut cell.workers["w1"].report.runs);
+    for _ in 0..20 {
+        cell.advance(ms(500));
+        cell.report_incomplete("w1");
+        cell.scheduler.plan(cell.now, ms(1_000));
+        assert_eq!(cell.instructions("w1").stops, Vec::new());
+    }
+    cell.workers["w1"].report.runs = runs;
+    cell.report_complete("w1");
+    cell.advance(ms(500));
+    cell.accept(8, job(1, vec![step(1)]));
+    assert_eq!(cell.started_runs().len(), 1);
+}
