--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -133,6 +133,14 @@
         self
     }
 
+    /// Records that an earlier owner sent the start order, so that it counts as repeated when it is sent again.
+    pub(crate) fn with_start_sent(mut self, now: Duration) -> Self {
+        if let Self::Starting(placement) = &mut self {
+            placement.state.sent_at = Some(now);
+        }
+        self
+    }
+
     /// Returns whether the run is the trial of a suspect.
     pub(crate) fn is_trial(&self) -> bool {
         match self {
@@ -238,6 +246,13 @@
         }
     }
 
+    /// Records that the worker left the run out of its list, so that it may have made progress.
+    pub(crate) fn record_left_out(&mut self, now: Duration) {
+        if let Self::Running(placement) = self {
+            placement.state.progressed_at = now;
+        }
+    }
+
     /// Applies progress reported by the worker; `checkpointed` tells whether the report has a new checkpoint.
     pub(crate) fn with_progress(self, now: Duration, percent: u32, checkpointed: bool) -> Self {
         let mut placement = match self {
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -21,15 +21,12 @@
         now: Duration,
     ) {
         let run = report.run;
-        let (percent, checkpoint, survived) = match &report.status {
-            RunStatus::Refused(_) | RunStatus::StoppedBeforeStart => return,
-            RunStatus::Starting => (0, "", Duration::ZERO),
-            RunStatus::Running {
-                percent,
-                checkpoint,
-                survived,
-            } => (*percent, &**checkpoint, *survived),
-        };
+        if matches!(
+            report.status,
+            RunStatus::Refused(_) | RunStatus::StoppedBeforeStart
+        ) {
+            return;
+        }
         if !self.adopt_run(agent, run.task, run.run, now) {
             let resources = self.task_resources(run.task);
             if let Some(worker) = self.workers.get_mut(agent) {
@@ -41,14 +38,23 @@
             }
             return;
         }
+        // The worker has not answered a start in flight, so that its absence from a list does not prove its end.
+        let RunStatus::Running {
+            percent,
+            checkpoint,
+            survived,
+        } = &report.status
+        else {
+            return;
+        };
         let worker = self.workers.get_mut(agent);
         let Some(placement) = worker.and_then(|worker| worker.placements.get_mut(&run.task)) else {
             return;
         };
         let unit = placement.unit_key();
-        *placement = placement.clone().with_progress(now, percent, false);
-        let has_survived = placement.record_survived(survived);
-        self.record_progress(agent, unit, run.task, percent, checkpoint, now);
+        *placement = placement.clone().with_progress(now, *percent, false);
+        let has_survived = placement.record_survived(*survived);
+        self.record_progress(agent, unit, run.task, *percent, checkpoint, now);
         if has_survived {
             self.clear_suspect(unit);
         }
@@ -99,14 +105,18 @@
         let Some(unit) = job.activate(unit_id) else {
             return false;
         };
+        if unit.active_runs == 0 {
+            unit.start_checkpoint = unit.checkpoint.clone();
+        }
         unit.run_number = run_number;
         unit.active_runs += 1;
         unit.placed_at = now;
         let run = TaskRun::new(task, run_number);
         let placement = AnyPlacement::new(task.job, unit_id, run, resources, now);
+        let placement = placement.with_trial(unit.is_suspect());
         worker
             .placements
-            .insert(task, placement.with_trial(unit.is_suspect()));
+            .insert(task, placement.with_start_sent(now));
         log::info!(target: "limpethook", task:% = task, run = run.run, agent:% = agent; "run_adopted");
         true
     }
@@ -118,16 +128,34 @@
         }
     }
 
+    /// Returns whether a lease that this owner renewed may not have lapsed yet.
+    fn may_hold_lease(&self, agent: &AgentId, now: Duration) -> bool {
+        let worker = self.workers.get(agent);
+        worker.is_some_and(|worker| !worker.has_lapsed(self.settings.max_lease, now))
+    }
+
+    /// Returns whether this owner renews the lease of a worker. It stops to do so for those whose runs are still not known when
+    /// the leases that earlier owners renewed have lapsed, so that recovery ends when those leases have lapsed too.
+    pub(crate) fn renews_lease(&self, agent: &AgentId, now: Duration) -> bool {
+        let is_overdue = self.recovery_deadline.is_some_and(|at| now >= at);
+        !is_overdue || !self.pending_agents.contains(agent)
+    }
+
     /// Ends recovery if the runs of all agents in the roster are known, or the leases of the other workers have lapsed;
     /// otherwise does nothing.
     ///
+    /// The deadline tells when the leases have lapsed that earlier owners renewed. This owner renews leases too: those of
+    /// workers that it has heard of, but whose runs it does not know.
+    ///
     /// Afterwards, the jobs of earlier owners may be placed. Gangs that were adopted only in part are stopped, because
     /// their members would wait for those that are missing.
     pub fn try_end_recovery(&mut self, now: Duration) {
         let Some(deadline) = self.recovery_deadline else {
             return;
         };
-        if !self.pending_agents.is_empty() && now < deadline {
+        let mut pending = self.pending_agents.iter();
+        let may_have_runs = |agent| now < deadline || self.may_hold_lease(agent, now);
+        if pending.any(may_have_runs) {
             return;
         }
         log::info!(
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -14,8 +14,6 @@
 
 /// Delay before a unit is placed again after a refused start.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
-/// A report arrives at most this long after a later one of the same agent; a few times the timeout of a report.
-const MAX_REPORT_DELAY: Duration = Duration::from_secs(10);
 
 impl Scheduler {
     /// Applies a report, unless a later one of the agent has overtaken it.
@@ -24,7 +22,7 @@
             .workers
             .entry(report.agent.clone())
             .or_insert_with(|| Worker::new(report.agent.clone(), now));
-        if is_overtaken(worker, report) {
+        if is_overtaken(worker, report, self.settings.max_lease, now) {
             return;
         }
         worker.last_report_sent_at = report.sent_at;
@@ -32,8 +30,7 @@
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             // The agent has had no contact with a worker since it started, and nothing listens at the worker's address.
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
-            self.mark_runs_known(&report.agent, now);
+            self.apply_absence(report, now);
             return;
         }
         if report.incarnation.is_none() {
@@ -55,8 +52,7 @@
             self.withdraw_starts_beyond_capacity(&report.agent);
         }
         if report.absent {
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
-            self.mark_runs_known(&report.agent, now);
+            self.apply_absence(report, now);
             return;
         }
         if report.confirmed_epoch < self.epoch {
@@ -66,9 +62,25 @@
         self.apply_ends(report, now);
         self.apply_runs(report, now);
         if let Some(worker) = self.workers.get_mut(&report.agent) {
-            self.plan_needed |= !worker.confirmed;
+            self.plan_needed |= !worker.confirmed || !worker.runs_known;
             worker.confirmed = true;
+            worker.runs_known |= report.lists_complete;
+        }
+        if report.lists_complete {
+            self.mark_runs_known(&report.agent, now);
+        }
+    }
+
+    /// Applies a report about a worker that is absent. What it had has ended, but a start in flight may reach the next process,
+    /// also one that an earlier owner ordered. The ends that it had listed are as true as before.
+    fn apply_absence(&mut self, report: &WorkerReport, now: Duration) {
+        self.apply_ends(report, now);
+        for run in &report.runs {
+            if run.status == RunStatus::Starting {
+                self.apply_run(report, run, now);
+            }
         }
+        self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
         self.mark_runs_known(&report.agent, now);
     }
 
@@ -96,10 +108,11 @@
     /// worker can have. Otherwise the jobs of earlier owners would wait for a worker that does not respond. The worker
     /// gets no new tasks until it confirms.
     ///
-    /// The list is complete if the agent obeys this owner, so that it passes on no more orders of earlier owners, and
-    /// if no order sent by an earlier process of the agent can still arrive.
+    /// The list is complete if the worker left nothing out of it, the agent obeys this owner, so that it passes on no more
+    /// orders of earlier owners, and no order sent by an earlier process of the agent can still arrive.
     fn apply_unconfirmed_report(&mut self, report: &WorkerReport, now: Duration) {
-        let is_complete = report.complete && report.owner_epoch >= self.epoch;
+        let is_complete =
+            report.complete && report.lists_complete && report.owner_epoch >= self.epoch;
         if !is_complete || !self.pending_agents.contains(&report.agent) {
             return;
         }
@@ -110,7 +123,7 @@
         );
         self.apply_ends(report, now);
         for run in &report.runs {
-            self.apply_run(&report.agent, run, now);
+            self.apply_run(report, run, now);
         }
         self.mark_runs_known(&report.agent, now);
     }
@@ -185,14 +198,22 @@
     }
 
     /// Applies the reported runs of a worker and removes those that the report no longer lists.
+    ///
+    /// Only a complete list proves by the absence of a run that it has ended. The worker may have cut off the end of a run.
     fn apply_runs(&mut self, report: &WorkerReport, now: Duration) {
         for run in &report.runs {
-            self.apply_run(&report.agent, run, now);
+            self.apply_run(report, run, now);
         }
-        let Some(worker) = self.workers.get(&report.agent) else {
+        let Some(worker) = self.workers.get_mut(&report.agent) else {
             return;
         };
         let listed: IndexSet<TaskRun> = report.runs.iter().map(|run| run.run).collect();
+        if !report.lists_complete {
+            let placements = worker.placements.values_mut();
+            let left_out = placements.filter(|placement| !listed.contains(&placement.task_run()));
+            left_out.for_each(|placement| placement.record_left_out(now));
+            return;
+        }
         // A run that was reported before and is missing now has ended without an end report.
         let missing: Vec<TaskId> = worker
             .placements
@@ -225,18 +246,18 @@
         }
     }
 
-    fn apply_run(&mut self, agent: &AgentId, report: &RunReport, now: Duration) {
+    fn apply_run(&mut self, report: &WorkerReport, run: &RunReport, now: Duration) {
+        let agent = &report.agent;
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
-        let task = report.run.task;
+        let task = run.run.task;
         let known = worker.placements.get_mut(&task);
-        let Some(placement) = known.filter(|placement| placement.task_run() == report.run) else {
-            self.handle_unknown_run(agent, report, now);
+        let Some(placement) = known.filter(|placement| placement.task_run() == run.run) else {
+            self.handle_unknown_run(agent, run, now);
             return;
         };
-        match &report.status {
-            RunStatus::Starting => {}
+        match &run.status {
             RunStatus::Running {
                 percent,
                 checkpoint,
@@ -256,7 +277,11 @@
                 }
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
-            RunStatus::StoppedBeforeStart => self.remove_run(agent, task, now),
+            RunStatus::StoppedBeforeStart if report.lists_complete => {
+                self.remove_run(agent, task, now);
+            }
+            // The agent concludes that a run was stopped from a list without it, which proves nothing if it is incomplete.
+            RunStatus::StoppedBeforeStart | RunStatus::Starting => {}
         }
     }
 
@@ -314,6 +339,12 @@
             task:% = task, run = placement.task_run().run, agent:% = agent, refusal:? = refusal;
             "start_refused"
         );
+        if refusal == Refusal::Outdated {
+            // The worker has had this run, or a later one, and lists its end.
+            let stopping = placement.clone().into_stopping();
+            worker.placements.insert(task, stopping);
+            return;
+        }
         if refusal == Refusal::Unhealthy {
             worker.quarantine(now);
         }
@@ -362,12 +393,14 @@
         }
     }
 
-    /// Marks the workers as lost whose leases have lapsed since the last replies to their agents.
+    /// Marks the workers as lost whose leases have lapsed since the last replies to their agents, and removes what an absent
+    /// worker may still have started.
     pub fn expire_leases(&mut self, now: Duration) {
-        let lapse_time = lapse_after(self.settings.max_lease);
+        let max_lease = self.settings.max_lease;
         let workers = self.workers.values();
-        let lapsed =
-            workers.filter(|worker| !worker.lost && now > worker.last_answered_at + lapse_time);
+        let may_have_runs = |worker: &&Worker| !worker.lost || !worker.placements.is_empty();
+        let lapsed = workers.filter(may_have_runs);
+        let lapsed = lapsed.filter(|worker| worker.has_lapsed(max_lease, now));
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
@@ -400,16 +433,19 @@
 }
 
 /// Returns what the next incarnation of a worker has of the runs of the previous one. It has what the agent lists under
-/// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation.
+/// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation. It may have
+/// any run if its list is incomplete.
 fn has_moved(report: &WorkerReport) -> impl Fn(&AnyPlacement) -> Remainder {
     let listed = listed_runs(report);
+    let is_complete = report.lists_complete;
     let starting = report.runs.iter();
     let starting = starting.filter(|listed| listed.status == RunStatus::Starting);
     let starting: IndexSet<TaskRun> = starting.map(|listed| listed.run).collect();
     move |placement| {
         let run = placement.task_run();
-        let is_pending = !placement.was_reported() && starting.contains(&run);
-        if !listed.contains(&run) {
+        let is_listed = listed.contains(&run);
+        let is_pending = !placement.was_reported() && (starting.contains(&run) || !is_listed);
+        if !is_listed && is_complete {
             Remainder::Nothing
         } else if is_pending || placement.is_stopping() {
             Remainder::UnwantedStart
@@ -427,16 +463,20 @@
 
 /// Returns whether a later report of the same agent was applied before. An agent reports again while an earlier report is
 /// in flight, which may be about an earlier incarnation of the worker.
-fn is_overtaken(worker: &Worker, report: &WorkerReport) -> bool {
-    let Some(age) = worker
-        .last_report_sent_at
-        .checked_sub(report.sent_at)
-        .filter(|age| !age.is_zero())
-    else {
+fn is_overtaken(
+    worker: &Worker,
+    report: &WorkerReport,
+    max_lease: Duration,
+    now: Duration,
+) -> bool {
+    if report.sent_at >= worker.last_report_sent_at {
         return false;
-    };
-    // The boot clock of a machine that has taken the place of another one starts anew.
-    worker.incarnation == report.incarnation || age < MAX_REPORT_DELAY
+    }
+    // The boot clock of a machine that has taken the place of another one starts anew. A late report may be about another
+    // incarnation as well, so that this needs the proof that nothing runs on the other machine any more: an agent renews a
+    // lease to its longest time after it sent a report, and sent none since the latest one that arrived.
+    let is_replaced = now > worker.last_report_at + lapse_after(max_lease);
+    worker.incarnation == report.incarnation || !is_replaced
 }
 
 /// Updates the attributes of a worker from a report, and returns whether any changed that matters to placement.
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
 use crate::preempt::accelerator_equivalents;
+use crate::scheduler::lapse_after;
 
 /// Index of the rack name in the labels of a worker; index 0 has the kind of the worker.
 const RACK_LABEL_INDEX: usize = 1;
@@ -46,17 +47,20 @@
     pub(crate) labels: Vec<Box<str>>,
     /// When the worker shuts down, set while it drains.
     pub(crate) drain_deadline: Option<Duration>,
-    /// Whether the worker confirmed the epoch of this owner and its runs are known; it gets no orders before.
+    /// Whether the worker confirmed the epoch of this owner; it gets no orders before.
     pub(crate) confirmed: bool,
+    /// Whether this owner has applied a complete list of the runs of this incarnation. Runs of earlier owners that a list left
+    /// out occupy resources, so that the worker gets no new tasks before.
+    pub(crate) runs_known: bool,
     /// Whether the worker is absent, or its lease has lapsed.
     pub(crate) lost: bool,
-    /// When the owner last replied to the agent.
+    /// When the owner last replied to the agent so that it may renew the lease of the worker.
     ///
     /// A lease of the worker ends at most [`max_lease`] after the agent sent the report that the owner replied to. The
     /// report was sent before the reply, so `max_lease` after this time is an upper bound.
     ///
     /// [`max_lease`]: crate::scheduler::SchedulerSettings::max_lease
-    pub(crate) last_answered_at: Duration,
+    pub(crate) last_renewed_at: Duration,
     /// `sent_at` of the latest report.
     pub(crate) last_report_sent_at: Duration,
     /// When the latest report arrived.
@@ -97,8 +101,9 @@
             labels: Vec::new(),
             drain_deadline: None,
             confirmed: false,
+            runs_known: false,
             lost: false,
-            last_answered_at: now,
+            last_renewed_at: now,
             last_report_sent_at: Duration::ZERO,
             last_report_at: now,
             placements: IndexMap::new(),
@@ -115,6 +120,11 @@
         }
     }
 
+    /// Returns whether the lease has lapsed that this owner last let the agent renew.
+    pub(crate) fn has_lapsed(&self, max_lease: Duration, now: Duration) -> bool {
+        now > self.last_renewed_at + lapse_after(max_lease)
+    }
+
     /// Returns the name of the rack.
     pub(crate) fn rack(&self) -> &str {
         self.labels.get(RACK_LABEL_INDEX).map_or("", |label| label)
@@ -174,16 +184,18 @@
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: Duration) -> bool {
         self.confirmed
+            && self.runs_known
             && !self.lost
             && self.drain_deadline.is_none()
             && now >= self.quarantined_until
     }
 
-    /// Sets a new incarnation and resets the state that belongs to the previous one.
+    /// Sets a new incarnation and resets the state that belongs to the previous one. Orphan runs stay until a complete list
+    /// of the new incarnation lacks them, because they may have begun in it.
     pub(crate) fn start_incarnation(&mut self, incarnation: Option<Incarnation>) {
         self.incarnation = incarnation;
         self.confirmed = false;
-        self.orphan_runs.clear();
+        self.runs_known = false;
         self.last_end_sequence = 0;
         self.unstored_ends.clear();
         self.acknowledged_sequence = 0;
