Accept another process of the worker only from an answered poll

Cause: after a failed poll the agent adopted the incarnation of an announcement, and before the first poll that of any announcement. Another sender that announced a later process beside a silent worker so made the agent report that process without runs, and the owner started the tasks elsewhere. A forged incarnation also made the agent ignore the worker, whose own one is lower, for good.

Change: an announcement whose incarnation no poll has named, earlier or later, is kept as a candidate (16 at most) and asks for a look: an extra poll, one in flight at a time, at most one each 100 ms, repeated while it fails. It describes the worker once a poll names its incarnation, and is dropped once a poll that was sent after it arrived names another. A failed poll proves nothing about the process. Which of two processes is the later one is told by the order of calls: a reply with another incarnation counts if its poll was sent after the latest accepted reply had been received. An older list of the same incarnation, by the clock of the worker, is ignored if it arrives after a newer one. Candidates delay starts until a look that was sent after the order arrived, and a regular poll, which acknowledges ends, until a look; leases are renewed by each poll, so that a sender that announces without pause holds nothing up.

The state of the agent is split into lists, report, absence, candidates and polls.

announcement_beside_failed_polls_keeps_runs asserted on reports from before the first poll, which name no incarnation, and on reports in the order of their arrival; it failed for that cause also on correct code. It now skips those from before the first incarnation, in the order in which they were sent, and checks absence, too.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use errors::{ErrorKind, Result};
+use errors::Result;
 use indexmap::IndexMap;
 use model::{Epoch, Instructions, JobId, TaskRun};
 use tokio::sync::mpsc;
@@ -11,19 +11,14 @@
 use crate::agent::WorkerNotice;
 use crate::agent::link::Link;
 use crate::agent::orders::StartOutcome;
+use crate::agent::polls::{Looks, PollKind};
 use crate::agent::state::State;
-use crate::agent::worker_client::{PollReply, PollRequest, WorkerClient};
+use crate::agent::worker_client::{PollReply, WorkerClient};
 use crate::clock::boot_now;
 use crate::dependency::Dependency;
 use crate::settings::AgentSettings;
 use crate::supervise;
 
-/// How long the worker may delay the reply to a poll until a run ends. Each poll renews the leases.
-const POLL_WAIT: Duration = Duration::from_secs(1);
-/// Added to the wait of a poll to get its timeout.
-const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
-/// Delay after a failed poll.
-const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a failed report.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay between reports while the worker has not confirmed the epoch of the owner.
@@ -40,7 +35,7 @@
         result: Result<PollReply>,
         epoch: Epoch,
         requested_at: Duration,
-        extra: bool,
+        kind: PollKind,
     },
     Started(TaskRun, StartOutcome),
     Stopped(TaskRun, Result<()>),
@@ -51,7 +46,7 @@
     },
     OwnerChanged,
     PollDue,
-    ExtraPollDue,
+    LookDue,
     /// The probation of a run on trial is over if the worker still answers.
     TrialDue,
     ReportDue,
@@ -69,7 +64,8 @@
     /// are ignored.
     owner_changes: u64,
     /// Whether the worker answers polls.
-    worker_availability: Dependency,
+    pub(super) worker_availability: Dependency,
+    pub(super) looks: Looks,
     pub(super) report_due: bool,
 }
 
@@ -89,13 +85,14 @@
             reports_in_flight: 0,
             owner_changes: 0,
             worker_availability: Dependency::new(false),
+            looks: Looks::default(),
             report_due: false,
         }
     }
 
     /// Runs until the task is cancelled or all handles are dropped.
     pub(crate) async fn run(mut self, notices: &mut mpsc::Receiver<WorkerNotice>) {
-        self.poll(None, false);
+        self.poll_regularly();
         self.report();
         let (link, tx) = (Arc::clone(&self.link), self.tx.clone());
         supervise::spawn("owner_changes", move || {
@@ -122,9 +119,7 @@
         match notice {
             WorkerNotice::Announced(announcement) => {
                 self.report_due |= self.state.apply_announcement(announcement, boot_now());
-                if self.state.awaits_poll() {
-                    self.poll(None, true);
-                }
+                self.look_if_needed();
             }
             WorkerNotice::Leaving(name) => {
                 log::info!(target: "limpethook", worker:% = name; "worker_leaving");
@@ -140,8 +135,8 @@
                 result,
                 epoch,
                 requested_at,
-                extra,
-            } => self.handle_poll_result(result, epoch, requested_at, extra),
+                kind,
+            } => self.handle_poll_result(result, epoch, requested_at, kind),
             Event::Started(run, outcome) => self.handle_start_outcome(run, outcome),
             Event::Stopped(run, stopped) => self.handle_stop_result(run, stopped),
             Event::InstructionsReceived {
@@ -158,17 +153,9 @@
                 self.reports_in_flight = 0;
                 self.report();
             }
-            Event::PollDue => {
-                let wait = self.state.knows_incarnation().then_some(POLL_WAIT);
-                self.poll(wait, false);
-            }
-            Event::ExtraPollDue => {
-                let is_confirmed = self.state.confirmed_epoch >= self.state.epoch;
-                if !is_confirmed || !self.state.knows_incarnation() {
-                    self.poll(None, true);
-                }
-            }
-            Event::TrialDue => self.poll(None, true),
+            Event::PollDue => self.poll_regularly(),
+            Event::LookDue => self.handle_look_due(),
+            Event::TrialDue => self.poll_extra(),
             Event::ReportDue => {
                 if self.reports_in_flight == 0 {
                     self.report();
@@ -177,100 +164,6 @@
         }
     }
 
-    /// Polls the worker; `extra` polls are sent in between the regular ones.
-    pub(super) fn poll(&mut self, wait: Option<Duration>, extra: bool) {
-        let now = boot_now();
-        let request = PollRequest {
-            until: self.state.lease_end(now),
-            epoch: self.state.epoch,
-            // An extra poll may reach a new incarnation while a regular one still waits for the previous one.
-            acknowledged: if extra {
-                0
-            } else {
-                self.state.acknowledgeable()
-            },
-            wait,
-        };
-        let client = Arc::clone(&self.client);
-        let tx = self.tx.clone();
-        tokio::spawn(async move {
-            let timeout = request.wait.unwrap_or_default() + POLL_TIMEOUT_MARGIN;
-            let poll = supervise::catch_panic("poll", client.poll(&request, timeout)).await;
-            let event = Event::Polled {
-                result: poll.flatten(),
-                epoch: request.epoch,
-                requested_at: now,
-                extra,
-            };
-            // The send fails only if the agent has ended.
-            let _ = tx.send(event).await;
-        });
-    }
-
-    fn handle_poll_result(
-        &mut self,
-        result: Result<PollReply>,
-        epoch: Epoch,
-        requested_at: Duration,
-        extra: bool,
-    ) {
-        match result {
-            Ok(reply) => {
-                if reply.fenced {
-                    log::warn!(target: "limpethook", epoch = epoch; "worker_rejected_epoch");
-                }
-                let fenced = reply.fenced;
-                self.report_due |= self
-                    .state
-                    .apply_poll(reply, epoch, requested_at, boot_now());
-                self.record_worker_result(true, &"poll answered");
-                if self.state.knows_incarnation() {
-                    self.resume_orders();
-                }
-                if !extra {
-                    let delay = if fenced { Some(POLL_RETRY_DELAY) } else { None };
-                    self.schedule_poll(delay);
-                }
-            }
-            Err(report) => {
-                let error = report.current_context();
-                self.report_due |= self.state.record_failed_poll(boot_now());
-                if error.kind == ErrorKind::NotFound {
-                    // Nothing listens at the address of the worker.
-                    self.state.record_refused_connection();
-                    self.report_due = true;
-                }
-                self.record_worker_result(false, error);
-                if extra {
-                    // A new owner waits for the confirmation, or starts wait for the incarnation of the worker, and the next
-                    // regular poll may take another second.
-                    self.send_after(POLL_RETRY_DELAY, Event::ExtraPollDue);
-                } else {
-                    self.schedule_poll(Some(POLL_RETRY_DELAY));
-                }
-            }
-        }
-    }
-
-    /// Records whether the worker answered a poll and logs changes.
-    fn record_worker_result(&self, answered: bool, detail: &dyn std::fmt::Display) {
-        let Some(change) = self.worker_availability.record(answered) else {
-            return;
-        };
-        log::warn!(
-            target: "limpethook",
-            dependency = "worker", change = change, worker:% = self.state.name, detail:% = detail;
-            "dependency"
-        );
-    }
-
-    fn schedule_poll(&mut self, delay: Option<Duration>) {
-        match delay {
-            None => self.poll(Some(POLL_WAIT), false),
-            Some(delay) => self.send_after(delay, Event::PollDue),
-        }
-    }
-
     pub(super) fn send_after(&self, delay: Duration, event: Event) {
         let tx = self.tx.clone();
         tokio::spawn(async move {
@@ -333,7 +226,7 @@
         if instructions.epoch > self.state.epoch {
             log::info!(target: "limpethook", epoch = instructions.epoch, before = self.state.epoch; "owner_epoch_adopted");
             self.state.adopt_epoch(instructions.epoch);
-            self.poll(None, true);
+            self.poll_extra();
         }
         let renewable_until = instructions.report_sent_at + self.state.max_lease();
         self.state.renewable_until = self.state.renewable_until.max(renewable_until);
--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -3,49 +3,45 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use model::{Incarnation, ResourceVector, StartOrder, TaskRun};
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::Announcement;
 use crate::agent::sightings::Sightings;
-use crate::agent::state::{ABSENT_AFTER_REFUSALS, OUTCOME_RETENTION, OrderState, State};
+use crate::agent::state::{DeferredStart, OUTCOME_RETENTION, OrderState, State};
 
 impl State {
     /// Applies an announcement; returns whether the owner has to learn of a change.
     ///
-    /// The first announcement of a new incarnation only asks for a poll, which shows what runs there.
+    /// It describes the worker only if a poll has named its incarnation; otherwise it asks for a poll.
     pub(crate) fn apply_announcement(&mut self, announcement: Announcement, now: Duration) -> bool {
-        match self.incarnation {
-            Some(own) if announcement.incarnation < own => false,
-            Some(own) if announcement.incarnation > own => {
-                let known = self.unpolled_announcement.as_ref();
-                if known.is_none_or(|(known, _)| known.incarnation <= announcement.incarnation) {
-                    self.unpolled_announcement = Some((announcement, now));
-                }
-                false
-            }
-            Some(_) if announcement.sequence <= self.sequence => false,
-            _ => self.describe(announcement, "announcement", now),
+        if self.incarnation != Some(announcement.incarnation) {
+            self.candidates.insert(announcement, now);
+            return false;
         }
+        announcement.sequence > self.sequence && self.describe(announcement, now)
     }
 
-    /// Returns whether a new incarnation has announced itself that was not polled yet.
-    pub(crate) fn awaits_poll(&self) -> bool {
-        self.unpolled_announcement.is_some()
+    /// Asks for a poll.
+    pub(crate) fn request_look(&mut self, now: Duration) {
+        self.look_requested_at = self.look_requested_at.max(Some(now));
     }
 
-    /// Adopts the incarnation of an announcement, and what it says; returns whether the owner has to learn of a change.
-    fn describe(&mut self, announcement: Announcement, evidence: &str, now: Duration) -> bool {
-        let before = (self.incarnation, self.capacity, self.is_draining());
-        self.begin(announcement.incarnation, evidence, &[], now);
+    /// Returns whether a poll is needed in between the regular ones.
+    pub(crate) fn awaits_look(&self) -> bool {
+        self.look_requested_at.is_some() || !self.candidates.is_empty()
+    }
+
+    /// Adopts what the present incarnation says of itself; returns whether the owner has to learn of a change.
+    fn describe(&mut self, announcement: Announcement, now: Duration) -> bool {
+        let before = (self.capacity, self.is_draining());
         self.sequence = announcement.sequence;
         self.name = announcement.name;
         self.service = announcement.service;
         self.capacity = announcement.capacity;
         self.labels = announcement.labels;
         self.leaves_at = announcement.draining.map(|left| now + left);
-        before != (self.incarnation, self.capacity, self.is_draining())
+        before != (self.capacity, self.is_draining())
     }
 
     /// Resets the state if the worker has another incarnation than before.
@@ -81,6 +77,7 @@
         self.acknowledged = 0;
         self.clock_sample = None;
         self.last_poll_at = None;
+        self.newest_clock = Duration::ZERO;
         self.refused_connections = 0;
         self.start_retries
             .values()
@@ -119,32 +116,18 @@
         self.trials.clear();
     }
 
-    /// Applies the announcement that waited for a poll, if the incarnation that answered sent it. An announcement from before
-    /// the poll whose incarnation does not answer has another sender.
-    pub(super) fn apply_polled_announcement(
+    /// Applies the announcement of the incarnation that answered a poll, and drops those that the poll contradicts.
+    pub(super) fn apply_candidates(
         &mut self,
+        polled: Incarnation,
         requested_at: Duration,
         now: Duration,
     ) -> bool {
-        let own = self.incarnation;
-        let polled = self
-            .unpolled_announcement
-            .take_if(|(announcement, received_at)| {
-                Some(announcement.incarnation) <= own || requested_at >= *received_at
-            });
-        let Some((announcement, _)) = polled else {
-            return false;
-        };
-        if Some(announcement.incarnation) != own {
-            log::warn!(
-                target: "limpethook",
-                worker:% = announcement.name, service:% = announcement.service, incarnation = announcement.incarnation,
-                polled = own.unwrap_or(0);
-                "announcement_dropped"
-            );
-            return false;
-        }
-        self.describe(announcement, "poll", now)
+        self.look_requested_at
+            .take_if(|needed_since| *needed_since <= requested_at);
+        let own = self.candidates.take(polled);
+        self.candidates.drop_contradicted(requested_at, polled);
+        own.is_some_and(|own| own.sequence > self.sequence && self.describe(own, now))
     }
 
     /// Takes the runs that the current incarnation has to reject, once a poll has shown that it does not run them.
@@ -158,44 +141,47 @@
         runs
     }
 
-    /// Records that a poll was not answered. Another incarnation may answer the next one: until then, nothing is started,
-    /// and no lease is renewed and no end acknowledged by what the previous one has told. Returns whether the owner has to
-    /// learn of a change: a new incarnation that does not answer has ended the runs of the previous one, too.
-    pub(crate) fn record_failed_poll(&mut self, now: Duration) -> bool {
+    /// Records that a poll was not answered. That proves nothing about the process that answered before, but another one may
+    /// answer the next call: until then, nothing is started, and no lease is renewed and no end acknowledged by what the
+    /// previous one has told.
+    pub(crate) fn record_failed_poll(&mut self, now: Duration) {
         self.poll_failed_at = now;
         self.clock_sample = None;
-        let announcement = self.unpolled_announcement.take();
-        announcement.is_some_and(|(announcement, _)| {
-            self.describe(announcement, "announcement before a failed poll", now)
-        })
     }
 
-    /// Returns whether the incarnation that the next call reaches is the one that is known.
-    pub(crate) fn knows_incarnation(&self) -> bool {
-        self.clock_sample.is_some() && !self.awaits_poll()
+    /// Returns whether the worker answered the latest poll.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.clock_sample.is_some()
     }
 
-    /// Returns up to which end the worker may forget ends: none while the incarnation that answers is not known, because
-    /// each one numbers its ends anew.
-    pub(crate) fn acknowledgeable(&self) -> u64 {
-        if self.knows_incarnation() {
-            self.acknowledged
-        } else {
-            0
-        }
+    /// Returns whether the incarnation that the next call reaches is the one that is known.
+    pub(crate) fn knows_incarnation(&self) -> bool {
+        self.is_answering() && self.candidates.is_empty()
     }
 
     /// Keeps a start until a poll shows which incarnation it reaches. A start on a worker that was reported as absent is
     /// dropped, because the owner places the task elsewhere.
-    pub(crate) fn defer_start(&mut self, order: StartOrder, body: Box<str>) {
-        if self.refused_connections < ABSENT_AFTER_REFUSALS {
-            self.deferred_starts.insert(order.run, (order, body));
+    pub(crate) fn defer_start(&mut self, order: StartOrder, body: Box<str>, now: Duration) {
+        if self.absent_since.is_some() {
+            return;
         }
+        let run = order.run;
+        let deferred = DeferredStart {
+            order,
+            body,
+            received_at: now,
+        };
+        self.deferred_starts.insert(run, deferred);
     }
 
-    /// Takes the starts that waited for a poll.
-    pub(crate) fn take_deferred_starts(&mut self) -> IndexMap<TaskRun, (StartOrder, Box<str>)> {
-        std::mem::take(&mut self.deferred_starts)
+    /// Takes the starts that waited for a poll which was sent at `requested_at`. Announcements that arrived since don't hold
+    /// them up: other senders may announce all the time.
+    pub(crate) fn take_deferred_starts(&mut self, requested_at: Duration) -> Vec<DeferredStart> {
+        let all = self.candidates.is_empty();
+        let is_due =
+            |_: &TaskRun, start: &mut DeferredStart| all || start.received_at <= requested_at;
+        let due = self.deferred_starts.extract_if(.., is_due);
+        due.map(|(_, start)| start).collect()
     }
 
     /// Forgets a start that waits for a poll.
--- /dev/null
+++ b/components/cell/src/agent/lists.rs
@@ -0,0 +1,160 @@
+//! The lists of runs in the replies to polls: the worker's own word for what runs and what has ended.
+
+use std::time::Duration;
+
+use model::{EndReport, Epoch, Incarnation, TaskRun};
+
+use crate::agent::state::{OUTCOME_RETENTION, OrderState, State};
+use crate::agent::worker_client::PollReply;
+
+/// What came of the reply to a poll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct PollOutcome {
+    /// Whether the reply tells which process of the worker answers now.
+    pub(crate) accepted: bool,
+    /// Whether there are changes to report to the owner.
+    pub(crate) has_changes: bool,
+}
+
+impl State {
+    /// Applies the reply to a poll that was sent at `requested_at`.
+    pub(crate) fn apply_poll(
+        &mut self,
+        reply: PollReply,
+        epoch: Epoch,
+        requested_at: Duration,
+        now: Duration,
+    ) -> PollOutcome {
+        let Some(incarnation) = self.replying_incarnation(&reply) else {
+            return PollOutcome::default();
+        };
+        if self.is_outdated(incarnation, requested_at) {
+            log::info!(
+                target: "limpethook",
+                incarnation = incarnation, known = self.incarnation.unwrap_or(0);
+                "poll_reply_ignored"
+            );
+            self.request_look(now);
+            return PollOutcome::default();
+        }
+        if self.incarnation == Some(incarnation)
+            && requested_at < self.last_reply_at
+            && reply.clock <= self.newest_clock
+        {
+            // A list from later is known, and that one was made under this epoch, too.
+            let confirmed = !reply.fenced && self.confirmed_epoch < epoch;
+            if confirmed {
+                self.confirmed_epoch = epoch;
+            }
+            return PollOutcome {
+                accepted: false,
+                has_changes: confirmed,
+            };
+        }
+        let has_changes = self.apply_latest_reply(reply, incarnation, epoch, requested_at, now);
+        PollOutcome {
+            accepted: true,
+            has_changes,
+        }
+    }
+
+    /// Returns the incarnation that gave a reply. A worker that states none has the number 0, as in its announcements; a
+    /// rejected call of an unknown process tells nothing.
+    fn replying_incarnation(&self, reply: &PollReply) -> Option<Incarnation> {
+        let known = reply.incarnation.or(self.incarnation);
+        known.or_else(|| (!reply.fenced).then_some(0))
+    }
+
+    /// Returns whether a reply is from before what is known: the worker was found absent after its poll was sent, or another
+    /// incarnation answered meanwhile. The order of calls tells which process is the later one; the start times of
+    /// processes don't, because the clock of day may go back.
+    fn is_outdated(&self, incarnation: Incarnation, requested_at: Duration) -> bool {
+        let is_other = self.incarnation.is_some_and(|own| own != incarnation);
+        self.absent_since.is_some_and(|since| requested_at < since)
+            || (is_other && requested_at < self.last_reply_at)
+    }
+
+    fn apply_latest_reply(
+        &mut self,
+        reply: PollReply,
+        incarnation: Incarnation,
+        epoch: Epoch,
+        requested_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let running = reply.runs.iter().map(|listed| listed.run);
+        let ended = reply.ends.iter().map(|end| end.run);
+        let found: Vec<TaskRun> = running.chain(ended).collect();
+        self.begin(incarnation, "poll", &found, now);
+        let returned = self.absent_since.take().is_some();
+        self.refused_connections = 0;
+        self.sightings.record_answer(now);
+        self.last_reply_at = now;
+        self.newest_clock = reply.clock;
+        if requested_at >= self.poll_failed_at {
+            self.clock_sample = Some((reply.clock, now));
+        }
+        let described = self.apply_candidates(incarnation, requested_at, now) || returned;
+        if reply.fenced {
+            return described;
+        }
+        self.apply_lists(reply, epoch, requested_at, now) || described
+    }
+
+    fn apply_lists(
+        &mut self,
+        reply: PollReply,
+        epoch: Epoch,
+        requested_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let last = |ends: &[EndReport]| ends.last().map(|end| end.sequence);
+        let has_changes = self.confirmed_epoch < epoch
+            || reply.ends.len() != self.ends.len()
+            || last(&reply.ends) != last(&self.ends);
+        self.confirmed_epoch = self.confirmed_epoch.max(epoch);
+        self.last_poll_at = self.last_poll_at.max(Some(requested_at));
+        let known = self.listed_runs();
+        let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
+        self.sightings.record_listed(&reply.runs, requested_at, now);
+        self.listed = reply.runs;
+        self.ends = reply.ends;
+        self.lists_complete = reply.complete;
+        let outcome_reached = self.reconcile_orders(requested_at, now);
+        self.forget_outcomes(now);
+        let trial_ended = self.end_trials();
+        has_changes || outcome_reached || run_appeared || trial_ended
+    }
+
+    /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
+    fn reconcile_orders(&mut self, requested_at: Duration, now: Duration) -> bool {
+        let mut outcome_reached = false;
+        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
+        for (run, (order, changed_at)) in &mut self.orders {
+            let known_at = match order {
+                OrderState::Stopped(at) => *at,
+                OrderState::Started => *changed_at,
+                _ => continue,
+            };
+            let is_named = listed_runs.contains(run) || ended_runs.contains(run);
+            if known_at <= requested_at && !is_named {
+                *order = OrderState::Gone;
+                *changed_at = now;
+                outcome_reached = true;
+            }
+        }
+        outcome_reached
+    }
+
+    /// Forgets the outcomes of orders after a while.
+    fn forget_outcomes(&mut self, now: Duration) {
+        let listed_runs = self.listed_runs();
+        self.orders.retain(|run, (order, changed_at)| {
+            let is_final = matches!(
+                order,
+                OrderState::Refused(_) | OrderState::Gone | OrderState::Started
+            );
+            !is_final || listed_runs.contains(run) || now < *changed_at + OUTCOME_RETENTION
+        });
+    }
+}
--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -1,10 +1,15 @@
 //! The agent beside a worker: carries out the orders of the owner, renews the leases of the worker
 //! and reports its state.
 
+mod absence;
 mod actor;
+mod candidates;
 mod incarnation;
 mod link;
+mod lists;
 mod orders;
+mod polls;
+mod report;
 mod sightings;
 mod state;
 mod worker_client;
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -31,7 +31,13 @@
 }
 
 impl Actor {
+    /// Starts a task, once it is known which incarnation of the worker the start reaches.
     pub(super) fn start(&mut self, order: StartOrder, body: Box<str>) {
+        let is_located = self.state.knows_incarnation();
+        self.start_if(is_located, order, body);
+    }
+
+    fn start_if(&mut self, is_located: bool, order: StartOrder, body: Box<str>) {
         let known = self.state.orders.get(&order.run);
         let unanswered = match known.map(|(order, _)| order) {
             None => order.repeated,
@@ -52,9 +58,9 @@
             self.report_due = true;
             return;
         }
-        if !self.state.knows_incarnation() {
+        if !is_located {
             log::info!(target: "limpethook", task:% = order.run.task, run = order.run.run; "start_deferred");
-            self.state.defer_start(order, body);
+            self.state.defer_start(order, body, now);
             return;
         }
         let Some(until) = self.state.lease_end(now) else {
@@ -108,7 +114,7 @@
                 let may_still_start = outcome.unanswered
                     && matches!(reply, StartReply::Refused(refusal) if refusal != Refusal::Outdated);
                 if reply == StartReply::Refused(Refusal::Outdated) {
-                    self.poll(None, true);
+                    self.poll_extra();
                 }
                 if may_still_start {
                     // An unanswered attempt may still be carried out; after a stop, the worker
@@ -127,11 +133,11 @@
         }
     }
 
-    /// Continues after a poll was answered: carries out the starts that waited for it, and rejects those that an earlier
-    /// incarnation did not answer.
-    pub(super) fn resume_orders(&mut self) {
-        for (order, body) in self.state.take_deferred_starts().into_values() {
-            self.start(order, body);
+    /// Continues after a poll that was sent at `requested_at` was answered: carries out the starts that waited for it, and
+    /// rejects those that an earlier incarnation did not answer.
+    pub(super) fn resume_orders(&mut self, requested_at: Duration) {
+        for start in self.state.take_deferred_starts(requested_at) {
+            self.start_if(true, start.order, start.body);
         }
         for run in self.state.take_stray_starts() {
             self.stop(run);
@@ -172,7 +178,7 @@
                 log::info!(target: "limpethook", task:% = run.task, run = run.run; "stop_answered");
                 let stopped = OrderState::Stopped(boot_now());
                 self.state.orders.insert(run, (stopped, boot_now()));
-                self.poll(None, true);
+                self.poll_extra();
             }
             Err(report) => {
                 log::warn!(target: "limpethook", task:% = run.task, run = run.run, error:% = report.current_context(); "stop_unanswered");
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -6,19 +6,17 @@
 use graph::{PROBATION, lapse_after};
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    EndReport, Epoch, Incarnation, Refusal, ResourceVector, RunReport, RunStatus, ServiceId,
-    StartOrder, TaskRun, WorkerCrash, WorkerReport,
+    EndReport, Epoch, Incarnation, Refusal, ResourceVector, ServiceId, StartOrder, TaskRun,
+    WorkerCrash,
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::agent::StartReply;
+use crate::agent::candidates::Candidates;
 use crate::agent::sightings::Sightings;
-use crate::agent::worker_client::{ListedRun, PollReply};
-use crate::agent::{Announcement, StartReply};
+use crate::agent::worker_client::ListedRun;
 use crate::settings::AgentSettings;
 
-/// Number of consecutive refused connections after which the worker process counts as gone, and its
-/// runs with it.
-pub(super) const ABSENT_AFTER_REFUSALS: u32 = 2;
 /// How long the outcome of an order is kept in case the order is repeated.
 pub(super) const OUTCOME_RETENTION: Duration = Duration::from_mins(1);
 
@@ -46,6 +44,15 @@
     Gone,
 }
 
+/// A start that waits for a poll.
+#[derive(Debug)]
+pub(crate) struct DeferredStart {
+    pub(super) order: StartOrder,
+    /// Body of the job.
+    pub(super) body: Box<str>,
+    pub(super) received_at: Duration,
+}
+
 #[derive(Debug)]
 pub(crate) struct State {
     pub(super) settings: AgentSettings,
@@ -71,7 +78,14 @@
     pub(super) clock_sample: Option<(Duration, Duration)>,
     /// All leases have expired by this time.
     pub(super) leases_expire_at: Duration,
+    /// When the latest accepted reply to a poll was received.
+    pub(super) last_reply_at: Duration,
+    /// Clock of the worker in that reply.
+    pub(super) newest_clock: Duration,
+    /// Number of polls in a row that were refused.
     pub(super) refused_connections: u32,
+    /// Since when nothing can be running on the worker, until it answers a later poll.
+    pub(super) absent_since: Option<Duration>,
     pub(crate) acknowledged: u64,
     pub(crate) orders: IndexMap<TaskRun, (OrderState, Duration)>,
     /// Starts that are still being sent, whatever the state of their orders; cancelling a token
@@ -83,10 +97,12 @@
     /// Runs that the current incarnation has to reject, because an attempt to start them in an earlier one may still
     /// arrive.
     pub(super) stray_starts: Vec<TaskRun>,
-    /// Starts that wait for a poll, with the bodies of their jobs.
-    pub(super) deferred_starts: IndexMap<TaskRun, (StartOrder, Box<str>)>,
-    /// Announcement of a new incarnation that no poll has shown yet, and when it arrived.
-    pub(super) unpolled_announcement: Option<(Announcement, Duration)>,
+    /// Starts that wait for a poll.
+    pub(super) deferred_starts: IndexMap<TaskRun, DeferredStart>,
+    /// Announcements of incarnations that no poll has named.
+    pub(super) candidates: Candidates,
+    /// Since when a poll is needed, beside those that candidates ask for.
+    pub(super) look_requested_at: Option<Duration>,
     /// When a poll last failed.
     pub(super) poll_failed_at: Duration,
     pub(super) listed: Vec<ListedRun>,
@@ -123,14 +139,18 @@
             renewable_until: Duration::ZERO,
             clock_sample: None,
             leases_expire_at: Duration::ZERO,
+            last_reply_at: Duration::ZERO,
+            newest_clock: Duration::ZERO,
             refused_connections: 0,
+            absent_since: None,
             acknowledged: 0,
             orders: IndexMap::new(),
             start_retries: IndexMap::new(),
             unanswered_starts: IndexMap::new(),
             stray_starts: Vec::new(),
             deferred_starts: IndexMap::new(),
-            unpolled_announcement: None,
+            candidates: Candidates::default(),
+            look_requested_at: None,
             poll_failed_at: Duration::ZERO,
             listed: Vec::new(),
             ends: Vec::new(),
@@ -214,7 +234,7 @@
 
     /// Ends the trials of the runs that have survived their probation, and of those that ended before; returns whether
     /// there are any.
-    fn end_trials(&mut self) -> bool {
+    pub(super) fn end_trials(&mut self) -> bool {
         let before = self.trials.len();
         let (sightings, orders) = (&self.sightings, &self.orders);
         self.trials.retain(|run| match sightings.survived(*run) {
@@ -234,9 +254,6 @@
     /// Returns the end of a lease on the clock of the worker, if leases may be renewed and the
     /// clock is known.
     pub(crate) fn lease_end(&mut self, now: Duration) -> Option<Duration> {
-        if !self.knows_incarnation() {
-            return None;
-        }
         let (clock, at) = self.clock_sample?;
         let left = self.renewable_until.checked_sub(now)?;
         let left = left.min(self.settings.max_lease);
@@ -247,97 +264,6 @@
         Some(clock + now.saturating_sub(at) + left)
     }
 
-    /// Applies the reply to a poll that was sent at `requested_at`; returns whether there are
-    /// changes to report to the owner.
-    pub(crate) fn apply_poll(
-        &mut self,
-        reply: PollReply,
-        epoch: Epoch,
-        requested_at: Duration,
-        now: Duration,
-    ) -> bool {
-        if let Some(incarnation) = reply.incarnation {
-            if self.incarnation.is_some_and(|own| incarnation < own) {
-                return false;
-            }
-            let running = reply.runs.iter().map(|listed| listed.run);
-            let ended = reply.ends.iter().map(|end| end.run);
-            let found: Vec<TaskRun> = running.chain(ended).collect();
-            self.begin(incarnation, "poll", &found, now);
-        }
-        self.refused_connections = 0;
-        self.sightings.record_answer(now);
-        if requested_at >= self.poll_failed_at {
-            self.clock_sample = Some((reply.clock, now));
-        }
-        let described = self.apply_polled_announcement(requested_at, now);
-        if reply.fenced {
-            return described;
-        }
-        let has_changes = self.confirmed_epoch < epoch || reply.ends.len() != self.ends.len() || {
-            let last = |ends: &[EndReport]| ends.last().map(|end| end.sequence);
-            last(&reply.ends) != last(&self.ends)
-        };
-        self.confirmed_epoch = self.confirmed_epoch.max(epoch);
-        self.last_poll_at = self.last_poll_at.max(Some(requested_at));
-        let known = self.listed_runs();
-        let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
-        self.sightings.record_listed(&reply.runs, requested_at, now);
-        self.listed = reply.runs;
-        self.ends = reply.ends;
-        self.lists_complete = reply.complete;
-        let outcome_reached = self.reconcile_orders(requested_at, now);
-        let trial_ended = self.end_trials();
-        has_changes || outcome_reached || run_appeared || trial_ended || described
-    }
-
-    /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
-    fn reconcile_orders(&mut self, requested_at: Duration, now: Duration) -> bool {
-        let mut outcome_reached = false;
-        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
-        for (run, (order, changed_at)) in &mut self.orders {
-            let (listed, ended) = (listed_runs.contains(run), ended_runs.contains(run));
-            match order {
-                OrderState::Stopped(at) if *at <= requested_at && !listed && !ended => {
-                    *order = OrderState::Gone;
-                    *changed_at = now;
-                    outcome_reached = true;
-                }
-                OrderState::Started if *changed_at <= requested_at && !listed && !ended => {
-                    *order = OrderState::Gone;
-                    *changed_at = now;
-                    outcome_reached = true;
-                }
-                _ => {}
-            }
-        }
-        self.orders.retain(|run, (order, changed_at)| {
-            let final_order = matches!(
-                order,
-                OrderState::Refused(_) | OrderState::Gone | OrderState::Started
-            );
-            !final_order || listed_runs.contains(run) || now < *changed_at + OUTCOME_RETENTION
-        });
-        outcome_reached
-    }
-
-    pub(crate) fn record_refused_connection(&mut self) {
-        self.refused_connections = self.refused_connections.saturating_add(1);
-        if self.refused_connections >= ABSENT_AFTER_REFUSALS {
-            self.record_crash(&[]);
-            // The owner places these tasks elsewhere once it learns that the worker is absent.
-            self.deferred_starts.clear();
-        }
-    }
-
-    /// Returns whether nothing can be running on the worker any more.
-    fn is_absent(&self, now: Duration) -> bool {
-        let lapsed = self.leases_expire_at > Duration::ZERO
-            && now > self.leases_expire_at
-            && self.listed.is_empty();
-        self.refused_connections >= ABSENT_AFTER_REFUSALS || (self.leaving && lapsed)
-    }
-
     /// Marks a start as being sent. Cancelling the returned token stops further attempts.
     pub(crate) fn begin_start(&mut self, run: TaskRun, now: Duration) -> CancellationToken {
         self.orders.insert(run, (OrderState::Starting, now));
@@ -366,7 +292,6 @@
         }
         if reply.is_some() {
             self.sightings.record_answer(now);
-            self.refused_connections = 0;
         }
         if reply == Some(StartReply::Yes) {
             self.sightings.record_start(run, now);
@@ -397,82 +322,6 @@
     pub(super) fn ended_runs(&self) -> IndexSet<TaskRun> {
         self.ends.iter().map(|end| end.run).collect()
     }
-
-    /// Builds the report for the owner.
-    pub(crate) fn report(&self, now: Duration) -> WorkerReport {
-        WorkerReport {
-            agent: self.settings.agent.clone(),
-            name: self.name.clone(),
-            service: self.service.clone(),
-            incarnation: self.incarnation,
-            capacity: self.capacity,
-            labels: self.labels.clone(),
-            draining: match self.leaves_at {
-                Some(at) => Some(at.saturating_sub(now)),
-                None => self.leaving.then_some(Duration::ZERO),
-            },
-            absent: self.is_absent(now),
-            confirmed_epoch: self.confirmed_epoch,
-            owner_epoch: self.epoch,
-            complete: self.is_complete(),
-            lists_complete: self.lists_complete,
-            runs: self.run_reports(now),
-            ends: self.ends.clone(),
-            crashes: self.crashes.iter().cloned().collect(),
-            sent_at: now,
-        }
-    }
-
-    fn survived(&self, run: TaskRun) -> Duration {
-        self.sightings.survived(run).unwrap_or_default()
-    }
-
-    /// Returns whether a poll was sent after every order of an earlier process of this agent had
-    /// arrived or expired. The worker refuses orders that arrive after the end of their lease.
-    fn is_complete(&self) -> bool {
-        let orders_settled_at = self.started_at + lapse_after(self.settings.max_lease);
-        self.last_poll_at.is_some_and(|at| at >= orders_settled_at)
-    }
-
-    fn run_reports(&self, now: Duration) -> Vec<RunReport> {
-        let absent = self.is_absent(now);
-        let mut reports: Vec<RunReport> = self
-            .listed
-            .iter()
-            .map(|listed| RunReport {
-                run: listed.run,
-                status: RunStatus::Running {
-                    percent: listed.percent,
-                    checkpoint: listed.checkpoint.clone(),
-                    survived: self.survived(listed.run),
-                },
-            })
-            .collect();
-        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
-        for (run, (order, _)) in &self.orders {
-            let (listed, ended) = (listed_runs.contains(run), ended_runs.contains(run));
-            // An absent worker does not carry out starts that it left unanswered.
-            let dropped = absent && *order == OrderState::Unanswered;
-            if listed || ended || dropped {
-                continue;
-            }
-            let status = match order {
-                OrderState::Starting
-                | OrderState::Unanswered
-                | OrderState::Stopping
-                | OrderState::Stopped(_) => RunStatus::Starting,
-                OrderState::Started => RunStatus::Running {
-                    percent: 0,
-                    checkpoint: Box::default(),
-                    survived: self.survived(*run),
-                },
-                OrderState::Refused(refusal) => RunStatus::Refused(*refusal),
-                OrderState::Gone => RunStatus::StoppedBeforeStart,
-            };
-            reports.push(RunReport { run: *run, status });
-        }
-        reports
-    }
 }
 
 /// Formats the runs of a crash for the log: how long each is known to have lived.
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -2,14 +2,66 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use cell::agent::AgentHandle;
 use model::RunStatus;
 use tokio_util::sync::CancellationToken;
+use wire::Leader;
 
 use crate::owner::Owner;
 use crate::restarts::{Fixture, TestResult, status_of_run};
-use crate::worker::RestartingWorker;
-use crate::{SEVERAL_ATTEMPTS, announcement};
+use crate::worker::{Life, RestartingWorker};
+use crate::{EPOCH, POLL_INTERVAL, SEVERAL_ATTEMPTS, announcement, run};
+
+/// How long another sender announces without pause.
+const FLOOD: Duration = Duration::from_secs(3);
+
+/// Starts an agent beside a worker, without an announcement.
+fn start_unannounced(
+    owner: &Owner,
+    worker: &Arc<RestartingWorker>,
+    max_lease: Duration,
+    shutdown: &CancellationToken,
+) -> (AgentHandle, tokio::task::JoinHandle<()>) {
+    let settings = cell::AgentSettings {
+        agent: "agent".into(),
+        service: "optics".into(),
+        seeds: vec![owner.addr],
+        max_lease,
+    };
+    let client = Arc::clone(worker);
+    let directory = Arc::new(crate::owner::NoDirectory);
+    cell::agent::start(settings, client, directory, crate::SECRET, shutdown.clone())
+}
+
+impl Fixture {
+    /// Starts a run, and waits until it is reported as running.
+    async fn start_run(&self) {
+        self.order_start();
+        self.reported(|report| matches!(status_of_run(report), Some(RunStatus::Running { .. })))
+            .await;
+    }
+
+    /// Checks that no report has said that the run or its process is gone.
+    fn check_run_kept(&self) {
+        self.owner.update(|state| {
+            // Reports may overtake each other.
+            state.reports.sort_by_key(|report| report.sent_at);
+            let reports = state.reports.iter();
+            for report in reports.skip_while(|report| status_of_run(report).is_none()) {
+                assert_eq!(report.incarnation, Some(1), "{report:?}");
+                assert!(!report.absent && report.crashes.is_empty(), "{report:?}");
+                let status = status_of_run(report);
+                let is_open = matches!(
+                    status,
+                    Some(RunStatus::Running { .. } | RunStatus::Starting)
+                );
+                assert!(is_open, "{report:?}");
+            }
+        });
+    }
+}
 
 /// Guards against a task that runs twice. While its worker answered no poll, an agent took the announcement of another sender
 /// for one of the next process of the worker, so that the owner started the tasks of the worker elsewhere.
@@ -28,8 +80,12 @@
     failing_polls.store(0, Ordering::Relaxed);
     tokio::time::sleep(SEVERAL_ATTEMPTS).await;
     fixture.owner.update(|state| {
-        for report in &state.reports {
+        // The first report is sent before the worker has answered a poll, and reports may overtake each other.
+        state.reports.sort_by_key(|report| report.sent_at);
+        let reports = state.reports.iter();
+        for report in reports.skip_while(|report| report.incarnation.is_none()) {
             assert_eq!(report.incarnation, Some(1), "{report:?}");
+            assert!(!report.absent, "{report:?}");
             assert!(report.crashes.is_empty(), "{report:?}");
         }
         let last = state.reports.last().and_then(status_of_run);
@@ -47,16 +103,8 @@
     worker.restart();
     worker.failing_polls.store(5, Ordering::Relaxed);
     let shutdown = CancellationToken::new();
-    let client = Arc::clone(&worker);
-    let settings = cell::AgentSettings {
-        agent: "agent".into(),
-        service: "optics".into(),
-        seeds: vec![owner.addr],
-        max_lease: std::time::Duration::from_secs(6),
-    };
-    let directory = Arc::new(crate::owner::NoDirectory);
-    let (handle, ended) =
-        cell::agent::start(settings, client, directory, crate::SECRET, shutdown.clone());
+    let max_lease = Duration::from_secs(6);
+    let (handle, ended) = start_unannounced(&owner, &worker, max_lease, &shutdown);
     handle
         .notify(announcement(u64::MAX))
         .await
@@ -68,3 +116,111 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against a worker that is out of use for good, because its next process, whose clock of day was back, had a lower
+/// incarnation.
+#[tokio::test(flavor = "multi_thread")]
+async fn begin_adopts_lower_incarnation() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    *fixture.worker.life() = Life::default();
+    fixture.announce(0).await;
+    let report = fixture
+        .reported(|report| report.incarnation == Some(0) && report.capacity.accelerators == 8)
+        .await;
+    assert!(!is_running(&report), "{report:?}");
+    fixture.stop().await
+}
+
+/// Guards against a next process whose capacity stays unknown because its announcement came before the poll that named it.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_before_poll_describes_next_process() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.worker.restart();
+    fixture.announce(u64::MAX).await;
+    fixture.announce(2).await;
+    fixture
+        .reported(|report| report.incarnation == Some(2) && report.capacity.accelerators == 8)
+        .await;
+    fixture.stop().await
+}
+
+/// Guards against a task that runs twice: the announcement of another sender beside failed polls and a change of the owner
+/// made the agent report the process of the worker as gone to the next owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_beside_new_owner_keeps_runs() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    let failing_polls = &fixture.worker.failing_polls;
+    failing_polls.store(usize::MAX, Ordering::Relaxed);
+    fixture.fail_present_poll().await;
+    fixture.announce(u64::MAX).await;
+    let next = Leader {
+        entry: "entry".into(),
+        addr: fixture.owner.addr,
+        epoch: EPOCH + 1,
+    };
+    fixture.owner.update(|state| state.leader = Some(next));
+    fixture
+        .reported(|report| report.owner_epoch == EPOCH + 1)
+        .await;
+    failing_polls.store(0, Ordering::Relaxed);
+    fixture
+        .reported(|report| report.confirmed_epoch == EPOCH + 1)
+        .await;
+    fixture.check_run_kept();
+    fixture.stop().await
+}
+
+fn is_running(report: &model::WorkerReport) -> bool {
+    matches!(status_of_run(report), Some(RunStatus::Running { .. }))
+}
+
+/// Guards against a run that counts as ended because an older list, which does not have it yet, arrives after a newer one.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_overtaken_keeps_run() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.worker.delays_lists.store(true, Ordering::Relaxed);
+    let polls = fixture.worker.waiting_polls.load(Ordering::Relaxed);
+    fixture
+        .wait_for_worker(|worker| worker.waiting_polls.load(Ordering::Relaxed) > polls)
+        .await;
+    // The agent has no order for this run: an earlier process of the agent ordered it.
+    tokio::time::sleep(2 * POLL_INTERVAL).await;
+    fixture.worker.life().runs.push(run());
+    fixture.announce(u64::MAX).await;
+    fixture.reported(is_running).await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.check_run_kept();
+    fixture.stop().await
+}
+
+/// Guards against starts, renewals and acknowledgements that another sender holds up by announcing without pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcements_without_pause_keep_starts_and_leases() -> TestResult {
+    let fixture = Fixture::start().await?;
+    let polls = fixture.worker.polls.load(Ordering::Relaxed);
+    let renewals = fixture.worker.renewals.load(Ordering::Relaxed);
+    let began_at = tokio::time::Instant::now();
+    let mut incarnation = 1_000;
+    while began_at.elapsed() < FLOOD {
+        incarnation += 1;
+        fixture.announce(incarnation).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
+        if incarnation == 1_010 {
+            fixture.order_start();
+            fixture.owner.update(|state| state.acknowledged = 5);
+        }
+        if incarnation == 1_060 {
+            assert_eq!(fixture.worker.life().runs, [run()]);
+        }
+    }
+    assert_eq!(fixture.worker.life().acknowledged, 5);
+    let polls = fixture.worker.polls.load(Ordering::Relaxed) - polls;
+    let renewals = fixture.worker.renewals.load(Ordering::Relaxed) - renewals;
+    assert!(renewals >= 3, "{renewals} renewals");
+    // Ten looks a second, and those before regular polls.
+    assert!(polls <= 50, "{polls} polls");
+    fixture.check_run_kept();
+    fixture.stop().await
+}
--- a/components/cell/tests/agent/restarts.rs
+++ b/components/cell/tests/agent/restarts.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Fixture {
     pub(crate) owner: Owner,
     pub(crate) worker: Arc<RestartingWorker>,
-    handle: AgentHandle,
+    pub(crate) handle: AgentHandle,
     ended: JoinHandle<()>,
     shutdown: CancellationToken,
 }
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -150,6 +150,19 @@
     pub(crate) failing_polls: AtomicUsize,
     /// Whether failing polls are refused, as if nothing listened at the address.
     pub(crate) is_refusing: AtomicBool,
+    /// Number of the next immediate polls that are refused.
+    pub(crate) refused_immediate_polls: AtomicUsize,
+    /// Whether the lists may lack rows.
+    pub(crate) is_incomplete: AtomicBool,
+    /// Whether the reply to a poll that waits holds the list from its beginning.
+    pub(crate) delays_lists: AtomicBool,
+    /// Number of polls, and of those that allowed the worker to wait.
+    pub(crate) polls: AtomicUsize,
+    pub(crate) waiting_polls: AtomicUsize,
+    /// Number of polls that renewed the leases.
+    pub(crate) renewals: AtomicUsize,
+    /// Clock in milliseconds; it stands unless the lists are delayed.
+    clock: AtomicU64,
 }
 
 impl RestartingWorker {
@@ -166,8 +179,20 @@
         };
     }
 
+    fn count_poll(&self, request: &PollRequest) {
+        self.polls.fetch_add(1, Ordering::Relaxed);
+        if request.wait.is_some() {
+            self.waiting_polls.fetch_add(1, Ordering::Relaxed);
+        }
+        if request.until.is_some() {
+            self.renewals.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     fn list(&self) -> PollReply {
         let life = self.life();
+        let passed = u64::from(self.delays_lists.load(Ordering::Relaxed));
+        let clock = 1_000 + self.clock.fetch_add(passed, Ordering::Relaxed);
         let listed = life.runs.iter().map(|run| ListedRun {
             run: *run,
             checkpoint: Box::default(),
@@ -175,9 +200,9 @@
         });
         PollReply {
             incarnation: Some(life.incarnation),
-            clock: Duration::from_secs(1),
+            clock: Duration::from_millis(clock),
             fenced: false,
-            complete: true,
+            complete: !self.is_incomplete.load(Ordering::Relaxed),
             runs: listed.collect(),
             ends: life.ends.clone(),
         }
@@ -206,12 +231,20 @@
     }
 
     async fn poll(&self, request: &PollRequest, timeout: Duration) -> Result<PollReply> {
+        let refused = || Error::not_run(ErrorKind::NotFound, "connection refused").report();
+        self.count_poll(request);
+        let refused_polls = self.refused_immediate_polls.load(Ordering::Relaxed);
+        if request.wait.is_none() && refused_polls > 0 {
+            self.refused_immediate_polls
+                .store(refused_polls - 1, Ordering::Relaxed);
+            return Err(refused());
+        }
         let lost = || Error::may_have_run(ErrorKind::Unavailable, "the connection broke").report();
         let failing = self.failing_polls.load(Ordering::Relaxed);
         if failing > 0 {
             self.failing_polls.store(failing - 1, Ordering::Relaxed);
             if self.is_refusing.load(Ordering::Relaxed) {
-                return Err(Error::not_run(ErrorKind::NotFound, "connection refused").report());
+                return Err(refused());
             }
             return Err(lost());
         }
@@ -221,6 +254,7 @@
             life.ends.retain(|end| end.sequence > request.acknowledged);
             life.incarnation
         };
+        let first_list = self.list();
         let began_at = tokio::time::Instant::now();
         while began_at.elapsed() < request.wait.unwrap_or_default() && self.life().ends.is_empty() {
             tokio::time::sleep(POLL_INTERVAL).await;
@@ -231,6 +265,9 @@
                 return Err(lost());
             }
         }
+        if self.delays_lists.load(Ordering::Relaxed) {
+            return Ok(first_list);
+        }
         Ok(self.list())
     }
 }
