Ignore announcements of a service other than the configured one

Cause: an announcement with the incarnation of the worker and an unknown service replaced the service of the worker, which was not used any more.

Change: the agent ignores announcements of another service than the one in its settings, unless that is empty, and logs each such service once (16 at most).

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -10,11 +10,18 @@
 use crate::agent::sightings::Sightings;
 use crate::agent::state::{DeferredStart, OUTCOME_RETENTION, OrderState, State};
 
+/// Maximum number of other services that are logged.
+const MAX_LOGGED_SERVICES: usize = 16;
+
 impl State {
     /// Applies an announcement; returns whether the owner has to learn of a change.
     ///
-    /// It describes the worker only if a poll has named its incarnation; otherwise it asks for a poll.
+    /// It describes the worker only if a poll has named its incarnation; otherwise it asks for a poll. One that names another
+    /// service names no worker to use.
     pub(crate) fn apply_announcement(&mut self, announcement: Announcement, now: Duration) -> bool {
+        if !self.is_own_service(&announcement) {
+            return false;
+        }
         if self.incarnation != Some(announcement.incarnation) {
             self.candidates.insert(announcement, now);
             return false;
@@ -22,6 +29,24 @@
         announcement.sequence > self.sequence && self.describe(announcement, now)
     }
 
+    /// Returns whether an announcement names the configured service; logs each other service once.
+    fn is_own_service(&mut self, announcement: &Announcement) -> bool {
+        let (own, announced) = (&self.settings.service, &announcement.service);
+        if own.is_empty() || own == announced {
+            return true;
+        }
+        if self.unknown_services.len() < MAX_LOGGED_SERVICES
+            && self.unknown_services.insert(announced.clone())
+        {
+            log::warn!(
+                target: "limpethook",
+                worker:% = announcement.name, service:% = announced, configured:% = own;
+                "announcement_of_other_service"
+            );
+        }
+        false
+    }
+
     /// Asks for a poll.
     pub(crate) fn request_look(&mut self, now: Duration) {
         self.look_requested_at = self.look_requested_at.max(Some(now));
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -103,6 +103,8 @@
     pub(super) candidates: Candidates,
     /// Since when a poll is needed, beside those that candidates ask for.
     pub(super) look_requested_at: Option<Duration>,
+    /// Services that were announced in place of the configured one, and were logged.
+    pub(super) unknown_services: IndexSet<ServiceId>,
     /// When a poll last failed.
     pub(super) poll_failed_at: Duration,
     pub(super) listed: Vec<ListedRun>,
@@ -151,6 +153,7 @@
             deferred_starts: IndexMap::new(),
             candidates: Candidates::default(),
             look_requested_at: None,
+            unknown_services: IndexSet::new(),
             poll_failed_at: Duration::ZERO,
             listed: Vec::new(),
             ends: Vec::new(),
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cell::agent::AgentHandle;
+use cell::agent::{AgentHandle, Announcement, WorkerNotice};
 use model::RunStatus;
 use tokio_util::sync::CancellationToken;
 use wire::Leader;
@@ -43,6 +43,10 @@
             .await;
     }
 
+    async fn notify(&self, notice: WorkerNotice) {
+        self.handle.notify(notice).await.expect("agent is running");
+    }
+
     /// Checks that no report has said that the run or its process is gone.
     fn check_run_kept(&self) {
         self.owner.update(|state| {
@@ -63,6 +67,16 @@
     }
 }
 
+/// Returns an announcement of the worker's own process with changes.
+fn changed_announcement(change: impl FnOnce(&mut Announcement)) -> WorkerNotice {
+    let WorkerNotice::Announced(mut changed) = announcement(1) else {
+        unreachable!("it is an announcement")
+    };
+    changed.sequence = 100;
+    change(&mut changed);
+    WorkerNotice::Announced(changed)
+}
+
 /// Guards against a task that runs twice. While its worker answered no poll, an agent took the announcement of another sender
 /// for one of the next process of the worker, so that the owner started the tasks of the worker elsewhere.
 #[tokio::test(flavor = "multi_thread")]
@@ -172,6 +186,24 @@
     fixture.stop().await
 }
 
+/// Guards against a worker that another sender puts into a service that is not its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_of_other_service_keeps_worker() -> TestResult {
+    let fixture = Fixture::start().await?;
+    let other = changed_announcement(|changed| {
+        changed.service = "unknown".into();
+        changed.capacity.accelerators = 1;
+    });
+    fixture.notify(other).await;
+    fixture.start_run().await;
+    let report = fixture.reported(|_| true).await;
+    assert_eq!(
+        (&*report.service, report.capacity.accelerators),
+        ("optics", 8)
+    );
+    fixture.stop().await
+}
+
 fn is_running(report: &model::WorkerReport) -> bool {
     matches!(status_of_run(report), Some(RunStatus::Running { .. }))
 }
