Take a departure only from a worker that is known to drain

Cause: any departure with the name of the worker put it out of use for the rest of its process, also one of an earlier process with the same name or of another sender.

Change: a departure counts if the present process has announced that it drains; any other asks for a poll.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -123,7 +123,8 @@
             }
             WorkerNotice::Leaving(name) => {
                 log::info!(target: "limpethook", worker:% = name; "worker_leaving");
-                self.state.mark_leaving(&name);
+                self.state.mark_leaving(&name, boot_now());
+                self.look_if_needed();
                 self.report_due = true;
             }
         }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -176,10 +176,13 @@
         self.leaves_at.is_some() || self.leaving
     }
 
-    /// Marks the worker as leaving if the name matches.
-    pub(crate) fn mark_leaving(&mut self, name: &str) {
-        if *self.name == *name {
+    /// Marks the worker as leaving if it has announced under this name that it drains. Any other departure only asks for a
+    /// poll: it may be of an earlier process with the same name, or have another sender.
+    pub(crate) fn mark_leaving(&mut self, name: &str, now: Duration) {
+        if *self.name == *name && self.leaves_at.is_some() {
             self.leaving = true;
+        } else {
+            self.request_look(now);
         }
     }
 
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -186,6 +186,35 @@
     fixture.stop().await
 }
 
+/// Guards against a worker that counts as leaving, and gets no starts, after a departure of an earlier process with its name
+/// or of another sender.
+#[tokio::test(flavor = "multi_thread")]
+async fn departure_without_draining_keeps_worker() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.notify(WorkerNotice::Leaving("worker".into())).await;
+    fixture.start_run().await;
+    fixture.owner.update(|state| {
+        for report in &state.reports {
+            assert_eq!(report.draining, None, "{report:?}");
+        }
+    });
+    fixture.stop().await
+}
+
+/// Guards against a worker that has announced that it drains, and that is not known to leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn departure_after_draining_ends_use() -> TestResult {
+    let fixture = Fixture::start().await?;
+    let draining = changed_announcement(|changed| changed.draining = Some(FLOOD));
+    fixture.notify(draining).await;
+    fixture.reported(|report| report.draining.is_some()).await;
+    fixture.notify(WorkerNotice::Leaving("worker".into())).await;
+    fixture.notify(announcement(1)).await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.reported(|report| report.draining.is_some()).await;
+    fixture.stop().await
+}
+
 /// Guards against a worker that another sender puts into a service that is not its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn announcement_of_other_service_keeps_worker() -> TestResult {
