Count only refused regular polls as the end of the worker process

Cause: two refused polls in a row ended the process in the mind of the agent, also extra ones beside a regular poll that was still open at the process, and also with other failures in between.

Change: only regular polls count, each of which is sent after the one before has ended; another failure in between resets the count while the worker is not known to be absent.

--- a/components/cell/src/agent/polls.rs
+++ b/components/cell/src/agent/polls.rs
@@ -176,15 +176,16 @@
     fn handle_failed_poll(&mut self, is_refused: bool, error: &dyn Display, kind: PollKind) {
         let now = boot_now();
         self.state.record_failed_poll(now);
-        if is_refused {
-            self.state.record_refused_connection(now);
-            self.report_due = true;
-        }
         match kind {
+            PollKind::Regular if is_refused => {
+                self.state.record_refused_connection(now);
+                self.report_due = true;
+            }
+            PollKind::Regular => self.state.record_unanswered_poll(),
             // A new owner waits for the confirmation, or starts wait for the incarnation of the worker, and the next regular
             // poll may take another second.
             PollKind::Extra => self.state.request_look(now),
-            PollKind::Regular | PollKind::Look => {}
+            PollKind::Look => {}
         }
         self.record_worker_result(false, error);
     }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -82,7 +82,7 @@
     pub(super) last_reply_at: Duration,
     /// Clock of the worker in that reply.
     pub(super) newest_clock: Duration,
-    /// Number of polls in a row that were refused.
+    /// Number of regular polls in a row that were refused.
     pub(super) refused_connections: u32,
     /// Since when nothing can be running on the worker, until it answers a later poll.
     pub(super) absent_since: Option<Duration>,
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -256,6 +256,26 @@
     fixture.stop().await
 }
 
+/// Guards against a process that counts as ended because extra polls were refused, while a regular one was open at it.
+#[tokio::test(flavor = "multi_thread")]
+async fn poll_refused_beside_open_one_keeps_runs() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    let polls = fixture.worker.waiting_polls.load(Ordering::Relaxed);
+    fixture
+        .wait_for_worker(|worker| worker.waiting_polls.load(Ordering::Relaxed) > polls)
+        .await;
+    let refused = &fixture.worker.refused_immediate_polls;
+    refused.store(3, Ordering::Relaxed);
+    fixture.announce(u64::MAX).await;
+    fixture
+        .wait_for_worker(|worker| worker.refused_immediate_polls.load(Ordering::Relaxed) == 0)
+        .await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.check_run_kept();
+    fixture.stop().await
+}
+
 /// Guards against starts, renewals and acknowledgements that another sender holds up by announcing without pause.
 #[tokio::test(flavor = "multi_thread")]
 async fn announcements_without_pause_keep_starts_and_leases() -> TestResult {
