Take nothing for ended by an incomplete list

Cause: a list that was cut off at 500 ends, or from which unreadable rows were left out, was taken for the end of the runs that it lacks.

Change: an incomplete list ends no started or stopped run and starts no stop of stray runs; runs that were listed before and are neither listed nor ended in it stay listed. The report has said since whether the lists are complete; a change of that is reported.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -103,6 +103,7 @@
         self.clock_sample = None;
         self.last_poll_at = None;
         self.newest_clock = Duration::ZERO;
+        self.lists_complete = true;
         self.refused_connections = 0;
         self.start_retries
             .values()
@@ -157,7 +158,7 @@
 
     /// Takes the runs that the current incarnation has to reject, once a poll has shown that it does not run them.
     pub(crate) fn take_stray_starts(&mut self) -> Vec<TaskRun> {
-        if self.last_poll_at.is_none() {
+        if self.last_poll_at.is_none() || !self.lists_complete {
             return Vec::new();
         }
         let mut runs = std::mem::take(&mut self.stray_starts);
--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -5,7 +5,7 @@
 use model::{EndReport, Epoch, Incarnation, TaskRun};
 
 use crate::agent::state::{OUTCOME_RETENTION, OrderState, State};
-use crate::agent::worker_client::PollReply;
+use crate::agent::worker_client::{ListedRun, PollReply};
 
 /// What came of the reply to a poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -110,23 +110,43 @@
     ) -> bool {
         let last = |ends: &[EndReport]| ends.last().map(|end| end.sequence);
         let has_changes = self.confirmed_epoch < epoch
+            || reply.complete != self.lists_complete
             || reply.ends.len() != self.ends.len()
             || last(&reply.ends) != last(&self.ends);
         self.confirmed_epoch = self.confirmed_epoch.max(epoch);
         self.last_poll_at = self.last_poll_at.max(Some(requested_at));
         let known = self.listed_runs();
         let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
-        self.sightings.record_listed(&reply.runs, requested_at, now);
+        if reply.complete {
+            self.sightings.record_listed(&reply.runs, requested_at, now);
+        } else {
+            self.sightings.record_incomplete(&reply.runs, now);
+        }
+        let unlisted = self.runs_kept_beside(&reply);
         self.listed = reply.runs;
+        self.listed.extend(unlisted);
         self.ends = reply.ends;
         self.lists_complete = reply.complete;
-        let outcome_reached = self.reconcile_orders(requested_at, now);
+        let outcome_reached = self.lists_complete && self.reconcile_orders(requested_at, now);
         self.forget_outcomes(now);
         let trial_ended = self.end_trials();
         has_changes || outcome_reached || run_appeared || trial_ended
     }
 
-    /// Reconciles the orders with the polled runs; returns whether an order reached its outcome.
+    /// Returns the runs that were listed before and that an incomplete list may have left out.
+    fn runs_kept_beside(&self, reply: &PollReply) -> Vec<ListedRun> {
+        if reply.complete {
+            return Vec::new();
+        }
+        let is_named = |run: TaskRun| {
+            reply.runs.iter().any(|listed| listed.run == run)
+                || reply.ends.iter().any(|end| end.run == run)
+        };
+        let unlisted = self.listed.iter().filter(|listed| !is_named(listed.run));
+        unlisted.cloned().collect()
+    }
+
+    /// Reconciles the orders with complete lists; returns whether an order reached its outcome.
     fn reconcile_orders(&mut self, requested_at: Duration, now: Duration) -> bool {
         let mut outcome_reached = false;
         let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
@@ -146,14 +166,16 @@
         outcome_reached
     }
 
-    /// Forgets the outcomes of orders after a while.
+    /// Forgets the outcomes of orders after a while. A started run that no list names stays until a complete list has shown
+    /// that it is gone.
     fn forget_outcomes(&mut self, now: Duration) {
-        let listed_runs = self.listed_runs();
+        let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
         self.orders.retain(|run, (order, changed_at)| {
-            let is_final = matches!(
-                order,
-                OrderState::Refused(_) | OrderState::Gone | OrderState::Started
-            );
+            let is_final = match order {
+                OrderState::Refused(_) | OrderState::Gone => true,
+                OrderState::Started => ended_runs.contains(run),
+                _ => false,
+            };
             !is_final || listed_runs.contains(run) || now < *changed_at + OUTCOME_RETENTION
         });
     }
--- a/components/cell/src/agent/sightings.rs
+++ b/components/cell/src/agent/sightings.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Records the runs of an incomplete list, which does not show what has ended.
+    pub(crate) fn record_incomplete(&mut self, listed: &[ListedRun], now: Duration) {
+        for listed in listed {
+            self.record_start(listed.run, now);
+        }
+    }
+
     /// Returns how long a run is known to have lived, or `None` if it is not known to have started.
     pub(crate) fn survived(&self, run: TaskRun) -> Option<Duration> {
         let seen_at = self.first_seen.get(&run)?;
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -233,6 +233,26 @@
     fixture.stop().await
 }
 
+/// Guards against a task that runs twice: a list that was cut off, or from which unreadable rows were left out, was taken for
+/// the end of the runs that it lacked.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_incomplete_keeps_run() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    // The next list names the run.
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.worker.is_incomplete.store(true, Ordering::Relaxed);
+    fixture.worker.life().runs.clear();
+    fixture.reported(|report| !report.lists_complete).await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.check_run_kept();
+    fixture.worker.is_incomplete.store(false, Ordering::Relaxed);
+    fixture
+        .reported(|report| report.lists_complete && !is_running(report))
+        .await;
+    fixture.stop().await
+}
+
 fn is_running(report: &model::WorkerReport) -> bool {
     matches!(status_of_run(report), Some(RunStatus::Running { .. }))
 }
