Report a silent worker as absent once all its leases have lapsed

Cause: unless a worker was leaving, the runs of one that stays silent stayed open for good, although its leases had lapsed.

Past the end of each renewal that was sent, answered or not, and past the longest lease from the latest reply and from the start of the agent, the worker is reported as absent by a timer, until it answers a poll that was sent later. A lapse is no crash: it blames no run.

Measured: lapse_ends_runs_of_silent_worker and lapse_ends_runs_after_agent_restart fail on the commit before and pass here.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -47,6 +47,8 @@
     OwnerChanged,
     PollDue,
     LookDue,
+    /// The leases may have lapsed, unless the worker answers.
+    LapseDue,
     /// The probation of a run on trial is over if the worker still answers.
     TrialDue,
     ReportDue,
@@ -66,6 +68,8 @@
     /// Whether the worker answers polls.
     pub(super) worker_availability: Dependency,
     pub(super) looks: Looks,
+    /// Whether the end of the leases is being awaited.
+    pub(super) lapse_awaited: bool,
     pub(super) report_due: bool,
 }
 
@@ -86,6 +90,7 @@
             owner_changes: 0,
             worker_availability: Dependency::new(false),
             looks: Looks::default(),
+            lapse_awaited: false,
             report_due: false,
         }
     }
@@ -93,6 +98,7 @@
     /// Runs until the task is cancelled or all handles are dropped.
     pub(crate) async fn run(mut self, notices: &mut mpsc::Receiver<WorkerNotice>) {
         self.poll_regularly();
+        self.await_lapse(boot_now());
         self.report();
         let (link, tx) = (Arc::clone(&self.link), self.tx.clone());
         supervise::spawn("owner_changes", move || {
@@ -156,6 +162,7 @@
             }
             Event::PollDue => self.poll_regularly(),
             Event::LookDue => self.handle_look_due(),
+            Event::LapseDue => self.handle_lapse_due(),
             Event::TrialDue => self.poll_extra(),
             Event::ReportDue => {
                 if self.reports_in_flight == 0 {
--- a/components/cell/src/agent/polls.rs
+++ b/components/cell/src/agent/polls.rs
@@ -187,6 +187,7 @@
             PollKind::Extra => self.state.request_look(now),
             PollKind::Look => {}
         }
+        self.await_lapse(now);
         self.record_worker_result(false, error);
     }
 
@@ -213,6 +214,23 @@
         }
     }
 
+    /// Schedules the report of the time at which all leases have lapsed while the worker does not answer.
+    pub(super) fn await_lapse(&mut self, now: Duration) {
+        if self.lapse_awaited || !self.state.awaits_lapse() {
+            return;
+        }
+        self.lapse_awaited = true;
+        let left = self.state.lapse_at().saturating_sub(now);
+        self.send_after(left + Duration::from_millis(1), Event::LapseDue);
+    }
+
+    pub(super) fn handle_lapse_due(&mut self) {
+        let now = boot_now();
+        self.lapse_awaited = false;
+        self.report_due |= self.state.record_lapse(now);
+        self.await_lapse(now);
+    }
+
     /// Records whether the worker answered a poll and logs changes.
     fn record_worker_result(&self, answered: bool, detail: &dyn Display) {
         let Some(change) = self.worker_availability.record(answered) else {
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -187,9 +187,13 @@
     }
 
     /// Records that the current incarnation of the worker has crashed, with everything that ran on it, which does not
-    /// include the runs `found` on the next incarnation. A worker that was draining has ended as planned.
+    /// include the runs `found` on the next incarnation. A worker that was draining has ended as planned, and the runs of one
+    /// that is absent have lapsed.
     pub(super) fn record_crash(&mut self, found: &[TaskRun]) {
-        let Some(incarnation) = self.incarnation.filter(|_| !self.crashed) else {
+        let Some(incarnation) = self
+            .incarnation
+            .filter(|_| !self.crashed && self.absent_since.is_none())
+        else {
             return;
         };
         self.crashed = true;
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -16,6 +16,8 @@
 
 /// How long another sender announces without pause.
 const FLOOD: Duration = Duration::from_secs(3);
+/// Longest lease in the tests of lapses.
+const SHORT_LEASE: Duration = Duration::from_secs(2);
 
 /// Starts an agent beside a worker, without an announcement.
 fn start_unannounced(
@@ -296,6 +298,67 @@
     fixture.stop().await
 }
 
+/// Guards against runs of a worker that never answers again, which stayed open for good after the end of their leases; and
+/// against a lapse that counts as a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn lapse_ends_runs_of_silent_worker() -> TestResult {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(RestartingWorker::default());
+    worker.restart();
+    let shutdown = CancellationToken::new();
+    let (handle, ended) = start_unannounced(&owner, &worker, SHORT_LEASE, &shutdown);
+    handle
+        .notify(announcement(1))
+        .await
+        .expect("agent is running");
+    owner.reported(|report| report.confirmed_epoch > 0).await;
+    owner.update(|state| state.starts.push_back(crate::start_order(false)));
+    owner.reported(is_running).await;
+    worker.failing_polls.store(usize::MAX, Ordering::Relaxed);
+    let failing_at = tokio::time::Instant::now();
+    let report = owner.reported(|report| report.absent).await;
+    // Covers the renewal in the poll that was in progress.
+    assert!(
+        failing_at.elapsed() >= SHORT_LEASE,
+        "{:?}",
+        failing_at.elapsed()
+    );
+    assert_eq!(report.incarnation, Some(1));
+    worker.life().runs.clear();
+    worker.failing_polls.store(0, Ordering::Relaxed);
+    let report = owner
+        .reported(|report| !report.absent && !is_running(report))
+        .await;
+    assert!(report.crashes.is_empty(), "{report:?}");
+    worker.restart();
+    let report = owner.reported(|report| report.incarnation == Some(2)).await;
+    assert!(report.crashes.is_empty(), "{report:?}");
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
+
+/// Guards against runs from before a restart of the agent that stay open for good because their worker never answers again.
+#[tokio::test(flavor = "multi_thread")]
+async fn lapse_ends_runs_after_agent_restart() -> TestResult {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(RestartingWorker::default());
+    worker.failing_polls.store(usize::MAX, Ordering::Relaxed);
+    let shutdown = CancellationToken::new();
+    let started_at = tokio::time::Instant::now();
+    let (handle, ended) = start_unannounced(&owner, &worker, SHORT_LEASE, &shutdown);
+    handle
+        .notify(announcement(u64::MAX))
+        .await
+        .expect("agent is running");
+    let report = owner.reported(|report| report.absent).await;
+    assert_eq!(report.incarnation, None);
+    assert!(started_at.elapsed() >= SHORT_LEASE);
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
+
 /// Guards against starts, renewals and acknowledgements that another sender holds up by announcing without pause.
 #[tokio::test(flavor = "multi_thread")]
 async fn announcements_without_pause_keep_starts_and_leases() -> TestResult {
