--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -235,6 +235,24 @@
     fixture.stop().await
 }
 
+/// Guards against an announcement that does not state its process and describes a worker whose polls do.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_without_incarnation_keeps_worker() -> TestResult {
+    let fixture = Fixture::start().await?;
+    let unstated = changed_announcement(|changed| {
+        changed.incarnation = 0;
+        changed.capacity.accelerators = 1;
+    });
+    fixture.notify(unstated).await;
+    fixture.start_run().await;
+    let report = fixture.reported(|_| true).await;
+    assert_eq!(
+        (report.incarnation, report.capacity.accelerators),
+        (Some(1), 8)
+    );
+    fixture.stop().await
+}
+
 /// Guards against a task that runs twice: a list that was cut off, or from which unreadable rows were left out, was taken for
 /// the end of the runs that it lacked.
 #[tokio::test(flavor = "multi_thread")]
