--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -302,6 +302,7 @@
         }
         if reply.is_some() {
             self.sightings.record_answer(now);
+            self.refused_connections = 0;
         }
         if reply == Some(StartReply::Yes) {
             self.sightings.record_start(run, now);
