Order lists only after other lists, not after a fenced reply

Cause: ignored the reply to a poll that was sent before the latest reply had arrived, unless the clock of the worker had moved on, but took over that the worker has confirmed the epoch. After a restart of the agent, the latest reply was the fenced one to the first poll, which holds no list: the agent reported a confirmed epoch without runs and ends, and the owner started two tasks again that had ended as done.

Change: a list is older only than another list. An older one confirms nothing; the agent looks again while its epoch is unconfirmed.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -102,7 +102,7 @@
         self.acknowledged = 0;
         self.clock_sample = None;
         self.last_poll_at = None;
-        self.newest_clock = Duration::ZERO;
+        self.newest_list = None;
         self.lists_complete = true;
         self.refused_connections = 0;
         self.start_retries
--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -37,19 +37,11 @@
             self.request_look(now);
             return PollOutcome::default();
         }
-        if self.incarnation == Some(incarnation)
-            && requested_at < self.last_reply_at
-            && reply.clock <= self.newest_clock
-        {
-            // A list from later is known, and that one was made under this epoch, too.
-            let confirmed = !reply.fenced && self.confirmed_epoch < epoch;
-            if confirmed {
-                self.confirmed_epoch = epoch;
+        if self.is_overtaken(&reply, incarnation, requested_at) {
+            if self.confirmed_epoch < epoch {
+                self.request_look(now);
             }
-            return PollOutcome {
-                accepted: false,
-                has_changes: confirmed,
-            };
+            return PollOutcome::default();
         }
         let has_changes = self.apply_latest_reply(reply, incarnation, epoch, requested_at, now);
         PollOutcome {
@@ -74,6 +66,19 @@
             || (is_other && requested_at < self.last_reply_at)
     }
 
+    /// Returns whether a list from later, by the clock of the worker, is known. A fenced reply holds no list.
+    fn is_overtaken(
+        &self,
+        reply: &PollReply,
+        incarnation: Incarnation,
+        requested_at: Duration,
+    ) -> bool {
+        self.incarnation == Some(incarnation)
+            && self.newest_list.is_some_and(|(clock, received_at)| {
+                requested_at < received_at && reply.clock <= clock
+            })
+    }
+
     fn apply_latest_reply(
         &mut self,
         reply: PollReply,
@@ -90,7 +95,6 @@
         self.refused_connections = 0;
         self.sightings.record_answer(now);
         self.last_reply_at = now;
-        self.newest_clock = reply.clock;
         if requested_at >= self.poll_failed_at {
             self.clock_sample = Some((reply.clock, now));
         }
@@ -115,6 +119,7 @@
             || last(&reply.ends) != last(&self.ends);
         self.confirmed_epoch = self.confirmed_epoch.max(epoch);
         self.last_poll_at = self.last_poll_at.max(Some(requested_at));
+        self.newest_list = Some((reply.clock, now));
         let known = self.listed_runs();
         let run_appeared = reply.runs.iter().any(|listed| !known.contains(&listed.run));
         if reply.complete {
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -80,8 +80,8 @@
     pub(super) leases_expire_at: Duration,
     /// When the latest accepted reply to a poll was received.
     pub(super) last_reply_at: Duration,
-    /// Clock of the worker in that reply.
-    pub(super) newest_clock: Duration,
+    /// Clock of the worker in the latest lists of this incarnation, and when they were received.
+    pub(super) newest_list: Option<(Duration, Duration)>,
     /// Number of regular polls in a row that were refused.
     pub(super) refused_connections: u32,
     /// Since when nothing can be running on the worker, until it answers a later poll.
@@ -142,7 +142,7 @@
             clock_sample: None,
             leases_expire_at: Duration::ZERO,
             last_reply_at: Duration::ZERO,
-            newest_clock: Duration::ZERO,
+            newest_list: None,
             refused_connections: 0,
             absent_since: None,
             acknowledged: 0,
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -296,6 +296,30 @@
     fixture.stop().await
 }
 
+/// Guards against a task that runs twice after a restart of its agent: the fenced reply to the first poll, which holds no list,
+/// made the agent ignore the lists in the next reply but confirm the epoch. Found by soak seed 1.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_after_fenced_reply_is_applied() -> TestResult {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(RestartingWorker::default());
+    worker.restart();
+    worker.life().runs.push(run());
+    worker.is_fencing.store(true, Ordering::Relaxed);
+    let shutdown = CancellationToken::new();
+    let max_lease = Duration::from_secs(6);
+    let (_handle, ended) = start_unannounced(&owner, &worker, max_lease, &shutdown);
+    owner.reported(|report| report.confirmed_epoch > 0).await;
+    owner.update(|state| {
+        let confirmed = |report: &&model::WorkerReport| report.confirmed_epoch > 0;
+        for report in state.reports.iter().filter(confirmed) {
+            assert!(is_running(report), "{report:?}");
+        }
+    });
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
+
 /// Guards against a process that counts as ended because extra polls were refused, while a regular one was open at it.
 #[tokio::test(flavor = "multi_thread")]
 async fn poll_refused_beside_open_one_keeps_runs() -> TestResult {
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -154,6 +154,8 @@
     pub(crate) refused_immediate_polls: AtomicUsize,
     /// Whether the lists may lack rows.
     pub(crate) is_incomplete: AtomicBool,
+    /// Whether polls without an epoch are fenced, before the others are answered.
+    pub(crate) is_fencing: AtomicBool,
     /// Whether the reply to a poll that waits holds the list from its beginning.
     pub(crate) delays_lists: AtomicBool,
     /// Number of polls, and of those that allowed the worker to wait.
@@ -233,6 +235,18 @@
     async fn poll(&self, request: &PollRequest, timeout: Duration) -> Result<PollReply> {
         let refused = || Error::not_run(ErrorKind::NotFound, "connection refused").report();
         self.count_poll(request);
+        if self.is_fencing.load(Ordering::Relaxed) && request.epoch == 0 {
+            tokio::time::sleep(5 * POLL_INTERVAL).await;
+            return Ok(PollReply {
+                fenced: true,
+                runs: Vec::new(),
+                ends: Vec::new(),
+                ..self.list()
+            });
+        }
+        if self.is_fencing.load(Ordering::Relaxed) {
+            tokio::time::sleep(15 * POLL_INTERVAL).await;
+        }
         let refused_polls = self.refused_immediate_polls.load(Ordering::Relaxed);
         if request.wait.is_none() && refused_polls > 0 {
             self.refused_immediate_polls
