Count and log the runs that the owner takes for ended without a report of their end

Cause: after a doubled run, neither the metrics nor the log of the owner told by which proof the first run had been given up. A refused start and one that was stopped before it began were removed without a line of their reason, and heard_ms of runs_lost was a time since the boot of the machine instead of the time since the last report.

Change: a RemovalReason goes with each removal. limpethook_runs_removed_total counts by it; runs_lost keeps its list and its reason; run_removed names the task, run number, agent, reason and ages of a single run. One line a run for single runs, one line a worker for lost ones. No decision is changed.

--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -240,6 +240,11 @@
             let crashes = &self.entry.metrics.worker_crashes;
             crashes.with_label_values(&[label]).inc();
         }
+        for (reason, count) in self.scheduler.take_removed_runs() {
+            let removed = &self.entry.metrics.runs_removed;
+            let removed = removed.with_label_values(&[reason.to_string()]);
+            removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+        }
         self.scheduler.compact_ended_jobs();
         if self.published_version != Some(self.scheduler.status_version()) {
             self.published_version = Some(self.scheduler.status_version());
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -24,6 +24,8 @@
     pub start_seconds: Histogram,
     /// Crashes of workers by the number of units to which they point.
     pub worker_crashes: IntCounterVec,
+    /// Runs that the owner took for ended without a report of their end, by what it took as proof.
+    pub runs_removed: IntCounterVec,
 }
 
 impl Metrics {
@@ -62,6 +64,11 @@
                 "Crashes of workers",
                 &["suspects"],
             )?,
+            runs_removed: counters(
+                "limpethook_runs_removed_total",
+                "Runs taken for ended without a report of their end",
+                &["reason"],
+            )?,
             submit_seconds: histogram(
                 "limpethook_job_submit_seconds",
                 "Time from a submission to its answer",
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -11,11 +11,14 @@
 use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
 use errors::{Error, ErrorKind, Result};
 use graph::{Progress, UnitProgress};
-use model::{AcceptedJob, JobEnd, JobGraph, JobState, QueuePolicy, ResourceVector, Step};
+use model::{
+    AcceptedJob, Instructions, JobEnd, JobGraph, JobState, QueuePolicy, Refusal, ResourceVector,
+    RunReport, RunStatus, Step, WorkerReport,
+};
 use store::{KvStore, Precondition};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use wire::{Call, CellView, Key, Reply, Server};
+use wire::{Call, CellView, Key, Peers, Reply, Server};
 
 const CONFIGURATION_KEY: &str = "operator/configuration";
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -156,6 +159,71 @@
     Ok(())
 }
 
+fn idle_worker() -> WorkerReport {
+    WorkerReport {
+        agent: "w1".into(),
+        name: "worker-w1".into(),
+        service: "optics".into(),
+        incarnation: Some(1),
+        capacity: ResourceVector {
+            accelerators: 1,
+            millicores: 1_000,
+            memory_mb: 1_000,
+        },
+        labels: vec!["a".into(), "r1".into()],
+        draining: None,
+        absent: false,
+        confirmed_epoch: 0,
+        owner_epoch: 0,
+        complete: false,
+        lists_complete: true,
+        runs: Vec::new(),
+        ends: Vec::new(),
+        crashes: Vec::new(),
+        sent_at: Duration::ZERO,
+    }
+}
+
+/// Sends a report to the owner and returns the instructions.
+async fn report(peers: &Peers, entry: &Entry, report: &WorkerReport) -> Result<Instructions> {
+    let mut report = report.clone();
+    report.sent_at = cell::clock::boot_now();
+    let call = Call::Report(Box::new(report));
+    match peers.call(entry.settings.addr, &call, TIMEOUT).await? {
+        Reply::Instructions(instructions) => Ok(*instructions),
+        other => panic!("unexpected reply: {other:?}"),
+    }
+}
+
+/// Guards against runs that the owner takes for ended without a trace in the metrics, by which on-call engineers find why a
+/// task was placed again.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_removed_runs() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    put(&store, CONFIGURATION_KEY, b"1").await?;
+    let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
+    wait_until(|| entry.board.states.load().epoch > 0).await;
+    entry.submit(7, job(), TIMEOUT).await?;
+    let peers = Peers::new(Key::from_secret(SECRET));
+    let mut worker = idle_worker();
+    worker.confirmed_epoch = entry.board.states.load().epoch;
+    let start = loop {
+        let instructions = report(&peers, &entry, &worker).await?;
+        if let Some(start) = instructions.starts.first() {
+            break start.run;
+        }
+    };
+    worker.runs.push(RunReport {
+        run: start,
+        status: RunStatus::Refused(Refusal::NoRoom),
+    });
+    report(&peers, &entry, &worker).await?;
+    let removed = || entry.metrics.runs_removed.with_label_values(&["refused"]);
+    wait_until(|| removed().get() == 1).await;
+    shutdown.cancel();
+    Ok(())
+}
+
 /// Starts another entry that cannot reach the store and has this version of the configuration, and counts the submissions
 /// that it is asked to store.
 async fn start_cut_off_entry(
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -9,6 +9,7 @@
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
+use crate::removals::{RemovalReason, log_kept_runs};
 use crate::scheduler::{Scheduler, lapse_after};
 use crate::worker::Worker;
 
@@ -32,7 +33,12 @@
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             // The agent has had no contact with a worker since it started, and nothing listens at the worker's address.
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
+            self.mark_worker_lost(
+                &report.agent,
+                now,
+                RemovalReason::WorkerAbsent,
+                may_still_start(report),
+            );
             self.mark_runs_known(&report.agent, now);
             return;
         }
@@ -55,7 +61,12 @@
             self.withdraw_starts_beyond_capacity(&report.agent);
         }
         if report.absent {
-            self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
+            self.mark_worker_lost(
+                &report.agent,
+                now,
+                RemovalReason::WorkerAbsent,
+                may_still_start(report),
+            );
             self.mark_runs_known(&report.agent, now);
             return;
         }
@@ -126,7 +137,12 @@
                 runs = report.runs.len(), ends = report.ends.len();
                 "worker_replaced"
             );
-            self.mark_worker_lost(&report.agent, now, "worker_replaced", has_moved(report));
+            self.mark_worker_lost(
+                &report.agent,
+                now,
+                RemovalReason::WorkerReplaced,
+                has_moved(report),
+            );
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             worker.start_incarnation(report.incarnation);
@@ -141,7 +157,7 @@
         &mut self,
         agent: &AgentId,
         now: Duration,
-        reason: &str,
+        reason: RemovalReason,
         remainder: impl Fn(&AnyPlacement) -> Remainder,
     ) {
         let Some(worker) = self.workers.get_mut(agent) else {
@@ -165,20 +181,9 @@
                 }
             }
         }
-        if !worker.placements.is_empty() {
-            log::info!(
-                target: "limpethook",
-                agent:% = agent, runs = worker.placements.len(), tasks:% = TaskList(&worker.placements), reason = reason;
-                "runs_kept"
-            );
-        }
-        if !lost.is_empty() {
-            log::warn!(
-                target: "limpethook",
-                agent:% = agent, runs = lost.len(), tasks:% = TaskList(&lost), heard_ms = worker.last_report_at.as_millis(), reason = reason;
-                "runs_lost"
-            );
-        }
+        let heard_at = worker.last_report_at;
+        log_kept_runs(agent, &worker.placements, reason);
+        self.record_lost_runs(agent, &lost, reason, heard_at, now);
         for placement in lost.into_values() {
             self.record_run_removal(&placement, now);
         }
@@ -207,7 +212,7 @@
                 agent:% = report.agent, task:% = task, listed = report.runs.len(), ends = report.ends.len();
                 "run_missing"
             );
-            self.remove_run(&report.agent, task, now);
+            self.remove_run(&report.agent, task, RemovalReason::MissingInList, now);
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             let orphans = worker.orphan_runs.len();
@@ -256,7 +261,9 @@
                 }
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
-            RunStatus::StoppedBeforeStart => self.remove_run(agent, task, now),
+            RunStatus::StoppedBeforeStart => {
+                self.remove_run(agent, task, RemovalReason::StoppedBeforeStart, now);
+            }
         }
     }
 
@@ -317,7 +324,7 @@
         if refusal == Refusal::Unhealthy {
             worker.quarantine(now);
         }
-        self.remove_run(agent, task, now);
+        self.remove_run(agent, task, RemovalReason::Refused, now);
         let unit = self
             .jobs
             .get_mut(&job)
@@ -329,10 +336,11 @@
 
     /// Removes a run that will get no end report: its start was refused, it was stopped before it started, or its
     /// worker no longer lists it.
-    fn remove_run(&mut self, agent: &AgentId, task: TaskId, now: Duration) {
+    fn remove_run(&mut self, agent: &AgentId, task: TaskId, reason: RemovalReason, now: Duration) {
         let worker = self.workers.get_mut(agent);
         let removed = worker.and_then(|worker| worker.placements.shift_remove(&task));
         if let Some(placement) = removed {
+            self.record_removed_run(agent, &placement, reason, now);
             self.record_run_removal(&placement, now);
         }
     }
@@ -371,7 +379,9 @@
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
-            self.mark_worker_lost(&agent, now, "lease_lapsed", |_| Remainder::Nothing);
+            self.mark_worker_lost(&agent, now, RemovalReason::LeaseLapsed, |_| {
+                Remainder::Nothing
+            });
         }
     }
 }
@@ -454,16 +464,3 @@
     worker.lost = report.absent;
     changed
 }
-
-/// Formats the tasks of runs for the log.
-struct TaskList<'a>(&'a IndexMap<TaskId, AnyPlacement>);
-
-impl std::fmt::Display for TaskList<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for (index, (task, placement)) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{task}/{}", placement.task_run().run)?;
-        }
-        Ok(())
-    }
-}
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::headroom::UrgentDemand;
 use crate::job::{Job, UnitId, UnitKey};
 use crate::progress::Progress;
+use crate::removals::RemovalReason;
 use crate::worker::Worker;
 
 /// Low bits of a run number that count the runs of one owner; the higher bits are the epoch, so that numbers increase
@@ -95,6 +96,8 @@
     pub(crate) start_delays: Vec<Duration>,
     /// Number of suspects of each recorded crash, collected for the metrics.
     pub(crate) crash_suspects: Vec<usize>,
+    /// Number of runs removed without a report of their end, collected for the metrics.
+    pub(crate) removed_runs: IndexMap<RemovalReason, usize>,
     /// Incremented when a job state or queue count that clients can query may have changed.
     pub(crate) status_version: u64,
     /// Jobs within the guarantees of their client accounts, as of the latest plan.
@@ -136,6 +139,7 @@
             relearned_queues: IndexSet::new(),
             start_delays: Vec::new(),
             crash_suspects: Vec::new(),
+            removed_runs: IndexMap::new(),
             status_version: 0,
             guaranteed: IndexSet::new(),
             pending_agents: roster,
