Spread the lists of lost and kept runs over several lines of the log

Cause: lines are cut at 4,096 bytes, and runs_lost and runs_kept listed all tasks of a worker in one: a search for the id of a task beyond about 90 found nothing, although the task was given up.

Change: at most 40 tasks a line, so that one with the longest ids that a scheduler assigns is not cut; `of` is the number over all lines.

Result: report_names_all_lost_runs (300 tasks on a worker) fails on the commit before and passes.

--- a/components/graph/src/removals.rs
+++ b/components/graph/src/removals.rs
@@ -9,6 +9,10 @@
 use crate::placement::AnyPlacement;
 use crate::scheduler::Scheduler;
 
+/// Maximum number of tasks in a line of the log. With the longest ids, a line keeps within the 4,096 bytes at which lines are
+/// cut; the rest of the tasks would be missing from the log.
+const MAX_TASKS_PER_LINE: usize = 40;
+
 /// What the owner took as proof that a run has ended, other than the report of its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RemovalReason {
@@ -69,7 +73,7 @@
         heard_at: Duration,
         now: Duration,
     ) {
-        log_runs(lost, |runs| {
+        for_each_line(lost, |runs| {
             log::warn!(
                 target: "limpethook",
                 agent:% = agent, runs = runs.len(), of = lost.len(), tasks:% = TaskList(runs), reason:% = reason,
@@ -98,7 +102,7 @@
     kept: &IndexMap<TaskId, AnyPlacement>,
     reason: RemovalReason,
 ) {
-    log_runs(kept, |runs| {
+    for_each_line(kept, |runs| {
         log::info!(
             target: "limpethook",
             agent:% = agent, runs = runs.len(), of = kept.len(), tasks:% = TaskList(runs), reason:% = reason;
@@ -107,11 +111,9 @@
     });
 }
 
-fn log_runs(placements: &IndexMap<TaskId, AnyPlacement>, log_line: impl Fn(&[TaskRun])) {
+fn for_each_line(placements: &IndexMap<TaskId, AnyPlacement>, log_line: impl Fn(&[TaskRun])) {
     let runs: Vec<TaskRun> = placements.values().map(AnyPlacement::task_run).collect();
-    if !runs.is_empty() {
-        log_line(&runs);
-    }
+    runs.chunks(MAX_TASKS_PER_LINE).for_each(log_line);
 }
 
 /// Formats the tasks of runs for the log.
--- a/components/graph/tests/removals.rs
+++ b/components/graph/tests/removals.rs
@@ -9,8 +9,10 @@
 use graph::RemovalReason;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
-use model::{JobId, Refusal, RunEnd, RunStatus, TaskId};
+use model::{JobId, Refusal, ResourceVector, RunEnd, RunStatus, TaskId};
 
+/// Length at which lines of the log are cut.
+const MAX_LINE_BYTES: usize = 4_096;
 /// Longer than the time after which a lease of 6 s counts as lapsed.
 const LAPSED_MS: u64 = 7_000;
 
@@ -179,3 +181,32 @@
     assert!(cell.scheduler.take_removed_runs().is_empty());
     assert!(lines_of("run_removed", task.job).is_empty());
 }
+
+/// Guards against tasks whose loss is not in the log because the line that lists them is cut.
+#[test]
+fn report_names_all_lost_runs() {
+    const TASKS: u32 = 300;
+    collected();
+    let mut large = worker("w1", "r1");
+    large.report.capacity = ResourceVector {
+        accelerators: 1_000,
+        millicores: 1_000_000,
+        memory_mb: 1_000_000,
+    };
+    let mut cell = TestCell::new(u64::from(u32::MAX), vec![large]);
+    cell.accept(0x18, job(1, vec![step(TASKS)]));
+    cell.plan_and_start();
+    cell.crash("w1");
+    let lines = lines_of("runs_lost", 0x18);
+    let count = |index: u32| {
+        let name = format!("{}/", task(0x18, 0, index));
+        let naming = lines.iter().filter(|line| line.contains(&name));
+        naming.count()
+    };
+    assert!(
+        (0..TASKS).all(|index| count(index) == 1),
+        "{} lines",
+        lines.len()
+    );
+    assert!(lines.iter().all(|line| line.len() < MAX_LINE_BYTES - 100));
+}
