--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -456,6 +456,14 @@
         || worker.labels != report.labels
         || worker.drain_deadline.is_some() != report.draining.is_some()
         || worker.lost != report.absent;
+    if changed && !worker.service.is_empty() {
+        log::info!(
+            target: "limpethook",
+            agent:% = report.agent, service:% = report.service, before:% = worker.service, capacity:? = report.capacity,
+            draining = report.draining.is_some(), absent = report.absent;
+            "worker_changed"
+        );
+    }
     worker.name = report.name.clone();
     worker.service = report.service.clone();
     worker.capacity = report.capacity;
