--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -37,7 +37,8 @@
     /// Returns the orders for an agent and records that they were sent.
     ///
     /// They are part of the reply to the report sent at `report_sent_at`, with which the agent may renew the lease of
-    /// its worker. They name a time of zero if it may not. `may_start` is false while the owner cannot renew its own lease, so that no task is started.
+    /// its worker. They name a time of zero if it may not. `may_start` is false while the owner cannot renew its own lease,
+    /// so that no task is started.
     pub fn instructions(
         &mut self,
         agent: &AgentId,
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -9,6 +9,7 @@
 
 use crate::job::{Phase, UnitKey};
 use crate::placement::AnyPlacement;
+use crate::removals::{RemovalReason, log_kept_runs};
 use crate::scheduler::{Scheduler, lapse_after};
 use crate::worker::Worker;
 
@@ -80,7 +81,12 @@
                 self.apply_run(report, run, now);
             }
         }
-        self.mark_worker_lost(&report.agent, now, "worker_absent", may_still_start(report));
+        self.mark_worker_lost(
+            &report.agent,
+            now,
+            RemovalReason::WorkerAbsent,
+            may_still_start(report),
+        );
         self.mark_runs_known(&report.agent, now);
     }
 
@@ -139,7 +145,12 @@
                 runs = report.runs.len(), ends = report.ends.len();
                 "worker_replaced"
             );
-            self.mark_worker_lost(&report.agent, now, "worker_replaced", has_moved(report));
+            self.mark_worker_lost(
+                &report.agent,
+                now,
+                RemovalReason::WorkerReplaced,
+                has_moved(report),
+            );
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             worker.start_incarnation(report.incarnation);
@@ -154,7 +165,7 @@
         &mut self,
         agent: &AgentId,
         now: Duration,
-        reason: &str,
+        reason: RemovalReason,
         remainder: impl Fn(&AnyPlacement) -> Remainder,
     ) {
         let Some(worker) = self.workers.get_mut(agent) else {
@@ -178,20 +189,9 @@
                 }
             }
         }
-        if !worker.placements.is_empty() {
-            log::info!(
-                target: "limpethook",
-                agent:% = agent, runs = worker.placements.len(), tasks:% = TaskList(&worker.placements), reason = reason;
-                "runs_kept"
-            );
-        }
-        if !lost.is_empty() {
-            log::warn!(
-                target: "limpethook",
-                agent:% = agent, runs = lost.len(), tasks:% = TaskList(&lost), heard_ms = worker.last_report_at.as_millis(), reason = reason;
-                "runs_lost"
-            );
-        }
+        let heard_at = worker.last_report_at;
+        log_kept_runs(agent, &worker.placements, reason);
+        self.record_lost_runs(agent, &lost, reason, heard_at, now);
         for placement in lost.into_values() {
             self.record_run_removal(&placement, now);
         }
@@ -228,7 +228,7 @@
                 agent:% = report.agent, task:% = task, listed = report.runs.len(), ends = report.ends.len();
                 "run_missing"
             );
-            self.remove_run(&report.agent, task, now);
+            self.remove_run(&report.agent, task, RemovalReason::MissingInList, now);
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
             let orphans = worker.orphan_runs.len();
@@ -278,7 +278,7 @@
             }
             RunStatus::Refused(refusal) => self.handle_refusal(agent, task, *refusal, now),
             RunStatus::StoppedBeforeStart if report.lists_complete => {
-                self.remove_run(agent, task, now);
+                self.remove_run(agent, task, RemovalReason::StoppedBeforeStart, now);
             }
             // The agent concludes that a run was stopped from a list without it, which proves nothing if it is incomplete.
             RunStatus::StoppedBeforeStart | RunStatus::Starting => {}
@@ -348,7 +348,7 @@
         if refusal == Refusal::Unhealthy {
             worker.quarantine(now);
         }
-        self.remove_run(agent, task, now);
+        self.remove_run(agent, task, RemovalReason::Refused, now);
         let unit = self
             .jobs
             .get_mut(&job)
@@ -360,10 +360,11 @@
 
     /// Removes a run that will get no end report: its start was refused, it was stopped before it started, or its
     /// worker no longer lists it.
-    fn remove_run(&mut self, agent: &AgentId, task: TaskId, now: Duration) {
+    fn remove_run(&mut self, agent: &AgentId, task: TaskId, reason: RemovalReason, now: Duration) {
         let worker = self.workers.get_mut(agent);
         let removed = worker.and_then(|worker| worker.placements.shift_remove(&task));
         if let Some(placement) = removed {
+            self.record_removed_run(agent, &placement, reason, now);
             self.record_run_removal(&placement, now);
         }
     }
@@ -404,7 +405,9 @@
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
-            self.mark_worker_lost(&agent, now, "lease_lapsed", |_| Remainder::Nothing);
+            self.mark_worker_lost(&agent, now, RemovalReason::LeaseLapsed, |_| {
+                Remainder::Nothing
+            });
         }
     }
 }
@@ -486,6 +489,14 @@
         || worker.labels != report.labels
         || worker.drain_deadline.is_some() != report.draining.is_some()
         || worker.lost != report.absent;
+    if changed && !worker.service.is_empty() {
+        log::info!(
+            target: "limpethook",
+            agent:% = report.agent, service:% = report.service, before:% = worker.service, capacity:? = report.capacity,
+            draining = report.draining.is_some(), absent = report.absent;
+            "worker_changed"
+        );
+    }
     worker.name = report.name.clone();
     worker.service = report.service.clone();
     worker.capacity = report.capacity;
@@ -494,16 +505,3 @@
     worker.lost = report.absent;
     changed
 }
-
-/// Formats the tasks of runs for the log.
-struct TaskList<'a>(&'a IndexMap<TaskId, AnyPlacement>);
-
-impl std::fmt::Display for TaskList<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for (index, (task, placement)) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{task}/{}", placement.task_run().run)?;
-        }
-        Ok(())
-    }
-}
