Accept datagrams of a process that restarted while its clock was back

A caller sees an agent or an entry whose endpoints come and go, and requests that are reported as "may have run" or run again elsewhere although their agent is healthy.

A process that restarts while its clock is back was dropped as repeated by all peers that had heard the previous one, until its clock had caught up. The owner removed it 3 s after each announcement and took the gangs that it led for lost; its pulses did not reach the other members.

Change: sequence numbers are compared within one process only. The last eight processes of a sender are kept, so that their datagrams still count once. Packets that concern one process name its incarnation or the epoch, which their receivers check.

Test: recv_accepts_process_with_earlier_incarnation failed before.

--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -14,6 +14,9 @@
 use crate::auth::{Key, TAG_LEN};
 use crate::messages::Packet;
 
+/// Number of latest incarnations of each sender whose datagrams are recognised as repeated.
+const MAX_INCARNATIONS: usize = 8;
+
 /// Maximum size of a datagram in bytes, below the usual path MTU so that datagrams are not fragmented.
 const MAX_DATAGRAM_BYTES: usize = 1400;
 
@@ -83,8 +86,11 @@
     sender: u64,
     incarnation: Incarnation,
     next_sequence: AtomicU64,
-    /// Latest accepted incarnation and sequence number by sender.
-    latest: Mutex<IndexMap<u64, (Incarnation, u64)>>,
+    /// Latest accepted sequence number of each process of a sender, in the order in which the processes were first heard.
+    ///
+    /// Incarnations are not compared: they come from a clock of day, and a process that starts while its clock is back would
+    /// not be heard until the clock has caught up. A packet that concerns one process names its incarnation.
+    latest: Mutex<IndexMap<u64, IndexMap<Incarnation, u64>>>,
     counts: DatagramCounters,
 }
 
@@ -174,19 +180,23 @@
             .then_some(envelope)
     }
 
-    /// Records the sequence number of a datagram; returns false if it is not newer than the latest one of the sender.
+    /// Records the sequence number of a datagram; returns false if it is not newer than the latest one of its process.
     fn record_sequence(&self, envelope: &Envelope) -> bool {
         let mut latest = self
             .latest
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        let last = latest.entry(envelope.sender).or_insert((0, 0));
-        let current = (envelope.incarnation, envelope.sequence);
-        let is_newer = current > *last;
-        if is_newer {
-            *last = current;
+        let processes = latest.entry(envelope.sender).or_default();
+        if let Some(last) = processes.get_mut(&envelope.incarnation) {
+            let is_newer = envelope.sequence > *last;
+            *last = envelope.sequence.max(*last);
+            return is_newer;
+        }
+        if processes.len() >= MAX_INCARNATIONS {
+            processes.shift_remove_index(0);
         }
-        is_newer
+        processes.insert(envelope.incarnation, envelope.sequence);
+        true
     }
 }
 
--- a/components/wire/tests/auth.rs
+++ b/components/wire/tests/auth.rs
@@ -60,6 +60,50 @@
     assert_eq!(receiver.counts().repeated(), 1);
 }
 
+/// Guards against an agent that is ignored for good after a restart while its clock is back: the owner removes it, and the
+/// runs that it leads count as gone.
+#[tokio::test]
+async fn recv_accepts_process_with_earlier_incarnation() {
+    let with_earlier_clock = DatagramSocket::bind(LOCAL, key("one"), "sender")
+        .await
+        .unwrap();
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    let first = DatagramSocket::bind(LOCAL, key("one"), "sender")
+        .await
+        .unwrap();
+    assert!(with_earlier_clock.incarnation() < first.incarnation());
+    let receiver = DatagramSocket::bind(LOCAL, key("one"), "receiver")
+        .await
+        .unwrap();
+    let of_first = capture_datagram(&first).await;
+    assert!(accepts(&receiver, &of_first).await);
+    let of_restarted = capture_datagram(&with_earlier_clock).await;
+    assert!(accepts(&receiver, &of_restarted).await);
+    assert!(!accepts(&receiver, &of_restarted).await);
+    assert!(!accepts(&receiver, &of_first).await);
+}
+
+/// Guards against unbounded memory of the incarnations of a process, and against a replay of one of the latest ones.
+#[tokio::test]
+async fn recv_drops_repeated_datagram_of_recent_incarnations() {
+    let receiver = DatagramSocket::bind(LOCAL, key("one"), "receiver")
+        .await
+        .unwrap();
+    let mut datagrams = Vec::new();
+    for _ in 0..6 {
+        let sender = DatagramSocket::bind(LOCAL, key("one"), "sender")
+            .await
+            .unwrap();
+        let bytes = capture_datagram(&sender).await;
+        assert!(accepts(&receiver, &bytes).await);
+        datagrams.push(bytes);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    for bytes in datagrams.iter().rev().take(4) {
+        assert!(!accepts(&receiver, bytes).await);
+    }
+}
+
 /// Guards against accepting a datagram from a process with another key.
 #[tokio::test]
 async fn recv_drops_foreign_datagram() {
