Return a redirect of an endpoint as its answer

A caller could be told "not run" for a request that the endpoint had received, and the entry could run a non-idempotent request a second time elsewhere.

Cause: the HTTP client of the agent followed redirects, as is its default. The answer of another server counted as that of the endpoint, and a refused connection to the target of the redirect counted as one to the endpoint, which proves "not run".

Change: redirects are not followed; their status is passed on.

Test: dispatch_returns_redirect_as_answer failed before with "the endpoint refused the connection (unavailable, not_run)".

--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -7,6 +7,7 @@
 use errors::{Error, ErrorKind, Result};
 use model::WorkerId;
 use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use reqwest::redirect::Policy;
 use wire::{Answer, Dispatch};
 
 /// Carries the request id; an endpoint that returns the header shows which request it answered.
@@ -89,6 +90,9 @@
 fn build_client(connections: usize) -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
         .no_proxy()
+        // A redirect is the answer of the endpoint. If it were followed, a refused connection to its target would count as one
+        // to the endpoint, which has received the request.
+        .redirect(Policy::none())
         .connect_timeout(CONNECT_TIMEOUT)
         .pool_max_idle_per_host(connections)
         .tcp_nodelay(true)
