Take only the answer of a worker for its word

A stop could count as confirmed, and the worker be reserved again, while its task still ran.

Cause: the HTTP client of workers followed redirects, as is its default. What another server answered counted as the answer of the worker, and a refused connection to that server proved "not run" for a start that the worker had received.

Change: redirects are not followed; they are failures after which the task may have run.

Tests: stop_task_rejects_redirect and start_task_may_have_run_after_redirect failed before.

--- a/components/workers/src/http.rs
+++ b/components/workers/src/http.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use errors::{Error, ErrorKind, Result, Verdict};
+use reqwest::redirect::Policy;
 use reqwest::{Client, Method, RequestBuilder, StatusCode, Url};
 use serde::de::DeserializeOwned;
 
@@ -52,6 +53,9 @@
             })?;
         let client = Client::builder()
             .no_proxy()
+            // What another server answers says nothing about the tasks of the worker, and a refused connection to it does not
+            // prove that the worker did not receive the call.
+            .redirect(Policy::none())
             .connect_timeout(settings.connect_timeout)
             .tcp_nodelay(true)
             .build()
--- a/components/workers/tests/http.rs
+++ b/components/workers/tests/http.rs
@@ -8,6 +8,8 @@
     FailMode, Server, TaskRecord, UnreachableMode, WorkerFaults, WorkersSettings, start_workers,
 };
 use timer::Timer;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use workers::{HttpWorkers, HttpWorkersSettings, StartTask, TaskEnd, WorkerPlatform};
 
 const LEASE: Duration = Duration::from_millis(300);
@@ -163,3 +165,41 @@
     assert_eq!(failed.current_context().verdict, Verdict::MayHaveRun);
     assert_eq!(records(&server).await[0].end, Some(TaskEnd::Lost));
 }
+
+/// Answers every request on a loopback listener with the given head and an empty body, and returns its base URL.
+async fn start_responder(head: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let response =
+                format!("HTTP/1.1 {head}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+            let _ = stream.write_all(response.as_bytes()).await;
+        }
+    });
+    url
+}
+
+/// Guards against a stop that counts as confirmed because another server, to which the worker redirects, answers.
+#[tokio::test]
+async fn stop_task_rejects_redirect() {
+    let other = start_responder("200 OK".into()).await;
+    let redirecting = start_responder(format!("303 See Other\r\nlocation: {other}/")).await;
+    let workers = HttpWorkers::new(&HttpWorkersSettings::new(redirecting)).unwrap();
+    let report = workers.stop_task("w1", "a").await.unwrap_err();
+    assert_eq!(report.current_context().verdict, Verdict::MayHaveRun);
+}
+
+/// Guards against the verdict `not_run` for a start that the worker received and redirected to an unreachable address.
+#[tokio::test]
+async fn start_task_may_have_run_after_redirect() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = closed.local_addr().unwrap();
+    drop(closed);
+    let redirecting = start_responder(format!("303 See Other\r\nlocation: http://{addr}/")).await;
+    let workers = HttpWorkers::new(&HttpWorkersSettings::new(redirecting)).unwrap();
+    let report = workers.start_task("w1", &task("a")).await.unwrap_err();
+    assert_eq!(report.current_context().verdict, Verdict::MayHaveRun);
+}
