Ask agents that left the directory for requests with a key

A caller that submits a key again after a change of the owner could get a second run of a non-idempotent request while the first one was under way.

Cause: a new owner does not know earlier claims, and the entry asks all endpoint agents of the service. It took those from the directory, which leaves out an agent that has been silent for 3 s or has not announced itself to the new owner. That an agent is missing there was taken for proof that it has no request.

Change: the directory controller of an entry remembers the endpoints that leave without a reported drain, for as long as claims are incomplete after a takeover (10 min) or until a process of their agent is listed again. These agents are asked as well. One that does not reply makes the submission fail with "may have run" and a retry delay. An entry that started after the endpoint left does not know it.

Test: submit_runs_once_with_frozen_agent_after_takeover failed before with "the request ran again".

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result, Verdict};
-use futures::future::try_join_all;
+use futures::future::{join, try_join_all};
 use model::{CellId, Endpoint, RequestId};
 use wire::{
     Call as PeerCall, Claim, ClaimHolder, ClaimReleaseReason, ClaimReply, FindRequest, Reply,
@@ -88,7 +88,8 @@
     home.ok_or_else(|| unavailable("the home cell of the idempotency key is not known yet"))
 }
 
-/// Queries the agents of all endpoints of the service for the request, as a new owner does not know earlier claims.
+/// Queries the agents of all endpoints of the service for the request, as a new owner does not know earlier claims. An agent
+/// that left the directories may have the request as well: a missed heartbeat is no proof that its process has ended.
 ///
 /// Agents that do not have the request reject dispatches of it under earlier epochs from then on.
 pub(crate) async fn find_holder(
@@ -131,8 +132,36 @@
     let queries = serving
         .chain(draining)
         .map(|holder| query_agent(cx, holder, find.clone(), content_digest));
-    let found = try_join_all(queries).await?;
-    Ok(found.into_iter().flatten().next())
+    // Read after the membership, which is published last.
+    let silent = cx.entry_board.silent_endpoints.snapshot();
+    let silent = silent.values().filter(|e| e.service == *service);
+    let silent_queries =
+        silent.map(|e| query_silent_agent(cx, e.holder.clone(), find.clone(), content_digest));
+    let (found, found_silent) = join(try_join_all(queries), try_join_all(silent_queries)).await;
+    // The error of a silent agent goes first, because only it tells that the request may have run.
+    let (found_silent, found) = (found_silent?, found?);
+    Ok(found.into_iter().chain(found_silent).flatten().next())
+}
+
+/// Queries an agent that is in no directory; that it does not reply proves nothing about the request.
+async fn query_silent_agent(
+    cx: &Context,
+    holder: ClaimHolder,
+    find: FindRequest,
+    content_digest: u128,
+) -> Result<Option<ClaimHolder>> {
+    let result = query_agent(cx, holder, find, content_digest).await;
+    result.map_err(|report| {
+        let error = report.current_context().clone();
+        match error.kind {
+            ErrorKind::Conflict => report,
+            _ => Error {
+                verdict: Verdict::MayHaveRun,
+                ..error
+            }
+            .report(),
+        }
+    })
 }
 
 /// Returns an error unless all directories are complete; otherwise the request may be at an agent that is not queried.
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -15,6 +15,7 @@
 use wire::{CellSummary, DatagramSocket, OwnerRecord, Peers};
 
 use crate::metrics::Metrics;
+use crate::silent::SilentEndpoints;
 
 /// Status of a cell, as reported by its owner.
 #[derive(Debug, Clone)]
@@ -38,6 +39,9 @@
     pub(crate) reports: Section<IndexMap<CellId, CellReport>>,
     /// The cells whose directory includes every live agent; written by the directory controller.
     pub(crate) settled_cells: Section<IndexSet<CellId>>,
+    /// The endpoints that left the directories while their agents may still run requests; written by the directory
+    /// controller.
+    pub(crate) silent_endpoints: Section<SilentEndpoints>,
     /// The latest configuration received, which may not be in force yet; written by the configuration controller.
     pub(crate) received_config: Section<ConfigSnapshot>,
 }
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::context::{CellReport, Context};
 use crate::relay;
+use crate::silent::update_silent;
 
 /// Timeout of one store watch for new cells.
 const CELLS_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
@@ -164,9 +165,13 @@
         let settled = directories.active.iter().filter(|(_, d)| d.settled);
         let settled = settled.map(|(cell, _)| cell.clone());
         cx.entry_board.settled_cells.publish(settled.collect());
-        cx.board
-            .membership
-            .publish(membership(&directories.active, timer::now()));
+        let now = timer::now();
+        let listed = membership(&directories.active, now);
+        // Published first, so that a reader of the new membership finds the endpoints that it lacks.
+        cx.entry_board.silent_endpoints.update(|silent| {
+            update_silent(silent, &cx.board.membership.load(), &listed, now);
+        });
+        cx.board.membership.publish(listed);
         refresh_routes(&cx.board, &cx.settings.region);
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod run;
 mod sent;
 mod serve;
+mod silent;
 mod takeover;
 
 pub use run::run;
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -165,6 +165,64 @@
     Ok(())
 }
 
+/// Returns the number of the agent whose endpoint runs a request.
+async fn running_agent(deployment: &Deployment) -> Result<usize> {
+    for number in 0..deployment.endpoint_urls.len() {
+        if !deployment.runs_at(number).await?.is_empty() {
+            return Ok(number);
+        }
+    }
+    Err("no endpoint runs the request".into())
+}
+
+/// Guards against a second run of a key whose agent is frozen while the owner of the cell is replaced: the new owner hears
+/// nothing of the agent, which does not prove that the run is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_runs_once_with_frozen_agent_after_takeover() -> Result<()> {
+    let mut deployment = Deployment::start(&one_region(2, 2), &Programs::locate()?).await?;
+    let caller = Caller::new()?;
+    let request = Submission {
+        timeout_ms: Some(60_000),
+        ..request_with_key("order-6", json!({"run_ms": 1000}))
+    };
+    let urls = deployment.entry_urls.clone();
+    let owner = deployment.owner(&urls[0]).await?;
+    let survivor = usize::from(&*owner.owner == "entry-0");
+    let (first, frozen) = tokio::join!(caller.submit(&urls[1 - survivor], &request), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let agent = format!("agent-{}", running_agent(&deployment).await?);
+        deployment.signal(&agent, "STOP")?;
+        deployment.kill(&owner.owner)?;
+        Result::Ok(agent)
+    });
+    let agent = frozen?;
+    assert_eq!(&*first.kind, "connection_broke", "{first:?}");
+    let timeout = Duration::from_secs(10);
+    deployment
+        .wait_for_epoch(&urls[survivor], owner.epoch, timeout)
+        .await?;
+    // The directory of the new owner is complete 5 s after the takeover.
+    let started = std::time::Instant::now();
+    while started.elapsed() < Duration::from_secs(8) {
+        let retried = caller.submit(&urls[survivor], &request).await;
+        assert!(!retried.is_answered(), "the request ran again: {retried:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(total_runs(&deployment).await?, 1);
+    deployment.signal(&agent, "CONT")?;
+    let mut retried = caller.submit(&urls[survivor], &request).await;
+    for _ in 0..50 {
+        if retried.is_answered() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        retried = caller.submit(&urls[survivor], &request).await;
+    }
+    assert!(retried.is_answered(), "{retried:?}");
+    assert_eq!(total_runs(&deployment).await?, 1);
+    Ok(())
+}
+
 /// Guards against a wrong verdict `not_run` when the agent of a request is killed: a retry must not run it elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn submit_reports_may_have_run_after_agent_is_killed() -> Result<()> {
