Wait for the outcome of a job whose agent is only silent

A caller of a non-idempotent job got "may have run" as the final outcome when the agent was paused or cut off for 10 s, although the agent had the answer afterwards.

Cause: the owner took an agent that did not reply for 10 s for lost, together with the outcome of the attempt. Silence does not prove that the process has ended, and a non-idempotent job cannot run again, so nothing was gained.

A refused connection is told from a timeout by a probe. An idempotent job still runs again after 10 s, and a cancelled one ends then, because its verdict is the same. A job of a machine that vanished without a refusal stays without an outcome until its deadline.

Tests: agent_frozen_keeps_non_idempotent_job failed before after 10 s with "agent agent-0 does not reply". agent_lost_ends_non_idempotent_job passed before and guards against jobs that never end.

--- a/components/owner/src/jobs/attempt.rs
+++ b/components/owner/src/jobs/attempt.rs
@@ -19,7 +19,8 @@
 const CANCEL_WAIT: Duration = Duration::from_millis(500);
 /// Additional time for the reply to arrive after the wait.
 const REPLY_GRACE: Duration = Duration::from_secs(2);
-/// Time without a reply after which an agent counts as lost; several times the 3 s after which it leaves the directory.
+/// Time without a reply after which an idempotent job runs again and a cancelled one ends; several times the 3 s after which an
+/// agent leaves the directory.
 const AGENT_LOSS_TIMEOUT: Duration = Duration::from_secs(10);
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -42,12 +43,16 @@
         .map(drop)
 }
 
-/// Waits for the outcome of an attempt; the outcome is lost if the agent does not reply for `AGENT_LOSS_TIMEOUT`.
+/// Waits for the outcome of an attempt until `deadline`, or until the outcome is lost.
+///
+/// An agent that does not reply may have the outcome later. It is waited for unless its process has ended or nothing is gained:
+/// after `AGENT_LOSS_TIMEOUT` an idempotent job may run again, and a cancelled one ends with the same verdict anyway.
 pub(crate) async fn wait_for_outcome(
     cx: &Context,
     id: JobId,
     run: &Run,
     idempotent: bool,
+    deadline: Instant,
 ) -> std::result::Result<Answer, Error> {
     let mut last_reply = timer::now();
     loop {
@@ -63,8 +68,11 @@
             Ok(Reply::Answer(answer)) => return verify_answer(id, run, answer),
             Ok(Reply::AttemptFailed(error)) => return Err(error),
             Ok(_) => last_reply = timer::now(),
-            Err(_) if is_agent_lost(last_reply) => return Err(agent_lost(run)),
             Err(_) => {
+                let may_give_up = idempotent || cancelling || timer::now() >= deadline;
+                if is_silent(last_reply) && (may_give_up || has_agent_ended(cx, run).await) {
+                    return Err(agent_lost(run));
+                }
                 cx.timer.subscribe_after(RETRY_DELAY).recv().await;
             }
         }
@@ -139,10 +147,18 @@
     Err(Error::ran(ErrorKind::Corrupt, message))
 }
 
-fn is_agent_lost(last_reply: Instant) -> bool {
+fn is_silent(last_reply: Instant) -> bool {
     timer::now().saturating_duration_since(last_reply) >= AGENT_LOSS_TIMEOUT
 }
 
+/// Returns whether the process that runs an attempt has ended: its host refuses connections, or a later process of the agent has
+/// announced itself.
+async fn has_agent_ended(cx: &Context, run: &Run) -> bool {
+    let agent = cx.board.membership.load().agents.get(&run.agent).cloned();
+    agent.is_some_and(|agent| agent.incarnation != run.incarnation)
+        || cx.peers.is_refused(run.agent_addr).await
+}
+
 fn agent_lost(run: &Run) -> Error {
     let message = format!(
         "agent {} does not reply; the outcome of its attempt is unknown",
--- a/components/owner/src/jobs/runner.rs
+++ b/components/owner/src/jobs/runner.rs
@@ -42,12 +42,8 @@
         };
         current = match stored {
             JobRecord::Accepted(job) => start_attempt(&cx, job, revision, &mut target).await,
-            JobRecord::Running(job) => {
-                await_attempt(&cx, id, &job.header.request, &job.state.run).await
-            }
-            JobRecord::Cancelling(job) => {
-                await_attempt(&cx, id, &job.header.request, &job.state.run).await
-            }
+            JobRecord::Running(job) => await_attempt(&cx, &job, &job.state.run).await,
+            JobRecord::Cancelling(job) => await_attempt(&cx, &job, &job.state.run).await,
             JobRecord::Answered(_) | JobRecord::Refused(_) => {
                 return finish(&cx, &stored, revision);
             }
@@ -154,8 +150,11 @@
 }
 
 /// Waits for the outcome of a recorded attempt and records the next state of the job.
-async fn await_attempt(cx: &Context, id: JobId, request: &Request, run: &Run) -> CurrentRecord {
-    let outcome = match wait_for_outcome(cx, id, run, request.idempotent).await {
+async fn await_attempt<S>(cx: &Context, job: &Job<S>, run: &Run) -> CurrentRecord {
+    let id = job.id();
+    let idempotent = job.header.request.idempotent;
+    let deadline = timer::now() + job.remaining(SystemTime::now());
+    let outcome = match wait_for_outcome(cx, id, run, idempotent, deadline).await {
         Ok(answer) => store_answer(cx, id, run, answer).await,
         Err(error) => Err(error),
     };
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -1,6 +1,7 @@
 //! Client for calls to other processes over shared connections.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -83,6 +84,13 @@
         connection.call(call, timeout).await
     }
 
+    /// Returns whether the host of a peer refuses connections to it, which proves that its process has ended. A timeout or a
+    /// lost connection proves nothing.
+    pub async fn is_refused(&self, addr: SocketAddr) -> bool {
+        let opened = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        matches!(opened, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Removes the connections to a peer; calls in progress still receive their replies.
     pub fn remove(&self, addr: SocketAddr) {
         self.peers.rcu(|peers| {
--- a/tests/jobs/failures.rs
+++ b/tests/jobs/failures.rs
@@ -4,6 +4,7 @@
 
 use harness::jobs::{Cluster, JOB_TIMEOUT, gang, submission};
 use harness::{Result, Submission};
+use reqwest::Method;
 use serde_json::json;
 
 /// Guards against a second run or a lost outcome when the owner is killed while jobs are running.
@@ -98,6 +99,65 @@
     Ok(())
 }
 
+/// Guards against a job that is given up because its agent is silent for longer than 10 s, although the agent is only paused
+/// and has the answer afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_frozen_keeps_non_idempotent_job() -> Result<()> {
+    let cluster = Cluster::start(1, 1).await?;
+    let job = Submission {
+        idempotent: Some(false),
+        ..submission(json!({"run_ms": 1000}))
+    };
+    let id = cluster.submit_accepted(0, &job).await?;
+    cluster.wait_until_run(0, &id).await?;
+    cluster.deployment.agents["agent-0"].signal("STOP")?;
+    let frozen = tokio::time::Instant::now();
+    while frozen.elapsed() < Duration::from_secs(25) {
+        let body = cluster.state(0, &id).await?;
+        assert_eq!(body["state"], "running", "{body}");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    cluster.deployment.agents["agent-0"].signal("CONT")?;
+    let body = cluster.wait_for(0, &id, &["answered", "refused"]).await?;
+    assert_eq!(body["state"], "answered", "{body}");
+    assert_eq!(cluster.runs(&id).await?, 1);
+    Ok(())
+}
+
+/// Guards against a job that stays without an outcome until its deadline although the process of its agent has ended, or
+/// although it was cancelled.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_lost_ends_non_idempotent_job() -> Result<()> {
+    let mut cluster = Cluster::start(1, 2).await?;
+    let job = Submission {
+        idempotent: Some(false),
+        timeout_ms: Some(600_000),
+        ..submission(json!({"run_ms": 1000}))
+    };
+    for kill in [true, false] {
+        let id = cluster.submit_accepted(0, &job).await?;
+        cluster.wait_until_run(0, &id).await?;
+        let mut holder = None;
+        for number in 0..2 {
+            let runs = cluster.deployment.runs_at(number).await?;
+            if runs.keys().any(|run| id.ends_with(&**run)) {
+                holder = Some(format!("agent-{number}"));
+            }
+        }
+        let holder = holder.ok_or("no endpoint runs the job")?;
+        if kill {
+            cluster.deployment.kill(&holder)?;
+        } else {
+            cluster.deployment.signal(&holder, "STOP")?;
+            let cancelled = cluster.call_as("faro", 0, Method::DELETE, &id).await?;
+            assert!(cancelled.status().is_success());
+        }
+        let body = cluster.wait_for(0, &id, &["answered", "refused"]).await?;
+        assert_eq!(body["verdict"], "may_have_run", "{body}");
+    }
+    Ok(())
+}
+
 /// Guards against a lost outcome or a second run when the agent and the owner are shut down while a job is running.
 #[tokio::test(flavor = "multi_thread")]
 async fn shutdown_hands_over_running_job() -> Result<()> {
