Ask for requests with a key as long as earlier claims may live

A caller that submits the key of a running request of an hour again, more than 10 minutes after a change of the owner, could get a second run at another agent.

Cause: a claim is kept for the timeout of its request and 10 minutes more, but a new owner counted its claims as complete 10 minutes after its takeover. What it had not heard of by then, it assigned anew, although the first run was healthy.

Change: for each request claims count as incomplete for its timeout and 10 minutes, so that the entry asks the agents as before. For requests of seconds nothing changes. A submission that repeats a key with a much shorter timeout than the first one is not covered.

Test: may_miss_claim_covers_running_request failed at "11 min" with the earlier rule.

--- a/components/membership/src/key_claims.rs
+++ b/components/membership/src/key_claims.rs
@@ -6,7 +6,7 @@
 
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
-use model::{AccountId, AgentId, Attempt, CellId, GangId, RequestId};
+use model::{AccountId, AgentId, Attempt, CellId, Epoch, GangId, RequestId};
 
 use crate::attempts::ATTEMPT_RETENTION;
 use crate::protocol::Incarnation;
@@ -21,6 +21,15 @@
 /// Retry delay for callers whose claim is refused at a limit.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// Returns whether a request may have a claim that was made under an earlier owner and is unknown to the one that took over at
+/// `since`.
+///
+/// A claim is kept for its timeout and `CLAIM_RETENTION`. The timeout of the earlier submission is unknown; callers repeat
+/// theirs or the time that is left of it, and so `timeout` stands for both.
+pub fn may_miss_claim(epoch: Epoch, since: Instant, timeout: Duration, now: Instant) -> bool {
+    epoch > 1 && now < since + timeout + CLAIM_RETENTION
+}
+
 /// The agent to which a request is assigned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
--- a/components/membership/tests/key_claims.rs
+++ b/components/membership/tests/key_claims.rs
@@ -5,6 +5,7 @@
 use errors::{ErrorKind, Result, Verdict};
 use membership::key_claims::{
     ACCOUNT_CLAIM_LIMIT, CLAIM_RETENTION, ClaimRequest, ClaimTable, Holder, ReleaseReason,
+    may_miss_claim,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -75,3 +76,26 @@
     assert_eq!(claims.len(), 1);
     Ok(())
 }
+
+/// Guards against a second run of a request of an hour whose caller submits the key again, with the time that is left, more
+/// than 10 minutes after a change of the owner: the earlier owner would still have the claim.
+#[test]
+fn may_miss_claim_covers_running_request() {
+    const HOUR: Duration = Duration::from_hours(1);
+    let takeover = Instant::now();
+    let mut claims = ClaimTable::default();
+    let claimed = ClaimRequest {
+        timeout: HOUR,
+        ..call(7, "a", None)
+    };
+    let claimed = claims.claim(claimed, takeover).unwrap();
+    for minutes in [0, 11, 30] {
+        let now = takeover + Duration::from_mins(minutes);
+        assert!(claims.claim(call(7, "b", None), now).is_ok_and(|c| !c.new));
+        let left = takeover + HOUR - now;
+        assert!(may_miss_claim(2, takeover, left, now), "{minutes} min");
+        assert!(!may_miss_claim(1, takeover, left, now), "{minutes} min");
+    }
+    let end = takeover + claimed.retention;
+    assert!(!may_miss_claim(2, takeover, HOUR, end));
+}
--- a/components/owner/src/claims.rs
+++ b/components/owner/src/claims.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use errors::{Error, ErrorKind, Result};
-use membership::key_claims::{CLAIM_RETENTION, ClaimRequest, ClaimTable, Holder, ReleaseReason};
+use membership::key_claims::{ClaimRequest, ClaimTable, Holder, ReleaseReason, may_miss_claim};
 use model::Epoch;
 use tokio::sync::{mpsc, oneshot};
 use wire::{Claim, ClaimHolder, ClaimReleaseReason, ClaimReply};
@@ -59,6 +59,7 @@
         return Err(Error::not_run(ErrorKind::Unavailable, message).report());
     }
     let now = timer::now();
+    let timeout = claim.timeout;
     let claimed = state.claims.claim(claim_request_from_wire(claim), now)?;
     Ok(ClaimReply {
         epoch: state.epoch,
@@ -67,7 +68,7 @@
         holder: claimed.holder.map(holder_to_wire),
         newly_assigned: claimed.new,
         retention: claimed.retention,
-        incomplete: state.epoch > 1 && now < state.since + CLAIM_RETENTION,
+        incomplete: may_miss_claim(state.epoch, state.since, timeout, now),
     })
 }
 
