Let idempotent requests with a key not wait for silent agents

A caller of an idempotent request with a key got "may have run" after 8 s while an agent of the service was silent after a change of the owner.

Cause: since the agents that left the directory are asked for requests with a key, a silent one holds up every submission to its service, also those that may run again.

Change: only non-idempotent requests ask agents that left the directory.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -134,7 +134,11 @@
         .map(|holder| query_agent(cx, holder, find.clone(), content_digest));
     // Read after the membership, which is published last.
     let silent = cx.entry_board.silent_endpoints.snapshot();
-    let silent = silent.values().filter(|e| e.service == *service);
+    // An idempotent request may run again, so it does not wait for silent agents.
+    let idempotent = call.state.request.idempotent;
+    let silent = silent
+        .values()
+        .filter(|e| !idempotent && e.service == *service);
     let silent_queries =
         silent.map(|e| query_silent_agent(cx, e.holder.clone(), find.clone(), content_digest));
     let (found, found_silent) = join(try_join_all(queries), try_join_all(silent_queries)).await;
