--- a/tests/platform/other_senders.rs
+++ b/tests/platform/other_senders.rs
@@ -13,7 +13,7 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 
 /// Starts a job of ten tasks that run for five seconds, on two workers.
-async fn start_tasks(deployment: &Deployment, id: &str) -> Result<Client> {
+pub(crate) async fn start_tasks(deployment: &Deployment, id: &str) -> Result<Client> {
     let client = deployment.client()?;
     let body = TaskBody {
         run_ms: 5_000,
@@ -28,7 +28,7 @@
 }
 
 /// Checks that each task has run exactly once, and that all workers are used again afterwards.
-async fn check_single_runs(deployment: &Deployment, client: &Client, id: &str) {
+pub(crate) async fn check_single_runs(deployment: &Deployment, client: &Client, id: &str) {
     let outcome = client.outcome("batch", id, OUTCOME_TIMEOUT).await;
     assert_eq!(outcome, "completed");
     assert_eq!(deployment.checker.violations(), Vec::<String>::new());
