Add the kinds of announcements of other senders to the stand-in

Change: bytes that are no text, deep nesting, a number and a port out of range, fields of other types, an unnamed state, an earlier process, a late announcement of the previous process, and one under the name of another worker. A far higher sequence number or another capacity with the same `born` and the configured service is left out: nothing tells it from an announcement of the worker, and the platform describes no such sender.

--- a/tests/platform/other_senders.rs
+++ b/tests/platform/other_senders.rs
@@ -160,3 +160,59 @@
     )
     .await
 }
+
+/// Sends announcements one after the other beside running tasks, while the worker answers.
+async fn run_beside_all(name: &str, announcements: &[OtherAnnouncement]) -> Result<()> {
+    let deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    for announcement in announcements {
+        // The agent may not acknowledge the announcement.
+        announcement.send(&deployment.workers[0]).await?;
+        tokio::time::sleep(SILENCE / 10).await;
+    }
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
+
+/// Guards against an agent that ends or stops following its worker after an announcement with one odd field.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_odd_fields_keeps_worker() -> Result<()> {
+    let announcements = [
+        OtherAnnouncement::InvalidText,
+        OtherAnnouncement::DeepNesting,
+        OtherAnnouncement::NumberOutOfRange,
+        OtherAnnouncement::MistypedFields,
+        OtherAnnouncement::MistypedBorn,
+        OtherAnnouncement::UnknownState,
+    ];
+    run_beside_all("announce_odd_fields_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through a late announcement of a process that has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_ended_process_keeps_worker() -> Result<()> {
+    let announcements = [
+        OtherAnnouncement::EarlierProcess,
+        OtherAnnouncement::EndedProcess,
+    ];
+    run_beside_all("announce_ended_process_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through an address with a port out of range.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_port_out_of_range_keeps_worker() -> Result<()> {
+    let announcements = [OtherAnnouncement::PortOutOfRange];
+    run_beside_all("announce_port_out_of_range_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through an announcement under the name of another worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_name_of_another_worker_keeps_worker() -> Result<()> {
+    let announcements = [OtherAnnouncement::NameOfAnotherWorker];
+    run_beside_all(
+        "announce_name_of_another_worker_keeps_worker",
+        &announcements,
+    )
+    .await
+}
