Show that a restarted agent takes the first announcement for its worker's

Cause: an agent that starts again while its worker is silent adopts the process of the first announcement that reaches it, also of one that ended before (`worker_began` with before=0 and evidence=announcement). Its report names another process without runs, and the owner starts the tasks of the worker elsewhere (runs_lost, worker_replaced).

Change: two tests with an earlier and a later process. A worker of the stand-in can hold its announcements back, so that the other sender is first.

--- a/tests/platform/other_senders.rs
+++ b/tests/platform/other_senders.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform_standin::{Client, Deployment, OtherAnnouncement, Result, TaskBody};
+use platform_standin::{Client, Deployment, OtherAnnouncement, Result, Target, TaskBody};
 
 use crate::start_deployment;
 
@@ -216,3 +216,36 @@
     )
     .await
 }
+
+/// Sends an announcement to an agent that starts again while its worker answers and announces nothing.
+async fn run_beside_restarted_agent(name: &str, announcement: OtherAnnouncement) -> Result<()> {
+    let mut deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    deployment.kill(Target::Agent(0));
+    deployment.workers[0].fall_silent(SILENCE);
+    deployment.workers[0].hold_announcements(SILENCE);
+    deployment.launch(Target::Agent(0))?;
+    for _ in 0..8 {
+        // A failure is ignored because the agent may not listen yet.
+        let _ = announcement.send(&deployment.workers[0]).await;
+        tokio::time::sleep(SILENCE / 10).await;
+    }
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
+
+/// Guards against tasks that run twice after a late announcement of an ended process reached an agent that had just started
+/// and could not poll its worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_earlier_process_to_restarted_agent_keeps_runs() -> Result<()> {
+    let name = "announce_earlier_process_to_restarted_agent_keeps_runs";
+    run_beside_restarted_agent(name, OtherAnnouncement::EarlierProcess).await
+}
+
+/// Guards against the same after an announcement of a later process.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_to_restarted_agent_keeps_runs() -> Result<()> {
+    let name = "announce_later_process_to_restarted_agent_keeps_runs";
+    run_beside_restarted_agent(name, OtherAnnouncement::LaterProcess).await
+}
