--- a/tests/platform/other_senders.rs
+++ b/tests/platform/other_senders.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform_standin::{Client, Deployment, OtherAnnouncement, Result, TaskBody};
+use platform_standin::{Client, Deployment, OtherAnnouncement, Result, Target, TaskBody};
 
 use crate::start_deployment;
 
@@ -13,7 +13,7 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 
 /// Starts a job of ten tasks that run for five seconds, on two workers.
-async fn start_tasks(deployment: &Deployment, id: &str) -> Result<Client> {
+pub(crate) async fn start_tasks(deployment: &Deployment, id: &str) -> Result<Client> {
     let client = deployment.client()?;
     let body = TaskBody {
         run_ms: 5_000,
@@ -28,7 +28,7 @@
 }
 
 /// Checks that each task has run exactly once, and that all workers are used again afterwards.
-async fn check_single_runs(deployment: &Deployment, client: &Client, id: &str) {
+pub(crate) async fn check_single_runs(deployment: &Deployment, client: &Client, id: &str) {
     let outcome = client.outcome("batch", id, OUTCOME_TIMEOUT).await;
     assert_eq!(outcome, "completed");
     assert_eq!(deployment.checker.violations(), Vec::<String>::new());
@@ -160,3 +160,92 @@
     )
     .await
 }
+
+/// Sends announcements one after the other beside running tasks, while the worker answers.
+async fn run_beside_all(name: &str, announcements: &[OtherAnnouncement]) -> Result<()> {
+    let deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    for announcement in announcements {
+        // The agent may not acknowledge the announcement.
+        announcement.send(&deployment.workers[0]).await?;
+        tokio::time::sleep(SILENCE / 10).await;
+    }
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
+
+/// Guards against an agent that ends or stops following its worker after an announcement with one odd field.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_odd_fields_keeps_worker() -> Result<()> {
+    let announcements = [
+        OtherAnnouncement::InvalidText,
+        OtherAnnouncement::DeepNesting,
+        OtherAnnouncement::NumberOutOfRange,
+        OtherAnnouncement::MistypedFields,
+        OtherAnnouncement::MistypedBorn,
+        OtherAnnouncement::UnknownState,
+    ];
+    run_beside_all("announce_odd_fields_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through a late announcement of a process that has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_ended_process_keeps_worker() -> Result<()> {
+    let announcements = [
+        OtherAnnouncement::EarlierProcess,
+        OtherAnnouncement::EndedProcess,
+    ];
+    run_beside_all("announce_ended_process_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through an address with a port out of range.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_port_out_of_range_keeps_worker() -> Result<()> {
+    let announcements = [OtherAnnouncement::PortOutOfRange];
+    run_beside_all("announce_port_out_of_range_keeps_worker", &announcements).await
+}
+
+/// Guards against a worker that loses its runs or its capacity through an announcement under the name of another worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_name_of_another_worker_keeps_worker() -> Result<()> {
+    let announcements = [OtherAnnouncement::NameOfAnotherWorker];
+    run_beside_all(
+        "announce_name_of_another_worker_keeps_worker",
+        &announcements,
+    )
+    .await
+}
+
+/// Sends an announcement to an agent that starts again while its worker answers and announces nothing.
+async fn run_beside_restarted_agent(name: &str, announcement: OtherAnnouncement) -> Result<()> {
+    let mut deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    deployment.kill(Target::Agent(0));
+    deployment.workers[0].fall_silent(SILENCE);
+    deployment.workers[0].hold_announcements(SILENCE);
+    deployment.launch(Target::Agent(0))?;
+    for _ in 0..8 {
+        // A failure is ignored because the agent may not listen yet.
+        let _ = announcement.send(&deployment.workers[0]).await;
+        tokio::time::sleep(SILENCE / 10).await;
+    }
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
+
+/// Guards against tasks that run twice after a late announcement of an ended process reached an agent that had just started
+/// and could not poll its worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_earlier_process_to_restarted_agent_keeps_runs() -> Result<()> {
+    let name = "announce_earlier_process_to_restarted_agent_keeps_runs";
+    run_beside_restarted_agent(name, OtherAnnouncement::EarlierProcess).await
+}
+
+/// Guards against the same after an announcement of a later process.
+#[tokio::test(flavor = "multi_thread")]
+async fn announce_later_process_to_restarted_agent_keeps_runs() -> Result<()> {
+    let name = "announce_later_process_to_restarted_agent_keeps_runs";
+    run_beside_restarted_agent(name, OtherAnnouncement::LaterProcess).await
+}
