Keep the runs of a worker that refuses connections until their leases have lapsed

Something between agent and worker may refuse in its place, as a firewall does that resets channels, or a process may close its listener before its tasks end. Now a refused call proves the end only of a process that had announced it. The runs of others go on until another process answers or their leases lapse; the lapse of a worker that has refused until then counts as its crash. Starts that were never sent are refused at once, so that their tasks don't wait. The owner keeps runs beside the report of a restarted agent that has had no contact with its worker, and does not renew their leases. poll_refused_keeps_runs and report_absent_without_contact_keeps_runs_until_lapse fail without this.

--- a/components/cell/src/agent/absence.rs
+++ b/components/cell/src/agent/absence.rs
@@ -3,25 +3,49 @@
 use std::time::Duration;
 
 use graph::lapse_after;
+use model::Refusal;
 
 use crate::agent::sightings::Sightings;
 use crate::agent::state::{OrderState, State};
 
-/// Number of consecutive refused regular polls after which the worker process counts as gone, and its runs with it.
-const ABSENT_AFTER_REFUSALS: u32 = 2;
+/// Number of consecutive refused regular polls after which the worker counts as refusing connections.
+const REFUSING_AFTER: u32 = 2;
 
 impl State {
-    /// Records that a regular poll was refused: nothing listens at the address of the worker. A regular poll is sent only
-    /// after the one before has ended, so that none is open at a process that lives on; extra polls don't count, because a
-    /// regular one may be open beside them.
+    /// Records that a regular poll was refused: nothing accepts connections at the address of the worker.
+    ///
+    /// That proves the end of a process that had announced it. Another process may have closed its listener, or something on the
+    /// way may refuse in its place, so that its runs count as gone only when their leases have lapsed. An agent that has had no
+    /// contact with a worker reports that there is none.
     pub(crate) fn record_refused_connection(&mut self, now: Duration) {
         self.refused_connections = self.refused_connections.saturating_add(1);
-        if self.refused_connections >= ABSENT_AFTER_REFUSALS && self.absent_since.is_none() {
-            self.record_crash(&[]);
+        if !self.is_refusing() || self.absent_since.is_some() {
+            return;
+        }
+        self.refuse_deferred_starts(now);
+        if self.incarnation.is_none() || self.is_draining() {
             self.record_absence(now);
         }
     }
 
+    /// Returns whether nothing accepts connections at the address of the worker.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refused_connections >= REFUSING_AFTER
+    }
+
+    /// Refuses the starts that wait for a poll and were never sent, so that the owner places the tasks elsewhere.
+    pub(crate) fn refuse_deferred_starts(&mut self, now: Duration) {
+        let (orders, unanswered) = (&mut self.orders, &self.unanswered_starts);
+        self.deferred_starts.retain(|run, start| {
+            if start.order.repeated || unanswered.contains_key(run) || orders.contains_key(run) {
+                return true;
+            }
+            let refused = OrderState::Refused(Refusal::Unhealthy);
+            orders.insert(*run, (refused, now));
+            false
+        });
+    }
+
     /// Records that a regular poll failed in another way, which proves nothing.
     pub(crate) fn record_unanswered_poll(&mut self) {
         self.refused_connections = 0;
@@ -41,8 +65,8 @@
         !self.is_answering() && self.absent_since.is_none()
     }
 
-    /// Records that all leases have lapsed while the worker answered no poll; returns whether that is so. A lapse is no
-    /// crash: it blames no run.
+    /// Records that all leases have lapsed while the worker answered no poll; returns whether that is so. A worker that has
+    /// refused connections until then has crashed; the silence of another one blames no run.
     pub(crate) fn record_lapse(&mut self, now: Duration) -> bool {
         if !self.awaits_lapse() || now <= self.lapse_at() {
             return false;
@@ -53,6 +77,9 @@
             unanswered_ms = now.saturating_sub(self.last_reply_at.max(self.started_at)).as_millis();
             "leases_lapsed"
         );
+        if self.is_refusing() {
+            self.record_crash(&[]);
+        }
         self.sightings = Sightings::default();
         self.trials.clear();
         for (order, changed_at) in self.orders.values_mut() {
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -61,6 +61,10 @@
         if !is_located {
             log::info!(target: "limpethook", task:% = order.run.task, run = order.run.run; "start_deferred");
             self.state.defer_start(order, body, now);
+            if self.state.is_refusing() {
+                self.state.refuse_deferred_starts(now);
+                self.report_due = true;
+            }
             return;
         }
         let Some(until) = self.state.lease_end(now) else {
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -340,6 +340,40 @@
     fixture.stop().await
 }
 
+/// Guards against a task that runs twice after connections to its worker were refused, although the worker goes on and its
+/// lease has not lapsed; and against starts that wait for it meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn poll_refused_keeps_runs() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    fixture.worker.is_refusing.store(true, Ordering::Relaxed);
+    let failing_polls = &fixture.worker.failing_polls;
+    failing_polls.store(usize::MAX, Ordering::Relaxed);
+    fixture.fail_present_poll().await;
+    let mut other = crate::start_order(false);
+    other.run.run += 1;
+    let waiting = other.run;
+    fixture
+        .owner
+        .update(|state| state.starts.push_back(other.clone()));
+    fixture
+        .reported(|report| {
+            let mut runs = report.runs.iter();
+            runs.any(|found| found.run == waiting && matches!(found.status, RunStatus::Refused(_)))
+        })
+        .await;
+    failing_polls.store(0, Ordering::Relaxed);
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.owner.update(|state| {
+        for report in &state.reports {
+            assert!(!report.absent, "{report:?}");
+            assert!(report.crashes.is_empty(), "{report:?}");
+        }
+    });
+    fixture.check_run_kept();
+    fixture.stop().await
+}
+
 /// Guards against runs of a worker that never answers again, which stayed open for good after the end of their leases; and
 /// against a lapse that counts as a crash.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -134,11 +134,13 @@
         worker.is_some_and(|worker| !worker.has_lapsed(self.settings.max_lease, now))
     }
 
-    /// Returns whether this owner renews the lease of a worker. It stops to do so for those whose runs are still not known when
-    /// the leases that earlier owners renewed have lapsed, so that recovery ends when those leases have lapsed too.
+    /// Returns whether this owner renews the lease of a worker. It does not for an absent one, whose remaining runs end with
+    /// the lease, and stops to do so for those whose runs are still not known when the leases that earlier owners renewed have
+    /// lapsed, so that recovery ends when those leases have lapsed too.
     pub(crate) fn renews_lease(&self, agent: &AgentId, now: Duration) -> bool {
+        let is_lost = self.workers.get(agent).is_some_and(|worker| worker.lost);
         let is_overdue = self.recovery_deadline.is_some_and(|at| now >= at);
-        !is_overdue || !self.pending_agents.contains(agent)
+        !is_lost && (!is_overdue || !self.pending_agents.contains(agent))
     }
 
     /// Ends recovery if the runs of all agents in the roster are known, or the leases of the other workers have lapsed;
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -30,8 +30,7 @@
         worker.last_report_at = now;
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
-            // The agent has had no contact with a worker since it started, and nothing listens at the worker's address.
-            self.apply_absence(report, now);
+            self.apply_absence_without_contact(report, now);
             return;
         }
         if report.incarnation.is_none() {
@@ -72,6 +71,16 @@
         }
     }
 
+    /// Applies the report of an agent that has had no contact with a worker since it started, and at whose worker's address
+    /// nothing listens. That is no proof of the end of a process which an earlier process of the agent had reported: its runs
+    /// stay until another process answers or the lease has lapsed, which is not renewed meanwhile.
+    fn apply_absence_without_contact(&mut self, report: &WorkerReport, now: Duration) {
+        self.mark_worker_lost(&report.agent, now, RemovalReason::WorkerAbsent, |_| {
+            Remainder::Run
+        });
+        self.mark_runs_known(&report.agent, now);
+    }
+
     /// Applies a report about a worker that is absent. What it had has ended, but a start in flight may reach the next process,
     /// also one that an earlier owner ordered. The ends that it had listed are as true as before.
     fn apply_absence(&mut self, report: &WorkerReport, now: Duration) {
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -515,3 +515,27 @@
     cell.accept(8, job(1, vec![step(1)]));
     assert_eq!(cell.started_runs().len(), 1);
 }
+
+/// Guards against a task that runs twice: the agent of a worker had restarted and found its address refusing connections, while
+/// the process that it had reported before ran on.
+#[test]
+fn report_absent_without_contact_keeps_runs_until_lapse() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    let agent = cell.agent_of(task(7, 0, 0)).expect("the task runs");
+    let lease_end = cell.now + lapse_after(settings().max_lease);
+    let report = &mut cell.workers[&agent].report;
+    report.incarnation = None;
+    report.absent = true;
+    report.runs.clear();
+    while cell.started_runs().is_empty() && cell.now < lease_end + ms(500) {
+        cell.advance(ms(100));
+        for agent in cell.agents() {
+            cell.report(&agent);
+        }
+        cell.scheduler.expire_leases(cell.now);
+    }
+    assert!(cell.now > lease_end, "started elsewhere within the lease");
+    assert!(cell.now < lease_end + ms(500), "not started again");
+}
