--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -69,26 +69,16 @@
         before != (self.capacity, self.is_draining())
     }
 
-    /// Resets the state if the worker has another incarnation than before.
+    /// Resets the state because the worker has another incarnation than before.
     ///
     /// The agent learns of a new incarnation only some time after it began, and the answer to a start does not tell which
     /// incarnation gave it. What the previous incarnation is not known to have run is kept until a poll shows whether the
-    /// new one runs it. `evidence` says for the log what showed the change. `found` are the runs that the new one is known to
-    /// have.
-    pub(super) fn begin(
-        &mut self,
-        incarnation: Incarnation,
-        evidence: &str,
-        found: &[TaskRun],
-        now: Duration,
-    ) {
-        if self.incarnation == Some(incarnation) {
-            return;
-        }
+    /// new one runs it. `found` are the runs that the new one is known to have.
+    pub(super) fn begin(&mut self, incarnation: Incarnation, found: &[TaskRun], now: Duration) {
         self.record_crash(found);
         log::info!(
             target: "limpethook",
-            incarnation = incarnation, before = self.incarnation.unwrap_or(0), evidence = evidence,
+            incarnation = incarnation, before = self.incarnation.unwrap_or(0),
             listed = self.listed.len(), found = found.len();
             "worker_began"
         );
--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -87,10 +87,12 @@
         requested_at: Duration,
         now: Duration,
     ) -> bool {
-        let running = reply.runs.iter().map(|listed| listed.run);
-        let ended = reply.ends.iter().map(|end| end.run);
-        let found: Vec<TaskRun> = running.chain(ended).collect();
-        self.begin(incarnation, "poll", &found, now);
+        if self.incarnation != Some(incarnation) {
+            let running = reply.runs.iter().map(|listed| listed.run);
+            let ended = reply.ends.iter().map(|end| end.run);
+            let found: Vec<TaskRun> = running.chain(ended).collect();
+            self.begin(incarnation, &found, now);
+        }
         let returned = self.absent_since.take().is_some();
         self.refused_connections = 0;
         self.sightings.record_answer(now);
