--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -464,3 +464,43 @@
     fixture.check_run_kept();
     fixture.stop().await
 }
+
+/// Guards against a task that runs twice after connections to a draining worker were refused, whose lease has not lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn poll_refused_keeps_runs_of_draining_worker() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.start_run().await;
+    let draining = changed_announcement(|changed| changed.draining = Some(Duration::from_secs(60)));
+    fixture.notify(draining).await;
+    fixture.reported(|report| report.draining.is_some()).await;
+    fixture.worker.is_refusing.store(true, Ordering::Relaxed);
+    let failing_polls = &fixture.worker.failing_polls;
+    failing_polls.store(3, Ordering::Relaxed);
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    fixture.owner.update(|state| {
+        for report in &state.reports {
+            assert!(!report.absent, "{report:?}");
+        }
+    });
+    fixture.check_run_kept();
+    fixture.stop().await
+}
+
+/// Guards against a restarted agent that reports its worker as absent because connections are refused, while a process that an
+/// earlier process of the agent had started tasks on goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn poll_refused_before_contact_proves_no_absence() -> TestResult {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(RestartingWorker::default());
+    worker.restart();
+    worker.is_refusing.store(true, Ordering::Relaxed);
+    worker.failing_polls.store(usize::MAX, Ordering::Relaxed);
+    let shutdown = CancellationToken::new();
+    let (_handle, ended) = start_unannounced(&owner, &worker, SHORT_LEASE, &shutdown);
+    let started_at = tokio::time::Instant::now();
+    owner.reported(|report| report.absent).await;
+    assert!(started_at.elapsed() >= SHORT_LEASE, "absent within a lease");
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Applies the report of an agent that has had no contact with a worker since it started, and at whose worker's address
-    /// nothing listens. That is no proof of the end of a process which an earlier process of the agent had reported: its runs
-    /// stay until another process answers or the lease has lapsed, which is not renewed meanwhile.
+    /// Applies the report of an agent that has had no contact with a worker since it started, for longer than any lease. Runs
+    /// that an earlier process of the agent had reported stay until another process answers or the lease that this owner last
+    /// renewed has lapsed, too.
     fn apply_absence_without_contact(&mut self, report: &WorkerReport, now: Duration) {
         self.mark_worker_lost(&report.agent, now, RemovalReason::WorkerAbsent, |_| {
             Remainder::Run
--- a/tests/platform/worker_channels.rs
+++ b/tests/platform/worker_channels.rs
@@ -47,3 +47,26 @@
 async fn cut_one_way_keeps_runs() -> Result<()> {
     run_beside("cut_one_way_keeps_runs", ProxyMode::OneWay, FAULT_TIME).await
 }
+
+/// Guards against tasks that run twice after a restarted agent found the connections to its worker refused while the owner
+/// changed: the new owner took that for the end of the worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn refuse_beside_agent_restart_and_new_owner_keeps_runs() -> Result<()> {
+    let name = "refuse_beside_agent_restart_and_new_owner_keeps_runs";
+    let mut deployment = start_deployment(name, 2, 2).await?;
+    let id = "00000000000000f0";
+    let client = start_tasks(&deployment, id).await?;
+    deployment.kill(platform_standin::Target::Agent(0));
+    deployment.worker_proxies[0].set_mode(ProxyMode::Refuse);
+    for index in 0..2 {
+        deployment.kill(platform_standin::Target::Entry(index));
+    }
+    for index in 0..2 {
+        deployment.launch(platform_standin::Target::Entry(index))?;
+    }
+    deployment.launch(platform_standin::Target::Agent(0))?;
+    tokio::time::sleep(FAULT_TIME).await;
+    deployment.worker_proxies[0].set_mode(ProxyMode::Pass);
+    check_single_runs(&deployment, &client, id).await;
+    Ok(())
+}
