Report lists as complete only once one was read

Found by the review of the fix: the first reply to a restarted agent may be fenced and hold no list, but was reported as complete, so that the owner took the runs of the worker for ended. fenced_reply_is_no_complete_list fails without this.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -93,7 +93,7 @@
         self.clock_sample = None;
         self.last_poll_at = None;
         self.newest_list = None;
-        self.lists_complete = true;
+        self.lists_complete = false;
         self.refused_connections = 0;
         self.start_retries
             .values()
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -157,7 +157,7 @@
             poll_failed_at: Duration::ZERO,
             listed: Vec::new(),
             ends: Vec::new(),
-            lists_complete: true,
+            lists_complete: false,
             leaving: false,
             sightings: Sightings::default(),
             crashed: false,
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -504,3 +504,27 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against the runs of a worker that are taken for ended because the first reply to a restarted agent was fenced, and
+/// held no list.
+#[tokio::test(flavor = "multi_thread")]
+async fn fenced_reply_is_no_complete_list() -> TestResult {
+    let owner = Owner::start().await?;
+    let worker = Arc::new(RestartingWorker::default());
+    worker.restart();
+    worker.life().runs.push(run());
+    worker.is_fencing.store(true, Ordering::Relaxed);
+    let shutdown = CancellationToken::new();
+    let max_lease = Duration::from_secs(6);
+    let (_handle, ended) = start_unannounced(&owner, &worker, max_lease, &shutdown);
+    owner.reported(|report| report.confirmed_epoch > 0).await;
+    owner.update(|state| {
+        let named = |report: &&model::WorkerReport| report.incarnation.is_some();
+        for report in state.reports.iter().filter(named) {
+            assert!(!report.lists_complete || is_running(report), "{report:?}");
+        }
+    });
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
