Keep starts in flight that a restarted agent does not know, beside a new process of its worker

Found by the review of the fix: an agent that restarted together with its worker does not list a start that its earlier process sent, which may still reach the new process; the owner dropped it and placed the task elsewhere. The start is now stopped on the new process first. report_new_incarnation_of_restarted_agent_keeps_pending_start fails without this.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -446,10 +446,11 @@
 
 /// Returns what the next incarnation of a worker has of the runs of the previous one. It has what the agent lists under
 /// it, also a run that was reported before: it may have begun before the agent learned of the next incarnation. It may have
-/// any run if its list is incomplete.
+/// any run if its list is incomplete, and any pending start if the agent has restarted, so that it does not know which of the
+/// starts that its earlier process sent may still arrive.
 fn has_moved(report: &WorkerReport) -> impl Fn(&AnyPlacement) -> Remainder {
     let listed = listed_runs(report);
-    let is_complete = report.lists_complete;
+    let (is_complete, knows_starts) = (report.lists_complete, report.complete);
     let starting = report.runs.iter();
     let starting = starting.filter(|listed| listed.status == RunStatus::Starting);
     let starting: IndexSet<TaskRun> = starting.map(|listed| listed.run).collect();
@@ -457,7 +458,7 @@
         let run = placement.task_run();
         let is_listed = listed.contains(&run);
         let is_pending = !placement.was_reported() && (starting.contains(&run) || !is_listed);
-        if !is_listed && is_complete {
+        if !is_listed && is_complete && (knows_starts || !is_pending) {
             Remainder::Nothing
         } else if is_pending || placement.is_stopping() {
             Remainder::UnwantedStart
--- a/components/graph/tests/proofs.rs
+++ b/components/graph/tests/proofs.rs
@@ -539,3 +539,23 @@
     assert!(cell.now > lease_end, "started elsewhere within the lease");
     assert!(cell.now < lease_end + ms(500), "not started again");
 }
+
+/// Guards against a task that runs twice: a restarted agent does not know a start in flight of its earlier process, which may
+/// reach the next process of the worker.
+#[test]
+fn report_new_incarnation_of_restarted_agent_keeps_pending_start() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, _) = cell.first_start();
+    let report = &mut cell.workers[&agent].report;
+    report.incarnation = Some(2);
+    report.complete = false;
+    cell.report(&agent);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    let agents = cell.agents();
+    let started: usize = agents
+        .iter()
+        .map(|agent| cell.instructions(agent).starts.len())
+        .sum();
+    assert_eq!(started, 0);
+}
