Attribute late answers to starts and stops to the process that they were sent to

A late answer now leads to a stop if another attempt was not answered, and the answer to a stop counts only for the process that it was sent to. late_start_answer_of_earlier_process_rejects_attempt fails without this.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -5,7 +5,7 @@
 
 use errors::Result;
 use indexmap::IndexMap;
-use model::{Epoch, Instructions, JobId, TaskRun};
+use model::{Epoch, Incarnation, Instructions, JobId, TaskRun};
 use tokio::sync::mpsc;
 
 use crate::agent::WorkerNotice;
@@ -38,7 +38,12 @@
         kind: PollKind,
     },
     Started(TaskRun, StartOutcome),
-    Stopped(TaskRun, Result<()>),
+    Stopped {
+        run: TaskRun,
+        /// Incarnation of the worker when the stop was sent.
+        sent_to: Option<Incarnation>,
+        result: Result<()>,
+    },
     InstructionsReceived {
         result: Result<Instructions>,
         /// Value of `owner_changes` when the report was sent.
@@ -145,7 +150,11 @@
                 kind,
             } => self.handle_poll_result(result, epoch, requested_at, kind),
             Event::Started(run, outcome) => self.handle_start_outcome(run, outcome),
-            Event::Stopped(run, stopped) => self.handle_stop_result(run, stopped),
+            Event::Stopped {
+                run,
+                sent_to,
+                result,
+            } => self.handle_stop_result(run, sent_to, result),
             Event::InstructionsReceived {
                 result,
                 owner_changes,
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -5,7 +5,7 @@
 
 use errors::{Result, Verdict};
 use graph::PROBATION;
-use model::{Refusal, StartOrder, TaskRun};
+use model::{Incarnation, Refusal, StartOrder, TaskRun};
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::actor::{Actor, Event};
@@ -25,6 +25,8 @@
 
 /// Result of all attempts to send a start.
 pub(super) struct StartOutcome {
+    /// Incarnation of the worker when the start was sent.
+    sent_to: Option<Incarnation>,
     reply: Result<StartReply>,
     /// Whether an attempt was not answered, so that it may still be carried out.
     unanswered: bool,
@@ -83,16 +85,18 @@
             epoch: self.state.epoch,
         };
         let name = self.state.name.clone();
+        let sent_to = self.state.incarnation;
         let client = Arc::clone(&self.client);
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let start = send_start_with_retries(&*client, &name, &request, &retries_cancelled);
             let start = supervise::catch_panic("start", start).await;
-            let mut outcome = start.unwrap_or_else(|report| StartOutcome {
-                reply: Err(report),
-                unanswered: true,
-            });
-            outcome.unanswered |= unanswered;
+            let (reply, lost) = start.unwrap_or_else(|report| (Err(report), true));
+            let outcome = StartOutcome {
+                sent_to,
+                reply,
+                unanswered: unanswered || lost,
+            };
             // The send fails only if the agent has ended.
             let _ = tx.send(Event::Started(request.run, outcome)).await;
         });
@@ -115,8 +119,11 @@
                 if reply == StartReply::Yes && self.state.is_on_trial(run) {
                     self.send_after(PROBATION, Event::TrialDue);
                 }
-                let may_still_start = outcome.unanswered
-                    && matches!(reply, StartReply::Refused(refusal) if refusal != Refusal::Outdated);
+                // The reply may come from the previous process, and another attempt may still reach the present one.
+                let is_late = outcome.sent_to != self.state.incarnation;
+                let is_refused =
+                    matches!(reply, StartReply::Refused(refusal) if refusal != Refusal::Outdated);
+                let may_still_start = outcome.unanswered && (is_refused || is_late);
                 if reply == StartReply::Refused(Refusal::Outdated) {
                     self.poll_extra();
                 }
@@ -163,21 +170,34 @@
         self.state.orders.insert(run, (OrderState::Stopping, now));
         let client = Arc::clone(&self.client);
         let epoch = self.state.epoch;
+        let sent_to = self.state.incarnation;
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let stop = client.stop(run, epoch, STOP_TIMEOUT);
-            let stopped = supervise::catch_panic("stop", stop).await.flatten();
+            let result = supervise::catch_panic("stop", stop).await.flatten();
+            let event = Event::Stopped {
+                run,
+                sent_to,
+                result,
+            };
             // The send fails only if the agent has ended.
-            let _ = tx.send(Event::Stopped(run, stopped)).await;
+            let _ = tx.send(event).await;
         });
     }
 
-    pub(super) fn handle_stop_result(&mut self, run: TaskRun, stopped: Result<()>) {
-        if !matches!(self.state.orders.get(&run), Some((OrderState::Stopping, _))) {
-            // The worker has restarted, and the stop rejects nothing in its new incarnation.
+    /// Records the reply to a stop that was sent to an incarnation of the worker. It says nothing of a later one, which may
+    /// have got a stop of its own.
+    pub(super) fn handle_stop_result(
+        &mut self,
+        run: TaskRun,
+        sent_to: Option<Incarnation>,
+        result: Result<()>,
+    ) {
+        let is_open = matches!(self.state.orders.get(&run), Some((OrderState::Stopping, _)));
+        if !is_open || sent_to != self.state.incarnation {
             return;
         }
-        match stopped {
+        match result {
             Ok(()) => {
                 log::info!(target: "limpethook", task:% = run.task, run = run.run; "stop_answered");
                 let stopped = OrderState::Stopped(boot_now());
@@ -195,13 +215,13 @@
 }
 
 /// Sends a start until it is answered, retries are cancelled or all attempts are used. A repeat
-/// finds the run if an earlier attempt was carried out.
+/// finds the run if an earlier attempt was carried out. Returns the last reply, and whether an attempt was not answered.
 async fn send_start_with_retries(
     client: &dyn WorkerClient,
     name: &str,
     request: &StartRequest,
     retries_cancelled: &CancellationToken,
-) -> StartOutcome {
+) -> (Result<StartReply>, bool) {
     let mut attempts = 1;
     let mut unanswered = false;
     loop {
@@ -218,6 +238,6 @@
                 continue;
             }
         }
-        return StartOutcome { reply, unanswered };
+        return (reply, unanswered);
     }
 }
--- a/components/cell/tests/agent/main.rs
+++ b/components/cell/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Agents beside a worker that restarts, and in front of an owner that changes.
 
+mod late_answers;
 mod other_senders;
 mod owner;
 mod restarts;
