Keep the name of a worker's process against announcements under another name

Found by the review of the fix: one announcement with the start time of the present process and another name gave the worker that name for good, so that it rejected each start (421) and was not used any more. A process keeps its first name.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -26,7 +26,22 @@
             self.candidates.insert(announcement, now);
             return false;
         }
-        announcement.sequence > self.sequence && self.describe(announcement, now)
+        announcement.sequence > self.sequence
+            && self.is_own_name(&announcement)
+            && self.describe(announcement, now)
+    }
+
+    /// Returns whether an announcement of the present process names the worker as the ones before: a process keeps its name.
+    fn is_own_name(&self, announcement: &Announcement) -> bool {
+        let is_own = self.sequence == 0 || self.name == announcement.name;
+        if !is_own {
+            log::warn!(
+                target: "limpethook",
+                worker:% = self.name, announced:% = announcement.name, sequence = announcement.sequence;
+                "announcement_of_other_name"
+            );
+        }
+        is_own
     }
 
     /// Returns whether an announcement names the configured service; logs each other service once.
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -470,7 +470,7 @@
 async fn poll_refused_keeps_runs_of_draining_worker() -> TestResult {
     let fixture = Fixture::start().await?;
     fixture.start_run().await;
-    let draining = changed_announcement(|changed| changed.draining = Some(Duration::from_secs(60)));
+    let draining = changed_announcement(|changed| changed.draining = Some(Duration::from_mins(1)));
     fixture.notify(draining).await;
     fixture.reported(|report| report.draining.is_some()).await;
     fixture.worker.is_refusing.store(true, Ordering::Relaxed);
@@ -528,3 +528,25 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against a worker that is not used any more because another sender gave it another name, so that it rejects each
+/// start as meant for another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_of_other_name_is_not_kept() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture
+        .notify(changed_announcement(|changed| {
+            changed.name = "other".into();
+        }))
+        .await;
+    tokio::time::sleep(SEVERAL_ATTEMPTS).await;
+    for sequence in 2..6 {
+        fixture
+            .notify(changed_announcement(|changed| changed.sequence = sequence))
+            .await;
+    }
+    fixture.start_run().await;
+    let report = fixture.reported(|_| true).await;
+    assert_eq!(&*report.name, "worker");
+    fixture.stop().await
+}
