--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -550,3 +550,18 @@
     assert_eq!(&*report.name, "worker");
     fixture.stop().await
 }
+
+/// Guards against a drain that is not seen, because another sender announced the present process with a high number.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_of_high_sequence_hides_no_drain() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.notify(changed_announcement(|_| {})).await;
+    fixture
+        .notify(changed_announcement(|changed| {
+            changed.sequence = 2;
+            changed.draining = Some(Duration::from_mins(1));
+        }))
+        .await;
+    fixture.reported(|report| report.draining.is_some()).await;
+    fixture.stop().await
+}
