Call the polls that find out the process of a worker probes, and drop log lines that say the same twice

run_missing said what run_removed says with its reason; a probe logs one line for all announcements that it contradicts, so that a sender that announces all the time cannot fill the log. No logic is changed.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -11,7 +11,7 @@
 use crate::agent::WorkerNotice;
 use crate::agent::link::Link;
 use crate::agent::orders::StartOutcome;
-use crate::agent::polls::{Looks, PollKind};
+use crate::agent::polls::{PollKind, Probes};
 use crate::agent::state::State;
 use crate::agent::worker_client::{PollReply, WorkerClient};
 use crate::clock::boot_now;
@@ -51,7 +51,7 @@
     },
     OwnerChanged,
     PollDue,
-    LookDue,
+    ProbeDue,
     /// The leases may have lapsed, unless the worker answers.
     LapseDue,
     /// The probation of a run on trial is over if the worker still answers.
@@ -72,7 +72,7 @@
     owner_changes: u64,
     /// Whether the worker answers polls.
     pub(super) worker_availability: Dependency,
-    pub(super) looks: Looks,
+    pub(super) probes: Probes,
     /// Whether the end of the leases is being awaited.
     pub(super) lapse_awaited: bool,
     pub(super) report_due: bool,
@@ -94,7 +94,7 @@
             reports_in_flight: 0,
             owner_changes: 0,
             worker_availability: Dependency::new(false),
-            looks: Looks::default(),
+            probes: Probes::default(),
             lapse_awaited: false,
             report_due: false,
         }
@@ -130,12 +130,12 @@
         match notice {
             WorkerNotice::Announced(announcement) => {
                 self.report_due |= self.state.apply_announcement(announcement, boot_now());
-                self.look_if_needed();
+                self.probe_if_needed();
             }
             WorkerNotice::Leaving(name) => {
                 log::info!(target: "limpethook", worker:% = name; "worker_leaving");
                 self.state.mark_leaving(&name, boot_now());
-                self.look_if_needed();
+                self.probe_if_needed();
                 self.report_due = true;
             }
         }
@@ -170,7 +170,7 @@
                 self.report();
             }
             Event::PollDue => self.poll_regularly(),
-            Event::LookDue => self.handle_look_due(),
+            Event::ProbeDue => self.handle_probe_due(),
             Event::LapseDue => self.handle_lapse_due(),
             Event::TrialDue => self.poll_extra(),
             Event::ReportDue => {
--- a/components/cell/src/agent/candidates.rs
+++ b/components/cell/src/agent/candidates.rs
@@ -41,17 +41,21 @@
 
     /// Removes the announcements that had arrived when the answered poll was sent: none of their senders answered it.
     pub(crate) fn drop_contradicted(&mut self, requested_at: Duration, polled: Incarnation) {
-        self.0.retain(|_, (announcement, received_at)| {
-            if *received_at > requested_at {
-                return true;
+        let before = self.0.len();
+        let mut latest = None;
+        self.0.retain(|incarnation, (announcement, received_at)| {
+            let is_kept = *received_at > requested_at;
+            if !is_kept {
+                latest = Some((*incarnation, announcement.name.clone()));
             }
+            is_kept
+        });
+        if let Some((incarnation, name)) = latest {
             log::warn!(
                 target: "limpethook",
-                worker:% = announcement.name, service:% = announcement.service, incarnation = announcement.incarnation,
-                polled = polled;
+                worker:% = name, incarnation = incarnation, polled = polled, dropped = before - self.0.len();
                 "announcement_dropped"
             );
-            false
-        });
+        }
     }
 }
--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -63,13 +63,13 @@
     }
 
     /// Asks for a poll.
-    pub(crate) fn request_look(&mut self, now: Duration) {
-        self.look_requested_at = self.look_requested_at.max(Some(now));
+    pub(crate) fn request_probe(&mut self, now: Duration) {
+        self.probe_requested_at = self.probe_requested_at.max(Some(now));
     }
 
     /// Returns whether a poll is needed in between the regular ones.
-    pub(crate) fn awaits_look(&self) -> bool {
-        self.look_requested_at.is_some() || !self.candidates.is_empty()
+    pub(crate) fn awaits_probe(&self) -> bool {
+        self.probe_requested_at.is_some() || !self.candidates.is_empty()
     }
 
     /// Adopts what the present incarnation says of itself; returns whether the owner has to learn of a change.
@@ -154,7 +154,7 @@
         requested_at: Duration,
         now: Duration,
     ) -> bool {
-        self.look_requested_at
+        self.probe_requested_at
             .take_if(|needed_since| *needed_since <= requested_at);
         let own = self.candidates.take(polled);
         self.candidates.drop_contradicted(requested_at, polled);
--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -34,12 +34,12 @@
                 incarnation = incarnation, known = self.incarnation.unwrap_or(0);
                 "poll_reply_ignored"
             );
-            self.request_look(now);
+            self.request_probe(now);
             return PollOutcome::default();
         }
         if self.is_overtaken(&reply, incarnation, requested_at) {
             if self.confirmed_epoch < epoch {
-                self.request_look(now);
+                self.request_probe(now);
             }
             return PollOutcome::default();
         }
--- a/components/cell/src/agent/polls.rs
+++ b/components/cell/src/agent/polls.rs
@@ -18,8 +18,8 @@
 const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Delay between looks, so that a sender that announces all the time causes few of them.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay between probes, so that a sender that announces all the time causes few of them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a poll was sent for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,28 +29,28 @@
     /// Sent because of an order, an owner or a trial.
     Extra,
     /// Sent to learn which incarnation answers; at most one is in flight.
-    Look,
+    Probe,
 }
 
-/// Progress of the looks.
+/// Progress of the probes.
 #[derive(Debug, Default)]
-pub(super) struct Looks {
+pub(super) struct Probes {
     in_flight: bool,
-    /// When the latest look was sent.
+    /// When the latest probe was sent.
     sent_at: Option<Duration>,
-    /// Whether the next look is scheduled.
+    /// Whether the next probe is scheduled.
     scheduled: bool,
-    /// Since when the regular poll waits for a look.
+    /// Since when the regular poll waits for a probe.
     regular_poll_since: Option<Duration>,
 }
 
 impl Actor {
-    /// Sends the regular poll. A look goes first if it is not certain which incarnation the poll reaches, because each one
+    /// Sends the regular poll. A probe goes first if it is not certain which incarnation the poll reaches, because each one
     /// numbers its ends anew.
     pub(super) fn poll_regularly(&mut self) {
         if self.state.is_answering() && !self.state.knows_incarnation() {
-            self.looks.regular_poll_since = Some(boot_now());
-            self.look();
+            self.probes.regular_poll_since = Some(boot_now());
+            self.probe();
             return;
         }
         let acknowledged = self.acknowledgeable();
@@ -63,26 +63,26 @@
         self.send_poll(None, 0, PollKind::Extra);
     }
 
-    /// Looks which incarnation answers, if that is needed and no look is in flight or scheduled.
-    pub(super) fn look_if_needed(&mut self) {
-        let next_at = self.looks.sent_at.map(|sent_at| sent_at + LOOK_INTERVAL);
+    /// Probes which incarnation answers, if that is needed and no probe is in flight or scheduled.
+    pub(super) fn probe_if_needed(&mut self) {
+        let next_at = self.probes.sent_at.map(|sent_at| sent_at + PROBE_INTERVAL);
         let delay = next_at.unwrap_or_default().saturating_sub(boot_now());
-        if delay.is_zero() && self.state.awaits_look() && !self.looks.scheduled {
-            self.look();
+        if delay.is_zero() && self.state.awaits_probe() && !self.probes.scheduled {
+            self.probe();
         }
-        self.schedule_look(delay);
+        self.schedule_probe(delay);
     }
 
-    pub(super) fn handle_look_due(&mut self) {
-        self.looks.scheduled = false;
-        self.look_if_needed();
+    pub(super) fn handle_probe_due(&mut self) {
+        self.probes.scheduled = false;
+        self.probe_if_needed();
     }
 
-    fn look(&mut self) {
-        if !self.looks.in_flight {
-            self.looks.in_flight = true;
-            self.looks.sent_at = Some(boot_now());
-            self.send_poll(None, 0, PollKind::Look);
+    fn probe(&mut self) {
+        if !self.probes.in_flight {
+            self.probes.in_flight = true;
+            self.probes.sent_at = Some(boot_now());
+            self.send_poll(None, 0, PollKind::Probe);
         }
     }
 
@@ -146,9 +146,9 @@
                 Some(delay) => self.send_after(delay, Event::PollDue),
             },
             PollKind::Extra => {}
-            PollKind::Look => self.end_look(requested_at),
+            PollKind::Probe => self.end_probe(requested_at),
         }
-        self.schedule_look(retry_delay.unwrap_or(LOOK_INTERVAL));
+        self.schedule_probe(retry_delay.unwrap_or(PROBE_INTERVAL));
     }
 
     /// Applies the reply to a poll; returns the delay of the next regular poll, if it has to wait.
@@ -184,33 +184,33 @@
             PollKind::Regular => self.state.record_unanswered_poll(),
             // A new owner waits for the confirmation, or starts wait for the incarnation of the worker, and the next regular
             // poll may take another second.
-            PollKind::Extra => self.state.request_look(now),
-            PollKind::Look => {}
+            PollKind::Extra => self.state.request_probe(now),
+            PollKind::Probe => {}
         }
         self.await_lapse(now);
         self.record_worker_result(false, error);
     }
 
-    /// Continues after a look: sends the regular poll that waited for it. Only a look from after that time tells which
+    /// Continues after a probe: sends the regular poll that waited for it. Only a probe from after that time tells which
     /// incarnation the poll reaches.
-    fn end_look(&mut self, requested_at: Duration) {
-        self.looks.in_flight = false;
-        let Some(since) = self.looks.regular_poll_since else {
+    fn end_probe(&mut self, requested_at: Duration) {
+        self.probes.in_flight = false;
+        let Some(since) = self.probes.regular_poll_since else {
             return;
         };
         if requested_at < since && self.state.is_answering() {
-            self.look();
+            self.probe();
             return;
         }
-        self.looks.regular_poll_since = None;
+        self.probes.regular_poll_since = None;
         let acknowledged = self.acknowledgeable();
         self.send_regular_poll(acknowledged);
     }
 
-    fn schedule_look(&mut self, delay: Duration) {
-        if self.state.awaits_look() && !self.looks.scheduled && !self.looks.in_flight {
-            self.looks.scheduled = true;
-            self.send_after(delay, Event::LookDue);
+    fn schedule_probe(&mut self, delay: Duration) {
+        if self.state.awaits_probe() && !self.probes.scheduled && !self.probes.in_flight {
+            self.probes.scheduled = true;
+            self.send_after(delay, Event::ProbeDue);
         }
     }
 
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -102,7 +102,7 @@
     /// Announcements of incarnations that no poll has named.
     pub(super) candidates: Candidates,
     /// Since when a poll is needed, beside those that candidates ask for.
-    pub(super) look_requested_at: Option<Duration>,
+    pub(super) probe_requested_at: Option<Duration>,
     /// Services that were announced in place of the configured one, and were logged.
     pub(super) unknown_services: IndexSet<ServiceId>,
     /// When a poll last failed.
@@ -152,7 +152,7 @@
             stray_starts: Vec::new(),
             deferred_starts: IndexMap::new(),
             candidates: Candidates::default(),
-            look_requested_at: None,
+            probe_requested_at: None,
             unknown_services: IndexSet::new(),
             poll_failed_at: Duration::ZERO,
             listed: Vec::new(),
@@ -182,7 +182,7 @@
         if *self.name == *name && self.leaves_at.is_some() {
             self.leaving = true;
         } else {
-            self.request_look(now);
+            self.request_probe(now);
         }
     }
 
--- a/components/graph/src/removals.rs
+++ b/components/graph/src/removals.rs
@@ -18,7 +18,7 @@
 pub enum RemovalReason {
     /// The agent reported another process of the worker, which does not have the run.
     WorkerReplaced,
-    /// The agent reported that nothing listens at the address of the worker.
+    /// The agent reported that nothing can be running on the worker.
     WorkerAbsent,
     /// The lease of the worker has lapsed.
     LeaseLapsed,
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -232,11 +232,6 @@
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
-            log::warn!(
-                target: "limpethook",
-                agent:% = report.agent, task:% = task, listed = report.runs.len(), ends = report.ends.len();
-                "run_missing"
-            );
             self.remove_run(&report.agent, task, RemovalReason::MissingInList, now);
         }
         if let Some(worker) = self.workers.get_mut(&report.agent) {
