--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -10,6 +10,8 @@
 use crate::agent::sightings::Sightings;
 use crate::agent::state::{DeferredStart, OUTCOME_RETENTION, OrderState, State};
 
+/// Maximum number of rejected names that are kept.
+const MAX_REJECTED_NAMES: usize = 16;
 /// Maximum number of other services that are logged.
 const MAX_LOGGED_SERVICES: usize = 16;
 
@@ -31,9 +33,11 @@
             && self.describe(announcement, now)
     }
 
-    /// Returns whether an announcement of the present process names the worker as the ones before: a process keeps its name.
+    /// Returns whether an announcement of the present process names the worker as the ones before, because a process keeps its
+    /// name. The first one may have another sender; then the worker rejects its name.
     fn is_own_name(&self, announcement: &Announcement) -> bool {
-        let is_own = self.sequence == 0 || self.name == announcement.name;
+        let is_own = !self.rejected_names.contains(&announcement.name)
+            && (self.sequence == 0 || self.name == announcement.name);
         if !is_own {
             log::warn!(
                 target: "limpethook",
@@ -44,6 +48,21 @@
         is_own
     }
 
+    /// Records that the worker rejected a call because of the name that it stated. Whoever announced it, the next announcement
+    /// under another name counts, whatever its number.
+    pub(crate) fn reject_name(&mut self, name: &str) {
+        if *self.name != *name || name.is_empty() {
+            return;
+        }
+        log::warn!(target: "limpethook", worker = name; "name_rejected");
+        if self.rejected_names.len() >= MAX_REJECTED_NAMES {
+            self.rejected_names.shift_remove_index(0);
+        }
+        self.rejected_names.insert(name.into());
+        self.name = Box::default();
+        self.sequence = 0;
+    }
+
     /// Returns whether an announcement names the configured service; logs each other service once.
     fn is_own_service(&mut self, announcement: &Announcement) -> bool {
         let (own, announced) = (&self.settings.service, &announcement.service);
@@ -103,6 +122,7 @@
         }
         self.incarnation = Some(incarnation);
         self.sequence = 0;
+        self.rejected_names.clear();
         self.confirmed_epoch = 0;
         self.acknowledged = 0;
         self.clock_sample = None;
--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -95,7 +95,7 @@
     let run = run_supervised(settings, client, link, rx);
     let running = shutdown.run_until_cancelled_owned(run);
     let ended = tokio::spawn(async move {
-        running.await;
+        Box::pin(running).await;
     });
     (AgentHandle { tx }, ended)
 }
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -27,6 +27,8 @@
 pub(super) struct StartOutcome {
     /// Incarnation of the worker when the start was sent.
     sent_to: Option<Incarnation>,
+    /// Name of the worker that the start stated.
+    name: Box<str>,
     reply: Result<StartReply>,
     /// Whether an attempt was not answered, so that it may still be carried out.
     unanswered: bool,
@@ -94,6 +96,7 @@
             let (reply, lost) = start.unwrap_or_else(|report| (Err(report), true));
             let outcome = StartOutcome {
                 sent_to,
+                name,
                 reply,
                 unanswered: unanswered || lost,
             };
@@ -116,6 +119,9 @@
                     "start_answered"
                 );
                 self.state.record_start_reply(run, Some(reply), now);
+                if reply == StartReply::Misdirected {
+                    self.state.reject_name(&outcome.name);
+                }
                 if reply == StartReply::Yes && self.state.is_on_trial(run) {
                     self.send_after(PROBATION, Event::TrialDue);
                 }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -59,6 +59,8 @@
     pub(crate) name: Box<str>,
     pub(crate) incarnation: Option<Incarnation>,
     pub(super) sequence: u64,
+    /// Names that the present process has rejected as not its own.
+    pub(super) rejected_names: IndexSet<Box<str>>,
     pub(super) service: ServiceId,
     pub(super) capacity: ResourceVector,
     pub(super) labels: Vec<Box<str>>,
@@ -133,6 +135,7 @@
             name: Box::default(),
             incarnation: None,
             sequence: 0,
+            rejected_names: IndexSet::new(),
             capacity: ResourceVector::default(),
             labels: Vec::new(),
             leaves_at: None,
@@ -309,8 +312,8 @@
         }
         let order = match reply {
             Some(StartReply::Yes) => OrderState::Started,
-            // The lease expired on the way; the owner sends the order again.
-            Some(StartReply::Late) | None => OrderState::Unanswered,
+            // Not carried out, but an earlier attempt may be; the owner sends the order again.
+            Some(StartReply::Late | StartReply::Misdirected) | None => OrderState::Unanswered,
             // The run existed before: an earlier attempt was carried out, and the next poll shows
             // its end.
             Some(StartReply::Refused(Refusal::Outdated)) => OrderState::Stopped(now),
--- a/components/cell/src/agent/worker_client.rs
+++ b/components/cell/src/agent/worker_client.rs
@@ -30,6 +30,8 @@
     Yes,
     /// The lease had expired when the order arrived; the order can be sent again.
     Late,
+    /// The worker has another name than the order states, and did not carry out this attempt. An earlier one may still be.
+    Misdirected,
     /// The worker will not carry out the order.
     Refused(Refusal),
 }
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -565,3 +565,34 @@
     fixture.reported(|report| report.draining.is_some()).await;
     fixture.stop().await
 }
+
+/// Guards against a worker that is not used any more because another sender gave it another name before the first announcement
+/// of its own, so that it rejects each start as meant for another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_of_other_name_first_is_rejected_by_worker() -> TestResult {
+    let fixture = Fixture::start().await?;
+    fixture.worker.restart();
+    fixture
+        .notify(changed_announcement(|changed| {
+            changed.incarnation = 2;
+            changed.name = "other".into();
+        }))
+        .await;
+    fixture.reported(|report| &*report.name == "other").await;
+    fixture.order_start();
+    fixture
+        .reported(|report| status_of_run(report) == Some(&RunStatus::Starting))
+        .await;
+    fixture
+        .notify(changed_announcement(|changed| {
+            changed.incarnation = 2;
+            changed.sequence = 1;
+        }))
+        .await;
+    fixture.reported(|report| &*report.name == "worker").await;
+    fixture.order_start();
+    fixture
+        .wait_for_worker(|worker| !worker.life().runs.is_empty())
+        .await;
+    fixture.stop().await
+}
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -215,7 +215,7 @@
 impl WorkerClient for RestartingWorker {
     async fn start(
         &self,
-        _name: &str,
+        name: &str,
         request: &StartRequest,
         timeout: Duration,
     ) -> Result<StartReply> {
@@ -223,6 +223,9 @@
             tokio::time::sleep(timeout).await;
             return Err(Error::may_have_run(ErrorKind::Timeout, "the start was lost").report());
         }
+        if !name.is_empty() && name != "worker" {
+            return Ok(StartReply::Misdirected);
+        }
         self.life().runs.push(request.run);
         Ok(StartReply::Yes)
     }
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -34,7 +34,7 @@
 /// 10003: a worker was ignored for good after another sender announced a later process of it while it was silent.
 /// 10017: the same, and its tasks ran twice.
 /// 20049: the stand-in recorded the start of a run on a worker that had crashed while the call arrived, so that the run never
-/// ended.
+/// ended. Later, a worker was not used any more after another sender had given it another name.
 const WORKER_FAULT_SEEDS: [u64; 3] = [10_003, 10_017, 20_049];
 /// First seed with faults of workers and other senders.
 const FIRST_WORKER_FAULT_SEED: u64 = 10_000;
