Take the announced end of a draining worker for its end once it refuses connections

Traced: twelve workers are taken away at the announced time without a departure; their agents no longer reported them as absent within the six seconds before a loss of power, so that they stayed in the roster and the next owner waited 14.3 s for them (adoption_ended, unheard=12). A worker that drains and refuses connections after the time that it announced has ended by its own word. poll_refused_after_announced_end_reports_absence guards it.

--- a/components/cell/src/agent/absence.rs
+++ b/components/cell/src/agent/absence.rs
@@ -14,16 +14,17 @@
 impl State {
     /// Records that a regular poll was refused: nothing accepts connections at the address of the worker.
     ///
-    /// That proves the end of a process that was draining and has sent its departure. Another process may have closed its
-    /// listener, or something on the way may refuse in its place, so that its runs count as gone only when their leases have
-    /// lapsed.
+    /// That proves the end of a process that was draining and has sent its departure, or whose announced time has passed. Another
+    /// process may have closed its listener, or something on the way may refuse in its place, so that its runs count as gone
+    /// only when their leases have lapsed.
     pub(crate) fn record_refused_connection(&mut self, now: Duration) {
         self.refused_connections = self.refused_connections.saturating_add(1);
         if !self.is_refusing() || self.absent_since.is_some() {
             return;
         }
         self.refuse_deferred_starts(now);
-        if self.leaving {
+        let has_left = self.leaves_at.is_some_and(|leaves_at| now >= leaves_at);
+        if self.leaving || has_left {
             self.record_absence(now);
         }
     }
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -486,6 +486,24 @@
     fixture.stop().await
 }
 
+/// Guards against a worker that was taken away at the announced time without a departure, and for which the next owner waits
+/// until all leases have lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn poll_refused_after_announced_end_reports_absence() -> TestResult {
+    let fixture = Fixture::start().await?;
+    let draining =
+        changed_announcement(|changed| changed.draining = Some(Duration::from_millis(300)));
+    fixture.notify(draining).await;
+    fixture.reported(|report| report.draining.is_some()).await;
+    fixture.worker.is_refusing.store(true, Ordering::Relaxed);
+    let failing_polls = &fixture.worker.failing_polls;
+    failing_polls.store(usize::MAX, Ordering::Relaxed);
+    let failing_at = tokio::time::Instant::now();
+    fixture.reported(|report| report.absent).await;
+    assert!(failing_at.elapsed() < SEVERAL_ATTEMPTS * 2);
+    fixture.stop().await
+}
+
 /// Guards against a restarted agent that reports its worker as absent because connections are refused, while a process that an
 /// earlier process of the agent had started tasks on goes on.
 #[tokio::test(flavor = "multi_thread")]
