Test how long jobs wait after processes are lost together with the owner

Three entries and eight agents; eight jobs of four steps of 1.5 s, each on a worker of its own; the named processes are killed 2.2 s after the first start. A job without a run on the lost machine has a start at least every 6.5 s (lease of the owner 2 s, 3 s to start, step 1.5 s; 4.5 s without a takeover), and waits for 3 s at most after the new owner began while a worker is free.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod job_lifecycle;
 mod other_senders;
 mod soak;
+mod takeover;
 mod worker_channels;
 
 use std::path::{Path, PathBuf};
