Log, count and list the jobs that wait with their reasons

The owner determines every half second why jobs wait that have waited for a second: restrictions are applied one after the other, and the reason is the first one under which the unit no longer fits. Units that are placed count as well if the worker has not answered or is silent. At most 16 units a check are compared with all workers, and at most two lines are logged.

The decisions are unchanged.

--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -36,6 +36,8 @@
     pub(crate) local_leader: Section<Option<LeaderHandle>>,
     /// Job states of the owner in this process; written by the owner.
     pub states: Section<JobStates>,
+    /// Jobs that wait at the owner in this process, one line each, for operators; written by the owner.
+    pub waits: Section<Box<str>>,
 }
 
 impl CellBoard {
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use graph::Scheduler;
+use graph::{Scheduler, Wait, WaitReason};
 use indexmap::{IndexMap, IndexSet};
 use model::{AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
@@ -126,6 +126,7 @@
             }
         }
         self.entry.board.states.publish(JobStates::default());
+        self.publish_waits(std::iter::empty(), &IndexMap::new(), Duration::ZERO);
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -246,6 +247,10 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
+        if self.scheduler.take_waits_changed() {
+            let counts = self.scheduler.wait_counts(now);
+            self.publish_waits(self.scheduler.waits(), &counts, now);
+        }
         self.scheduler.compact_ended_jobs();
         if self.published_version != Some(self.scheduler.status_version()) {
             self.published_version = Some(self.scheduler.status_version());
@@ -371,6 +376,29 @@
             .start(Write::Roster(agents, self.roster_revision));
     }
 
+    /// Publishes the jobs that wait to the metrics and to operators.
+    fn publish_waits<'a>(
+        &self,
+        waits: impl Iterator<Item = &'a Wait>,
+        counts: &IndexMap<WaitReason, (u64, Duration)>,
+        now: Duration,
+    ) {
+        let metrics = &self.entry.metrics;
+        for reason in WaitReason::ALL {
+            let (count, longest) = counts.get(&reason).copied().unwrap_or_default();
+            let jobs = metrics.waiting_jobs.with_label_values(&[reason.as_str()]);
+            jobs.set(i64::try_from(count).unwrap_or(i64::MAX));
+            let wait = metrics.longest_wait.with_label_values(&[reason.as_str()]);
+            wait.set(longest.as_secs_f64());
+        }
+        let mut lines = String::new();
+        for wait in waits {
+            lines.push_str(&wait.to_line(now));
+            lines.push('\n');
+        }
+        self.entry.board.waits.publish(lines.into());
+    }
+
     fn publish_states(&self) {
         let states = self.scheduler.states();
         let waiting = self.scheduler.queued_job_counts();
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
+use prometheus::{GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -26,6 +26,10 @@
     pub worker_crashes: IntCounterVec,
     /// Runs that the owner took for ended without a report of their end, by what it took as proof.
     pub runs_removed: IntCounterVec,
+    /// Jobs that have waited for at least a second by reason; 0 if this entry is not the owner.
+    pub waiting_jobs: IntGaugeVec,
+    /// The longest of these waits in seconds by reason.
+    pub longest_wait: GaugeVec,
 }
 
 impl Metrics {
@@ -43,7 +47,25 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let waiting_jobs = IntGaugeVec::new(
+            Opts::new(
+                "limpethook_waiting_jobs",
+                "Jobs that have waited for at least a second",
+            ),
+            &["reason"],
+        )?;
+        registry.register(Box::new(waiting_jobs.clone()))?;
+        let longest_wait = GaugeVec::new(
+            Opts::new(
+                "limpethook_longest_wait_seconds",
+                "Longest wait of a job that has waited for at least a second",
+            ),
+            &["reason"],
+        )?;
+        registry.register(Box::new(longest_wait.clone()))?;
         Ok(Self {
+            waiting_jobs,
+            longest_wait,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -181,7 +181,7 @@
 }
 
 /// Packs tasks on the workers of the first rack that has room for all of them.
-fn pack_on_racks(
+pub(crate) fn pack_on_racks(
     workers: &[&Candidate<'_>],
     racks: &[Option<Box<str>>],
     tasks: u32,
@@ -290,12 +290,12 @@
     Some(assignment)
 }
 
-fn has_label(worker: &Worker, label: Option<&str>) -> bool {
+pub(crate) fn has_label(worker: &Worker, label: Option<&str>) -> bool {
     label.is_none_or(|label| worker.labels.iter().any(|own| **own == *label))
 }
 
 /// Returns the number of tasks of the same step and occurrence on a worker.
-fn tasks_on_worker(worker: &Worker, job: &Job, unit: UnitId) -> u32 {
+pub(crate) fn tasks_on_worker(worker: &Worker, job: &Job, unit: UnitId) -> u32 {
     let same_step = |task: &&TaskId| {
         task.job == job.id && task.step == unit.step && task.occurrence == unit.occurrence
     };
--- a/components/graph/src/headroom.rs
+++ b/components/graph/src/headroom.rs
@@ -95,13 +95,18 @@
         let Some(job) = self.jobs.get(&ready.job) else {
             return false;
         };
-        let slack = job.objective().saturating_sub(job.expected_time());
         ready.priority == URGENT_PRIORITY
             || job.step(ready.unit).long_running
-            || now.saturating_sub(job.accepted_at) > slack / 2
+            || now > headroom_deadline(job)
     }
 }
 
+/// Returns until when a job without another reason may not use the headroom.
+pub(crate) fn headroom_deadline(job: &Job) -> Duration {
+    let slack = job.objective().saturating_sub(job.expected_time());
+    job.accepted_at + slack / 2
+}
+
 /// Returns whether at least the minimum share of the accelerators and of the cores, if there are any, is in use.
 fn is_busy(total: ResourceVector, free: ResourceVector) -> bool {
     let busy = |total: u32, free: u32| {
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -50,6 +50,8 @@
 mod scheduler;
 mod trust;
 mod victims;
+mod wait_reasons;
+mod waits;
 mod worker;
 
 pub use approvals::{ApprovalRequest, StepId};
@@ -58,3 +60,4 @@
 pub use progress::{Progress, UnitCrashes, UnitProgress};
 pub use removals::RemovalReason;
 pub use scheduler::{LoadedJob, Scheduler, SchedulerSettings, lapse_after};
+pub use waits::{Wait, WaitReason};
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -53,6 +53,11 @@
         self.plan_needed = false;
         self.drop_stale_reservations(now);
         let ready_jobs = self.update_ready_jobs(now);
+        self.plan_jobs(ready_jobs, now);
+        self.check_waits(now);
+    }
+
+    fn plan_jobs(&mut self, ready_jobs: Vec<ReadyJob>, now: Duration) {
         if ready_jobs.is_empty() {
             return;
         }
--- a/components/graph/src/ready.rs
+++ b/components/graph/src/ready.rs
@@ -173,6 +173,14 @@
         self.delayed.pop_first().map(|(_, unit)| unit)
     }
 
+    /// Returns the first delayed unit with its time, and the first one that waits for the store without a time.
+    pub(crate) fn set_aside(&self) -> impl Iterator<Item = (UnitId, Option<Duration>)> {
+        let delayed = self.delayed.first();
+        let delayed = delayed.map(|(until, unit)| (*unit, Some(*until)));
+        let unstored = self.unstored.first().map(|unit| (*unit, None));
+        delayed.into_iter().chain(unstored)
+    }
+
     /// Takes the units that wait for the store.
     pub(crate) fn take_unstored(&mut self) -> Vec<UnitId> {
         std::mem::take(&mut self.unstored)
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -149,7 +149,11 @@
     }
 
     /// Returns the resources of each worker that the selected reservations of other units contain.
-    fn reserved_by_others(&self, ready: ReadyUnit, filter: ReservationFilter) -> WorkerResources {
+    pub(crate) fn reserved_by_others(
+        &self,
+        ready: ReadyUnit,
+        filter: ReservationFilter,
+    ) -> WorkerResources {
         let mut reserved = vec![ResourceVector::default(); self.workers.len()];
         for (unit, reservation) in &self.reservations {
             let own = *unit == (ready.job, ready.unit);
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::job::{Job, UnitId, UnitKey};
 use crate::progress::Progress;
 use crate::removals::RemovalReason;
+use crate::waits::Waits;
 use crate::worker::Worker;
 
 /// Low bits of a run number that count the runs of one owner; the higher bits are the epoch, so that numbers increase
@@ -98,6 +99,8 @@
     pub(crate) crash_suspects: Vec<usize>,
     /// Number of runs removed without a report of their end, collected for the metrics.
     pub(crate) removed_runs: IndexMap<RemovalReason, usize>,
+    /// Jobs that wait, for the log, the metrics and operators.
+    pub(crate) waits: Waits,
     /// Incremented when a job state or queue count that clients can query may have changed.
     pub(crate) status_version: u64,
     /// Jobs within the guarantees of their client accounts, as of the latest plan.
@@ -140,6 +143,7 @@
             start_delays: Vec::new(),
             crash_suspects: Vec::new(),
             removed_runs: IndexMap::new(),
+            waits: Waits::default(),
             status_version: 0,
             guaranteed: IndexSet::new(),
             pending_agents: roster,
--- a/components/graph/src/trust.rs
+++ b/components/graph/src/trust.rs
@@ -18,20 +18,30 @@
 /// which is worse than a late end.
 const LAST_ATTEMPT_WAIT: Duration = Duration::from_secs(4);
 
-/// Returns whether a unit waits until it fits on the `sound` workers, which could hold it if they were empty. A gang fails
-/// if any of its workers does; it waits for half of its remaining slack. A last attempt may wait longer.
+/// Returns whether a unit waits until it fits on the `sound` workers.
 pub(crate) fn waits_for_sound_workers(
     job: &Job,
     unit: (UnitId, &Unit),
     sound: &[&Candidate<'_>],
     now: Duration,
 ) -> bool {
+    sound_workers_deadline(job, unit, sound, now).is_some()
+}
+
+/// Returns until when a unit waits at the latest until it fits on the `sound` workers, which could hold it if they were
+/// empty. A gang fails if any of its workers does; it waits for half of its remaining slack. A last attempt may wait longer.
+pub(crate) fn sound_workers_deadline(
+    job: &Job,
+    unit: (UnitId, &Unit),
+    sound: &[&Candidate<'_>],
+    now: Duration,
+) -> Option<Duration> {
     let (id, unit) = unit;
     let is_last = is_last_attempt(job, unit);
     let max_slots = sound.iter().map(|candidate| candidate.max_slots);
     let could_fit = max_slots.fold(0, u32::saturating_add) >= unit.tasks;
     if !could_fit || !(is_last || unit.tasks > 1) {
-        return false;
+        return None;
     }
     let ready_at = unit.ready_at.unwrap_or(now);
     let latest_start = job.deadline().saturating_sub(job.expected_task_time(id));
@@ -41,7 +51,7 @@
     } else {
         half_slack
     };
-    now < ready_at + wait
+    Some(ready_at + wait).filter(|deadline| now < *deadline)
 }
 
 /// Returns whether the job fails if the next run of a unit fails.
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -145,6 +145,15 @@
             .fold(ResourceVector::default(), ResourceVector::saturating_add)
     }
 
+    /// Returns the resources of the placed runs that are not being stopped.
+    pub(crate) fn running_resources(&self) -> ResourceVector {
+        let placements = self.placements.values();
+        placements
+            .filter(|placement| !placement.is_stopping())
+            .map(AnyPlacement::resources)
+            .fold(ResourceVector::default(), ResourceVector::saturating_add)
+    }
+
     /// Returns the units whose pending starts do not fit into the capacity any more, the latest ones first. The capacity may
     /// have shrunk after they were placed.
     pub(crate) fn units_beyond_capacity(&self) -> IndexSet<UnitKey> {
--- /dev/null
+++ b/components/graph/tests/waits.rs
@@ -0,0 +1,228 @@
+//! Waits of jobs: their reasons, and the bounds of those that the scheduler chooses.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{TestCell, TestWorker, gang, job, ms, owner_run_number, running, step, task, worker};
+use graph::{Wait, WaitReason};
+use model::{AcceptedJob, JobId, RunEnd, TaskRun};
+
+/// Reports, plans and starts every 100 ms.
+fn run_for(cell: &mut TestCell, time: Duration) {
+    let end = cell.now + time;
+    while cell.now < end {
+        cell.advance(ms(100));
+        for agent in cell.agents() {
+            cell.report(&agent);
+        }
+        cell.plan_and_start();
+        cell.store_changes();
+    }
+}
+
+fn wait_of(cell: &TestCell, id: JobId) -> Option<Wait> {
+    cell.scheduler.waits().find(|wait| wait.job == id).cloned()
+}
+
+fn reason_of(cell: &TestCell, id: JobId) -> Option<WaitReason> {
+    wait_of(cell, id).map(|wait| wait.reason)
+}
+
+/// Accepts a job and returns why it waits after two seconds.
+fn reason_after_wait(cell: &mut TestCell, spec: AcceptedJob) -> Option<WaitReason> {
+    cell.accept(7, spec);
+    run_for(cell, ms(2_000));
+    reason_of(cell, 7)
+}
+
+fn workers(names: &[&str], rack: &str) -> Vec<TestWorker> {
+    names.iter().map(|name| worker(name, rack)).collect()
+}
+
+/// Guards against a job that stands without a reason: its service has fewer workers than it needs.
+#[test]
+fn waits_name_too_few_workers() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let reason = reason_after_wait(&mut cell, job(1, vec![gang(5)]));
+    assert_eq!(reason, Some(WaitReason::TooFewWorkers));
+}
+
+/// Guards against a job that stands without a reason: no worker has its label.
+#[test]
+fn waits_name_missing_label() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut special = step(1);
+    special.required_label = Some("special".into());
+    let reason = reason_after_wait(&mut cell, job(1, vec![special]));
+    assert_eq!(reason, Some(WaitReason::MissingLabel));
+}
+
+/// Guards against a job that stands without a reason: runs occupy the workers.
+#[test]
+fn waits_name_no_capacity() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.accept(8, job(1, vec![step(4)]));
+    cell.plan_and_start();
+    let reason = reason_after_wait(&mut cell, job(1, vec![step(1)]));
+    assert_eq!(reason, Some(WaitReason::NoCapacity));
+}
+
+/// Guards against a job that stands without a reason: an orphan run of unknown size counts as the whole worker.
+#[test]
+fn waits_name_stop_pending() {
+    let mut occupied = worker("w1", "r1");
+    let unknown = TaskRun::new(task(99, 0, 0), owner_run_number(1, 0));
+    occupied.report.runs.push(running(unknown, 10));
+    let mut cell = TestCell::new(2, vec![occupied]);
+    let reason = reason_after_wait(&mut cell, job(1, vec![step(1)]));
+    assert_eq!(reason, Some(WaitReason::StopPending));
+}
+
+/// Guards against a job that stands without a reason: the only worker with room has not confirmed the owner.
+#[test]
+fn waits_name_unconfirmed() {
+    let mut cell = TestCell::new(2, workers(&["w1"], "r1"));
+    cell.workers["w1"].report.incarnation = Some(2);
+    cell.workers["w1"].report.confirmed_epoch = 1;
+    cell.report("w1");
+    let reason = reason_after_wait(&mut cell, job(1, vec![step(1)]));
+    assert_eq!(reason, Some(WaitReason::Unconfirmed));
+}
+
+/// Guards against a job that stands without a reason: the only worker with room is about to shut down.
+#[test]
+fn waits_name_draining() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.workers["w1"].report.draining = Some(ms(60_000));
+    cell.report("w1");
+    let reason = reason_after_wait(&mut cell, job(1, vec![step(1)]));
+    assert_eq!(reason, Some(WaitReason::Draining));
+}
+
+/// Guards against a job that stands without a reason: two jobs failed on the only worker, which is quarantined.
+#[test]
+fn waits_name_quarantined() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    for id in [8, 9] {
+        cell.accept(id, job(1, vec![step(1)]));
+        cell.plan_and_start();
+        cell.end_run(task(id, 0, 0), RunEnd::Failed);
+        cell.scheduler.cancel(id);
+    }
+    cell.accept(7, job(1, vec![step(1)]));
+    run_for(&mut cell, ms(2_000));
+    let wait = wait_of(&cell, 7).expect("the job waits");
+    assert_eq!(wait.reason, WaitReason::Quarantined);
+    let remaining = wait.until.map(|until| until.saturating_sub(cell.now));
+    assert!(remaining < Some(ms(4_000)), "{remaining:?}");
+}
+
+/// Guards against a job that stands without a reason: the advisor has approved no worker.
+#[test]
+fn waits_name_not_approved() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut special = job(1, vec![step(1)]);
+    special.policy.needs_approval = true;
+    let reason = reason_after_wait(&mut cell, special);
+    assert_eq!(reason, Some(WaitReason::NotApproved));
+}
+
+/// Guards against a job that stands without a reason: each worker has as many tasks of the step as it may.
+#[test]
+fn waits_name_spread_limit() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut limited = step(2);
+    limited.max_tasks_per_worker = Some(1);
+    let reason = reason_after_wait(&mut cell, job(1, vec![limited]));
+    assert_eq!(reason, Some(WaitReason::SpreadLimit));
+    assert_eq!(wait_of(&cell, 7).map(|wait| wait.running), Some(1));
+}
+
+/// Guards against a job that stands without a reason: its resources are reserved for an urgent gang.
+#[test]
+fn waits_name_reserved() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut long = job(2, vec![step(3)]);
+    long.graph.steps[0].expected = ms(600_000);
+    cell.accept(8, long);
+    cell.plan_and_start();
+    run_for(&mut cell, ms(60_000));
+    cell.accept(9, job(0, vec![gang(2)]));
+    cell.plan_and_start();
+    let reason = reason_after_wait(&mut cell, job(1, vec![step(1)]));
+    assert_eq!(reason, Some(WaitReason::Reserved));
+}
+
+/// Guards against a job that stands without a reason: agents are not heard after a change of the owner.
+#[test]
+fn waits_name_recovery() {
+    let mut cell = TestCell::without_reports(2, workers(&["w1"], "r1"), &["w1", "lost"]);
+    cell.load(7, job(1, vec![step(1)]), None);
+    run_for(&mut cell, ms(2_000));
+    let wait = wait_of(&cell, 7).expect("the job waits");
+    assert_eq!(wait.reason, WaitReason::Recovery);
+    assert!(wait.until.is_some());
+}
+
+/// Guards against a job that stands without a reason: the worker does not answer the start.
+#[test]
+fn waits_name_start_unanswered() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.accept(7, job(1, vec![step(1)]));
+    for _ in 0..20 {
+        cell.advance(ms(100));
+        cell.report("w1");
+        cell.scheduler.plan(cell.now, ms(1_000));
+        cell.instructions("w1");
+    }
+    let wait = wait_of(&cell, 7).expect("the job waits");
+    assert_eq!(wait.reason, WaitReason::StartUnanswered);
+    assert_eq!(wait.agent.as_deref(), Some("w1"));
+}
+
+/// Guards against a job that stands without a reason: the agent of the worker that runs it is silent.
+#[test]
+fn waits_name_worker_silent() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.plan_and_start();
+    for _ in 0..30 {
+        cell.advance(ms(100));
+        cell.scheduler.plan(cell.now, ms(1_000));
+    }
+    let wait = wait_of(&cell, 7).expect("the job waits");
+    assert_eq!(wait.reason, WaitReason::WorkerSilent);
+    assert!(wait.until.is_some());
+}
+
+/// Guards against waits that are listed after they have ended, and against those that are usual.
+#[test]
+fn waits_end_with_placement() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.accept(8, job(1, vec![step(4)]));
+    cell.plan_and_start();
+    cell.accept(7, job(1, vec![step(1)]));
+    run_for(&mut cell, ms(600));
+    assert_eq!(reason_of(&cell, 7), None);
+    run_for(&mut cell, ms(1_000));
+    assert!(reason_of(&cell, 7).is_some());
+    cell.end_run(task(8, 0, 0), RunEnd::Done);
+    run_for(&mut cell, ms(1_000));
+    assert_eq!(reason_of(&cell, 7), None);
+}
+
+/// Guards against jobs of which no reason is found because many others wait.
+#[test]
+fn waits_name_each_of_many() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut lasting = step(4);
+    lasting.long_running = true;
+    cell.accept(8, job(1, vec![lasting]));
+    cell.plan_and_start();
+    for id in 100..200 {
+        cell.accept(id, job(1, vec![step(1)]));
+    }
+    run_for(&mut cell, ms(8_000));
+    assert_eq!(cell.scheduler.waits().count(), 100);
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -44,10 +44,10 @@
     }
 }
 
-struct MetricsHandler<F>(F);
+struct TextHandler<F>(F);
 
 #[async_trait]
-impl<F: Fn() -> String + Send + Sync + 'static> Handler for MetricsHandler<F> {
+impl<F: Fn() -> String + Send + Sync + 'static> Handler for TextHandler<F> {
     async fn handle(
         &self,
         _req: &mut Request,
@@ -61,7 +61,23 @@
 
 /// Serves the text that `text` returns at `/metrics` until the process exits.
 pub async fn serve_metrics<F: Fn() -> String + Send + Sync + 'static>(addr: SocketAddr, text: F) {
-    let router = Router::with_path("metrics").get(MetricsHandler(text));
+    serve(addr, Router::with_path("metrics").get(TextHandler(text))).await;
+}
+
+/// Serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`, until the process
+/// exits.
+pub async fn serve_metrics_and_waits<F, W>(addr: SocketAddr, text: F, waits: W)
+where
+    F: Fn() -> String + Send + Sync + 'static,
+    W: Fn() -> String + Send + Sync + 'static,
+{
+    let router = Router::new()
+        .push(Router::with_path("metrics").get(TextHandler(text)))
+        .push(Router::with_path("waits").get(TextHandler(waits)));
+    serve(addr, router).await;
+}
+
+async fn serve(addr: SocketAddr, router: Router) {
     match TcpListener::new(addr).try_bind().await {
         Ok(acceptor) => Server::new(acceptor).serve(router).await,
         Err(e) => {
