Bound the wait of rack-sensitive gangs for a single rack

It now waits for as long as the run across racks costs more run time, as a unit with data does, and is then placed across racks.

plan_bounds_wait_for_single_rack fails before: nothing placed within 10 s, with an expected run time of 1 s.

--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -104,8 +104,8 @@
         workers.filter(eligible).map(candidate).collect()
     }
 
-    /// Returns how long a unit waits for the rack with its data: the additional run time that it would need on another
-    /// rack.
+    /// Returns how long a unit waits for the rack with its data, or for a single rack: the additional run time that it would
+    /// need on another rack, or across racks.
     pub(crate) fn locality_wait(&self, job: &Job, unit: UnitId) -> Duration {
         let extra = (self.settings.slowdown - 1.0).max(0.0);
         job.expected_task_time(unit).mul_f64(extra)
@@ -204,8 +204,8 @@
 ///
 /// - Until the unit has waited for `locality_wait`, only the rack with its data is tried, provided that this rack could
 ///   hold the unit if it was empty.
-/// - After that, a gang that is sensitive to racks waits for a rack with enough slots, and the one with the fewest such
-///   slots is tried first. It is placed across racks only if no rack could hold it even when empty.
+/// - A gang that is sensitive to racks tries those with enough slots, the one with the fewest such slots first. It is placed
+///   across racks if no rack could hold it even when empty, or once it has waited for `locality_wait`.
 /// - Any other unit tries the rack with its data first, and then all racks together.
 pub(crate) fn racks_to_try(
     step: &Step,
@@ -214,14 +214,15 @@
     locality_wait: Duration,
     now: Duration,
 ) -> Vec<Option<Box<str>>> {
+    let waited = now.saturating_sub(unit.ready_at.unwrap_or(now));
+    let may_wait = waited < locality_wait;
     if let Some(rack) = &step.data_rack {
         let max_slots: u32 = candidates
             .iter()
             .filter(|candidate| candidate.is_on_rack(Some(rack)))
             .map(|candidate| candidate.max_slots)
             .sum();
-        let waited = now.saturating_sub(unit.ready_at.unwrap_or(now));
-        if max_slots >= unit.tasks && waited < locality_wait {
+        if max_slots >= unit.tasks && may_wait {
             return vec![Some(rack.clone())];
         }
     }
@@ -248,7 +249,7 @@
         .into_iter()
         .map(|(rack, _)| Some(rack.into()))
         .collect();
-    if !fits_one_rack {
+    if !fits_one_rack || !may_wait {
         racks.push(None);
     }
     racks
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -166,13 +166,14 @@
         let racks = racks_to_try(step, unit, &candidates, locality_wait, now);
         let all: Vec<_> = candidates.iter().collect();
         if pack_on_racks(&all, &racks, unit.tasks).is_none() {
-            let ready_at = unit.ready_at.unwrap_or(now);
             let awaits_data = racks.len() == 1 && racks[0] == step.data_rack;
-            return Some(if awaits_data {
-                (WaitReason::DataRack, Some(ready_at + locality_wait))
+            let reason = if awaits_data {
+                WaitReason::DataRack
             } else {
-                (WaitReason::SingleRack, None)
-            });
+                WaitReason::SingleRack
+            };
+            let until = unit.ready_at.unwrap_or(now) + locality_wait;
+            return Some((reason, Some(until)));
         }
         let sound = trusted_candidates(unit, &candidates, TrustLevel::NotSuspect, now);
         let deadline = sound_workers_deadline(job, (ready.unit, unit), &sound, now)?;
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -226,3 +226,52 @@
     run_for(&mut cell, ms(8_000));
     assert_eq!(cell.scheduler.waits().count(), 100);
 }
+
+/// Occupies slots of each worker with tasks that last.
+fn occupy(cell: &mut TestCell, tasks_per_worker: u32) {
+    let workers = u32::try_from(cell.agents().len()).expect("the number is small");
+    let mut lasting = step(workers * tasks_per_worker);
+    lasting.long_running = true;
+    lasting.max_tasks_per_worker = Some(tasks_per_worker);
+    cell.accept(1, job(1, vec![lasting]));
+    run_for(cell, ms(200));
+}
+
+/// Runs until a task is placed, and returns how long that took.
+fn time_until_placed(cell: &mut TestCell, id: JobId, limit: Duration) -> Option<Duration> {
+    let begin = cell.now;
+    while cell.now < begin + limit {
+        if cell.agent_of(task(id, 0, 0)).is_some() {
+            return Some(cell.now - begin);
+        }
+        run_for(cell, ms(100));
+    }
+    None
+}
+
+/// Guards against a rack-sensitive gang that stands for good because a rack could hold it only if it was empty, although other
+/// racks together have room. The fleet is busy, so that it may wait for as long as the slower run costs.
+#[test]
+fn plan_bounds_wait_for_single_rack() {
+    let mut cell = TestCell::new(
+        1,
+        vec![
+            worker("w1", "r1"),
+            worker("w2", "r1"),
+            worker("w3", "r2"),
+            worker("w4", "r2"),
+        ],
+    );
+    occupy(&mut cell, 2);
+    let mut wide = gang(5);
+    wide.rack_sensitive = true;
+    wide.expected = ms(1_000);
+    cell.accept(7, job(1, vec![wide]));
+    run_for(&mut cell, ms(1_800));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::SingleRack));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| waited < ms(1_000)),
+        "{waited:?}"
+    );
+}
