Log and measure which configuration a process serves and since when it is confirmed

Each entry exports the version by which it handles requests and the time since the store (by read and by watch) and a peer last answered the question for a newer one. The configuration's log lines name the source and the store revision; skipped, older and unreadable documents are logged and counted, as are a confirmation that is older than configurationApplyMs and its return. The owner logs the version that it places by. No decision changes.

--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -1,15 +1,19 @@
 //! Configuration controller: watches the configuration in the store and asks other entries for
 //! newer versions, also while the store is unreachable.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
 use errors::Result;
-use store::{Change, WatchOutcome};
+use model::Revision;
+use store::{Change, KvPair, WatchOutcome};
 use tokio::task::JoinSet;
 use wire::{Call, Reply};
 
+use crate::clock::boot_now;
 use crate::configuration::Configuration;
+use crate::confirmations::Source;
 use crate::entry::Entry;
 use crate::records;
 
@@ -24,6 +28,9 @@
 /// silent watch.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the age of the last confirmation is compared with its bound.
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Number of entries that are asked in each round while the store answers. The watch usually is
 /// faster, and asking all entries would cost each entry a call a second from every other one.
 const SAMPLE_SIZE: usize = 3;
@@ -47,52 +54,122 @@
 async fn watch_store(entry: &Entry) -> Result<()> {
     let key = &*entry.settings.configuration_key;
     let mut after = 0;
+    let asked_at = boot_now();
     if let Some(found) = entry.store.get(key).await? {
-        apply_encoded(entry, &found.value);
+        apply_encoded(entry, &found, Source::StoreRead);
         after = found.revision;
     }
+    entry.confirmations.record(Source::StoreRead, asked_at);
     entry.record_store_result(true, &"configuration read");
     loop {
+        let asked_at = boot_now();
         match entry.store.watch(key, after, WATCH_DURATION).await? {
             WatchOutcome::Changes { changes, revision } => {
                 after = revision;
                 for change in changes {
-                    if let Change::Put(found) = change
-                        && *found.key == *key
-                    {
-                        apply_encoded(entry, &found.value);
+                    match change {
+                        Change::Put(found) if *found.key == *key => {
+                            apply_encoded(entry, &found, Source::StoreWatch);
+                        }
+                        Change::Put(found) => log_skipped(entry, &found.key, found.revision),
+                        Change::Deleted { key, revision } => log_skipped(entry, &key, revision),
                     }
                 }
             }
-            WatchOutcome::Compacted { .. } => return Ok(()),
+            WatchOutcome::Compacted { .. } => {
+                count_event(entry, "compacted");
+                log::info!(target: "limpethook", after = after; "configuration_watch_compacted");
+                return Ok(());
+            }
         }
+        entry.confirmations.record(Source::StoreWatch, asked_at);
         entry.record_store_result(true, &"configuration watched");
     }
 }
 
-fn apply_encoded(entry: &Entry, value: &[u8]) {
-    match (entry.decode)(value) {
-        Ok(configuration) => apply(entry, configuration, "store"),
-        Err(report) => {
-            log::error!(target: "limpethook", error:% = report.current_context(); "configuration_unreadable");
-        }
+fn count_event(entry: &Entry, event: &str) {
+    let events = &entry.metrics.configuration;
+    events.with_label_values(&[event]).inc();
+}
+
+fn log_skipped(entry: &Entry, key: &str, revision: Revision) {
+    count_event(entry, "skipped");
+    log::warn!(target: "limpethook", key = key, revision = revision; "configuration_event_skipped");
+}
+
+fn log_unreadable(entry: &Entry, source: Source, revision: Revision, error: &dyn Display) {
+    count_event(entry, "unreadable");
+    log::error!(
+        target: "limpethook",
+        source = source.name(), revision = revision, error:% = error;
+        "configuration_unreadable"
+    );
+}
+
+fn apply_encoded(entry: &Entry, found: &KvPair, source: Source) {
+    match (entry.decode)(&found.value) {
+        Ok(configuration) => apply(entry, configuration, source, found.revision),
+        Err(report) => log_unreadable(entry, source, found.revision, report.current_context()),
     }
 }
 
-/// Applies a configuration unless the current one is at least as new.
-fn apply(entry: &Entry, configuration: Configuration, source: &str) {
+/// Applies a configuration unless the current one is at least as new. `revision` is 0 if it came from a peer.
+fn apply(entry: &Entry, configuration: Configuration, source: Source, revision: Revision) {
     let version = configuration.version;
-    if version <= entry.board.configuration.load().version {
+    let current = entry.board.configuration.load().version;
+    if version <= current {
+        if version < current {
+            count_event(entry, "older");
+            log::warn!(
+                target: "limpethook",
+                version = version, current = current, source = source.name(), revision = revision;
+                "configuration_older"
+            );
+        }
         return;
     }
+    count_event(entry, "applied");
     log::info!(
         target: "limpethook",
-        version = version, routes = configuration.routes.len(), accounts = configuration.accounts.len(), source = source;
+        version = version, before = current, source = source.name(), revision = revision,
+        routes = configuration.routes.len(), accounts = configuration.accounts.len();
         "configuration_applied"
     );
     entry.board.configuration.publish(Arc::new(configuration));
 }
 
+/// Logs when the store has not answered for longer than a configuration may take to be applied, and when it answers again.
+pub(crate) async fn report_age(entry: Arc<Entry>) {
+    let bound = entry.settings.configuration_bound;
+    let mut is_stale = false;
+    let mut ticks = entry.timer.subscribe_every(AGE_CHECK_INTERVAL);
+    while ticks.recv().await.is_some() {
+        let now = boot_now();
+        let store_age = entry.confirmations.store_age(now);
+        let stale = store_age.is_none_or(|age| age > bound);
+        if stale == is_stale {
+            continue;
+        }
+        is_stale = stale;
+        let millis = |age: Option<Duration>| age.map(|age| age.as_millis());
+        let version = entry.board.configuration.load().version;
+        let store_age_ms = millis(store_age);
+        let peer_age_ms = millis(entry.confirmations.age(Source::Peer, now));
+        let event = if stale {
+            "configuration_unconfirmed"
+        } else {
+            "configuration_confirmed"
+        };
+        count_event(&entry, event);
+        log::warn!(
+            target: "limpethook",
+            version = version, store_age_ms:? = store_age_ms, peer_age_ms:? = peer_age_ms,
+            bound_ms = bound.as_millis();
+            "{event}"
+        );
+    }
+}
+
 /// Periodically asks the other entries for a newer configuration.
 pub(crate) async fn poll_entries(entry: Arc<Entry>) {
     let mut ticks = entry.timer.subscribe_every(POLL_INTERVAL);
@@ -122,9 +199,14 @@
             entry.call(addr, &call, FETCH_TIMEOUT).await
         });
     }
+    let asked_at = boot_now();
     let mut newest: Option<Configuration> = None;
     while let Some(answer) = fetches.join_next().await {
-        let Ok(Ok(Reply::Configuration(Some((_, encoded))))) = answer else {
+        let Ok(Ok(Reply::Configuration(answer))) = answer else {
+            continue;
+        };
+        entry.confirmations.record(Source::Peer, asked_at);
+        let Some((_, encoded)) = answer else {
             continue;
         };
         match records::decode::<Configuration>("configuration from a peer", &encoded) {
@@ -134,12 +216,10 @@
                     newest = Some(configuration);
                 }
             }
-            Err(report) => {
-                log::error!(target: "limpethook", error:% = report.current_context(); "configuration_unreadable");
-            }
+            Err(report) => log_unreadable(entry, Source::Peer, 0, report.current_context()),
         }
     }
     if let Some(configuration) = newest {
-        apply(entry, configuration, "peer");
+        apply(entry, configuration, Source::Peer, 0);
     }
 }
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -18,6 +18,7 @@
 use crate::board::CellBoard;
 use crate::clock::boot_now;
 use crate::configuration::Configuration;
+use crate::confirmations::{Confirmations, Source};
 use crate::dependency::Dependency;
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
@@ -41,6 +42,7 @@
     pub(crate) timer: Timer,
     /// Cancelled when the shutdown begins.
     pub(crate) shutdown: CancellationToken,
+    pub(crate) confirmations: Confirmations,
     store_availability: Dependency,
     /// When no entry was last found that could reach the store, in milliseconds on the boot clock.
     outage_confirmed_at_ms: AtomicU64,
@@ -82,6 +84,7 @@
             decode,
             timer: Timer::start(),
             shutdown,
+            confirmations: Confirmations::default(),
             store_availability: Dependency::new(false),
             outage_confirmed_at_ms: AtomicU64::new(0),
             peer_results: ArcSwap::default(),
@@ -93,6 +96,7 @@
         ));
         entry.supervise("configuration_watch", configure::run);
         entry.supervise("configuration_poll", configure::poll_entries);
+        entry.supervise("configuration_age", configure::report_age);
         entry.supervise("members", members::run);
         entry.supervise("registration", members::register);
         entry.supervise("ownership", ownership::run);
@@ -109,6 +113,20 @@
         supervise::spawn(name, move || controller(Arc::clone(&entry)));
     }
 
+    /// Updates the metrics that depend on the time.
+    pub fn refresh_metrics(&self) {
+        let version = self.board.configuration.load().version;
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.metrics.configuration_version.set(version);
+        let now = boot_now();
+        for source in Source::ALL {
+            let gauge = &self.metrics.configuration_confirmed;
+            let gauge = gauge.with_label_values(&[source.name()]);
+            let age = self.confirmations.age(source, now);
+            gauge.set(age.map_or(-1.0, |age| age.as_secs_f64()));
+        }
+    }
+
     /// Returns whether the entry can serve requests.
     pub fn is_ready(&self) -> bool {
         let configured = self.board.configuration.load().version > 0;
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -291,6 +291,11 @@
         if configuration.version == self.configuration_version {
             return;
         }
+        log::info!(
+            target: "limpethook",
+            epoch = self.scheduler.epoch(), version = configuration.version, before = self.configuration_version;
+            "owner_configured"
+        );
         self.configuration_version = configuration.version;
         self.scheduler
             .configure(configuration.policies(), configuration.guarantees());
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 mod configuration;
 mod configure;
+mod confirmations;
 mod dependency;
 pub mod entry;
 mod keys;
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
+use prometheus::{GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -26,6 +26,12 @@
     pub worker_crashes: IntCounterVec,
     /// Runs that the owner took for ended without a report of their end, by what it took as proof.
     pub runs_removed: IntCounterVec,
+    /// Version of the configuration by which this process handles requests.
+    pub configuration_version: IntGauge,
+    /// Seconds since a source was last asked for a newer configuration and answered, by source; -1 if it never did.
+    pub configuration_confirmed: GaugeVec,
+    /// Events of the configuration by name.
+    pub configuration: IntCounterVec,
 }
 
 impl Metrics {
@@ -43,7 +49,25 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let version = IntGauge::new(
+            "limpethook_configuration_version",
+            "Version of the configuration in force",
+        )?;
+        registry.register(Box::new(version.clone()))?;
+        let confirmed = Opts::new(
+            "limpethook_configuration_confirmed_age_seconds",
+            "Time since a source was asked for a newer configuration and answered",
+        );
+        let confirmed = GaugeVec::new(confirmed, &["source"])?;
+        registry.register(Box::new(confirmed.clone()))?;
         Ok(Self {
+            configuration_version: version,
+            configuration_confirmed: confirmed,
+            configuration: counters(
+                "limpethook_configuration_events_total",
+                "Events of the configuration",
+                &["event"],
+            )?,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
--- a/components/cell/src/settings.rs
+++ b/components/cell/src/settings.rs
@@ -19,6 +19,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Store key of the configuration.
     pub configuration_key: Box<str>,
+    /// How long after a configuration was stored requests may still be handled by an earlier one.
+    pub configuration_bound: Duration,
     /// Settings of the scheduler.
     pub scheduler: SchedulerSettings,
     /// How long the record of a job is kept after the job has ended.
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -65,6 +65,7 @@
         processor_share,
         seeds,
         configuration_key: CONFIGURATION_KEY.into(),
+        configuration_bound: Duration::from_millis(2_500),
         scheduler: scheduler_settings(),
         retention: Duration::from_mins(2),
         min_store_lease: Duration::from_secs(1),
