--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of an entry.
 
-use prometheus::{GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -30,6 +32,12 @@
     pub waiting_jobs: IntGaugeVec,
     /// The longest of these waits in seconds by reason.
     pub longest_wait: GaugeVec,
+    /// Version of the configuration by which this process handles requests.
+    pub configuration_version: IntGauge,
+    /// Seconds since a source was last asked for a newer configuration and answered, by source; -1 if it never did.
+    pub configuration_confirmed: GaugeVec,
+    /// Events of the configuration by name.
+    pub configuration: IntCounterVec,
 }
 
 impl Metrics {
@@ -47,6 +55,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = GaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
         let waiting_jobs = IntGaugeVec::new(
             Opts::new(
                 "limpethook_waiting_jobs",
@@ -55,17 +68,29 @@
             &["reason"],
         )?;
         registry.register(Box::new(waiting_jobs.clone()))?;
-        let longest_wait = GaugeVec::new(
-            Opts::new(
-                "limpethook_longest_wait_seconds",
-                "Longest wait of a job that has waited for at least a second",
-            ),
-            &["reason"],
+        let version = IntGauge::new(
+            "limpethook_configuration_version",
+            "Version of the configuration in force",
         )?;
-        registry.register(Box::new(longest_wait.clone()))?;
+        registry.register(Box::new(version.clone()))?;
         Ok(Self {
             waiting_jobs,
-            longest_wait,
+            longest_wait: gauges(
+                "limpethook_longest_wait_seconds",
+                "Longest wait of a job that has waited for at least a second",
+                "reason",
+            )?,
+            configuration_version: version,
+            configuration_confirmed: gauges(
+                "limpethook_configuration_confirmed_age_seconds",
+                "Time since a source was asked for a newer configuration and answered",
+                "source",
+            )?,
+            configuration: counters(
+                "limpethook_configuration_events_total",
+                "Events of the configuration",
+                &["event"],
+            )?,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
