Log and measure what the recovery of a new owner waits for

owner_starts states how many jobs wait for how many agents. recovery_waits names each agent that has not been heard for a second, with the number of jobs and the latest end of the wait; recovery_wait_ended says why the wait ended. adoption_ended states how long recovery took. New metrics: limpethook_recovering_jobs and limpethook_recovery_seconds.

--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -73,11 +73,7 @@
         let settings = entry.settings.scheduler;
         let mut scheduler = Scheduler::new(settings, epoch, loaded.roster.clone(), now);
         let mut job_revisions = IndexMap::new();
-        log::info!(
-            target: "limpethook",
-            epoch = epoch, jobs = loaded.jobs.len(), ended = loaded.ended.len(), agents = loaded.roster.len();
-            "owner_starts"
-        );
+        let (jobs, ended) = (loaded.jobs.len(), loaded.ended.len());
         for (id, (job, revision)) in loaded.jobs {
             let revisions = JobRevisions {
                 queue: job.spec.queue.clone(),
@@ -91,6 +87,13 @@
             scheduler.load_ended(id, end);
         }
         scheduler.try_end_recovery(now);
+        let recovery = scheduler.recovery_state();
+        log::info!(
+            target: "limpethook",
+            epoch = epoch, jobs = jobs, ended = ended, agents = loaded.roster.len(), waiting_jobs = recovery.jobs,
+            pending_agents = recovery.agents;
+            "owner_starts"
+        );
         Self {
             writer: Writer::new(Arc::clone(&entry), handle.clone()),
             entry,
@@ -125,6 +128,7 @@
                 self.handle_event(event);
             }
         }
+        self.entry.metrics.recovering_jobs.set(0);
         self.entry.board.states.publish(JobStates::default());
     }
 
@@ -246,7 +250,14 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
+        if let Some(took) = self.scheduler.take_recovery_time() {
+            let seconds = &self.entry.metrics.recovery_seconds;
+            seconds.observe(took.as_secs_f64());
+        }
         self.scheduler.compact_ended_jobs();
+        let waiting = self.scheduler.recovery_state().jobs;
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        self.entry.metrics.recovering_jobs.set(waiting);
         if self.published_version != Some(self.scheduler.status_version()) {
             self.published_version = Some(self.scheduler.status_version());
             self.publish_states();
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -26,6 +26,10 @@
     pub worker_crashes: IntCounterVec,
     /// Runs that the owner took for ended without a report of their end, by what it took as proof.
     pub runs_removed: IntCounterVec,
+    /// Number of jobs that the owner does not place before recovery has ended for them.
+    pub recovering_jobs: IntGauge,
+    /// Time from the start of an owner to the end of its recovery in seconds.
+    pub recovery_seconds: Histogram,
 }
 
 impl Metrics {
@@ -43,7 +47,17 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let recovering_jobs = IntGauge::new(
+            "limpethook_recovering_jobs",
+            "Jobs that are not placed before recovery has ended for them",
+        )?;
+        registry.register(Box::new(recovering_jobs.clone()))?;
         Ok(Self {
+            recovering_jobs,
+            recovery_seconds: histogram(
+                "limpethook_recovery_seconds",
+                "Time from the start of an owner to the end of its recovery",
+            )?,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -56,5 +56,6 @@
 pub use changes::{Change, Content};
 pub use crashes::{CrashEvidence, PROBATION, RunCrash};
 pub use progress::{Progress, UnitCrashes, UnitProgress};
+pub use recovery::RecoveryState;
 pub use removals::RemovalReason;
 pub use scheduler::{LoadedJob, Scheduler, SchedulerSettings, lapse_after};
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -8,10 +8,76 @@
 use crate::fit::resources_per_task;
 use crate::job::Phase;
 use crate::placement::AnyPlacement;
-use crate::scheduler::Scheduler;
-use crate::worker::OrphanRun;
+use crate::scheduler::{Scheduler, lapse_after};
+use crate::worker::{OrphanRun, Worker};
+
+/// A wait for an agent that is longer than this is logged; most agents report to a new owner within this time.
+const LOGGED_WAIT: Duration = Duration::from_secs(1);
+
+/// What recovery waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecoveryState {
+    /// Number of jobs that are not placed before recovery has ended for them.
+    pub jobs: usize,
+    /// Number of agents whose runs are not known yet.
+    pub agents: usize,
+}
 
 impl Scheduler {
+    /// Returns what recovery waits for.
+    pub fn recovery_state(&self) -> RecoveryState {
+        let jobs = self.jobs.values();
+        RecoveryState {
+            jobs: jobs.filter(|job| job.awaiting_recovery).count(),
+            agents: self.pending_agents.len(),
+        }
+    }
+
+    /// Takes the time that recovery took, once after it has ended.
+    pub fn take_recovery_time(&mut self) -> Option<Duration> {
+        self.recovery_time.take()
+    }
+
+    /// Logs the agents that recovery waits for, each once, when it has waited for a while.
+    fn log_waits(&mut self, deadline: Duration, now: Duration) {
+        if now < self.recovery_started_at + LOGGED_WAIT
+            || self.logged_waits.len() == self.pending_agents.len()
+        {
+            return;
+        }
+        for agent in &self.pending_agents {
+            if self.logged_waits.contains(agent) {
+                continue;
+            }
+            let until = deadline.max(self.lease_lapses_at(agent));
+            log::warn!(
+                target: "limpethook",
+                agent:% = agent, jobs = self.jobs_awaiting(agent), until_ms = until.as_millis(),
+                left_ms = until.saturating_sub(now).as_millis();
+                "recovery_waits"
+            );
+        }
+        self.logged_waits.clone_from(&self.pending_agents);
+    }
+
+    /// Logs the end of the wait for an agent if its begin was logged.
+    fn log_wait_end(&mut self, agent: &AgentId, reason: &str, now: Duration) {
+        if self.logged_waits.swap_remove(agent) {
+            let waited = now.saturating_sub(self.recovery_started_at);
+            log::info!(
+                target: "limpethook",
+                agent:% = agent, reason = reason, waited_ms = waited.as_millis();
+                "recovery_wait_ended"
+            );
+        }
+    }
+
+    /// Returns the number of jobs that wait for an agent.
+    fn jobs_awaiting(&self, _agent: &AgentId) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|job| job.awaiting_recovery).count()
+    }
+
     /// Handles a reported run that this owner has not placed on the worker: it is adopted if its unit still needs it,
     /// and stopped as an orphan otherwise.
     pub(crate) fn handle_unknown_run(
@@ -124,6 +190,7 @@
     /// Records that this owner knows all runs on the worker of an agent, or that there are none.
     pub(crate) fn mark_runs_known(&mut self, agent: &AgentId, now: Duration) {
         if self.pending_agents.shift_remove(agent) {
+            self.log_wait_end(agent, "heard", now);
             self.try_end_recovery(now);
         }
     }
@@ -134,6 +201,13 @@
         worker.is_some_and(|worker| !worker.has_lapsed(self.settings.max_lease, now))
     }
 
+    /// Returns when a lease has lapsed that this owner renewed; zero if it renewed none.
+    fn lease_lapses_at(&self, agent: &AgentId) -> Duration {
+        let lapses_at =
+            |worker: &Worker| worker.last_renewed_at + lapse_after(self.settings.max_lease);
+        self.workers.get(agent).map_or(Duration::ZERO, lapses_at)
+    }
+
     /// Returns whether this owner renews the lease of a worker. It does not for an absent one, whose remaining runs end with
     /// the lease, and stops to do so for those whose runs are still not known when the leases that earlier owners renewed have
     /// lapsed, so that recovery ends when those leases have lapsed too.
@@ -158,11 +232,18 @@
         let mut pending = self.pending_agents.iter();
         let may_have_runs = |agent| now < deadline || self.may_hold_lease(agent, now);
         if pending.any(may_have_runs) {
+            self.log_waits(deadline, now);
             return;
         }
+        for agent in self.pending_agents.clone() {
+            self.log_wait_end(&agent, "lapsed", now);
+        }
+        let took = now.saturating_sub(self.recovery_started_at);
+        self.recovery_time = Some(took);
         log::info!(
             target: "limpethook",
-            epoch = self.epoch, jobs = self.jobs.len(), unheard = self.pending_agents.len();
+            epoch = self.epoch, jobs = self.jobs.len(), unheard = self.pending_agents.len(),
+            took_ms = took.as_millis();
             "adoption_ended"
         );
         self.recovery_deadline = None;
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -111,6 +111,12 @@
     /// When recovery ends even if some agents are still pending, because the leases of their workers have lapsed;
     /// `None` once recovery has ended.
     pub(crate) recovery_deadline: Option<Duration>,
+    /// When recovery began.
+    pub(crate) recovery_started_at: Duration,
+    /// Pending agents whose wait was logged.
+    pub(crate) logged_waits: IndexSet<AgentId>,
+    /// How long recovery took, collected for the metrics.
+    pub(crate) recovery_time: Option<Duration>,
 }
 
 impl Scheduler {
@@ -146,6 +152,9 @@
             plan_needed: true,
             next_plan_at: Duration::ZERO,
             recovery_deadline: Some(now + wait),
+            recovery_started_at: now,
+            logged_waits: IndexSet::new(),
+            recovery_time: None,
         }
     }
 
