--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -38,6 +38,10 @@
     pub configuration_confirmed: GaugeVec,
     /// Events of the configuration by name.
     pub configuration: IntCounterVec,
+    /// Number of jobs that the owner does not place before recovery has ended for them.
+    pub recovering_jobs: IntGauge,
+    /// Time from the start of an owner to the end of its recovery in seconds.
+    pub recovery_seconds: Histogram,
 }
 
 impl Metrics {
@@ -55,6 +59,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let gauges = |name: &str, help: &str, label: &str| {
             let gauges = GaugeVec::new(Opts::new(name, help), &[label])?;
             registry.register(Box::new(gauges.clone()))?;
@@ -68,11 +77,6 @@
             &["reason"],
         )?;
         registry.register(Box::new(waiting_jobs.clone()))?;
-        let version = IntGauge::new(
-            "limpethook_configuration_version",
-            "Version of the configuration in force",
-        )?;
-        registry.register(Box::new(version.clone()))?;
         Ok(Self {
             waiting_jobs,
             longest_wait: gauges(
@@ -80,7 +84,10 @@
                 "Longest wait of a job that has waited for at least a second",
                 "reason",
             )?,
-            configuration_version: version,
+            configuration_version: gauge(
+                "limpethook_configuration_version",
+                "Version of the configuration in force",
+            )?,
             configuration_confirmed: gauges(
                 "limpethook_configuration_confirmed_age_seconds",
                 "Time since a source was asked for a newer configuration and answered",
@@ -91,6 +98,14 @@
                 "Events of the configuration",
                 &["event"],
             )?,
+            recovering_jobs: gauge(
+                "limpethook_recovering_jobs",
+                "Jobs that are not placed before recovery has ended for them",
+            )?,
+            recovery_seconds: histogram(
+                "limpethook_recovery_seconds",
+                "Time from the start of an owner to the end of its recovery",
+            )?,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -242,7 +242,7 @@
     let begin = cell.now;
     while cell.now < begin + limit {
         if cell.agent_of(task(id, 0, 0)).is_some() {
-            return Some(cell.now - begin);
+            return Some(cell.now.saturating_sub(begin));
         }
         run_for(cell, ms(100));
     }
