Soak with overlapping series of faults, real configuration changes and larger fleets

Seeds from 30000 on (three entries, eight agents) and from 40000 on (seven and sixteen) play series of faults that overlap, with calm gaps; the sizes can be set for runs by hand. Earlier seeds draw as before.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -5,22 +5,31 @@
 //! also have faults of workers and their channels, and announcements of other senders; even ones among them also refuse
 //! the connections to workers that are up. Earlier seeds play as they did before these were added.
 //!
+//! Seeds from [`FIRST_SERIES_SEED`] on have instead series of faults that overlap, with calm gaps between them, larger
+//! fleets, and changes of the configuration that are probed at each entry; jobs that stand in calm are found. The calm at
+//! their end lasts for [`CALM_SECONDS`]. `SOAK_ENTRIES` and `SOAK_AGENTS` set the size of their fleet.
+//!
 //! All seeds are run, and those that fail are listed at the end. The folder `soak-SEED` in `target/tmp` keeps the logs,
 //! and the output has the faults of the workers with the times of the logs. Fifty fresh seeds:
 //! ```sh
 //! SOAK_SEEDS=$(seq -s, 20001 20050) cargo test --test platform soak -- --nocapture
+//! SOAK_SEEDS=30101 SOAK_SECONDS=60 SOAK_ENTRIES=23 SOAK_AGENTS=61 cargo test --test platform soak_of_series -- --nocapture
 //! ```
 
+mod configuration_changes;
 mod faults;
 mod jobs;
+mod series;
 mod worker_faults;
 
 use std::time::{Duration, Instant};
 
 use platform_standin::{Deployment, Result};
 
+use self::configuration_changes::ConfigurationChanges;
 use self::faults::RandomFaults;
 use self::jobs::{check_all_workers_used, check_job, submit_all};
+use self::series::Series;
 use self::worker_faults::WorkerFaults;
 use crate::start_deployment;
 
@@ -42,6 +51,25 @@
 const FAULT_SECONDS: u64 = 8;
 const ENTRIES: usize = 3;
 const AGENTS: usize = 4;
+/// Seeds of the short run with series of faults.
+const SERIES_SEEDS: [u64; 2] = [30_001, 30_002];
+/// Seeds of the short run with series of faults on a fleet of middle size.
+const MIDDLE_FLEET_SEEDS: [u64; 1] = [40_001];
+/// First seed with series of faults.
+const FIRST_SERIES_SEED: u64 = 30_000;
+/// First seed on a fleet of middle size.
+const FIRST_MIDDLE_FLEET_SEED: u64 = 40_000;
+const SERIES_AGENTS: usize = 8;
+const MIDDLE_FLEET_ENTRIES: usize = 7;
+const MIDDLE_FLEET_AGENTS: usize = 16;
+/// Duration of the calm after the faults in which jobs are submitted and the configuration changes.
+const CALM_SECONDS: u64 = 10;
+/// Interval between probes of an entry.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Range of the interval between submissions in milliseconds.
+const SUBMISSION_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+/// The same with series of faults, for each worker: leaves half of the fleet free.
+const SUBMISSION_INTERVAL_OF_WORKER_MS: std::ops::Range<u64> = 1_200..4_800;
 /// Time after the last fault in which all jobs must end.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(45);
 /// Time in which a job on all workers must complete after all others have ended.
@@ -57,7 +85,22 @@
 /// channels failed and other senders announced them.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_of_worker_faults_keeps_invariants() -> Result<()> {
-    run_seeds(&WORKER_FAULT_SEEDS, |seed| seed >= FIRST_WORKER_FAULT_SEED).await
+    let selected = FIRST_WORKER_FAULT_SEED..FIRST_SERIES_SEED;
+    run_seeds(&WORKER_FAULT_SEEDS, |seed| selected.contains(&seed)).await
+}
+
+/// Guards against entries that serve by an older configuration, and jobs that stand, around series of faults (issues 37
+/// and 38).
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_of_series_keeps_invariants() -> Result<()> {
+    let selected = FIRST_SERIES_SEED..FIRST_MIDDLE_FLEET_SEED;
+    run_seeds(&SERIES_SEEDS, |seed| selected.contains(&seed)).await
+}
+
+/// Guards against the same on a fleet of middle size.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_of_series_on_middle_fleet_keeps_invariants() -> Result<()> {
+    run_seeds(&MIDDLE_FLEET_SEEDS, |seed| seed >= FIRST_MIDDLE_FLEET_SEED).await
 }
 
 /// Runs the seeds of the environment that are selected, or else the default ones, and reports all that fail.
@@ -88,17 +131,50 @@
     Err(failures.join("\n").into())
 }
 
+/// Returns the number of entries and agents of a seed.
+fn fleet_size(seed: u64) -> (usize, usize) {
+    if seed < FIRST_SERIES_SEED {
+        return (ENTRIES, AGENTS);
+    }
+    let size = |name: &str, default| {
+        let size = std::env::var(name).ok();
+        size.and_then(|size| size.parse().ok()).unwrap_or(default)
+    };
+    let (entries, agents) = if seed < FIRST_MIDDLE_FLEET_SEED {
+        (ENTRIES, SERIES_AGENTS)
+    } else {
+        (MIDDLE_FLEET_ENTRIES, MIDDLE_FLEET_AGENTS)
+    };
+    (size("SOAK_ENTRIES", entries), size("SOAK_AGENTS", agents))
+}
+
 async fn run_seed(seed: u64, fault_duration: Duration) -> Result<()> {
-    let mut deployment = start_deployment(&format!("soak-{seed}"), ENTRIES, AGENTS).await?;
+    let (entries, agents) = fleet_size(seed);
+    let mut deployment = start_deployment(&format!("soak-{seed}"), entries, agents).await?;
     let client = deployment.client()?;
     let end = Instant::now() + fault_duration;
+    let has_series = seed >= FIRST_SERIES_SEED;
+    let (interval, submissions_end) = if has_series {
+        let workers = u64::try_from(agents)?;
+        let of_worker = SUBMISSION_INTERVAL_OF_WORKER_MS;
+        let interval = of_worker.start / workers..of_worker.end / workers;
+        (interval, end + Duration::from_secs(CALM_SECONDS))
+    } else {
+        (SUBMISSION_INTERVAL_MS, end)
+    };
     let submitting = tokio::spawn(submit_all(
         client.clone(),
         deployment.checker.clone(),
         seed,
-        end,
+        interval,
+        submissions_end,
     ));
-    play_faults(&mut deployment, seed, end).await?;
+    let watches = has_series.then(|| deployment.watch_for_standing_jobs());
+    if has_series {
+        play_series(&mut deployment, seed, end, submissions_end).await?;
+    } else {
+        play_faults(&mut deployment, seed, end).await?;
+    }
     let jobs = submitting.await?;
     let deadline = Instant::now() + SETTLE_TIMEOUT;
     let mut failures = Vec::new();
@@ -114,6 +190,16 @@
         jobs.len(),
         deployment.checker.start_count()
     );
+    drop(watches);
+    if has_series {
+        let (memory_kb, processes) = deployment.resident_kb();
+        println!(
+            "seed {seed}: {}; {memory_kb} kB in {processes} processes",
+            deployment.configuration_checker.summary()
+        );
+        let log = deployment.dir().join("probes.log");
+        deployment.configuration_checker.write_log(&log)?;
+    }
     let violations = deployment.checker.violations();
     if !violations.is_empty() {
         failures.push(format!("violated invariants: {violations:?}"));
@@ -127,7 +213,8 @@
 /// Injects the faults of a seed, and ends them all at the end.
 async fn play_faults(deployment: &mut Deployment, seed: u64, end: Instant) -> Result<()> {
     let mut faults = RandomFaults::new(seed);
-    let mut worker_faults = (seed >= FIRST_WORKER_FAULT_SEED).then(|| WorkerFaults::new(seed));
+    let mut worker_faults =
+        (seed >= FIRST_WORKER_FAULT_SEED).then(|| WorkerFaults::new(seed, AGENTS));
     while Instant::now() < end {
         let worker_fault_at = worker_faults.as_ref().map(|faults| faults.next_at);
         let next_at = worker_fault_at.map_or(faults.next_at, |at| at.min(faults.next_at));
@@ -144,6 +231,37 @@
     Ok(())
 }
 
+/// Injects the series of faults of a seed until `end`, and changes the configuration until `changes_end`.
+async fn play_series(
+    deployment: &mut Deployment,
+    seed: u64,
+    end: Instant,
+    changes_end: Instant,
+) -> Result<()> {
+    let prober = deployment.probe_configuration(PROBE_INTERVAL)?;
+    let mut changes = ConfigurationChanges::new(seed);
+    let mut series = Series::new(seed);
+    let mut worker_faults = WorkerFaults::new(seed, deployment.workers.len());
+    while Instant::now() < end {
+        let next_at = changes.next_at.min(series.next_at);
+        tokio::time::sleep_until(next_at.min(worker_faults.next_at).into()).await;
+        changes.advance(&deployment.operator);
+        series.advance(deployment).await?;
+        if let Some(until) = series.calm_until() {
+            worker_faults.pause_until(until);
+        }
+        worker_faults.advance(deployment).await?;
+    }
+    series.end(deployment).await?;
+    worker_faults.end(deployment);
+    while Instant::now() < changes_end {
+        tokio::time::sleep_until(changes.next_at.into()).await;
+        changes.advance(&deployment.operator);
+    }
+    drop(prober);
+    Ok(())
+}
+
 /// Starts new incarnations of the workers that a task has crashed.
 async fn restart_crashed_workers(deployment: &mut Deployment) -> Result<()> {
     for index in 0..deployment.workers.len() {
--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use platform_standin::{Deployment, ProxyMode, Result, StoreFaults, Target};
 
-use super::{AGENTS, restart_crashed_workers};
+use super::restart_crashed_workers;
 
 /// Maximum number of these faults that are active at the same time.
 const MAX_ACTIVE_FAULTS: usize = 3;
@@ -115,17 +115,17 @@
             Some(ActiveFault::FaultyStoreProxy(target))
         }
         6 => {
-            let index = rng.usize(..AGENTS);
+            let index = rng.usize(..deployment.workers.len());
             deployment.workers[index].delay_orders(0.4);
             Some(ActiveFault::DelayedOrders(index))
         }
         7 => {
-            let index = rng.usize(..AGENTS);
+            let index = rng.usize(..deployment.workers.len());
             deployment.workers[index].drop_responses(0.4);
             Some(ActiveFault::DroppedResponses(index))
         }
         8 => {
-            let index = rng.usize(..AGENTS);
+            let index = rng.usize(..deployment.workers.len());
             // A copy draws the delay, so that the plays of earlier seeds stay as they are.
             let announced_after = Duration::from_millis(rng.clone().u64(..1_500));
             deployment
@@ -142,7 +142,7 @@
 }
 
 /// Returns one kind of fault of the store.
-fn random_store_faults(rng: &mut Rng) -> StoreFaults {
+pub(super) fn random_store_faults(rng: &mut Rng) -> StoreFaults {
     let faults = [
         StoreFaults {
             down: true,
--- a/tests/platform/soak/jobs.rs
+++ b/tests/platform/soak/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs of the clients during a soak, and the check of how they end.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
@@ -27,11 +28,12 @@
     refused: bool,
 }
 
-/// Submits random jobs, and cancels some of them, until `end`.
+/// Submits random jobs at intervals in a range of milliseconds, and cancels some of them, until `end`.
 pub(super) async fn submit_all(
     client: Client,
     checker: InvariantChecker,
     seed: u64,
+    interval_ms: Range<u64>,
     end: Instant,
 ) -> Vec<SubmittedJob> {
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
@@ -75,7 +77,7 @@
                 refused,
             }
         }));
-        tokio::time::sleep(Duration::from_millis(rng.u64(50..400))).await;
+        tokio::time::sleep(Duration::from_millis(rng.u64(interval_ms.clone()))).await;
     }
     let mut jobs = Vec::new();
     for job in running {
--- a/tests/platform/soak/worker_faults.rs
+++ b/tests/platform/soak/worker_faults.rs
@@ -5,8 +5,6 @@
 use fastrand::Rng;
 use platform_standin::{Deployment, OtherAnnouncement, ProxyMode, Result, Worker};
 
-use super::AGENTS;
-
 /// Interval between checks for faults that begin or end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of faults in a series on one worker.
@@ -47,6 +45,7 @@
 /// Faults of a seed, planned in series on one worker each.
 pub(super) struct WorkerFaults {
     rng: Rng,
+    workers: usize,
     max_faults: usize,
     modes: Vec<ProxyMode>,
     planned: Vec<PlannedFault>,
@@ -56,13 +55,14 @@
 }
 
 impl WorkerFaults {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64, workers: usize) -> Self {
         // A generator of its own, so that the other choices of a seed stay as they were.
         let mut rng = Rng::with_seed(seed ^ 0x0f0e);
         let max_faults = rng.usize(MAX_FAULTS);
         let now = Instant::now();
         Self {
             rng,
+            workers,
             max_faults,
             modes: channel_modes(seed),
             planned: Vec::new(),
@@ -103,7 +103,7 @@
 
     /// Plans faults on one worker; each begins while the previous one is active or right after its end.
     fn plan_series(&mut self, now: Instant) {
-        let worker = self.rng.usize(..AGENTS);
+        let worker = self.rng.usize(..self.workers);
         let faults = if self.rng.u8(..3) == 0 {
             self.faults_of_record()
         } else {
@@ -166,6 +166,12 @@
         }
     }
 
+    /// Plans no more faults until a time, and drops those that have not begun.
+    pub(super) fn pause_until(&mut self, at: Instant) {
+        self.planned.clear();
+        self.next_series_at = at;
+    }
+
     fn end_expired(&mut self, deployment: &Deployment, now: Instant) {
         self.active.retain(|active| {
             let expired = active.ends_at <= now;
