Let a job wait only for the agents on which it may have runs

Cause: a new owner held every job of earlier owners until each agent of the roster was heard or all leases had lapsed, because nothing told on which agents a job could have runs.

Change: the store has a record for each job with the agents on which it may have runs (limpethook/placements/). A start is ordered once the stored record names its agent. A record is rewritten only when an agent is missing in it, up to 15 a transaction with the owner and each record's revision as precondition, and deleted with the end of its job. A new owner lets a job wait only while an agent of its record is unheard.

ENDS_BATCH goes from 7 to 6, as each end deletes one more key.

Not measured yet: the process test of the takeover, store cost.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -245,6 +245,7 @@
             self.state.adopt_epoch(instructions.epoch);
             self.poll_extra();
         }
+        self.state.apply_records_statement(instructions.records);
         let renewable_until = instructions.report_sent_at + self.state.max_lease();
         self.state.renewable_until = self.state.renewable_until.max(renewable_until);
         if instructions.incarnation != self.state.incarnation {
--- a/components/cell/src/agent/report.rs
+++ b/components/cell/src/agent/report.rs
@@ -29,6 +29,7 @@
             runs: self.run_reports(now),
             ends: self.ends.clone(),
             crashes: self.crashes.iter().cloned().collect(),
+            records: self.records,
             sent_at: now,
         }
     }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -6,8 +6,8 @@
 use graph::{PROBATION, lapse_after};
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    EndReport, Epoch, Incarnation, Refusal, ResourceVector, ServiceId, StartOrder, TaskRun,
-    WorkerCrash,
+    EndReport, Epoch, Incarnation, RecordsStatement, Refusal, ResourceVector, ServiceId,
+    StartOrder, TaskRun, WorkerCrash,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -68,6 +68,8 @@
     pub(super) leaves_at: Option<Duration>,
     /// Highest epoch of an owner.
     pub(crate) epoch: Epoch,
+    /// The latest statement of an owner about the records of placements.
+    pub(super) records: Option<RecordsStatement>,
     /// Highest epoch that the worker has confirmed.
     pub(crate) confirmed_epoch: Epoch,
     /// When this process started tracking the worker.
@@ -140,6 +142,7 @@
             labels: Vec::new(),
             leaves_at: None,
             epoch: 0,
+            records: None,
             confirmed_epoch: 0,
             renewable_until: Duration::ZERO,
             clock_sample: None,
@@ -264,6 +267,13 @@
         self.deferred_starts.clear();
     }
 
+    /// Keeps the statement of an owner about the records of placements, unless a later one is known.
+    pub(crate) fn apply_records_statement(&mut self, stated: RecordsStatement) {
+        if stated.replaces(self.records) {
+            self.records = Some(stated);
+        }
+    }
+
     /// Returns the end of a lease on the clock of the worker, if leases may be renewed and the
     /// clock is known.
     pub(crate) fn lease_end(&mut self, now: Duration) -> Option<Duration> {
--- a/components/cell/src/keys.rs
+++ b/components/cell/src/keys.rs
@@ -15,6 +15,8 @@
 pub(crate) const JOBS_PREFIX: &str = "limpethook/jobs/";
 /// Prefix of the progress of jobs, which only the owner writes.
 pub(crate) const PROGRESS_PREFIX: &str = "limpethook/progress/";
+/// Prefix of the agents on which jobs may have runs, which only the owner writes.
+pub(crate) const PLACEMENTS_PREFIX: &str = "limpethook/placements/";
 /// Agents that may hold runs.
 pub(crate) const ROSTER_KEY: &str = "limpethook/roster";
 
@@ -40,6 +42,11 @@
     format!("{PROGRESS_PREFIX}{id:016x}").into()
 }
 
+/// Returns the key of the agents on which a job may have runs.
+pub(crate) fn placements(id: JobId) -> Key {
+    format!("{PLACEMENTS_PREFIX}{id:016x}").into()
+}
+
 /// A parsed key under the jobs prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JobKey {
@@ -61,3 +68,8 @@
 pub(crate) fn parse_progress_key(key: &str) -> Option<JobId> {
     JobId::from_str_radix(key.strip_prefix(PROGRESS_PREFIX)?, 16).ok()
 }
+
+/// Parses a key under the placements prefix.
+pub(crate) fn parse_placements_key(key: &str) -> Option<JobId> {
+    JobId::from_str_radix(key.strip_prefix(PLACEMENTS_PREFIX)?, 16).ok()
+}
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use graph::Scheduler;
+use graph::{PlacementChange, Scheduler};
 use indexmap::{IndexMap, IndexSet};
 use model::{AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
@@ -15,7 +15,7 @@
 use crate::entry::Entry;
 use crate::leader::load::StoredRecords;
 use crate::leader::writer::{
-    ENDS_BATCH, JobRevisions, PROGRESS_BATCH, StoredJob, Write, WriteKind, Writer,
+    ENDS_BATCH, JobRevisions, PLACEMENTS_BATCH, PROGRESS_BATCH, StoredJob, Write, WriteKind, Writer,
 };
 use crate::leader::{Event, LeaderHandle};
 
@@ -24,9 +24,12 @@
 const REPORT_WAIT: Duration = Duration::from_secs(1);
 /// Interval of decisions that depend only on time: expired leases, due schedules and hanging tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum number of concurrent writes of ends. With a slow store, 7 ends per write and 200 ms per
-/// write give 280 ends per second.
+/// Maximum number of concurrent writes of ends. With a slow store, 6 ends per write and 200 ms per
+/// write give 240 ends per second.
 const MAX_END_WRITES: usize = 8;
+/// Maximum number of concurrent writes of placements, which starts wait for. With a slow store, 15 jobs per
+/// write and 200 ms per write give 300 jobs per second.
+const MAX_PLACEMENT_WRITES: usize = 4;
 
 /// A report that waits for instructions.
 struct PendingReport {
@@ -39,6 +42,7 @@
 #[derive(Debug, Default)]
 struct InFlightWrites {
     ends: usize,
+    placements: usize,
     progress: bool,
     roster: bool,
 }
@@ -51,6 +55,8 @@
     in_flight: InFlightWrites,
     pending_reports: IndexMap<AgentId, PendingReport>,
     job_revisions: IndexMap<JobId, JobRevisions>,
+    /// Revisions of the stored records of placements.
+    placement_revisions: IndexMap<JobId, Revision>,
     /// Agents that are certainly in the stored roster.
     roster: IndexSet<AgentId>,
     roster_revision: Revision,
@@ -83,6 +89,11 @@
             job_revisions.insert(id, revisions);
             scheduler.load(job, now, wall);
         }
+        let mut placement_revisions = IndexMap::new();
+        for (id, (agents, revision)) in loaded.placements {
+            placement_revisions.insert(id, revision);
+            scheduler.load_placements(id, agents);
+        }
         for (id, (_, end)) in loaded.ended {
             scheduler.load_ended(id, end);
         }
@@ -94,14 +105,17 @@
             pending_agents = recovery.agents;
             "owner_starts"
         );
+        let writer = Writer::new(Arc::clone(&entry), handle.clone());
+        writer.delete_placements(&loaded.stale_placements);
         Self {
-            writer: Writer::new(Arc::clone(&entry), handle.clone()),
+            writer,
             entry,
             handle,
             scheduler,
             in_flight: InFlightWrites::default(),
             pending_reports: IndexMap::new(),
             job_revisions,
+            placement_revisions,
             roster: loaded.roster,
             roster_revision: loaded.roster_revision,
             awaiting_roster: Vec::new(),
@@ -152,6 +166,7 @@
             Event::JobDeleted(id) => {
                 self.scheduler.remove_deleted_jobs(|ended| ended == id);
                 self.job_revisions.swap_remove(&id);
+                self.placement_revisions.swap_remove(&id);
             }
             Event::JobsListed(jobs) => self
                 .scheduler
@@ -167,6 +182,12 @@
                     .record_approvals(step, &approval.tickets, requested_at, validity);
             }
             Event::JobsWritten { kind, jobs } => self.handle_written(kind, jobs),
+            Event::PlacementsWritten { jobs, revision } => {
+                self.in_flight.placements -= 1;
+                self.scheduler.mark_placements_stored(&jobs);
+                let revisions = jobs.into_iter().map(|job| (job, revision));
+                self.placement_revisions.extend(revisions);
+            }
             Event::RosterWritten { agents, revision } => {
                 self.in_flight.roster = false;
                 self.roster = agents;
@@ -230,6 +251,7 @@
             self.scheduler.plan(now, wall_now());
             self.ask_advisor(now);
         }
+        self.scheduler.update_records();
         self.answer_due_reports(now);
         self.start_writes();
         for wait in self.scheduler.take_start_delays() {
@@ -329,6 +351,9 @@
             WriteKind::Progress => self.in_flight.progress = false,
         }
         for stored in jobs {
+            if kind == WriteKind::Ends {
+                self.placement_revisions.swap_remove(&stored.job);
+            }
             self.scheduler.mark_stored(stored.job, stored.version);
             self.job_revisions.insert(stored.job, stored.revisions);
         }
@@ -337,6 +362,7 @@
     /// Passes changes to the writer. Ends of jobs never wait for the progress of other jobs.
     fn start_writes(&mut self) {
         self.write_roster();
+        self.write_placements();
         while self.in_flight.ends < MAX_END_WRITES {
             let changes = self.scheduler.take_ended(ENDS_BATCH);
             if changes.is_empty() {
@@ -354,6 +380,23 @@
         }
     }
 
+    /// Stores on which agents jobs may have runs. The starts wait for that, so that full transactions need not be waited for.
+    fn write_placements(&mut self) {
+        while self.in_flight.placements < MAX_PLACEMENT_WRITES {
+            let changes = self.scheduler.take_placements(PLACEMENTS_BATCH);
+            if changes.is_empty() {
+                break;
+            }
+            self.in_flight.placements += 1;
+            let with_revision = |change: PlacementChange| {
+                let revision = self.placement_revisions.get(&change.job).copied();
+                (change, revision.unwrap_or(0))
+            };
+            let changes = changes.into_iter().map(with_revision);
+            self.writer.start(Write::Placements(changes.collect()));
+        }
+    }
+
     fn write_jobs(&self, kind: WriteKind, changes: Vec<graph::Change>) {
         let with_revisions = |change: graph::Change| {
             let revisions = self.job_revisions.get(&change.job).cloned();
--- a/components/cell/src/leader/load.rs
+++ b/components/cell/src/leader/load.rs
@@ -10,8 +10,8 @@
 use store::KvPair;
 
 use crate::entry::Entry;
-use crate::keys::{JOBS_PREFIX, JobKey, PROGRESS_PREFIX, ROSTER_KEY};
-use crate::records::{JobRecord, Roster};
+use crate::keys::{JOBS_PREFIX, JobKey, PLACEMENTS_PREFIX, PROGRESS_PREFIX, ROSTER_KEY};
+use crate::records::{JobRecord, Placements, Roster};
 use crate::{keys, records};
 
 /// Timeout for reading all records. The lease of the owner is not renewed until they are read.
@@ -23,8 +23,14 @@
     /// Jobs that have not ended, with the revisions of their records.
     pub(crate) jobs: IndexMap<JobId, (LoadedJob, Revision)>,
     pub(crate) ended: IndexMap<JobId, (QueueId, JobEnd)>,
+    /// Jobs with unreadable records, which are left as they are.
+    unreadable: IndexSet<JobId>,
     /// Revisions of the progress of the jobs.
     pub(crate) progress: IndexMap<JobId, Revision>,
+    /// Agents on which the jobs may have runs, with the revisions of the records.
+    pub(crate) placements: IndexMap<JobId, (IndexSet<AgentId>, Revision)>,
+    /// Jobs that are not loaded, but have a record of placements.
+    pub(crate) stale_placements: Vec<JobId>,
     /// Agents that may hold runs.
     pub(crate) roster: IndexSet<AgentId>,
     /// Revision of the roster, or 0 if there is none.
@@ -46,9 +52,10 @@
 async fn load_all(entry: &Entry) -> Result<StoredRecords> {
     let mut loaded = StoredRecords::default();
     let store = &entry.store;
-    let (jobs, progress, roster) = tokio::try_join!(
+    let (jobs, progress, placements, roster) = tokio::try_join!(
         store.list(JOBS_PREFIX),
         store.list(PROGRESS_PREFIX),
+        store.list(PLACEMENTS_PREFIX),
         store.get(ROSTER_KEY)
     )?;
     if let Some(found) = roster {
@@ -76,6 +83,11 @@
             job.progress = Some(read_progress(found));
         }
     }
+    for found in &placements.pairs {
+        if let Some(id) = keys::parse_placements_key(&found.key) {
+            loaded.add_placements(id, found);
+        }
+    }
     for id in cancelled {
         if let Some((job, _)) = loaded.jobs.get_mut(&id) {
             job.cancelled = true;
@@ -85,6 +97,26 @@
 }
 
 impl StoredRecords {
+    /// Adds the record of the agents on which a job may have runs. If it is unreadable, these may be all.
+    fn add_placements(&mut self, id: JobId, found: &KvPair) {
+        if self.unreadable.contains(&id) {
+            return;
+        }
+        if !self.jobs.contains_key(&id) {
+            self.stale_placements.push(id);
+            return;
+        }
+        let decoded: Result<Placements> = records::decode(&found.key, &found.value);
+        let agents = decoded.map_or_else(
+            |report| {
+                log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
+                self.roster.clone()
+            },
+            |Placements(agents)| agents,
+        );
+        self.placements.insert(id, (agents, found.revision));
+    }
+
     fn add_record(&mut self, id: JobId, found: &KvPair) {
         match decode_record(found) {
             Ok(JobRecord::Accepted(spec)) => {
@@ -101,6 +133,7 @@
             }
             Err(report) => {
                 log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
+                self.unreadable.insert(id);
             }
         }
     }
--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -65,6 +65,12 @@
         kind: WriteKind,
         jobs: Vec<StoredJob>,
     },
+    /// The agents on which these jobs may have runs were stored.
+    PlacementsWritten {
+        jobs: Vec<JobId>,
+        /// Revision of the records.
+        revision: Revision,
+    },
     /// The roster was stored.
     RosterWritten {
         /// Agents on the roster.
@@ -86,6 +92,7 @@
             Self::PreviousEnded => "previous_ended",
             Self::StepApproved { .. } => "step_approved",
             Self::JobsWritten { .. } => "jobs_written",
+            Self::PlacementsWritten { .. } => "placements_written",
             Self::RosterWritten { .. } => "roster_written",
         }
     }
--- a/components/cell/src/leader/writer.rs
+++ b/components/cell/src/leader/writer.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwapOption;
 use errors::Result;
-use graph::{Change, Content};
+use graph::{Change, Content, PlacementChange};
 use indexmap::IndexSet;
 use model::{AgentId, JobId, QueueId, Revision};
 use store::{CommitOutcome, KvPair, LeaseId, Transaction};
@@ -14,15 +14,19 @@
 use crate::entry::Entry;
 use crate::keys::{self, OWNER_KEY, ROSTER_KEY};
 use crate::leader::{Event, LeaderHandle};
-use crate::records::{self, JobRecord, Roster};
+use crate::records::{self, JobRecord, Placements, Roster};
 use crate::submit::write_with_timeout;
 use crate::supervise;
 
-/// Ends per transaction: each takes four of the 32 entries that the store accepts, and the key of
+/// Ends per transaction: each takes five of the 32 entries that the store accepts, and the key of
 /// the owner takes one.
-pub(crate) const ENDS_BATCH: usize = 7;
+pub(crate) const ENDS_BATCH: usize = 6;
 /// Progress changes per transaction; each takes two entries.
 pub(crate) const PROGRESS_BATCH: usize = 15;
+/// Records of placements per transaction; each takes two entries.
+pub(crate) const PLACEMENTS_BATCH: usize = 15;
+/// Records that are deleted per transaction; each takes one entry.
+const DELETIONS_BATCH: usize = 31;
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Jobs that end within this time share one lease for their records.
@@ -52,6 +56,10 @@
 pub(crate) enum Write {
     /// Job changes, each with the current revisions in the store.
     Jobs(WriteKind, Vec<(Change, JobRevisions)>),
+    /// Agents on which jobs may have runs, each with the revision of the stored record.
+    Placements(Vec<(PlacementChange, Revision)>),
+    /// Deletes the records of placements of these jobs, which have ended.
+    StalePlacements(Vec<JobId>),
     /// Agents that may hold runs, and the revision of the stored roster.
     Roster(IndexSet<AgentId>, Revision),
 }
@@ -95,6 +103,13 @@
         });
     }
 
+    /// Deletes the records of placements of jobs that have ended, in background tasks.
+    pub(crate) fn delete_placements(self: &Arc<Self>, jobs: &[JobId]) {
+        for batch in jobs.chunks(DELETIONS_BATCH) {
+            self.start(Write::StalePlacements(batch.to_vec()));
+        }
+    }
+
     /// Makes one attempt; returns the revision once everything is stored.
     async fn write(&self, write: &mut Write) -> Option<Revision> {
         match self.try_write(write).await {
@@ -124,6 +139,18 @@
                 let value = records::encode(&Roster(agents.clone()))?;
                 transaction.puts.push((ROSTER_KEY.into(), value, None));
             }
+            Write::Placements(changes) => {
+                for (change, revision) in changes {
+                    let key = keys::placements(change.job);
+                    let value = records::encode(&Placements(change.agents.clone()))?;
+                    transaction.preconditions.push((key.clone(), *revision));
+                    transaction.puts.push((key, value, None));
+                }
+            }
+            Write::StalePlacements(jobs) => {
+                let keys = jobs.iter().map(|job| keys::placements(*job));
+                transaction.deletes.extend(keys);
+            }
             Write::Jobs(_, changes) => {
                 let retention = self.retention(changes).await?;
                 for (change, revisions) in changes {
@@ -168,6 +195,12 @@
         }
         match write {
             Write::Roster(_, known) => *known = revision(ROSTER_KEY),
+            Write::Placements(changes) => {
+                for (change, known) in changes {
+                    *known = revision(&keys::placements(change.job));
+                }
+            }
+            Write::StalePlacements(_) => {}
             Write::Jobs(_, changes) => {
                 for (change, revisions) in changes {
                     match change.content {
@@ -191,6 +224,11 @@
     };
     let event = match write {
         Write::Roster(agents, _) => Event::RosterWritten { agents, revision },
+        Write::Placements(changes) => Event::PlacementsWritten {
+            jobs: changes.into_iter().map(|(change, _)| change.job).collect(),
+            revision,
+        },
+        Write::StalePlacements(_) => return,
         Write::Jobs(kind, changes) => Event::JobsWritten {
             kind,
             jobs: changes
@@ -244,6 +282,7 @@
                 .push((key.clone(), revisions.record));
             transaction.puts.push((key, value, retention));
             transaction.deletes.push(keys::cancellation(change.job));
+            transaction.deletes.push(keys::placements(change.job));
             if revisions.progress > 0 {
                 transaction.deletes.push(progress_key);
             }
--- a/components/cell/src/records.rs
+++ b/components/cell/src/records.rs
@@ -47,6 +47,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Roster(pub(crate) IndexSet<AgentId>);
 
+/// Agents on which a job may have runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Placements(pub(crate) IndexSet<AgentId>);
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> Result<Bytes> {
     let buf = postcard::to_stdvec(value).map_err(|e| {
         Error::not_run(ErrorKind::Internal, format!("cannot encode a record: {e}")).report()
--- a/components/cell/tests/agent/owner.rs
+++ b/components/cell/tests/agent/owner.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use cell::agent::EntryDirectory;
 use errors::Result;
-use model::{Incarnation, Instructions, StartOrder, TaskRun, WorkerReport};
+use model::{Incarnation, Instructions, RecordsStatement, StartOrder, TaskRun, WorkerReport};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wire::{Call, CellView, Key, Leader, Reply, Server};
@@ -35,6 +35,8 @@
     pub(crate) acknowledged: u64,
     /// Crashes that are confirmed with each reply.
     pub(crate) stored_crashes: Vec<Incarnation>,
+    /// What the owner states about the records of placements.
+    pub(crate) records: RecordsStatement,
     pub(crate) reports: Vec<WorkerReport>,
 }
 
@@ -125,6 +127,7 @@
         starts: state.starts.drain(..).collect(),
         stops: state.stops.drain(..).collect(),
         stored_crashes: state.stored_crashes.clone(),
+        records: state.records,
     };
     state.reports.push(*report);
     Ok(Reply::Instructions(Box::new(instructions)))
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -186,6 +186,7 @@
         runs: Vec::new(),
         ends: Vec::new(),
         crashes: Vec::new(),
+        records: None,
         sent_at: Duration::ZERO,
     }
 }
@@ -429,6 +430,7 @@
         runs: Vec::new(),
         ends: Vec::new(),
         crashes: Vec::new(),
+        records: None,
         sent_at,
     }
 }
--- a/components/graph/src/changes.rs
+++ b/components/graph/src/changes.rs
@@ -45,6 +45,8 @@
             .filter(|job| {
                 job.version > job.submitted_version
                     && job.submitted_version <= job.stored_version
+                    // The end deletes the record of placements.
+                    && !(job.end.is_some() && job.record.is_being_written())
                     && filter(job)
             })
             .take(limit);
--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -6,7 +6,7 @@
 use model::{AgentId, Instructions, JobId, StartOrder};
 
 use crate::approvals::StepId;
-use crate::job::{Phase, UnitId};
+use crate::job::{Job, Phase, UnitId};
 use crate::placement::AnyPlacement;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
@@ -21,7 +21,10 @@
             return false;
         };
         let unsent = |placement: &AnyPlacement| match placement {
-            AnyPlacement::Starting(placement) => needs_sending(placement.state.sent_at, now),
+            AnyPlacement::Starting(placement) => {
+                needs_sending(placement.state.sent_at, now)
+                    && is_recorded(&self.jobs, placement.job, &worker.agent)
+            }
             AnyPlacement::Stopping(placement) => needs_sending(placement.state.sent_at, now),
             AnyPlacement::Running(_) => false,
         };
@@ -60,6 +63,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             stored_crashes: Vec::new(),
+            records: self.records.statement(),
         };
         if let Some(worker) = self.workers.get(agent) {
             instructions.stored_crashes = self.stored_crashes(worker);
@@ -80,7 +84,9 @@
         for placement in worker.placements.values_mut() {
             match placement {
                 AnyPlacement::Starting(placement)
-                    if may_start && needs_sending(placement.state.sent_at, now) =>
+                    if may_start
+                        && needs_sending(placement.state.sent_at, now)
+                        && is_recorded(&self.jobs, placement.job, agent) =>
                 {
                     let repeated = placement.state.sent_at.replace(now).is_some();
                     let (id, unit, trial) = (placement.job, placement.unit, placement.trial);
@@ -131,6 +137,11 @@
     }
 }
 
+/// Returns whether the next owner would learn from the store that an agent may have runs of a job.
+fn is_recorded(jobs: &IndexMap<JobId, Job>, job: JobId, agent: &AgentId) -> bool {
+    jobs.get(&job).is_none_or(|job| job.record.contains(agent))
+}
+
 fn needs_sending(sent_at: Option<Duration>, now: Duration) -> bool {
     sent_at.is_none_or(|sent_at| now >= sent_at + RESEND_AFTER)
 }
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -10,6 +10,7 @@
 use crate::estimates::Estimates;
 use crate::progress::{Progress, UnitCrashes, UnitProgress};
 use crate::ready::{ReadyUnits, StepHeads};
+use crate::records::PlacementRecord;
 
 /// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
 const FAULTY_JOB_WORKERS: usize = 3;
@@ -138,9 +139,11 @@
     latest_crash_version: u64,
     /// Whether a task has ever started.
     pub(crate) started: bool,
-    /// Whether its units are not placed because recovery has not ended: workers whose runs are not known yet may still
+    /// Whether its units are not placed because recovery has not ended for it: workers whose runs are not known yet may still
     /// be running them.
     pub(crate) awaiting_recovery: bool,
+    /// The agents on which it may have runs.
+    pub(crate) record: PlacementRecord,
     /// How it ended, set before the end is stored.
     pub(crate) end: Option<JobEnd>,
     /// Incremented by each change that has to be stored.
@@ -175,6 +178,7 @@
             created_occurrences: 0,
             started: false,
             awaiting_recovery: false,
+            record: PlacementRecord::default(),
             end: None,
             version: 0,
             stored_version: 0,
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -265,6 +265,12 @@
                 index += 1;
             }
         }
+        for (agent, _) in assignment {
+            self.record_agent(id, agent, false);
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         log::info!(
             target: "limpethook",
             job:% = format_args!("{id:016x}"), occurrence = unit_id.occurrence, step = unit_id.step, first = unit_id.first,
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -3,10 +3,10 @@
 
 use std::time::Duration;
 
-use model::{AgentId, ResourceVector, RunNumber, RunReport, RunStatus, TaskId, TaskRun};
+use model::{AgentId, JobId, ResourceVector, RunNumber, RunReport, RunStatus, TaskId, TaskRun};
 
 use crate::fit::resources_per_task;
-use crate::job::Phase;
+use crate::job::{Job, Phase};
 use crate::placement::AnyPlacement;
 use crate::scheduler::{Scheduler, lapse_after};
 use crate::worker::{OrphanRun, Worker};
@@ -15,7 +15,7 @@
 const LOGGED_WAIT: Duration = Duration::from_secs(1);
 
 /// What recovery waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RecoveryState {
     /// Number of jobs that are not placed before recovery has ended for them.
     pub jobs: usize,
@@ -26,6 +26,9 @@
 impl Scheduler {
     /// Returns what recovery waits for.
     pub fn recovery_state(&self) -> RecoveryState {
+        if self.recovery_deadline.is_none() {
+            return RecoveryState::default();
+        }
         let jobs = self.jobs.values();
         RecoveryState {
             jobs: jobs.filter(|job| job.awaiting_recovery).count(),
@@ -73,9 +76,46 @@
     }
 
     /// Returns the number of jobs that wait for an agent.
-    fn jobs_awaiting(&self, _agent: &AgentId) -> usize {
-        let jobs = self.jobs.values();
-        jobs.filter(|job| job.awaiting_recovery).count()
+    fn jobs_awaiting(&self, agent: &AgentId) -> usize {
+        let are_proven = self.records.are_proven();
+        let jobs = self.jobs.values().filter(|job| job.awaiting_recovery);
+        jobs.filter(|job| !are_proven || job.record.contains(agent))
+            .count()
+    }
+
+    /// Ends the recovery of the jobs that cannot have runs on a pending agent, if the records of placements tell that.
+    pub(crate) fn end_job_recoveries(&mut self) {
+        if !self.records.are_proven() {
+            return;
+        }
+        let pending = &self.pending_agents;
+        let is_recovered = |job: &&Job| {
+            job.awaiting_recovery && !pending.iter().any(|agent| job.record.contains(agent))
+        };
+        let recovered = self.jobs.values().filter(is_recovered);
+        let recovered: Vec<JobId> = recovered.map(|job| job.id).collect();
+        self.end_recovery_of(&recovered);
+    }
+
+    /// Allows jobs to be placed. Their gangs that were adopted only in part are stopped, because the members would wait for
+    /// those that are missing.
+    fn end_recovery_of(&mut self, jobs: &[JobId]) {
+        let mut partial = Vec::new();
+        for id in jobs {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            self.plan_needed = true;
+            job.awaiting_recovery = false;
+            for (unit_id, unit) in &job.units {
+                if unit.phase() == Phase::Active && unit.active_runs < unit.tasks {
+                    partial.push((*id, *unit_id));
+                }
+            }
+        }
+        for (job, unit) in partial {
+            self.stop_unit(job, unit);
+        }
     }
 
     /// Handles a reported run that this owner has not placed on the worker: it is adopted if its unit still needs it,
@@ -102,6 +142,7 @@
                 };
                 worker.orphan_runs.entry(run).or_insert(orphan);
             }
+            self.record_agent(run.task.job, agent, true);
             return;
         }
         // The worker has not answered a start in flight, so that its absence from a list does not prove its end.
@@ -183,6 +224,7 @@
         worker
             .placements
             .insert(task, placement.with_start_sent(now));
+        self.record_agent(task.job, agent, true);
         log::info!(target: "limpethook", task:% = task, run = run.run, agent:% = agent; "run_adopted");
         true
     }
@@ -191,6 +233,7 @@
     pub(crate) fn mark_runs_known(&mut self, agent: &AgentId, now: Duration) {
         if self.pending_agents.shift_remove(agent) {
             self.log_wait_end(agent, "heard", now);
+            self.end_job_recoveries();
             self.try_end_recovery(now);
         }
     }
@@ -249,17 +292,7 @@
         self.recovery_deadline = None;
         self.plan_needed = true;
         self.pending_agents.clear();
-        let mut partial = Vec::new();
-        for job in self.jobs.values_mut() {
-            job.awaiting_recovery = false;
-            for (id, unit) in &job.units {
-                if unit.phase() == Phase::Active && unit.active_runs < unit.tasks {
-                    partial.push((job.id, *id));
-                }
-            }
-        }
-        for (job, unit) in partial {
-            self.stop_unit(job, unit);
-        }
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        self.end_recovery_of(&jobs);
     }
 }
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -28,6 +28,7 @@
         }
         worker.last_report_sent_at = report.sent_at;
         worker.last_report_at = now;
+        self.apply_records_statement(report, now);
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             self.apply_absence_without_contact(report, now);
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::headroom::UrgentDemand;
 use crate::job::{Job, UnitId, UnitKey};
 use crate::progress::Progress;
+use crate::records::Records;
 use crate::removals::RemovalReason;
 use crate::worker::Worker;
 
@@ -104,6 +105,8 @@
     pub(crate) guaranteed: IndexSet<JobId>,
     /// Agents in the roster of earlier owners whose runs this owner does not know yet.
     pub(crate) pending_agents: IndexSet<AgentId>,
+    /// What is known of the records of placements.
+    pub(crate) records: Records,
     /// Whether anything has changed since the latest plan that may allow or require another one.
     pub(crate) plan_needed: bool,
     /// When the next plan is due even if nothing changes.
@@ -148,6 +151,7 @@
             removed_runs: IndexMap::new(),
             status_version: 0,
             guaranteed: IndexSet::new(),
+            records: Records::new(epoch, roster.clone()),
             pending_agents: roster,
             plan_needed: true,
             next_plan_at: Duration::ZERO,
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -125,6 +125,13 @@
         now > self.last_renewed_at + lapse_after(max_lease)
     }
 
+    /// Returns whether the worker may have runs of a job.
+    pub(crate) fn may_have_runs_of(&self, job: JobId) -> bool {
+        let mut placements = self.placements.keys();
+        let mut orphans = self.orphan_runs.keys();
+        placements.any(|task| task.job == job) || orphans.any(|orphan| orphan.task.job == job)
+    }
+
     /// Returns the name of the rack.
     pub(crate) fn rack(&self) -> &str {
         self.labels.get(RACK_LABEL_INDEX).map_or("", |label| label)
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -48,6 +48,8 @@
 pub(crate) struct StoredJob {
     pub(crate) job: AcceptedJob,
     pub(crate) progress: Option<Progress>,
+    /// The agents on which it may have runs.
+    pub(crate) placements: IndexSet<AgentId>,
 }
 
 /// Returns the run number that the owner with an epoch assigns to its run with a sequence number: the epoch is stored
@@ -138,6 +140,7 @@
             runs: Vec::new(),
             ends: Vec::new(),
             crashes: Vec::new(),
+            records: None,
             sent_at: Duration::ZERO,
         },
         next_end_sequence: 1,
@@ -199,6 +202,7 @@
         );
         for (id, stored) in self.stored {
             cell.load(id, stored.job, stored.progress);
+            cell.load_placements(id, stored.placements);
         }
         for (agent, mut worker) in self.workers {
             if !lost.contains(&&*agent) {
@@ -211,6 +215,27 @@
         cell
     }
 
+    pub(crate) fn load_placements(&mut self, id: JobId, agents: IndexSet<AgentId>) {
+        if let Some(stored) = self.stored.get_mut(&id) {
+            stored.placements.clone_from(&agents);
+        }
+        self.scheduler.load_placements(id, agents);
+    }
+
+    /// Stores the pending records of placements and returns how many jobs they are of.
+    pub(crate) fn store_placements(&mut self) -> usize {
+        let changes = self.scheduler.take_placements(usize::MAX);
+        for change in &changes {
+            if let Some(stored) = self.stored.get_mut(&change.job) {
+                stored.placements.clone_from(&change.agents);
+            }
+        }
+        let jobs: Vec<JobId> = changes.iter().map(|change| change.job).collect();
+        self.scheduler.mark_placements_stored(&jobs);
+        self.scheduler.update_records();
+        jobs.len()
+    }
+
     /// Delivers a report of each agent.
     pub(crate) fn report_all(&mut self) {
         for agent in self.agents() {
@@ -222,6 +247,7 @@
         let stored = StoredJob {
             job: job.clone(),
             progress: None,
+            placements: IndexSet::new(),
         };
         self.stored.insert(id, stored);
         self.scheduler
@@ -232,6 +258,7 @@
         let stored = StoredJob {
             job: job.clone(),
             progress: progress.clone(),
+            placements: IndexSet::new(),
         };
         self.stored.insert(id, stored);
         let loaded = LoadedJob {
@@ -281,9 +308,23 @@
         start.expect("a task is started")
     }
 
+    /// Returns the instructions for an agent once the records of placements are stored.
     pub(crate) fn instructions(&mut self, agent: &str) -> Instructions {
-        self.scheduler
-            .instructions(&agent.into(), self.now, true, self.now)
+        self.store_placements();
+        self.unrecorded_instructions(agent)
+    }
+
+    /// Returns the instructions for an agent while the pending records of placements are not stored.
+    pub(crate) fn unrecorded_instructions(&mut self, agent: &str) -> Instructions {
+        let instructions = self
+            .scheduler
+            .instructions(&agent.into(), self.now, true, self.now);
+        if let Some(worker) = self.workers.get_mut(agent)
+            && instructions.records.replaces(worker.report.records)
+        {
+            worker.report.records = Some(instructions.records);
+        }
+        instructions
     }
 
     /// Ends the run of a task on its worker and delivers the report.
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -10,7 +10,8 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AcceptedJob, AgentId, CrashedRun, EndReport, Instructions, JobEnd, JobId, JobState,
-    ResourceVector, RunEnd, RunNumber, RunReport, RunStatus, TaskRun, WorkerCrash, WorkerReport,
+    RecordsStatement, ResourceVector, RunEnd, RunNumber, RunReport, RunStatus, TaskRun,
+    WorkerCrash, WorkerReport,
 };
 
 use crate::report::{JobOutcome, LoadReport};
@@ -284,6 +285,7 @@
                 runs: Vec::new(),
                 ends: Vec::new(),
                 crashes: Vec::new(),
+                records: None,
                 sent_at: Duration::ZERO,
             };
             let worker = SimulatedWorker {
@@ -508,6 +510,10 @@
         let started = Instant::now();
         self.scheduler.expire_leases(self.now);
         self.scheduler.plan(self.now, self.now);
+        let placements = self.scheduler.take_placements(usize::MAX);
+        let placements: Vec<JobId> = placements.iter().map(|change| change.job).collect();
+        self.scheduler.mark_placements_stored(&placements);
+        self.scheduler.update_records();
         let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
         for agent in agents {
             if !self.scheduler.has_orders(&agent, self.now) {
@@ -606,5 +612,6 @@
         starts: Vec::new(),
         stops: Vec::new(),
         stored_crashes: Vec::new(),
+        records: RecordsStatement::default(),
     }
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -30,8 +30,8 @@
 pub use request::Request;
 pub use resources::Resources;
 pub use run::{
-    CrashedRun, EndReport, Instructions, Refusal, RunReport, RunStatus, StartOrder, WorkerCrash,
-    WorkerReport,
+    CrashedRun, EndReport, Instructions, RecordsState, RecordsStatement, Refusal, RunReport,
+    RunStatus, StartOrder, WorkerCrash, WorkerReport,
 };
 pub use shape::{Adjacency, Shape};
 pub use worker::Worker;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -84,6 +84,38 @@
     pub runs: Vec<CrashedRun>,
 }
 
+/// Whether the store names all agents on which jobs may have runs, in the view of an owner.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordsState {
+    /// The owner does not know yet whether the records of earlier owners are complete. It starts only what is recorded.
+    #[default]
+    Recovering,
+    /// Each agent that may have runs of a job is in the record of the job.
+    Complete,
+}
+
+/// What an owner states about the records of placements.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordsStatement {
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// Number of the statement among those of the owner; a later one replaces it.
+    pub sequence: u32,
+    /// The state.
+    pub state: RecordsState,
+}
+
+impl RecordsStatement {
+    /// Returns whether an agent that knows of `known` keeps this statement instead.
+    ///
+    /// Replies may overtake each other. A recovering owner leaves the statement of the earlier one in place, which it and
+    /// the next owner ask the agents for.
+    pub fn replaces(self, known: Option<Self>) -> bool {
+        let is_later = |known: Self| (known.epoch, known.sequence) < (self.epoch, self.sequence);
+        self.state != RecordsState::Recovering && known.is_none_or(is_later)
+    }
+}
+
 /// The state of a worker as its agent reports it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
@@ -119,6 +151,8 @@
     pub ends: Vec<EndReport>,
     /// Crashes of the worker that no owner has stored yet.
     pub crashes: Vec<WorkerCrash>,
+    /// The latest statement of an owner about the records of placements; `None` if this process of the agent has got none.
+    pub records: Option<RecordsStatement>,
     /// When the report was created, by the boot clock of the agent.
     pub sent_at: Duration,
 }
@@ -157,6 +191,8 @@
     pub stops: Vec<TaskRun>,
     /// Incarnations whose crashes are stored and need not be reported any more.
     pub stored_crashes: Vec<Incarnation>,
+    /// What the owner states about the records of placements.
+    pub records: RecordsStatement,
 }
 
 impl TaskRun {
