Let a job wait only for the agents on which it may have runs

Cause: a new owner held every job of earlier owners until each agent of the roster was heard or all leases had lapsed, because nothing told on which agents a job could have runs.

Change: the store has a record for each job with the agents on which it may have runs, and a start is ordered once the stored record names its agent. A new owner lets a job wait only while an agent of its record is unheard. Whether all earlier owners kept such records stands in the record of recent owners, which versions without them leave out; beside one of those, the whole wait applies, and the owner states that its own records are complete only once it has recorded what it adopted. Messages between processes are unchanged.

--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -1,8 +1,8 @@
 //! The owner of the cell: schedules all workers while it holds the lease.
 
 mod actor;
+mod job_watch;
 mod load;
-mod watch;
 mod writer;
 
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use graph::StepId;
 use indexmap::IndexSet;
 use model::{AcceptedJob, AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 use wire::Leader;
 
@@ -65,6 +65,12 @@
         kind: WriteKind,
         jobs: Vec<StoredJob>,
     },
+    /// The agents on which these jobs may have runs were stored.
+    PlacementsWritten {
+        jobs: Vec<JobId>,
+        /// Revision of the records.
+        revision: Revision,
+    },
     /// The roster was stored.
     RosterWritten {
         /// Agents on the roster.
@@ -86,6 +92,7 @@
             Self::PreviousEnded => "previous_ended",
             Self::StepApproved { .. } => "step_approved",
             Self::JobsWritten { .. } => "jobs_written",
+            Self::PlacementsWritten { .. } => "placements_written",
             Self::RosterWritten { .. } => "roster_written",
         }
     }
@@ -97,6 +104,8 @@
     tx: mpsc::Sender<Event>,
     pub(crate) epoch: Epoch,
     valid_until_ms: Arc<AtomicU64>,
+    /// Whether the stored records name all agents on which jobs may have runs.
+    recorded: Arc<watch::Sender<bool>>,
     end: CancellationToken,
 }
 
@@ -126,6 +135,21 @@
             .store(millis(valid_until), Ordering::Release);
     }
 
+    /// Records that the stored records name all agents on which jobs may have runs.
+    pub(crate) fn mark_recorded(&self) {
+        self.recorded.send_replace(true);
+    }
+
+    /// Waits until the stored records name all agents on which jobs may have runs.
+    pub(crate) async fn wait_until_recorded(&self) {
+        // The sender lives as long as this handle.
+        let _ = self
+            .recorded
+            .subscribe()
+            .wait_for(|recorded| *recorded)
+            .await;
+    }
+
     /// Runs a future until the owner ends.
     pub(crate) fn until_ended<F: Future>(
         &self,
@@ -148,10 +172,11 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Loads the records and starts the owner.
+/// Loads the records and starts the owner; `relies_on_records` tells whether all earlier owners kept records of placements.
 pub(crate) async fn start(
     entry: &Arc<Entry>,
     leader: &Leader,
+    relies_on_records: bool,
     valid_until: Duration,
 ) -> Result<LeaderHandle> {
     let loaded = load::load(entry).await?;
@@ -160,13 +185,14 @@
         tx,
         epoch: leader.epoch,
         valid_until_ms: Arc::new(AtomicU64::new(millis(valid_until))),
+        recorded: Arc::new(watch::Sender::new(false)),
         end: CancellationToken::new(),
     };
-    let watch = watch::run(Arc::clone(entry), handle.clone(), loaded.revision);
+    let job_watch = job_watch::run(Arc::clone(entry), handle.clone(), loaded.revision);
     let (entry, epoch, running) = (Arc::clone(entry), leader.epoch, handle.clone());
     let scheduling = async move {
         // The construction applies the records, so it is supervised as well.
-        actor::Actor::new(entry, running, epoch, loaded)
+        actor::Actor::new(entry, running, epoch, relies_on_records, loaded)
             .run(rx)
             .await;
     };
@@ -174,7 +200,7 @@
     tokio::spawn(end_with(
         handle.clone(),
         "job_watch",
-        handle.until_ended(watch),
+        handle.until_ended(job_watch),
     ));
     Ok(handle)
 }
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -42,6 +42,8 @@
     pub recovering_jobs: IntGauge,
     /// Time from the start of an owner to the end of its recovery in seconds.
     pub recovery_seconds: Histogram,
+    /// Time that starts wait for the records of their placements in seconds.
+    pub record_seconds: Histogram,
 }
 
 impl Metrics {
@@ -106,6 +108,10 @@
                 "limpethook_recovery_seconds",
                 "Time from the start of an owner to the end of its recovery",
             )?,
+            record_seconds: histogram(
+                "limpethook_placement_record_seconds",
+                "Time that starts wait for the records of their placements",
+            )?,
             requests: counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -61,6 +61,8 @@
     record: OwnerRecord,
     /// Earlier owners that may still let agents renew leases.
     earlier: Vec<OwnerRecord>,
+    /// Whether the records of placements name all agents on which earlier owners may have placed runs.
+    relies_on_records: bool,
     valid_until: Duration,
 }
 
@@ -133,18 +135,25 @@
             nonce: fastrand::u64(..),
         };
         let found = self.entry.store.get(RECENT_OWNERS_KEY).await?;
-        let RecentOwners(recent) = match &found {
-            Some(found) => records::decode(RECENT_OWNERS_KEY, &found.value)?,
+        let recent = match &found {
+            Some(found) => records::decode_recent_owners(RECENT_OWNERS_KEY, &found.value)?,
             None => RecentOwners::default(),
         };
+        let relies_on_records = recent.are_all_recording();
         // A record that names this entry belongs to an earlier process or to an ownership that has
         // ended.
         let earlier: Vec<OwnerRecord> = recent
+            .owners
             .into_iter()
             .filter(|owner| owner.entry != record.entry)
             .collect();
         let mut owners = earlier.clone();
         owners.push(record.clone());
+        let mut recording = recent.recording;
+        recording.retain(|nonce| earlier.iter().any(|owner| owner.nonce == *nonce));
+        if relies_on_records {
+            recording.push(record.nonce);
+        }
         let transaction = Transaction {
             preconditions: vec![
                 (OWNER_KEY.into(), replaced),
@@ -157,7 +166,7 @@
                 (OWNER_KEY.into(), records::encode(&record)?, Some(lease)),
                 (
                     RECENT_OWNERS_KEY.into(),
-                    records::encode(&RecentOwners(owners))?,
+                    records::encode(&RecentOwners { owners, recording })?,
                     None,
                 ),
             ],
@@ -184,6 +193,7 @@
             leader,
             record,
             earlier,
+            relies_on_records,
             valid_until: (requested_at + ttl).saturating_sub(SAFETY_MARGIN),
         }))
     }
@@ -209,7 +219,13 @@
             return;
         }
         log::info!(target: "limpethook", epoch = epoch; "ownership_begins");
-        let handle = match leader::start(entry, &self.leader, self.valid_until).await {
+        let started = leader::start(
+            entry,
+            &self.leader,
+            self.relies_on_records,
+            self.valid_until,
+        );
+        let handle = match started.await {
             Ok(handle) => handle,
             Err(report) => {
                 log::warn!(target: "limpethook", epoch = self.leader.epoch, error:% = report.current_context(); "ownership_failed");
@@ -343,15 +359,21 @@
         // Fails only if the owner has ended in the meantime.
         let _ = handle.send(Event::PreviousEnded).await;
     }
-    // After this time, no earlier owner lets an agent renew a lease, whether it answered or not.
+    // After this time, no earlier owner lets an agent renew a lease, whether it answered or not. An earlier owner that kept no
+    // records of placements stays listed until the records are complete.
+    handle.wait_until_recorded().await;
     if let Err(report) = remove_earlier_owners(&entry, epoch, record).await {
         log::info!(target: "limpethook", error:% = report.current_context(); "recent_owners_write_failed");
     }
 }
 
-/// Records that only this owner may let agents renew leases.
+/// Records that only this owner may let agents renew leases, and that the records of placements are complete.
 async fn remove_earlier_owners(entry: &Entry, epoch: Epoch, record: OwnerRecord) -> Result<()> {
-    let value = records::encode(&RecentOwners(vec![record]))?;
+    let recent = RecentOwners {
+        recording: vec![record.nonce],
+        owners: vec![record],
+    };
+    let value = records::encode(&recent)?;
     let transaction = Transaction {
         preconditions: vec![(OWNER_KEY.into(), epoch)],
         puts: vec![(RECENT_OWNERS_KEY.into(), value, None)],
--- a/components/cell/src/records.rs
+++ b/components/cell/src/records.rs
@@ -39,14 +39,32 @@
     pub(crate) nonce: u64,
 }
 
-/// Owners that may still let agents renew leases, newest last.
+/// Owners that may still let agents renew leases.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct RecentOwners(pub(crate) Vec<OwnerRecord>);
+pub(crate) struct RecentOwners {
+    /// The owners, newest last.
+    pub(crate) owners: Vec<OwnerRecord>,
+    /// Nonces of those after which the records of placements are complete. Records of earlier versions end before this
+    /// field.
+    pub(crate) recording: Vec<u64>,
+}
+
+impl RecentOwners {
+    /// Returns whether the records of placements name all agents on which the owners may have placed runs.
+    pub(crate) fn are_all_recording(&self) -> bool {
+        let mut owners = self.owners.iter();
+        owners.all(|owner| self.recording.contains(&owner.nonce))
+    }
+}
 
 /// Agents that may hold runs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Roster(pub(crate) IndexSet<AgentId>);
 
+/// Agents on which a job may have runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Placements(pub(crate) IndexSet<AgentId>);
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> Result<Bytes> {
     let buf = postcard::to_stdvec(value).map_err(|e| {
         Error::not_run(ErrorKind::Internal, format!("cannot encode a record: {e}")).report()
@@ -61,13 +79,28 @@
 
 /// Decodes the progress of a job. Records of versions that stored no crashes end after the units.
 pub(crate) fn decode_progress(key: &str, value: &[u8]) -> Result<Progress> {
-    let decoded = postcard::take_from_bytes(value).and_then(|(units, rest)| {
-        let crashes = if rest.is_empty() {
-            Vec::new()
+    let (units, crashes) = decode_extended(key, value)?;
+    Ok(Progress { units, crashes })
+}
+
+/// Decodes the recent owners. Records of versions that kept no records of placements end after the owners.
+pub(crate) fn decode_recent_owners(key: &str, value: &[u8]) -> Result<RecentOwners> {
+    let (owners, recording) = decode_extended(key, value)?;
+    Ok(RecentOwners { owners, recording })
+}
+
+/// Decodes a record of two fields, the second of which earlier versions do not write.
+fn decode_extended<A: DeserializeOwned, B: DeserializeOwned + Default>(
+    key: &str,
+    value: &[u8],
+) -> Result<(A, B)> {
+    let decoded = postcard::take_from_bytes(value).and_then(|(first, rest)| {
+        let second = if rest.is_empty() {
+            B::default()
         } else {
             postcard::from_bytes(rest)?
         };
-        Ok(Progress { units, crashes })
+        Ok((first, second))
     });
     decoded.map_err(|e| unreadable(key, &e))
 }
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::headroom::UrgentDemand;
 use crate::job::{Job, UnitId, UnitKey};
 use crate::progress::Progress;
+use crate::records::Records;
 use crate::removals::RemovalReason;
 use crate::waits::Waits;
 use crate::worker::Worker;
@@ -107,6 +108,10 @@
     pub(crate) guaranteed: IndexSet<JobId>,
     /// Agents in the roster of earlier owners whose runs this owner does not know yet.
     pub(crate) pending_agents: IndexSet<AgentId>,
+    /// What is known of the records of placements.
+    pub(crate) records: Records,
+    /// Times that starts waited for their records, collected for the metrics.
+    pub(crate) record_delays: Vec<Duration>,
     /// Whether anything has changed since the latest plan that may allow or require another one.
     pub(crate) plan_needed: bool,
     /// When the next plan is due even if nothing changes.
@@ -152,6 +157,8 @@
             waits: Waits::default(),
             status_version: 0,
             guaranteed: IndexSet::new(),
+            records: Records::default(),
+            record_delays: Vec::new(),
             pending_agents: roster,
             plan_needed: true,
             next_plan_at: Duration::ZERO,
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use model::{AgentId, JobId};
 
+use crate::instructions::is_recorded;
 use crate::job::{Job, UnitId};
 use crate::placement::AnyPlacement;
 use crate::scheduler::{Scheduler, lapse_after};
@@ -67,6 +68,8 @@
     SuspectWorkers,
     /// Nothing keeps the unit from being placed; the next plan tries it.
     NextPlan,
+    /// The record that names the agent of the placement is not stored yet.
+    RecordNotStored,
     /// The worker has not reported the run that it was ordered to start.
     StartUnanswered,
     /// The worker has not reported the end of the run that it was ordered to stop.
@@ -77,7 +80,7 @@
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Recovery,
         Self::CrashNotStored,
         Self::Backoff,
@@ -97,6 +100,7 @@
         Self::SingleRack,
         Self::SuspectWorkers,
         Self::NextPlan,
+        Self::RecordNotStored,
         Self::StartUnanswered,
         Self::StopUnanswered,
         Self::WorkerSilent,
@@ -124,6 +128,7 @@
             Self::SingleRack => "single_rack",
             Self::SuspectWorkers => "suspect_workers",
             Self::NextPlan => "next_plan",
+            Self::RecordNotStored => "record_not_stored",
             Self::StartUnanswered => "start_unanswered",
             Self::StopUnanswered => "stop_unanswered",
             Self::WorkerSilent => "worker_silent",
@@ -347,7 +352,12 @@
                     }
                     AnyPlacement::Running(_) => (WaitReason::WorkerSilent, worker.last_report_at),
                     AnyPlacement::Starting(_) => {
-                        (WaitReason::StartUnanswered, placement.placed_at())
+                        let reason = if is_recorded(&self.jobs, id, &worker.agent) {
+                            WaitReason::StartUnanswered
+                        } else {
+                            WaitReason::RecordNotStored
+                        };
+                        (reason, placement.placed_at())
                     }
                     // The placement doesn't tell when the stop was decided.
                     AnyPlacement::Stopping(_) => {
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -48,6 +48,8 @@
 pub(crate) struct StoredJob {
     pub(crate) job: AcceptedJob,
     pub(crate) progress: Option<Progress>,
+    /// The agents on which it may have runs.
+    pub(crate) placements: IndexSet<AgentId>,
 }
 
 /// Returns the run number that the owner with an epoch assigns to its run with a sequence number: the epoch is stored
@@ -187,6 +189,14 @@
     /// Replaces the owner by another one, which has the records of the earlier one. The workers go on, except those of the
     /// `lost` agents, which are not heard any more. The agents follow the new owner with their next reports.
     pub(crate) fn take_over(self, epoch: u64, lost: &[&str]) -> Self {
+        let mut cell = self.take_over_without_records(epoch, lost);
+        cell.scheduler.rely_on_records();
+        cell.scheduler.try_end_recovery(cell.now);
+        cell
+    }
+
+    /// Does the same beside an earlier owner that may have kept no records of placements.
+    pub(crate) fn take_over_without_records(self, epoch: u64, lost: &[&str]) -> Self {
         let roster: Vec<AgentId> = self.scheduler.roster().into_iter().collect();
         let roster: Vec<&str> = roster.iter().map(|agent| &**agent).collect();
         let mut cell = Self::without_reports(epoch, Vec::new(), &roster);
@@ -199,6 +209,7 @@
         );
         for (id, stored) in self.stored {
             cell.load(id, stored.job, stored.progress);
+            cell.load_placements(id, stored.placements);
         }
         for (agent, mut worker) in self.workers {
             if !lost.contains(&&*agent) {
@@ -211,6 +222,26 @@
         cell
     }
 
+    pub(crate) fn load_placements(&mut self, id: JobId, agents: IndexSet<AgentId>) {
+        if let Some(stored) = self.stored.get_mut(&id) {
+            stored.placements.clone_from(&agents);
+        }
+        self.scheduler.load_placements(id, agents);
+    }
+
+    /// Stores the pending records of placements and returns how many jobs they are of.
+    pub(crate) fn store_placements(&mut self) -> usize {
+        let changes = self.scheduler.take_placements(usize::MAX);
+        for change in &changes {
+            if let Some(stored) = self.stored.get_mut(&change.job) {
+                stored.placements.clone_from(&change.agents);
+            }
+        }
+        let jobs: Vec<JobId> = changes.iter().map(|change| change.job).collect();
+        self.scheduler.mark_placements_stored(&jobs, self.now);
+        jobs.len()
+    }
+
     /// Delivers a report of each agent.
     pub(crate) fn report_all(&mut self) {
         for agent in self.agents() {
@@ -222,6 +253,7 @@
         let stored = StoredJob {
             job: job.clone(),
             progress: None,
+            placements: IndexSet::new(),
         };
         self.stored.insert(id, stored);
         self.scheduler
@@ -232,6 +264,7 @@
         let stored = StoredJob {
             job: job.clone(),
             progress: progress.clone(),
+            placements: IndexSet::new(),
         };
         self.stored.insert(id, stored);
         let loaded = LoadedJob {
@@ -281,7 +314,14 @@
         start.expect("a task is started")
     }
 
+    /// Returns the instructions for an agent once the records of placements are stored.
     pub(crate) fn instructions(&mut self, agent: &str) -> Instructions {
+        self.store_placements();
+        self.unrecorded_instructions(agent)
+    }
+
+    /// Returns the instructions for an agent while the pending records of placements are not stored.
+    pub(crate) fn unrecorded_instructions(&mut self, agent: &str) -> Instructions {
         self.scheduler
             .instructions(&agent.into(), self.now, true, self.now)
     }
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -508,6 +508,9 @@
         let started = Instant::now();
         self.scheduler.expire_leases(self.now);
         self.scheduler.plan(self.now, self.now);
+        let placements = self.scheduler.take_placements(usize::MAX);
+        let placements: Vec<JobId> = placements.iter().map(|change| change.job).collect();
+        self.scheduler.mark_placements_stored(&placements, self.now);
         let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
         for agent in agents {
             if !self.scheduler.has_orders(&agent, self.now) {
