Bound the wait for a rack while a service has room

It now takes any place after 2 s; the rest is for the reports, the interval of the plans and the start. Tasks that last do so whatever share of the service is in use, as the rule has it. The waits on a busy fleet stay, because the slower run costs more there.

plan_bounds_wait_for_data_rack, ..._of_lasting_task and plan_bounds_wait_for_single_rack_on_idle_fleet fail before (nothing placed in 10 s); plan_keeps_wait_for_data_rack_on_busy_fleet holds before and after.

--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -8,7 +8,7 @@
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
 use crate::job::{Job, Unit, UnitId};
-use crate::reservations::WorkerResources;
+use crate::reservations::{PlacementOptions, WorkerResources};
 use crate::scheduler::Scheduler;
 use crate::trust::{TrustLevel, is_last_attempt, trusted_candidates, waits_for_sound_workers};
 use crate::worker::Worker;
@@ -105,8 +105,11 @@
     }
 
     /// Returns how long a unit waits for the rack with its data, or for a single rack: the additional run time that it would
-    /// need on another rack, or across racks.
-    pub(crate) fn locality_wait(&self, job: &Job, unit: UnitId) -> Duration {
+    /// need on another rack, or across racks. A unit that takes any place waits no longer.
+    pub(crate) fn locality_wait(&self, job: &Job, unit: UnitId, takes_any_place: bool) -> Duration {
+        if takes_any_place {
+            return Duration::ZERO;
+        }
         let extra = (self.settings.slowdown - 1.0).max(0.0);
         job.expected_task_time(unit).mul_f64(extra)
     }
@@ -116,11 +119,12 @@
         &self,
         job: &Job,
         unit: (UnitId, &Unit),
-        candidates: &[Candidate<'_>],
+        options: &PlacementOptions<'_>,
         now: Duration,
     ) -> Option<Assignment> {
         let step = job.step(unit.0);
-        let locality_wait = self.locality_wait(job, unit.0);
+        let candidates = &options.candidates;
+        let locality_wait = self.locality_wait(job, unit.0, options.takes_any_place);
         let racks = racks_to_try(step, unit.1, candidates, locality_wait, now);
         let is_last = is_last_attempt(job, unit.1);
         let all: Vec<&Candidate<'_>> = candidates.iter().collect();
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -47,6 +47,7 @@
 mod removals;
 mod reports;
 mod reservations;
+mod room;
 mod scheduler;
 mod trust;
 mod victims;
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -62,6 +62,7 @@
             return;
         }
         let mut fleet = self.fleet_resources();
+        self.update_half_idle_services(&fleet, now);
         let headroom = self.headroom_workers(&fleet, now);
         for ready_job in ready_jobs {
             self.plan_job(ready_job, &mut fleet, &headroom, now);
@@ -230,7 +231,7 @@
     ) -> Option<Assignment> {
         let job = self.jobs.get(&ready.job)?;
         let unit = job.units.get(&ready.unit)?;
-        self.assign_workers(job, (ready.unit, unit), &options.candidates, now)
+        self.assign_workers(job, (ready.unit, unit), options, now)
             .or_else(|| options.own_reservation.clone())
     }
 
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -170,7 +170,7 @@
             return on_rack;
         }
         // A guaranteed unit starts in time even if it runs slower across racks; others wait for a better placement.
-        let locality_wait = self.locality_wait(job, ready.unit);
+        let locality_wait = self.locality_wait(job, ready.unit, options.takes_any_place);
         let racks = racks_to_try(step, unit, candidates, locality_wait, now);
         if ready.guaranteed || racks.contains(&None) {
             let workers: Vec<PreemptibleWorker<'_>> = by_rack.into_values().flatten().collect();
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -39,6 +39,8 @@
     pub(crate) task_resources: ResourceVector,
     /// Resources of each worker that are reserved for other units.
     pub(crate) reserved_by_others: WorkerResources,
+    /// Whether the unit takes any place that it fits.
+    pub(crate) takes_any_place: bool,
     /// The workers that may run the unit.
     pub(crate) candidates: Vec<Candidate<'a>>,
     /// The workers reserved for the unit, set once all the reserved resources are free.
@@ -143,6 +145,7 @@
             own_reservation: self
                 .satisfied_reservation(ready, &available)
                 .filter(|assignment| !is_any_blocked(assignment, &candidates)),
+            takes_any_place: self.takes_any_place(job, (ready.unit, unit), fleet, now),
             candidates,
             reserved_by_others,
         })
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AcceptedJob, AccountId, AgentId, Epoch, JobEnd, JobId, JobState, QueueId, QueuePolicy,
-    ResourceVector, RunNumber,
+    ResourceVector, RunNumber, ServiceId,
 };
 
 use crate::approvals::{Approvals, StepId};
@@ -99,6 +99,8 @@
     pub(crate) crash_suspects: Vec<usize>,
     /// Number of runs removed without a report of their end, collected for the metrics.
     pub(crate) removed_runs: IndexMap<RemovalReason, usize>,
+    /// Services that are under half in use, and since when.
+    pub(crate) half_idle_since: IndexMap<ServiceId, Duration>,
     /// Jobs that wait, for the log, the metrics and operators.
     pub(crate) waits: Waits,
     /// Incremented when a job state or queue count that clients can query may have changed.
@@ -143,6 +145,7 @@
             start_delays: Vec::new(),
             crash_suspects: Vec::new(),
             removed_runs: IndexMap::new(),
+            half_idle_since: IndexMap::new(),
             waits: Waits::default(),
             status_version: 0,
             guaranteed: IndexSet::new(),
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -162,7 +162,8 @@
                 return Some((WaitReason::Headroom, Some(headroom_deadline(job))));
             }
         }
-        let locality_wait = self.locality_wait(job, ready.unit);
+        let takes_any_place = self.takes_any_place(job, (ready.unit, unit), fleet, now);
+        let locality_wait = self.locality_wait(job, ready.unit, takes_any_place);
         let racks = racks_to_try(step, unit, &candidates, locality_wait, now);
         let all: Vec<_> = candidates.iter().collect();
         if pack_on_racks(&all, &racks, unit.tasks).is_none() {
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -227,6 +227,10 @@
     assert_eq!(cell.scheduler.waits().count(), 100);
 }
 
+/// The bound from the users: for this long, a job may have nothing running although there is room for it twice over and
+/// under half of the service is in use.
+const MAX_IDLE: Duration = Duration::from_secs(3);
+
 /// Occupies slots of each worker with tasks that last.
 fn occupy(cell: &mut TestCell, tasks_per_worker: u32) {
     let workers = u32::try_from(cell.agents().len()).expect("the number is small");
@@ -237,12 +241,23 @@
     run_for(cell, ms(200));
 }
 
+/// Occupies a worker with tasks that last, which have its name as their label.
+fn occupy_worker(cell: &mut TestCell, id: JobId, agent: &str) {
+    cell.workers[agent].report.labels.push(agent.into());
+    cell.report(agent);
+    let mut lasting = step(4);
+    lasting.long_running = true;
+    lasting.required_label = Some(agent.into());
+    cell.accept(id, job(1, vec![lasting]));
+    run_for(cell, ms(200));
+}
+
 /// Runs until a task is placed, and returns how long that took.
 fn time_until_placed(cell: &mut TestCell, id: JobId, limit: Duration) -> Option<Duration> {
     let begin = cell.now;
     while cell.now < begin + limit {
         if cell.agent_of(task(id, 0, 0)).is_some() {
-            return Some(cell.now - begin);
+            return Some(cell.now.saturating_sub(begin));
         }
         run_for(cell, ms(100));
     }
@@ -275,3 +290,84 @@
         "{waited:?}"
     );
 }
+
+/// Guards against a task that stands for twice its long run time because the rack with its data is full, while most of the
+/// fleet is empty.
+#[test]
+fn plan_bounds_wait_for_data_rack() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    cell.accept(7, job(1, vec![local]));
+    run_for(&mut cell, ms(1_500));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_500) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Guards against a task that lasts and stands because the rack with its data is full, while there is room for it on a fleet
+/// that is over half in use.
+#[test]
+fn plan_bounds_wait_for_data_rack_of_lasting_task() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    local.long_running = true;
+    cell.accept(7, job(1, vec![local]));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(waited.is_some_and(|waited| waited < MAX_IDLE), "{waited:?}");
+}
+
+/// Guards against giving up the rack with the data early on a busy fleet, where the slower run costs more than the wait.
+#[test]
+fn plan_keeps_wait_for_data_rack_on_busy_fleet() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    cell.accept(7, job(1, vec![local]));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert_eq!(waited, None);
+}
+
+/// Guards against a rack-sensitive gang that stands for twice its long run time, while most of the fleet is empty.
+#[test]
+fn plan_bounds_wait_for_single_rack_on_idle_fleet() {
+    let names = [
+        ("w1", "r1"),
+        ("w2", "r1"),
+        ("w3", "r2"),
+        ("w4", "r2"),
+        ("w5", "r3"),
+        ("w6", "r3"),
+    ];
+    let mut cell = TestCell::new(1, names.map(|(name, rack)| worker(name, rack)).into());
+    occupy(&mut cell, 1);
+    let mut wide = gang(7);
+    wide.rack_sensitive = true;
+    wide.expected = ms(60_000);
+    cell.accept(7, job(1, vec![wide]));
+    run_for(&mut cell, ms(1_500));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_500) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
