Bound the wait for workers that are not suspect while a service has room

There they now take any worker after 2 s, and after that wait prefer those on which none of their own runs failed. A last attempt on a suspect worker can end its job; most suspect workers are sound, those on which two jobs failed in a row are quarantined and remain excluded, and the users' rule has no exception.

plan_bounds_wait_of_gang_for_sound_workers and plan_bounds_wait_of_last_attempt_for_sound_workers fail before (nothing placed in 10 s).

--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -143,10 +143,13 @@
         } else {
             pack_on_racks(&sound, &racks, unit.1.tasks)
         };
-        if assignment.is_some() || waits_for_sound_workers(job, unit, &sound, now) {
+        let may_wait = !options.takes_any_place;
+        if assignment.is_some() || (may_wait && waits_for_sound_workers(job, unit, &sound, now)) {
             return assignment;
         }
-        pack_on_racks(&all, &racks, unit.1.tasks)
+        let not_avoided = trusted_candidates(unit.1, candidates, TrustLevel::NotAvoided, now);
+        pack_on_racks(&not_avoided, &racks, unit.1.tasks)
+            .or_else(|| pack_on_racks(&all, &racks, unit.1.tasks))
     }
 }
 
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -115,8 +115,9 @@
         let unit = job.units.get(&ready.unit)?;
         let candidates = &options.candidates;
         let sound = trusted_candidates(unit, candidates, TrustLevel::NotSuspect, now);
-        let levels: &[TrustLevel] = if waits_for_sound_workers(job, (ready.unit, unit), &sound, now)
-        {
+        let waits = !options.takes_any_place
+            && waits_for_sound_workers(job, (ready.unit, unit), &sound, now);
+        let levels: &[TrustLevel] = if waits {
             &[TrustLevel::NotSuspect]
         } else {
             &[TrustLevel::NotSuspect, TrustLevel::Any]
--- a/components/graph/src/room.rs
+++ b/components/graph/src/room.rs
@@ -47,32 +47,45 @@
     }
 
     /// Returns whether a unit has stood for so long, although there was room for it, that it takes any place.
-    ///
-    /// Tasks that last count whatever share of the service is in use.
     pub(crate) fn takes_any_place(
         &self,
         job: &Job,
-        (id, unit): (UnitId, &Unit),
+        unit: (UnitId, &Unit),
         fleet: &FleetResources,
         now: Duration,
     ) -> bool {
-        let step = job.step(id);
+        let limit = self.standstill_limit(job, unit);
+        limit.is_some_and(|limit| now >= limit) && self.has_room_twice(job, unit, fleet)
+    }
+
+    /// Returns when a unit takes any place if there is room for it; `None` while its service is over half in use. Tasks that
+    /// last count whatever share is in use.
+    pub(crate) fn standstill_limit(
+        &self,
+        job: &Job,
+        (id, unit): (UnitId, &Unit),
+    ) -> Option<Duration> {
         let half_idle_since = self.half_idle_since.get(&job.policy.service).copied();
-        let room_since = half_idle_since.or(step.long_running.then_some(Duration::ZERO));
-        let stands_since = room_since.zip(unit.ready_at).map(|(a, b)| a.max(b));
-        if stands_since.is_none_or(|since| now < since + MAX_STANDSTILL) {
-            return false;
-        }
+        let is_lasting = job.step(id).long_running;
+        let room_since = half_idle_since.or(is_lasting.then_some(Duration::ZERO))?;
+        Some(unit.ready_at?.max(room_since) + MAX_STANDSTILL)
+    }
+
+    /// Returns whether the free resources of all workers with the required label would hold a unit twice.
+    pub(crate) fn has_room_twice(
+        &self,
+        job: &Job,
+        (id, unit): (UnitId, &Unit),
+        fleet: &FleetResources,
+    ) -> bool {
+        let step = job.step(id);
         let task_resources = resources_per_task(step);
-        let usable = self
-            .workers
-            .values()
-            .zip(&fleet.free)
-            .filter(|(worker, _)| {
-                !worker.lost
-                    && worker.service == job.policy.service
-                    && has_label(worker, step.required_label.as_deref())
-            });
+        let workers = self.workers.values().zip(&fleet.free);
+        let usable = workers.filter(|(worker, _)| {
+            !worker.lost
+                && worker.service == job.policy.service
+                && has_label(worker, step.required_label.as_deref())
+        });
         let slots = usable.map(|(_, free)| free.fit_count(task_resources));
         slots.fold(0, u32::saturating_add) >= unit.tasks.saturating_mul(ROOM_FACTOR)
     }
--- a/components/graph/src/trust.rs
+++ b/components/graph/src/trust.rs
@@ -10,6 +10,8 @@
 pub(crate) enum TrustLevel {
     /// No run has failed on it since the last successful one, and none of the unit ever.
     NotSuspect,
+    /// No run of the unit has ever failed on it.
+    NotAvoided,
     /// Any worker.
     Any,
 }
@@ -71,9 +73,10 @@
     let is_trusted = |candidate: &&Candidate<'_>| {
         let worker = candidate.worker;
         let is_trusted = !worker.is_suspect() || (may_probe && worker.accepts_probe(now));
-        let is_sound = is_trusted && !unit.avoided_workers.contains(&worker.agent);
+        let is_avoided = unit.avoided_workers.contains(&worker.agent);
         match level {
-            TrustLevel::NotSuspect => is_sound,
+            TrustLevel::NotSuspect => is_trusted && !is_avoided,
+            TrustLevel::NotAvoided => !is_avoided,
             TrustLevel::Any => true,
         }
     };
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -47,8 +47,11 @@
         if let Some(found) = self.unusable_workers_reason(job, (unit_id, unit), fleet, now) {
             return found;
         }
-        self.unusable_resources_reason(job, (ready, unit), fleet, headroom, now)
-            .unwrap_or((WaitReason::NextPlan, None))
+        let found = self.unusable_resources_reason(job, (ready, unit), fleet, headroom, now);
+        let (reason, until) = found.unwrap_or((WaitReason::NextPlan, None));
+        let limit = self.standstill_limit(job, (unit_id, unit));
+        let limit = limit.filter(|_| self.has_room_twice(job, (unit_id, unit), fleet));
+        (reason, until.into_iter().chain(limit).min())
     }
 
     /// Returns the reason if it lies in what the workers are and in the runs on them.
@@ -176,6 +179,9 @@
             let until = unit.ready_at.unwrap_or(now) + locality_wait;
             return Some((reason, Some(until)));
         }
+        if takes_any_place {
+            return None;
+        }
         let sound = trusted_candidates(unit, &candidates, TrustLevel::NotSuspect, now);
         let deadline = sound_workers_deadline(job, (ready.unit, unit), &sound, now)?;
         Some((WaitReason::SuspectWorkers, Some(deadline)))
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -371,3 +371,61 @@
         "{waited:?}"
     );
 }
+
+/// Makes a worker suspect: a run fails on it.
+fn fail_run_on(cell: &mut TestCell, id: JobId, agent: &str) {
+    cell.workers[agent].report.labels.push(agent.into());
+    cell.report(agent);
+    let mut failing = step(1);
+    failing.required_label = Some(agent.into());
+    cell.accept(id, job(1, vec![failing]));
+    cell.plan_and_start();
+    cell.end_run(task(id, 0, 0), RunEnd::Failed);
+    cell.scheduler.cancel(id);
+}
+
+/// Guards against a gang that stands for half of its long slack because a run has failed on the workers with room, while most
+/// of the fleet is empty.
+#[test]
+fn plan_bounds_wait_of_gang_for_sound_workers() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3", "w4"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    for (id, agent) in [(2, "w2"), (3, "w3"), (4, "w4")] {
+        fail_run_on(&mut cell, id, agent);
+    }
+    let mut wide = gang(4);
+    wide.expected = ms(60_000);
+    cell.accept(7, job(1, vec![wide]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::SuspectWorkers));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Guards against a last attempt that stands for half of its long slack because a run has failed on the workers with room,
+/// while most of the fleet is empty, and against one on a worker on which its task has failed if another one has room.
+#[test]
+fn plan_bounds_wait_of_last_attempt_for_sound_workers() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3", "w4"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    fail_run_on(&mut cell, 2, "w4");
+    let mut long = job(1, vec![step(1)]);
+    long.graph.steps[0].expected = ms(60_000);
+    cell.accept(7, long);
+    for agent in ["w2", "w3"] {
+        time_until_placed(&mut cell, 7, ms(2_000));
+        assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some(agent));
+        cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    }
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::SuspectWorkers));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+    assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w4"));
+}
