--- a/components/graph/src/headroom.rs
+++ b/components/graph/src/headroom.rs
@@ -47,7 +47,8 @@
 
 impl Scheduler {
     /// Returns for each worker whether its free resources are left for urgent jobs: those on the racks with the most free
-    /// resources, so that gangs that need a single rack fit. The result is empty if there is no headroom.
+    /// resources, so that gangs that need a single rack fit. Services that are under half in use need none. The result is empty
+    /// if there is no headroom.
     pub(crate) fn headroom_workers(&mut self, fleet: &FleetResources, now: Duration) -> Vec<bool> {
         let target = self.urgent_demand.rate(now)
             * self.settings.max_stop_time.as_secs_f64()
@@ -62,8 +63,10 @@
             let free = fleet.free[index];
             total = total.saturating_add(worker.capacity);
             free_total = free_total.saturating_add(free);
-            let rack = racks.entry(worker.rack()).or_default();
-            rack.push((accelerator_equivalents(free), index));
+            if !self.half_idle_since.contains_key(&worker.service) {
+                let rack = racks.entry(worker.rack()).or_default();
+                rack.push((accelerator_equivalents(free), index));
+            }
         }
         if !is_busy(total, free_total) {
             return Vec::new();
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -429,3 +429,26 @@
     );
     assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w4"));
 }
+
+/// Guards against a job that stands for half of its slack because its workers are left for urgent jobs, while its service is
+/// empty and only another one is busy.
+#[test]
+fn plan_leaves_no_headroom_on_idle_service() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w3"].report.service = "other".into();
+    cell.report("w3");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    for id in 10..30 {
+        let mut urgent = job(0, vec![gang(4)]);
+        urgent.accepted_at = ms(1_000);
+        cell.accept(id, urgent);
+    }
+    let mut other = job(1, vec![step(1)]);
+    other.policy.service = "other".into();
+    other.graph.steps[0].expected = ms(60_000);
+    other.accepted_at = ms(1_000);
+    cell.accept(7, other);
+    let waited = time_until_placed(&mut cell, 7, ms(4_000));
+    assert!(waited.is_some_and(|waited| waited < MAX_IDLE), "{waited:?}");
+}
