Let units that have stood take resources that are reserved without preemption

An urgent gang that does not fit, and for which stopping other runs would lose too much work, reserves workers until those runs end by themselves. Reservations for which runs are being stopped remain exclusive; they last for a stop and 2 s.

plan_bounds_wait_for_reserved_resources fails before (nothing placed in 10 s).

--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -147,12 +147,33 @@
             Decision::Reserve(..) => !self.is_overdue(ready, now),
             Decision::Wait => self.has_preempted(ready) && !self.is_overdue(ready, now),
         };
-        if is_settled || !ready.guaranteed {
+        if is_settled {
             return unreserved;
         }
+        if !ready.guaranteed {
+            return match unreserved {
+                Decision::Wait if self.may_take_reserved(ready, fleet, now) => {
+                    self.decide_within(ready, ReservationFilter::Preempting, fleet, excluded, now)
+                }
+                decision => decision,
+            };
+        }
         self.decide_within(ready, ReservationFilter::Guaranteed, fleet, excluded, now)
     }
 
+    /// Returns whether a unit takes any place, including one that is reserved without runs being stopped for it.
+    fn may_take_reserved(&self, ready: ReadyUnit, fleet: &FleetResources, now: Duration) -> bool {
+        let mut reservations = self.reservations.values();
+        let Some(job) = self.jobs.get(&ready.job) else {
+            return false;
+        };
+        let Some(unit) = job.units.get(&ready.unit) else {
+            return false;
+        };
+        reservations.any(|reservation| !reservation.preempts)
+            && self.takes_any_place(job, (ready.unit, unit), fleet, now)
+    }
+
     /// Decides how to proceed with a unit that may not use the resources of the selected reservations.
     fn decide_within(
         &self,
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -8,7 +8,7 @@
 use crate::fit::{Assignment, Candidate, resources_per_task};
 use crate::job::{Phase, UnitKey};
 use crate::order::ReadyUnit;
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Reservation, Scheduler};
 use crate::worker::Worker;
 
 /// Selects the reservations of other units whose resources are not available to a unit.
@@ -18,6 +18,18 @@
     All,
     /// The reservations of guaranteed units.
     Guaranteed,
+    /// The reservations whose resources are being freed. The others last until runs end by themselves.
+    Preempting,
+}
+
+impl ReservationFilter {
+    fn selects(self, reservation: &Reservation) -> bool {
+        match self {
+            Self::All => true,
+            Self::Guaranteed => reservation.guaranteed,
+            Self::Preempting => reservation.preempts,
+        }
+    }
 }
 
 /// Resources of each worker, by the index of the worker in the scheduler.
@@ -160,7 +172,7 @@
         let mut reserved = vec![ResourceVector::default(); self.workers.len()];
         for (unit, reservation) in &self.reservations {
             let own = *unit == (ready.job, ready.unit);
-            if own || (filter == ReservationFilter::Guaranteed && !reservation.guaranteed) {
+            if own || !filter.selects(reservation) {
                 continue;
             }
             for (agent, tasks) in &reservation.assignment {
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -143,8 +143,11 @@
         now: Duration,
     ) -> Option<(WaitReason, Option<Duration>)> {
         let step = job.step(ready.unit);
+        let takes_any_place = self.takes_any_place(job, (ready.unit, unit), fleet, now);
         let filter = if ready.guaranteed {
             ReservationFilter::Guaranteed
+        } else if takes_any_place {
+            ReservationFilter::Preempting
         } else {
             ReservationFilter::All
         };
@@ -165,7 +168,6 @@
                 return Some((WaitReason::Headroom, Some(headroom_deadline(job))));
             }
         }
-        let takes_any_place = self.takes_any_place(job, (ready.unit, unit), fleet, now);
         let locality_wait = self.locality_wait(job, ready.unit, takes_any_place);
         let racks = racks_to_try(step, unit, &candidates, locality_wait, now);
         let all: Vec<_> = candidates.iter().collect();
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -452,3 +452,24 @@
     let waited = time_until_placed(&mut cell, 7, ms(4_000));
     assert!(waited.is_some_and(|waited| waited < MAX_IDLE), "{waited:?}");
 }
+
+/// Guards against a job that stands for as long as an urgent gang waits, without stopping other runs, for the end of those in its
+/// way: the gang keeps all other workers free meanwhile.
+#[test]
+fn plan_bounds_wait_for_reserved_resources() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    let mut long = job(2, vec![step(4)]);
+    long.graph.steps[0].expected = ms(600_000);
+    cell.accept(1, long);
+    run_for(&mut cell, ms(60_000));
+    cell.accept(2, job(0, vec![gang(9)]));
+    run_for(&mut cell, ms(200));
+    cell.accept(7, job(1, vec![step(1)]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::Reserved));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
