Let a task probe a quarantined worker while its service has room

Two jobs that fail quarantine each worker on which they do so, for 4 s to 32 s, also where the fault is theirs. A single task that takes any place (under half in use, room twice over, 2 s) and fits nowhere else now probes one; a success ends the quarantine. To spend no attempts on workers that are at fault, it is one task at a time, on a worker without runs, that has not failed before and has another attempt, or that lasts. Gangs and repeated attempts still wait for the quarantine.

plan_probes_quarantined_worker_on_idle_fleet fails before (nothing placed within 3 s); plan_probes_no_quarantined_worker_with_later_attempts guards the limit.

--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -118,9 +118,6 @@
     /// Completes a unit whose task, or one member of whose gang, has completed, and its job if this was the last unit.
     /// Long-running tasks never complete; they are placed again.
     fn complete_unit(&mut self, agent: &AgentId, id: JobId, unit_id: UnitId, now: Duration) {
-        if let Some(worker) = self.workers.get_mut(agent) {
-            worker.record_success();
-        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -128,6 +125,9 @@
         let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.record_success(unit.placed_at);
+        }
         if unit.phase() == Phase::Done {
             return;
         }
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -8,7 +8,7 @@
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
 use crate::job::{Job, Unit, UnitId};
-use crate::reservations::{PlacementOptions, WorkerResources};
+use crate::reservations::{FleetResources, PlacementOptions, WorkerResources};
 use crate::scheduler::Scheduler;
 use crate::trust::{TrustLevel, is_last_attempt, trusted_candidates, waits_for_sound_workers};
 use crate::worker::Worker;
@@ -153,6 +153,37 @@
     }
 }
 
+impl Scheduler {
+    /// Selects the quarantined worker whose quarantine ends first as a probe for a single task. Only a task that has not failed
+    /// and has another attempt left, or that lasts, probes it, and one at a time.
+    pub(crate) fn assign_quarantined(
+        &self,
+        job: &Job,
+        (id, unit): (UnitId, &Unit),
+        fleet: &FleetResources,
+        now: Duration,
+    ) -> Option<Assignment> {
+        let step = job.step(id);
+        let has_attempts = unit.failures() == 0 && job.policy.max_attempts > 1;
+        if unit.tasks > 1 || unit.is_suspect() || !(has_attempts || step.long_running) {
+            return None;
+        }
+        let task_resources = resources_per_task(step);
+        let workers = self.workers.values().zip(&fleet.free);
+        let usable = workers.filter(|(worker, free)| {
+            worker.accepts_quarantine_probe(now)
+                && worker.service == job.policy.service
+                && has_label(worker, step.required_label.as_deref())
+                && !unit.avoided_workers.contains(&worker.agent)
+                && free.fit_count(task_resources) > 0
+                && (!job.policy.needs_approval
+                    || self.ticket(StepId::of(job.id, id), worker, now).is_some())
+        });
+        let first = usable.min_by_key(|(worker, _)| worker.quarantined_until)?;
+        Some(vec![(first.0.agent.clone(), 1)])
+    }
+}
+
 /// Packs the last attempt of a unit, whose job fails if another faulty worker fails it, on the workers that most recently
 /// started a run that went well.
 fn pack_on_proven_workers(
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -132,6 +132,38 @@
         fleet: &FleetResources,
         headroom: &[bool],
         now: Duration,
+    ) -> Decision {
+        match self.decide_beside_quarantines(ready, fleet, headroom, now) {
+            Decision::Wait => self.decide_probe(ready, fleet, now),
+            decision => decision,
+        }
+    }
+
+    /// Decides whether a unit that takes any place probes a quarantined worker.
+    fn decide_probe(&self, ready: ReadyUnit, fleet: &FleetResources, now: Duration) -> Decision {
+        let Some(job) = self.jobs.get(&ready.job) else {
+            return Decision::Wait;
+        };
+        let Some(unit) = job.units.get(&ready.unit) else {
+            return Decision::Wait;
+        };
+        if !self.takes_any_place(job, (ready.unit, unit), fleet, now) {
+            return Decision::Wait;
+        }
+        let assignment = self.assign_quarantined(job, (ready.unit, unit), fleet, now);
+        let task_resources = resources_per_task(job.step(ready.unit));
+        assignment.map_or(Decision::Wait, |assignment| {
+            Decision::Place(assignment, task_resources)
+        })
+    }
+
+    /// Decides how to proceed with a unit without regard to quarantined workers.
+    fn decide_beside_quarantines(
+        &self,
+        ready: ReadyUnit,
+        fleet: &FleetResources,
+        headroom: &[bool],
+        now: Duration,
     ) -> Decision {
         let excluded = if self.may_use_headroom(ready, now) {
             &[]
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -50,7 +50,8 @@
         let found = self.unusable_resources_reason(job, (ready, unit), fleet, headroom, now);
         let (reason, until) = found.unwrap_or((WaitReason::NextPlan, None));
         let limit = self.standstill_limit(job, (unit_id, unit));
-        let limit = limit.filter(|_| self.has_room_twice(job, (unit_id, unit), fleet));
+        let limit = limit
+            .filter(|_| reason.is_chosen() && self.has_room_twice(job, (unit_id, unit), fleet));
         (reason, until.into_iter().chain(limit).min())
     }
 
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -102,6 +102,18 @@
         Self::WorkerSilent,
     ];
 
+    /// Returns whether the scheduler chooses the wait for a better place, or for the sake of others.
+    pub(crate) fn is_chosen(self) -> bool {
+        matches!(
+            self,
+            Self::Reserved
+                | Self::Headroom
+                | Self::DataRack
+                | Self::SingleRack
+                | Self::SuspectWorkers
+        )
+    }
+
     /// Returns the name in the log and in the metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -83,7 +83,9 @@
     pub(crate) last_failure_at: Option<Duration>,
     /// When the latest run was placed that made progress, or that lived until another member of its gang ended.
     pub(crate) last_sound_start: Option<Duration>,
-    /// The worker gets no new tasks before this time.
+    /// When the latest quarantine began.
+    pub(crate) quarantined_at: Duration,
+    /// The worker gets no new tasks before this time, except for probes.
     pub(crate) quarantined_until: Duration,
     /// Length of the next quarantine.
     pub(crate) next_quarantine_duration: Duration,
@@ -115,6 +117,7 @@
             failed_jobs: Vec::new(),
             last_failure_at: None,
             last_sound_start: None,
+            quarantined_at: Duration::ZERO,
             quarantined_until: Duration::ZERO,
             next_quarantine_duration: INITIAL_QUARANTINE,
         }
@@ -192,11 +195,20 @@
 
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: Duration) -> bool {
-        self.confirmed
-            && self.runs_known
-            && !self.lost
-            && self.drain_deadline.is_none()
-            && now >= self.quarantined_until
+        self.is_available() && now >= self.quarantined_until
+    }
+
+    /// Returns whether new tasks may be placed on the worker unless it is quarantined.
+    fn is_available(&self) -> bool {
+        self.confirmed && self.runs_known && !self.lost && self.drain_deadline.is_none()
+    }
+
+    /// Returns whether the worker is quarantined and has no runs, so that a task may probe it.
+    pub(crate) fn accepts_quarantine_probe(&self, now: Duration) -> bool {
+        self.is_available()
+            && now < self.quarantined_until
+            && self.placements.is_empty()
+            && self.orphan_runs.is_empty()
     }
 
     /// Sets a new incarnation and resets the state that belongs to the previous one. Orphan runs stay until a complete list
@@ -233,8 +245,12 @@
         self.last_sound_start = self.last_sound_start.max(Some(placed_at));
     }
 
-    /// Records a successful run, which resets the length of the next quarantine.
-    pub(crate) fn record_success(&mut self) {
+    /// Records a successful run that was placed at a time. It resets the length of the next quarantine, and ends a present
+    /// one in which it was placed.
+    pub(crate) fn record_success(&mut self, placed_at: Duration) {
+        if placed_at >= self.quarantined_at {
+            self.quarantined_until = Duration::ZERO;
+        }
         self.last_failure_at = None;
         self.failed_jobs.clear();
         self.next_quarantine_duration = INITIAL_QUARANTINE;
@@ -257,6 +273,7 @@
         if now < self.quarantined_until {
             return;
         }
+        self.quarantined_at = now;
         self.quarantined_until = now + self.next_quarantine_duration;
         self.next_quarantine_duration = (self.next_quarantine_duration * 2).min(MAX_QUARANTINE);
         log::warn!(
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -473,3 +473,48 @@
         "{waited:?}"
     );
 }
+
+/// Quarantines a worker: the runs of two jobs fail on it.
+fn quarantine(cell: &mut TestCell, ids: [JobId; 2], agent: &str) {
+    for id in ids {
+        fail_run_on(cell, id, agent);
+    }
+}
+
+/// Guards against jobs that stand for the length of a quarantine because two jobs failed on each worker with room, whose own
+/// fault that may have been. One task at a time probes such a worker, and the others follow once it has succeeded.
+#[test]
+fn plan_probes_quarantined_worker_on_idle_fleet() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    quarantine(&mut cell, [1, 2], "w1");
+    quarantine(&mut cell, [3, 4], "w2");
+    cell.accept(7, job(1, vec![step(4)]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::Quarantined));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+    run_for(&mut cell, ms(500));
+    let runs = cell.workers.values().map(|worker| worker.report.runs.len());
+    assert_eq!(runs.collect::<Vec<_>>(), [1, 1]);
+    cell.end_run(task(7, 0, 0), RunEnd::Done);
+    run_for(&mut cell, ms(200));
+    let runs = cell.workers.values().map(|worker| worker.report.runs.len());
+    assert_eq!(runs.sum::<usize>(), 3);
+}
+
+/// Guards against spending the attempts of a job on quarantined workers: a task probes one only if it has not failed before.
+#[test]
+fn plan_probes_no_quarantined_worker_with_later_attempts() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    quarantine(&mut cell, [1, 2], "w1");
+    quarantine(&mut cell, [3, 4], "w2");
+    cell.accept(7, job(1, vec![step(1)]));
+    let waited = time_until_placed(&mut cell, 7, ms(3_500));
+    assert!(waited.is_some());
+    cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    run_for(&mut cell, ms(1_000));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+}
