Try the units of a step that differ from the one that waits

Once a unit could not be placed, no other unit of its step was tried.

After a miss with room for the step, a plan now tries up to four of them: after a unit with earlier runs the next one, the last one without earlier runs if one is among the next 64; after a unit without, the next occurrence, because it could use any worker that the rest of its occurrence may use. Without any room nothing else is tried, so that the cost on a full fleet stays.

plan_tries_units_behind_last_attempt and plan_tries_later_occurrences fail before.

--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -14,6 +14,9 @@
 /// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
 const FAULTY_JOB_WORKERS: usize = 3;
 
+/// Number of units with earlier runs that a plan skips in search of one without.
+const MAX_SKIPPED_UNITS: usize = 64;
+
 /// Identifies a unit within its job: a single task, or all tasks of a gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct UnitId {
@@ -409,6 +412,44 @@
         }
     }
 
+    /// Returns a unit of the same step to try after one that could not be placed. `remaining` is the number of those that may
+    /// still be tried.
+    ///
+    /// A unit without earlier runs could use any worker that the later ones of its occurrence may use, so that the next
+    /// occurrence follows. After one with earlier runs, the next one may differ; the last one tried has no earlier runs.
+    pub(crate) fn next_different(
+        &mut self,
+        id: UnitId,
+        remaining: u32,
+        now: Duration,
+    ) -> Option<UnitId> {
+        if remaining == 0 {
+            return None;
+        }
+        if !self.has_earlier_runs(id) {
+            let last = UnitId {
+                first: u32::MAX,
+                ..id
+            };
+            return self.next_ready(id.step, Some(last), now);
+        }
+        let mut next = self.next_ready(id.step, Some(id), now)?;
+        for _ in 0..MAX_SKIPPED_UNITS {
+            if remaining > 1 || !self.has_earlier_runs(next) {
+                return Some(next);
+            }
+            next = self.next_ready(id.step, Some(next), now)?;
+        }
+        None
+    }
+
+    fn has_earlier_runs(&self, id: UnitId) -> bool {
+        let unit = self.units.get(&id);
+        unit.is_some_and(|unit| {
+            unit.run_number > 0 || !unit.failed_runs.is_empty() || !unit.crashes.is_empty()
+        })
+    }
+
     /// Returns the first unit of each step that can be placed now.
     pub(crate) fn step_heads(&mut self, now: Duration) -> StepHeads {
         let steps: Vec<u32> = self.ready.steps().collect();
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use model::{JobId, ResourceVector, TaskId, TaskRun};
 
 use crate::fit::{Assignment, resources_per_task};
@@ -18,6 +19,19 @@
 /// Added to the longest stop time: the time to order and report a stop.
 const STOP_REPORT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Number of units of a step that a plan tries in vain.
+const MAX_MISSES: u32 = 4;
+
+/// What became of a unit that a plan tried to place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Placed,
+    /// It has to wait for something that other units of its step may not need.
+    Waits,
+    /// The free resources of all workers would not hold it, nor another unit of its step.
+    NoRoom,
+}
+
 /// How to proceed with a unit that is ready.
 enum Decision {
     /// Place it on these workers, with these resources for each task.
@@ -26,6 +40,8 @@
     Reserve(Selection, ResourceVector),
     /// Try again later.
     Wait,
+    /// Try again later; there is no room for any unit of the step.
+    NoRoom,
 }
 
 impl Scheduler {
@@ -69,8 +85,10 @@
         }
     }
 
-    /// Places the ready units of a job. The units of a step have the same requirements: once one could not be placed, the
-    /// others are not tried.
+    /// Places the ready units of a job.
+    ///
+    /// The units of a step have the same requirements but for their earlier runs and their occurrence. After one that could not
+    /// be placed although there is room, a few that differ are tried.
     fn plan_job(
         &mut self,
         ready_job: ReadyJob,
@@ -80,12 +98,23 @@
     ) {
         let job = self.jobs.get_mut(&ready_job.job);
         let mut heads = job.map(|job| job.step_heads(now)).unwrap_or_default();
+        let mut misses: IndexMap<u32, u32> = IndexMap::new();
         while let Some(unit) = heads.pop() {
-            if !self.place_or_reserve(ready_job.unit(unit), fleet, headroom, now) {
-                continue;
-            }
-            let job = self.jobs.get_mut(&ready_job.job);
-            if let Some(next) = job.and_then(|job| job.next_ready(unit.step, Some(unit), now)) {
+            let outcome = self.place_or_reserve(ready_job.unit(unit), fleet, headroom, now);
+            let Some(job) = self.jobs.get_mut(&ready_job.job) else {
+                return;
+            };
+            let next = match outcome {
+                Outcome::Placed => job.next_ready(unit.step, Some(unit), now),
+                Outcome::NoRoom => None,
+                Outcome::Waits => {
+                    let misses = misses.entry(unit.step).or_default();
+                    *misses += 1;
+                    let remaining = MAX_MISSES.saturating_sub(*misses);
+                    job.next_different(unit, remaining, now)
+                }
+            };
+            if let Some(next) = next {
                 heads.push(next);
             }
         }
@@ -95,15 +124,14 @@
         }
     }
 
-    /// Places a unit and returns whether it was placed. If an urgent unit was not placed, resources are reserved for
-    /// it.
+    /// Places a unit if possible. If an urgent unit was not placed, resources are reserved for it.
     fn place_or_reserve(
         &mut self,
         ready: ReadyUnit,
         fleet: &mut FleetResources,
         headroom: &[bool],
         now: Duration,
-    ) -> bool {
+    ) -> Outcome {
         match self.decide(ready, fleet, headroom, now) {
             Decision::Place(assignment, task_resources) => {
                 self.deduct(fleet, &assignment, task_resources);
@@ -111,13 +139,14 @@
                 // The unit may have taken resources that are reserved for another one.
                 self.plan_needed |= ready.guaranteed && !self.reservations.is_empty();
                 self.place(ready.job, ready.unit, &assignment, now);
-                true
+                Outcome::Placed
             }
             Decision::Reserve(selection, task_resources) => {
                 self.reserve_resources(ready, selection, task_resources, fleet, now);
-                false
+                Outcome::Waits
             }
-            Decision::Wait => false,
+            Decision::Wait => Outcome::Waits,
+            Decision::NoRoom => Outcome::NoRoom,
         }
     }
 
@@ -171,13 +200,15 @@
             headroom
         };
         if !self.may_fit(ready, fleet, excluded) {
-            return Decision::Wait;
+            return Decision::NoRoom;
         }
         let unreserved = self.decide_within(ready, ReservationFilter::All, fleet, excluded, now);
         let is_settled = match &unreserved {
             Decision::Place(..) => true,
             Decision::Reserve(..) => !self.is_overdue(ready, now),
-            Decision::Wait => self.has_preempted(ready) && !self.is_overdue(ready, now),
+            Decision::Wait | Decision::NoRoom => {
+                self.has_preempted(ready) && !self.is_overdue(ready, now)
+            }
         };
         if is_settled {
             return unreserved;
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -6,7 +6,7 @@
 
 use common::{TestCell, TestWorker, gang, job, ms, owner_run_number, running, step, task, worker};
 use graph::{Wait, WaitReason};
-use model::{AcceptedJob, JobId, RunEnd, TaskRun};
+use model::{AcceptedJob, JobId, Recurrence, RunEnd, TaskRun};
 
 /// Reports, plans and starts every 100 ms.
 fn run_for(cell: &mut TestCell, time: Duration) {
@@ -518,3 +518,49 @@
     run_for(&mut cell, ms(1_000));
     assert_eq!(cell.agent_of(task(7, 0, 0)), None);
 }
+
+/// Guards against tasks that stand behind a last attempt of their step, which waits for other workers than the one with room.
+#[test]
+fn plan_tries_units_behind_last_attempt() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut spec = job(1, vec![step(3)]);
+    spec.policy.max_attempts = 2;
+    spec.graph.steps[0].expected = ms(60_000);
+    spec.graph.steps[0].max_tasks_per_worker = Some(1);
+    cell.accept(7, spec);
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w3"));
+    cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    run_for(&mut cell, ms(300));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    assert!(cell.agent_of(task(7, 0, 1)).is_some());
+}
+
+/// Guards against later occurrences of a recurring job that stand behind one whose step is not approved.
+#[test]
+fn plan_tries_later_occurrences() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut spec = job(1, vec![step(2)]);
+    spec.policy.needs_approval = true;
+    spec.graph.recurrence = Some(Recurrence {
+        first: ms(500),
+        interval: ms(100),
+        count: 2,
+    });
+    cell.accept(7, spec);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    let requests = cell.scheduler.take_approval_requests(cell.now);
+    let steps: Vec<u32> = requests
+        .iter()
+        .map(|request| request.step.occurrence)
+        .collect();
+    assert_eq!(steps, [0, 1]);
+    let tickets = [("worker-w1".into(), "ticket".into())];
+    let now = cell.now;
+    cell.scheduler
+        .record_approvals(requests[1].step, &tickets, now, ms(60_000));
+    cell.plan_and_start();
+    assert_eq!(cell.workers["w1"].report.runs.len(), 2);
+}
