Ask the advisor again while approved workers have no room

A step with any valid approval sent no further request, so that its tasks stood until the approval expired when the approved workers were full, beside workers about which the advisor was not asked again.

A step now asks again, at most every 2 s, when the approved workers have no room for a unit and others have; workers that were asked about in vain come last.

take_approval_requests_asks_again_if_approved_worker_is_full and take_approval_requests_reaches_all_workers fail before.

--- a/components/graph/src/approvals.rs
+++ b/components/graph/src/approvals.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use model::{AgentId, Incarnation, JobId};
 
-use crate::job::UnitId;
+use crate::fit::Candidate;
+use crate::job::{Job, UnitId};
+use crate::reservations::WorkerResources;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -40,6 +42,15 @@
             step: unit.step,
         }
     }
+
+    /// Returns the first unit of the step, which stands for all of them.
+    fn first_unit(self) -> UnitId {
+        UnitId {
+            occurrence: self.occurrence,
+            step: self.step,
+            first: 0,
+        }
+    }
 }
 
 /// Asks the advisor which of these workers may run a step.
@@ -55,6 +66,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Approvals {
     requested_at: Option<Duration>,
+    /// When each worker was last part of a request.
+    asked: IndexMap<AgentId, Duration>,
     granted: IndexMap<AgentId, Approval>,
 }
 
@@ -78,13 +91,22 @@
     /// Returns the requests to send for units whose dependencies are done, and records that they were sent.
     pub fn take_approval_requests(&mut self, now: Duration) -> Vec<ApprovalRequest> {
         let mut requests = Vec::new();
-        for step in self.unapproved_steps(now) {
-            let workers = self.workers_to_approve(step, now);
+        let mut jobs = self.jobs.values();
+        if !jobs.any(|job| job.policy.needs_approval) {
+            return requests;
+        }
+        let free = self.fleet_resources().free;
+        for step in self.unapproved_steps(&free, now) {
+            let agents = self.workers_to_approve(step, &free, now);
+            let known = agents.iter().filter_map(|agent| self.workers.get(agent));
+            let workers: Vec<Box<str>> = known.map(|worker| worker.name.clone()).collect();
             if workers.is_empty() {
                 continue;
             }
             let approvals = self.approvals.entry(step).or_default();
             approvals.requested_at = Some(now);
+            let asked = agents.into_iter().map(|agent| (agent, now));
+            approvals.asked.extend(asked);
             requests.push(ApprovalRequest { step, workers });
         }
         requests
@@ -92,7 +114,7 @@
 
     /// Returns the steps that need an approval request and have waiting units whose dependencies are done. Of the
     /// occurrences of a step, only the first ones are considered.
-    fn unapproved_steps(&self, now: Duration) -> Vec<StepId> {
+    fn unapproved_steps(&self, free: &WorkerResources, now: Duration) -> Vec<StepId> {
         let mut steps = Vec::new();
         for job in self.jobs.values() {
             if !job.policy.needs_approval || job.end.is_some() || job.awaiting_recovery {
@@ -106,7 +128,7 @@
                         occurrence,
                         step,
                     };
-                    if self.needs_request(step, now) {
+                    if self.needs_request(job, step, free, now) {
                         steps.push(step);
                     }
                 }
@@ -115,38 +137,71 @@
         steps
     }
 
-    /// Returns whether a step has no valid approval and no request that was sent recently.
-    fn needs_request(&self, step: StepId, now: Duration) -> bool {
+    /// Returns whether a step has no request that was sent recently, and no room on the workers with valid approvals while one
+    /// without has room.
+    fn needs_request(
+        &self,
+        job: &Job,
+        step: StepId,
+        free: &WorkerResources,
+        now: Duration,
+    ) -> bool {
         let Some(approvals) = self.approvals.get(&step) else {
             return true;
         };
         let is_pending = approvals
             .requested_at
             .is_some_and(|at| now < at + REQUEST_RETRY_INTERVAL);
-        let mut workers = self.workers.values();
-        !is_pending && !workers.any(|worker| self.ticket(step, worker, now).is_some())
+        if is_pending {
+            return false;
+        }
+        let id = step.first_unit();
+        let Some(unit) = job.units.get(&id) else {
+            return false;
+        };
+        let candidates = self.eligible_candidates(job, (id, unit), free, now);
+        let is_approved =
+            |candidate: &&Candidate<'_>| self.ticket(step, candidate.worker, now).is_some();
+        let (approved, others): (Vec<_>, Vec<_>) = candidates.iter().partition(is_approved);
+        let slots = approved.iter().map(|candidate| candidate.slots);
+        let has_room = slots.fold(0, u32::saturating_add) >= unit.tasks;
+        let others_have_room = others.iter().any(|candidate| candidate.slots > 0);
+        approved.is_empty() || (!has_room && others_have_room)
     }
 
-    /// Returns the names of the workers to include in a request: those that may run the step, with the most free
-    /// accelerators first.
-    fn workers_to_approve(&self, step: StepId, now: Duration) -> Vec<Box<str>> {
+    /// Returns the workers to include in a request: those that may run the step, with the most free accelerators first. Those
+    /// that were asked about in vain come after the others, because only a part of a large fleet fits into one request.
+    fn workers_to_approve(
+        &self,
+        step: StepId,
+        free: &WorkerResources,
+        now: Duration,
+    ) -> Vec<AgentId> {
         let Some(job) = self.jobs.get(&step.job) else {
             return Vec::new();
         };
-        let id = UnitId {
-            occurrence: step.occurrence,
-            step: step.step,
-            first: 0,
-        };
+        let id = step.first_unit();
         let Some(unit) = job.units.get(&id) else {
             return Vec::new();
         };
-        let available = self.fleet_resources().free;
-        let mut candidates = self.eligible_candidates(job, (id, unit), &available, now);
-        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.free.accelerators));
+        let approvals = self.approvals.get(&step);
+        let asked_at = |candidate: &Candidate<'_>| {
+            let agent = &candidate.worker.agent;
+            let approvals = approvals.filter(|approvals| !approvals.granted.contains_key(agent));
+            approvals?.asked.get(agent).copied()
+        };
+        let mut candidates = self.eligible_candidates(job, (id, unit), free, now);
+        candidates.retain(|candidate| !candidate.worker.name.is_empty());
+        candidates.sort_by_key(|candidate| {
+            (
+                asked_at(candidate),
+                std::cmp::Reverse(candidate.free.accelerators),
+            )
+        });
         let chosen = candidates.into_iter().take(MAX_WORKERS_PER_REQUEST);
-        let names = chosen.map(|candidate| candidate.worker.name.clone());
-        names.filter(|name| !name.is_empty()).collect()
+        chosen
+            .map(|candidate| candidate.worker.agent.clone())
+            .collect()
     }
 
     /// Records the response of the advisor: worker names with their tickets, valid for `validity` from `requested_at`.
@@ -177,7 +232,7 @@
             "step_approved"
         );
         let approvals = self.approvals.entry(step).or_default();
-        approvals.granted = granted;
+        approvals.granted.extend(granted);
         self.plan_needed = true;
     }
 
--- a/components/graph/tests/approvals.rs
+++ b/components/graph/tests/approvals.rs
@@ -4,6 +4,7 @@
 
 use common::{TestCell, job, ms, step, task, worker};
 use graph::StepId;
+use indexmap::IndexSet;
 
 const STEP: StepId = StepId {
     job: 7,
@@ -70,3 +71,53 @@
     cell.plan_and_start();
     assert_eq!(cell.run_number(task(7, 0, 0)), None);
 }
+
+/// Guards against a task that stands until its approval expires because the approved worker is full, while another worker,
+/// about which the advisor was not asked again, has room.
+#[test]
+fn take_approval_requests_asks_again_if_approved_worker_is_full() {
+    let mut cell = cell();
+    assert_eq!(cell.scheduler.take_approval_requests(cell.now).len(), 1);
+    let tickets = [("worker-w1".into(), "ticket".into())];
+    let now = cell.now;
+    cell.scheduler
+        .record_approvals(STEP, &tickets, now, ms(600_000));
+    let mut lasting = step(4);
+    lasting.long_running = true;
+    cell.workers["w1"].report.labels.push("w1".into());
+    cell.report("w1");
+    lasting.required_label = Some("w1".into());
+    cell.accept(8, job(0, vec![lasting]));
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    cell.advance(ms(2_500));
+    assert_eq!(cell.scheduler.take_approval_requests(cell.now).len(), 1);
+    let tickets = [("worker-w2".into(), "ticket".into())];
+    cell.scheduler
+        .record_approvals(STEP, &tickets, cell.now, ms(600_000));
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w2"));
+}
+
+/// Guards against asking about the same part of a large fleet for good although the advisor approves none of it.
+#[test]
+fn take_approval_requests_reaches_all_workers() {
+    let names: Vec<String> = (0..70).map(|index| format!("w{index}")).collect();
+    let mut cell = TestCell::new(1, names.iter().map(|name| worker(name, "r1")).collect());
+    let mut restricted = job(1, vec![step(1)]);
+    restricted.policy.needs_approval = true;
+    cell.accept(7, restricted);
+    let mut asked = IndexSet::new();
+    for _ in 0..3 {
+        cell.scheduler.plan(cell.now, ms(1_000));
+        let requests = cell.scheduler.take_approval_requests(cell.now);
+        for request in requests {
+            asked.extend(request.workers);
+            let now = cell.now;
+            cell.scheduler
+                .record_approvals(request.step, &[], now, ms(3_000));
+        }
+        cell.advance(ms(2_100));
+    }
+    assert_eq!(asked.len(), 70);
+}
