Give up a start that a worker does not answer for as long as a lease

The owner repeats a start until the worker answers it or its lease has lapsed. The owner now stops such a start and places the task again once the worker has said that the run can't begin, so that no task runs twice.

plan_gives_up_unanswered_start fails before (no stop within 8 s).

--- a/components/graph/src/hang.rs
+++ b/components/graph/src/hang.rs
@@ -1,4 +1,4 @@
-//! Detects and stops runs without progress.
+//! Detects and stops runs without progress, and starts without an answer.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 
 use crate::job::{Job, UnitId};
 use crate::placement::{AnyPlacement, Placement, Running};
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Scheduler, lapse_after};
 
 /// Minimum time without progress after which a run counts as hanging. It allows for the interval between reports, which
 /// is one second, and for restoring a checkpoint, which takes a fraction of a second.
@@ -54,6 +54,29 @@
         }
     }
 
+    /// Stops the units of starts that a worker which reports has not answered for as long as a lease. A worker that is silent
+    /// for that long is lost. The unit is placed again once the worker has said that the run can't begin.
+    pub(crate) fn stop_unanswered_starts(&mut self, now: Duration) {
+        let limit = lapse_after(self.settings.max_lease);
+        let mut unanswered = Vec::new();
+        for worker in self.workers.values() {
+            for placement in worker.placements.values() {
+                let is_starting = matches!(placement, AnyPlacement::Starting(_));
+                if is_starting && now > placement.placed_at() + limit {
+                    unanswered.push((worker.agent.clone(), placement.unit_key()));
+                }
+            }
+        }
+        for (agent, (id, unit)) in unanswered {
+            log::warn!(
+                target: "limpethook",
+                job:% = format_args!("{id:016x}"), step = unit.step, first = unit.first, agent:% = agent;
+                "start_given_up"
+            );
+            self.stop_unit(id, unit);
+        }
+    }
+
     /// Returns how long a run may go without progress.
     ///
     /// The expected run time may be far too short. Therefore the time per percentage point is the expected one on a
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -6,7 +6,7 @@
 
 use common::{TestCell, TestWorker, gang, job, ms, owner_run_number, running, step, task, worker};
 use graph::{Wait, WaitReason};
-use model::{AcceptedJob, JobId, Recurrence, RunEnd, TaskRun};
+use model::{AcceptedJob, JobId, Recurrence, RunEnd, RunReport, RunStatus, TaskRun};
 
 /// Reports, plans and starts every 100 ms.
 fn run_for(cell: &mut TestCell, time: Duration) {
@@ -564,3 +564,28 @@
     cell.plan_and_start();
     assert_eq!(cell.workers["w1"].report.runs.len(), 2);
 }
+
+/// Guards against a task that stands for good because a worker answers its polls, but no start.
+#[test]
+fn plan_gives_up_unanswered_start() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, run) = cell.first_start();
+    let mut stops = Vec::new();
+    for _ in 0..80 {
+        cell.advance(ms(100));
+        cell.report(&agent);
+        cell.scheduler.plan(cell.now, ms(1_000));
+        stops.extend(cell.instructions(&agent).stops);
+    }
+    assert!(stops.contains(&run), "{stops:?}");
+    let stopped = RunReport {
+        run,
+        status: RunStatus::StoppedBeforeStart,
+    };
+    cell.workers[&agent].report.runs.push(stopped);
+    cell.report(&agent);
+    cell.workers[&agent].report.runs.clear();
+    cell.plan_and_start();
+    assert!(cell.run_number(task(7, 0, 0)) > Some(run.run));
+}
