--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -92,6 +92,8 @@
 #[derive(Debug)]
 struct SimulatedRun {
     started_at: Duration,
+    /// The time that its work takes where it runs.
+    work: Duration,
     /// Whether it counts as at work: alone, or with all members of its gang present.
     working_since: Option<Duration>,
     stopping: bool,
@@ -339,6 +341,7 @@
             run,
             SimulatedRun {
                 started_at: now,
+                work,
                 working_since: None,
                 stopping: false,
             },
@@ -360,18 +363,34 @@
         if is_gang && members.len() < tasks as usize {
             return;
         }
-        for (agent, run) in members.clone() {
+        let members = members.clone();
+        let work = if self.is_slowed_down(run, &members) {
+            work.mul_f64(SETTINGS.slowdown)
+        } else {
+            work
+        };
+        for (agent, run) in members {
             if let Some(running) = self
                 .workers
                 .get_mut(&agent)
                 .and_then(|w| w.runs.get_mut(&run))
             {
                 running.working_since = Some(now);
+                running.work = work;
             }
             self.push(now + work, Event::End(agent, run, RunEnd::Done));
         }
     }
 
+    /// Returns whether a rack-sensitive gang runs across racks.
+    fn is_slowed_down(&self, run: TaskRun, members: &[(AgentId, TaskRun)]) -> bool {
+        let arrival = &self.arrivals[(run.task.job - 1) as usize];
+        let step = &arrival.job.graph.steps[run.task.step as usize];
+        let rack = |agent: &AgentId| self.workers.get(agent).map(|w| w.report.labels[1].clone());
+        let racks: IndexSet<_> = members.iter().map(|(agent, _)| rack(agent)).collect();
+        step.gang && step.rack_sensitive && racks.len() > 1
+    }
+
     fn stop(&mut self, agent: &AgentId, run: TaskRun) {
         let time = SETTINGS.max_stop_time.mul_f64(0.35 + 0.65 * self.rng.f64());
         let running = self.workers[agent].runs.get_mut(&run);
@@ -481,14 +500,12 @@
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
-        let arrivals = &self.arrivals;
         worker.report.runs = worker
             .runs
             .iter()
             .map(|(run, running)| {
-                let work = arrivals[(run.task.job - 1) as usize].work;
                 let elapsed = running.working_since.map(|since| now.saturating_sub(since));
-                let share = elapsed.unwrap_or_default().div_duration_f64(work);
+                let share = elapsed.unwrap_or_default().div_duration_f64(running.work);
                 RunReport {
                     run: *run,
                     status: RunStatus::Running {
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -19,7 +19,7 @@
 use fastrand::Rng;
 use fleet::{Arrival, Change, Fleet, WORKER_CAPACITY};
 use indexmap::IndexMap;
-use model::{AgentId, ResourceVector};
+use model::{AgentId, ResourceVector, Step};
 use report::LoadReport;
 use workload::{ACCOUNTS, Class, LARGE, SMALL, URGENT};
 
@@ -254,6 +254,44 @@
     );
 }
 
+/// Pattern: rack-sensitive gangs beside racks that are partly taken, each of which would hold a gang if it was empty.
+///
+/// Guards against gangs that stand until a whole rack is free, while the fleet has room for them twice over and is under half
+/// in use.
+#[test]
+fn load_sensitive_gangs_start_beside_half_full_racks() {
+    let mut rng = Rng::with_seed(10);
+    let mut fleet = fleet(32, 10);
+    let mut lasting = SMALL.arrival(Duration::ZERO, &mut rng);
+    lasting.work = seconds(1_000);
+    lasting.job.graph.steps[0] = Step {
+        tasks: 96,
+        max_tasks_per_worker: Some(3),
+        long_running: true,
+        ..lasting.job.graph.steps[0].clone()
+    };
+    let mut arrivals = vec![lasting];
+    for at in [5, 40, 75] {
+        let mut gang = LARGE.arrival(seconds(at), &mut rng);
+        gang.job.graph.steps[0] = Step {
+            tasks: 48,
+            rack_sensitive: true,
+            resources: ResourceVector {
+                accelerators: 1,
+                millicores: 1_000,
+                memory_mb: 1_000,
+            },
+            ..gang.job.graph.steps[0].clone()
+        };
+        arrivals.push(gang);
+    }
+    fleet.arrive(arrivals);
+    let report = fleet.run(seconds(110));
+    report.print("half-full racks");
+    let started = report.share_started_within(LARGE.name, seconds(3));
+    assert!(started >= 1.0, "{started} of the gangs started in time");
+}
+
 /// Prints the means over several seeds, to compare two versions of the scheduler in pairs. `LOAD_SEEDS` is the number of
 /// seeds and `LOAD_FACTOR` the load, both optional.
 #[test]
