Count a service as half idle by its accelerators

A service counted as under half in use if its accelerators or its cores were, so that units took any place on a fleet whose accelerators were nearly all taken, and large gangs ran slower across racks. It now counts by the accelerators, or by the cores if it has none.

--- a/components/graph/src/headroom.rs
+++ b/components/graph/src/headroom.rs
@@ -111,7 +111,7 @@
 }
 
 /// Returns whether at least the minimum share of the accelerators and of the cores, if there are any, is in use.
-pub(crate) fn is_busy(total: ResourceVector, free: ResourceVector) -> bool {
+fn is_busy(total: ResourceVector, free: ResourceVector) -> bool {
     let busy = |total: u32, free: u32| {
         total == 0 || f64::from(free) <= f64::from(total) * (1.0 - MIN_UTILISATION)
     };
--- a/components/graph/src/room.rs
+++ b/components/graph/src/room.rs
@@ -10,7 +10,6 @@
 use model::{ResourceVector, ServiceId};
 
 use crate::fit::{has_label, resources_per_task};
-use crate::headroom::is_busy;
 use crate::job::{Job, Unit, UnitId};
 use crate::reservations::FleetResources;
 use crate::scheduler::Scheduler;
@@ -36,7 +35,7 @@
         let before = std::mem::take(&mut self.half_idle_since);
         let half_idle = services
             .into_iter()
-            .filter(|(_, (total, free))| !is_busy(*total, *free))
+            .filter(|(_, (total, free))| is_half_idle(*total, *free))
             .map(|(service, _)| service.clone());
         self.half_idle_since = half_idle
             .map(|service| {
@@ -90,3 +89,13 @@
         slots.fold(0, u32::saturating_add) >= unit.tasks.saturating_mul(ROOM_FACTOR)
     }
 }
+
+/// Returns whether less than half of the accelerators is in use, or of the cores if there are no accelerators.
+fn is_half_idle(total: ResourceVector, free: ResourceVector) -> bool {
+    let is_idle = |total: u32, free: u32| u64::from(free) * 2 > u64::from(total);
+    if total.accelerators > 0 {
+        is_idle(total.accelerators, free.accelerators)
+    } else {
+        is_idle(total.millicores, free.millicores)
+    }
+}
