--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -8,7 +8,7 @@
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
 use crate::job::{Job, Unit, UnitId};
-use crate::reservations::WorkerResources;
+use crate::reservations::{FleetResources, PlacementOptions, WorkerResources};
 use crate::scheduler::Scheduler;
 use crate::trust::{TrustLevel, is_last_attempt, trusted_candidates, waits_for_sound_workers};
 use crate::worker::Worker;
@@ -105,8 +105,11 @@
     }
 
     /// Returns how long a unit waits for the rack with its data, or for a single rack: the additional run time that it would
-    /// need on another rack, or across racks.
-    pub(crate) fn locality_wait(&self, job: &Job, unit: UnitId) -> Duration {
+    /// need on another rack, or across racks. A unit that takes any place waits no longer.
+    pub(crate) fn locality_wait(&self, job: &Job, unit: UnitId, takes_any_place: bool) -> Duration {
+        if takes_any_place {
+            return Duration::ZERO;
+        }
         let extra = (self.settings.slowdown - 1.0).max(0.0);
         job.expected_task_time(unit).mul_f64(extra)
     }
@@ -116,11 +119,12 @@
         &self,
         job: &Job,
         unit: (UnitId, &Unit),
-        candidates: &[Candidate<'_>],
+        options: &PlacementOptions<'_>,
         now: Duration,
     ) -> Option<Assignment> {
         let step = job.step(unit.0);
-        let locality_wait = self.locality_wait(job, unit.0);
+        let candidates = &options.candidates;
+        let locality_wait = self.locality_wait(job, unit.0, options.takes_any_place);
         let racks = racks_to_try(step, unit.1, candidates, locality_wait, now);
         let is_last = is_last_attempt(job, unit.1);
         let all: Vec<&Candidate<'_>> = candidates.iter().collect();
@@ -139,10 +143,44 @@
         } else {
             pack_on_racks(&sound, &racks, unit.1.tasks)
         };
-        if assignment.is_some() || waits_for_sound_workers(job, unit, &sound, now) {
+        let may_wait = !options.takes_any_place;
+        if assignment.is_some() || (may_wait && waits_for_sound_workers(job, unit, &sound, now)) {
             return assignment;
         }
-        pack_on_racks(&all, &racks, unit.1.tasks)
+        let not_avoided = trusted_candidates(unit.1, candidates, TrustLevel::NotAvoided, now);
+        pack_on_racks(&not_avoided, &racks, unit.1.tasks)
+            .or_else(|| pack_on_racks(&all, &racks, unit.1.tasks))
+    }
+}
+
+impl Scheduler {
+    /// Selects the quarantined worker whose quarantine ends first as a probe for a single task. Only a task that has not failed
+    /// and has another attempt left, or that lasts, probes it, and one at a time.
+    pub(crate) fn assign_quarantined(
+        &self,
+        job: &Job,
+        (id, unit): (UnitId, &Unit),
+        fleet: &FleetResources,
+        now: Duration,
+    ) -> Option<Assignment> {
+        let step = job.step(id);
+        let has_attempts = unit.failures() == 0 && job.policy.max_attempts > 1;
+        if unit.tasks > 1 || unit.is_suspect() || !(has_attempts || step.long_running) {
+            return None;
+        }
+        let task_resources = resources_per_task(step);
+        let workers = self.workers.values().zip(&fleet.free);
+        let usable = workers.filter(|(worker, free)| {
+            worker.accepts_quarantine_probe(now)
+                && worker.service == job.policy.service
+                && has_label(worker, step.required_label.as_deref())
+                && !unit.avoided_workers.contains(&worker.agent)
+                && free.fit_count(task_resources) > 0
+                && (!job.policy.needs_approval
+                    || self.ticket(StepId::of(job.id, id), worker, now).is_some())
+        });
+        let first = usable.min_by_key(|(worker, _)| worker.quarantined_until)?;
+        Some(vec![(first.0.agent.clone(), 1)])
     }
 }
 
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -115,8 +115,9 @@
         let unit = job.units.get(&ready.unit)?;
         let candidates = &options.candidates;
         let sound = trusted_candidates(unit, candidates, TrustLevel::NotSuspect, now);
-        let levels: &[TrustLevel] = if waits_for_sound_workers(job, (ready.unit, unit), &sound, now)
-        {
+        let waits = !options.takes_any_place
+            && waits_for_sound_workers(job, (ready.unit, unit), &sound, now);
+        let levels: &[TrustLevel] = if waits {
             &[TrustLevel::NotSuspect]
         } else {
             &[TrustLevel::NotSuspect, TrustLevel::Any]
@@ -170,7 +171,7 @@
             return on_rack;
         }
         // A guaranteed unit starts in time even if it runs slower across racks; others wait for a better placement.
-        let locality_wait = self.locality_wait(job, ready.unit);
+        let locality_wait = self.locality_wait(job, ready.unit, options.takes_any_place);
         let racks = racks_to_try(step, unit, candidates, locality_wait, now);
         if ready.guaranteed || racks.contains(&None) {
             let workers: Vec<PreemptibleWorker<'_>> = by_rack.into_values().flatten().collect();
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -8,7 +8,7 @@
 use crate::fit::{Assignment, Candidate, resources_per_task};
 use crate::job::{Phase, UnitKey};
 use crate::order::ReadyUnit;
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Reservation, Scheduler};
 use crate::worker::Worker;
 
 /// Selects the reservations of other units whose resources are not available to a unit.
@@ -18,6 +18,18 @@
     All,
     /// The reservations of guaranteed units.
     Guaranteed,
+    /// The reservations whose resources are being freed. The others last until runs end by themselves.
+    Preempting,
+}
+
+impl ReservationFilter {
+    fn selects(self, reservation: &Reservation) -> bool {
+        match self {
+            Self::All => true,
+            Self::Guaranteed => reservation.guaranteed,
+            Self::Preempting => reservation.preempts,
+        }
+    }
 }
 
 /// Resources of each worker, by the index of the worker in the scheduler.
@@ -39,6 +51,8 @@
     pub(crate) task_resources: ResourceVector,
     /// Resources of each worker that are reserved for other units.
     pub(crate) reserved_by_others: WorkerResources,
+    /// Whether the unit takes any place that it fits.
+    pub(crate) takes_any_place: bool,
     /// The workers that may run the unit.
     pub(crate) candidates: Vec<Candidate<'a>>,
     /// The workers reserved for the unit, set once all the reserved resources are free.
@@ -143,6 +157,7 @@
             own_reservation: self
                 .satisfied_reservation(ready, &available)
                 .filter(|assignment| !is_any_blocked(assignment, &candidates)),
+            takes_any_place: self.takes_any_place(job, (ready.unit, unit), fleet, now),
             candidates,
             reserved_by_others,
         })
@@ -157,7 +172,7 @@
         let mut reserved = vec![ResourceVector::default(); self.workers.len()];
         for (unit, reservation) in &self.reservations {
             let own = *unit == (ready.job, ready.unit);
-            if own || (filter == ReservationFilter::Guaranteed && !reservation.guaranteed) {
+            if own || !filter.selects(reservation) {
                 continue;
             }
             for (agent, tasks) in &reservation.assignment {
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -47,8 +47,12 @@
         if let Some(found) = self.unusable_workers_reason(job, (unit_id, unit), fleet, now) {
             return found;
         }
-        self.unusable_resources_reason(job, (ready, unit), fleet, headroom, now)
-            .unwrap_or((WaitReason::NextPlan, None))
+        let found = self.unusable_resources_reason(job, (ready, unit), fleet, headroom, now);
+        let (reason, until) = found.unwrap_or((WaitReason::NextPlan, None));
+        let limit = self.standstill_limit(job, (unit_id, unit));
+        let limit = limit
+            .filter(|_| reason.is_chosen() && self.has_room_twice(job, (unit_id, unit), fleet));
+        (reason, until.into_iter().chain(limit).min())
     }
 
     /// Returns the reason if it lies in what the workers are and in the runs on them.
@@ -140,8 +144,11 @@
         now: Duration,
     ) -> Option<(WaitReason, Option<Duration>)> {
         let step = job.step(ready.unit);
+        let takes_any_place = self.takes_any_place(job, (ready.unit, unit), fleet, now);
         let filter = if ready.guaranteed {
             ReservationFilter::Guaranteed
+        } else if takes_any_place {
+            ReservationFilter::Preempting
         } else {
             ReservationFilter::All
         };
@@ -162,7 +169,7 @@
                 return Some((WaitReason::Headroom, Some(headroom_deadline(job))));
             }
         }
-        let locality_wait = self.locality_wait(job, ready.unit);
+        let locality_wait = self.locality_wait(job, ready.unit, takes_any_place);
         let racks = racks_to_try(step, unit, &candidates, locality_wait, now);
         let all: Vec<_> = candidates.iter().collect();
         if pack_on_racks(&all, &racks, unit.tasks).is_none() {
@@ -175,6 +182,9 @@
             let until = unit.ready_at.unwrap_or(now) + locality_wait;
             return Some((reason, Some(until)));
         }
+        if takes_any_place {
+            return None;
+        }
         let sound = trusted_candidates(unit, &candidates, TrustLevel::NotSuspect, now);
         let deadline = sound_workers_deadline(job, (ready.unit, unit), &sound, now)?;
         Some((WaitReason::SuspectWorkers, Some(deadline)))
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -6,7 +6,7 @@
 
 use common::{TestCell, TestWorker, gang, job, ms, owner_run_number, running, step, task, worker};
 use graph::{Wait, WaitReason};
-use model::{AcceptedJob, JobId, RunEnd, TaskRun};
+use model::{AcceptedJob, JobId, Recurrence, RunEnd, RunReport, RunStatus, TaskRun};
 
 /// Reports, plans and starts every 100 ms.
 fn run_for(cell: &mut TestCell, time: Duration) {
@@ -227,6 +227,10 @@
     assert_eq!(cell.scheduler.waits().count(), 100);
 }
 
+/// The bound from the users: for this long, a job may have nothing running although there is room for it twice over and
+/// under half of the service is in use.
+const MAX_IDLE: Duration = Duration::from_secs(3);
+
 /// Occupies slots of each worker with tasks that last.
 fn occupy(cell: &mut TestCell, tasks_per_worker: u32) {
     let workers = u32::try_from(cell.agents().len()).expect("the number is small");
@@ -237,6 +241,17 @@
     run_for(cell, ms(200));
 }
 
+/// Occupies a worker with tasks that last, which have its name as their label.
+fn occupy_worker(cell: &mut TestCell, id: JobId, agent: &str) {
+    cell.workers[agent].report.labels.push(agent.into());
+    cell.report(agent);
+    let mut lasting = step(4);
+    lasting.long_running = true;
+    lasting.required_label = Some(agent.into());
+    cell.accept(id, job(1, vec![lasting]));
+    run_for(cell, ms(200));
+}
+
 /// Runs until a task is placed, and returns how long that took.
 fn time_until_placed(cell: &mut TestCell, id: JobId, limit: Duration) -> Option<Duration> {
     let begin = cell.now;
@@ -275,3 +290,302 @@
         "{waited:?}"
     );
 }
+
+/// Guards against a task that stands for twice its long run time because the rack with its data is full, while most of the
+/// fleet is empty.
+#[test]
+fn plan_bounds_wait_for_data_rack() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    cell.accept(7, job(1, vec![local]));
+    run_for(&mut cell, ms(1_500));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_500) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Guards against a task that lasts and stands because the rack with its data is full, while there is room for it on a fleet
+/// that is over half in use.
+#[test]
+fn plan_bounds_wait_for_data_rack_of_lasting_task() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    local.long_running = true;
+    cell.accept(7, job(1, vec![local]));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(waited.is_some_and(|waited| waited < MAX_IDLE), "{waited:?}");
+}
+
+/// Guards against giving up the rack with the data early on a busy fleet, where the slower run costs more than the wait.
+#[test]
+fn plan_keeps_wait_for_data_rack_on_busy_fleet() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w1"].report.labels[1] = "data".into();
+    cell.report("w1");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut local = step(1);
+    local.data_rack = Some("data".into());
+    local.expected = ms(60_000);
+    cell.accept(7, job(1, vec![local]));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert_eq!(waited, None);
+}
+
+/// Guards against a rack-sensitive gang that stands for twice its long run time, while most of the fleet is empty.
+#[test]
+fn plan_bounds_wait_for_single_rack_on_idle_fleet() {
+    let names = [
+        ("w1", "r1"),
+        ("w2", "r1"),
+        ("w3", "r2"),
+        ("w4", "r2"),
+        ("w5", "r3"),
+        ("w6", "r3"),
+    ];
+    let mut cell = TestCell::new(1, names.map(|(name, rack)| worker(name, rack)).into());
+    occupy(&mut cell, 1);
+    let mut wide = gang(7);
+    wide.rack_sensitive = true;
+    wide.expected = ms(60_000);
+    cell.accept(7, job(1, vec![wide]));
+    run_for(&mut cell, ms(1_500));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_500) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Makes a worker suspect: a run fails on it.
+fn fail_run_on(cell: &mut TestCell, id: JobId, agent: &str) {
+    cell.workers[agent].report.labels.push(agent.into());
+    cell.report(agent);
+    let mut failing = step(1);
+    failing.required_label = Some(agent.into());
+    cell.accept(id, job(1, vec![failing]));
+    cell.plan_and_start();
+    cell.end_run(task(id, 0, 0), RunEnd::Failed);
+    cell.scheduler.cancel(id);
+}
+
+/// Guards against a gang that stands for half of its long slack because a run has failed on the workers with room, while most
+/// of the fleet is empty.
+#[test]
+fn plan_bounds_wait_of_gang_for_sound_workers() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3", "w4"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    for (id, agent) in [(2, "w2"), (3, "w3"), (4, "w4")] {
+        fail_run_on(&mut cell, id, agent);
+    }
+    let mut wide = gang(4);
+    wide.expected = ms(60_000);
+    cell.accept(7, job(1, vec![wide]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::SuspectWorkers));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Guards against a last attempt that stands for half of its long slack because a run has failed on the workers with room,
+/// while most of the fleet is empty, and against one on a worker on which its task has failed if another one has room.
+#[test]
+fn plan_bounds_wait_of_last_attempt_for_sound_workers() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3", "w4"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    fail_run_on(&mut cell, 2, "w4");
+    let mut long = job(1, vec![step(1)]);
+    long.graph.steps[0].expected = ms(60_000);
+    cell.accept(7, long);
+    for agent in ["w2", "w3"] {
+        time_until_placed(&mut cell, 7, ms(2_000));
+        assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some(agent));
+        cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    }
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::SuspectWorkers));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+    assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w4"));
+}
+
+/// Guards against a job that stands for half of its slack because its workers are left for urgent jobs, while its service is
+/// empty and only another one is busy.
+#[test]
+fn plan_leaves_no_headroom_on_idle_service() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    cell.workers["w3"].report.service = "other".into();
+    cell.report("w3");
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    for id in 10..30 {
+        let mut urgent = job(0, vec![gang(4)]);
+        urgent.accepted_at = ms(1_000);
+        cell.accept(id, urgent);
+    }
+    let mut other = job(1, vec![step(1)]);
+    other.policy.service = "other".into();
+    other.graph.steps[0].expected = ms(60_000);
+    other.accepted_at = ms(1_000);
+    cell.accept(7, other);
+    let waited = time_until_placed(&mut cell, 7, ms(4_000));
+    assert!(waited.is_some_and(|waited| waited < MAX_IDLE), "{waited:?}");
+}
+
+/// Guards against a job that stands for as long as an urgent gang waits, without stopping other runs, for the end of those in its
+/// way: the gang keeps all other workers free meanwhile.
+#[test]
+fn plan_bounds_wait_for_reserved_resources() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    let mut long = job(2, vec![step(4)]);
+    long.graph.steps[0].expected = ms(600_000);
+    cell.accept(1, long);
+    run_for(&mut cell, ms(60_000));
+    cell.accept(2, job(0, vec![gang(9)]));
+    run_for(&mut cell, ms(200));
+    cell.accept(7, job(1, vec![step(1)]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::Reserved));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// Quarantines a worker: the runs of two jobs fail on it.
+fn quarantine(cell: &mut TestCell, ids: [JobId; 2], agent: &str) {
+    for id in ids {
+        fail_run_on(cell, id, agent);
+    }
+}
+
+/// Guards against jobs that stand for the length of a quarantine because two jobs failed on each worker with room, whose own
+/// fault that may have been. One task at a time probes such a worker, and the others follow once it has succeeded.
+#[test]
+fn plan_probes_quarantined_worker_on_idle_fleet() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    quarantine(&mut cell, [1, 2], "w1");
+    quarantine(&mut cell, [3, 4], "w2");
+    cell.accept(7, job(1, vec![step(4)]));
+    run_for(&mut cell, ms(1_700));
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::Quarantined));
+    let waited = time_until_placed(&mut cell, 7, ms(10_000));
+    assert!(
+        waited.is_some_and(|waited| ms(1_700) + waited < MAX_IDLE),
+        "{waited:?}"
+    );
+    run_for(&mut cell, ms(500));
+    let runs = cell.workers.values().map(|worker| worker.report.runs.len());
+    assert_eq!(runs.collect::<Vec<_>>(), [1, 1]);
+    cell.end_run(task(7, 0, 0), RunEnd::Done);
+    run_for(&mut cell, ms(200));
+    let runs = cell.workers.values().map(|worker| worker.report.runs.len());
+    assert_eq!(runs.sum::<usize>(), 3);
+}
+
+/// Guards against spending the attempts of a job on quarantined workers: a task probes one only if it has not failed before.
+#[test]
+fn plan_probes_no_quarantined_worker_with_later_attempts() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    quarantine(&mut cell, [1, 2], "w1");
+    quarantine(&mut cell, [3, 4], "w2");
+    cell.accept(7, job(1, vec![step(1)]));
+    let waited = time_until_placed(&mut cell, 7, ms(3_500));
+    assert!(waited.is_some());
+    cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    run_for(&mut cell, ms(1_000));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+}
+
+/// Guards against tasks that stand behind a last attempt of their step, which waits for other workers than the one with room.
+#[test]
+fn plan_tries_units_behind_last_attempt() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2", "w3"], "r1"));
+    occupy_worker(&mut cell, 1, "w1");
+    occupy_worker(&mut cell, 2, "w2");
+    let mut spec = job(1, vec![step(3)]);
+    spec.policy.max_attempts = 2;
+    spec.graph.steps[0].expected = ms(60_000);
+    spec.graph.steps[0].max_tasks_per_worker = Some(1);
+    cell.accept(7, spec);
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(task(7, 0, 0)).as_deref(), Some("w3"));
+    cell.end_run(task(7, 0, 0), RunEnd::Failed);
+    run_for(&mut cell, ms(300));
+    assert_eq!(cell.agent_of(task(7, 0, 0)), None);
+    assert!(cell.agent_of(task(7, 0, 1)).is_some());
+}
+
+/// Guards against later occurrences of a recurring job that stand behind one whose step is not approved.
+#[test]
+fn plan_tries_later_occurrences() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let mut spec = job(1, vec![step(2)]);
+    spec.policy.needs_approval = true;
+    spec.graph.recurrence = Some(Recurrence {
+        first: ms(500),
+        interval: ms(100),
+        count: 2,
+    });
+    cell.accept(7, spec);
+    cell.scheduler.plan(cell.now, ms(1_000));
+    let requests = cell.scheduler.take_approval_requests(cell.now);
+    let steps: Vec<u32> = requests
+        .iter()
+        .map(|request| request.step.occurrence)
+        .collect();
+    assert_eq!(steps, [0, 1]);
+    let tickets = [("worker-w1".into(), "ticket".into())];
+    let now = cell.now;
+    cell.scheduler
+        .record_approvals(requests[1].step, &tickets, now, ms(60_000));
+    cell.plan_and_start();
+    assert_eq!(cell.workers["w1"].report.runs.len(), 2);
+}
+
+/// Guards against a task that stands for good because a worker answers its polls, but no start.
+#[test]
+fn plan_gives_up_unanswered_start() {
+    let mut cell = TestCell::new(1, workers(&["w1", "w2"], "r1"));
+    cell.accept(7, job(1, vec![step(1)]));
+    let (agent, run) = cell.first_start();
+    let mut stops = Vec::new();
+    for _ in 0..80 {
+        cell.advance(ms(100));
+        cell.report(&agent);
+        cell.scheduler.plan(cell.now, ms(1_000));
+        stops.extend(cell.instructions(&agent).stops);
+    }
+    assert!(stops.contains(&run), "{stops:?}");
+    let stopped = RunReport {
+        run,
+        status: RunStatus::StoppedBeforeStart,
+    };
+    cell.workers[&agent].report.runs.push(stopped);
+    cell.report(&agent);
+    cell.workers[&agent].report.runs.clear();
+    cell.plan_and_start();
+    assert!(cell.run_number(task(7, 0, 0)) > Some(run.run));
+}
