Continue the watch of the configuration from the revision of the store

An entry began its watch at the revision of the configuration's key. Once the store had compacted its history past that revision, every watch was answered as compacted, and the entry read the key and watched again without a pause until the next change of the configuration. The watch now begins at the revision of the store, which a listing of the key returns, and pauses before it reads again.

Calls beyond the store's rate are refused for all machines, so such entries can keep others from reading.

--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -44,8 +44,8 @@
         if let Err(report) = watch_store(&entry).await {
             entry.record_store_result(false, report.current_context());
             fetch_from_entries(&entry).await;
-            tokio::time::sleep(RETRY_DELAY).await;
         }
+        tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
@@ -53,12 +53,13 @@
 /// `Ok` if the history of the watch was compacted.
 async fn watch_store(entry: &Entry) -> Result<()> {
     let key = &*entry.settings.configuration_key;
-    let mut after = 0;
     let asked_at = boot_now();
-    if let Some(found) = entry.store.get(key).await? {
-        apply_encoded(entry, &found, Source::StoreRead);
-        after = found.revision;
+    // The revision of the store, not that of the key: the history may have been compacted since the key was written.
+    let listing = entry.store.list(key).await?;
+    if let Some(found) = listing.pairs.iter().find(|found| *found.key == *key) {
+        apply_encoded(entry, found, Source::StoreRead);
     }
+    let mut after = listing.revision;
     entry.confirmations.record(Source::StoreRead, asked_at);
     entry.record_store_result(true, &"configuration read");
     loop {
