Confirm the configuration by reading it, and decide by the store's revision which one is newer

A watch was taken as complete: an entry that was not shown a change, could not decode it or whose watch fell silent stayed behind, for good or until the watch timed out after 5 s, while a change has 2.5 to 4 s. Two controllers compared and published versions at once, so that an older one could replace a newer one. Entries compared versions, so that a restored or rewritten document was ignored by those that had seen a higher version and applied by those that restarted. A restarted entry served what the first peer had. A large document could not be fetched from a peer within 400 ms, nor read from the store within 1.2 s.

Life cycle: Unknown, Unconfirmed, Confirmed. - The store is asked four times in configurationApplyMs whether the key still has the known revision, by a transaction without changes on a client of its own, with a timeout of a fifth of the bound. Its answer carries the document only if it has changed. After a tenth of the bound the other entries are asked as well. - Peers state revision and age of the confirmation; the document is fetched from the newest one only. Three are asked a second, twelve if the last confirmation is older than half of the bound. - A restarted entry is ready once its configuration is confirmed, or after the bound with the newest that any peer has. A request that finds the last check and the last confirmation older than the bound, as after a pause, waits up to 300 ms for a check, and is handled by the last known configuration if that fails. - An owner that is told of a job with a policy that it does not know checks its configuration at once. - Responses of the store may take longer than the timeout of a call while parts of them arrive.

--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -8,6 +8,7 @@
 use wire::Leader;
 
 use crate::configuration::Configuration;
+use crate::in_force::InForce;
 use crate::leader::LeaderHandle;
 use crate::members::Members;
 
@@ -26,8 +27,12 @@
 /// locking.
 #[derive(Debug, Default)]
 pub struct CellBoard {
-    /// Newest configuration; written by the configuration controller.
+    /// Configuration by which requests are handled; written together with `in_force`.
     pub configuration: Section<Arc<Configuration>>,
+    /// Newest known configuration and its confirmation; written by [`Entry::record_configuration`].
+    ///
+    /// [`Entry::record_configuration`]: crate::entry::Entry::record_configuration
+    pub(crate) in_force: Section<InForce>,
     /// Entries and owner of the cell; written by the members controller.
     pub(crate) members: Section<Members>,
     /// Newest owner announced by another entry; written by the handler of announcements.
--- a/components/cell/src/confirmations.rs
+++ b/components/cell/src/confirmations.rs
@@ -43,10 +43,4 @@
         let asked_at = self.0[source as usize].load(Ordering::Acquire);
         (asked_at > 0).then(|| now.saturating_sub(Duration::from_millis(asked_at)))
     }
-
-    /// Returns how long ago the store last answered, or `None` if it never did.
-    pub(crate) fn store_age(&self, now: Duration) -> Option<Duration> {
-        let sources = [Source::StoreRead, Source::StoreWatch].into_iter();
-        sources.filter_map(|source| self.age(source, now)).min()
-    }
 }
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -1,8 +1,8 @@
 //! The entry and its controllers.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -11,6 +11,7 @@
 use store::TransactionStore;
 use timer::Timer;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wire::{Key, Peers, Server};
 
@@ -43,6 +44,14 @@
     /// Cancelled when the shutdown begins.
     pub(crate) shutdown: CancellationToken,
     pub(crate) confirmations: Confirmations,
+    /// Asks for a check of the configuration.
+    pub(crate) check_requested: Notify,
+    /// When the last check of the configuration ended, in milliseconds on the boot clock.
+    pub(crate) checked_at_ms: AtomicU64,
+    /// Serializes the changes of the configuration.
+    pub(crate) configuration_writer: Mutex<()>,
+    /// When the process started, on the boot clock.
+    pub(crate) started_at: Duration,
     store_availability: Dependency,
     /// When no entry was last found that could reach the store, in milliseconds on the boot clock.
     outage_confirmed_at_ms: AtomicU64,
@@ -85,6 +94,10 @@
             timer: Timer::start(),
             shutdown,
             confirmations: Confirmations::default(),
+            check_requested: Notify::new(),
+            checked_at_ms: AtomicU64::new(0),
+            configuration_writer: Mutex::new(()),
+            started_at: boot_now(),
             store_availability: Dependency::new(false),
             outage_confirmed_at_ms: AtomicU64::new(0),
             peer_results: ArcSwap::default(),
@@ -96,7 +109,8 @@
         ));
         entry.supervise("configuration_watch", configure::run);
         entry.supervise("configuration_poll", configure::poll_entries);
-        entry.supervise("configuration_age", configure::report_age);
+        entry.supervise("configuration_check", configure::check);
+        entry.supervise("configuration_age", configure::follow_age);
         entry.supervise("members", members::run);
         entry.supervise("registration", members::register);
         entry.supervise("ownership", ownership::run);
@@ -125,6 +139,10 @@
             let age = self.confirmations.age(source, now);
             gauge.set(age.map_or(-1.0, |age| age.as_secs_f64()));
         }
+        let age = self.board.in_force.load().age(now);
+        let gauge = &self.metrics.configuration_confirmed;
+        let gauge = gauge.with_label_values(&["any"]);
+        gauge.set(age.map_or(-1.0, |age| age.as_secs_f64()));
     }
 
     /// Returns whether the entry can serve requests.
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -7,11 +7,12 @@
 
 use graph::Scheduler;
 use indexmap::{IndexMap, IndexSet};
-use model::{AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
+use model::{AcceptedJob, AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::board::JobStates;
 use crate::clock::{boot_now, wall_now};
+use crate::configuration::Configuration;
 use crate::entry::Entry;
 use crate::leader::load::StoredRecords;
 use crate::leader::writer::{
@@ -55,7 +56,7 @@
     roster: IndexSet<AgentId>,
     roster_revision: Revision,
     awaiting_roster: Vec<(WorkerReport, oneshot::Sender<Instructions>)>,
-    configuration_version: u64,
+    configuration: Arc<Configuration>,
     /// Version of the job states that were last published.
     published_version: Option<u64>,
 }
@@ -102,7 +103,7 @@
             roster: loaded.roster,
             roster_revision: loaded.roster_revision,
             awaiting_roster: Vec::new(),
-            configuration_version: 0,
+            configuration: Arc::default(),
             published_version: None,
         }
     }
@@ -142,6 +143,7 @@
                         record: revision,
                         progress: 0,
                     });
+                self.compare_policy(&job);
                 self.scheduler.accept(id, job, now, wall_now());
             }
             Event::PreviousEnded => self.scheduler.previous_ended(now),
@@ -287,18 +289,27 @@
     }
 
     fn apply_configuration(&mut self) {
-        let configuration = self.entry.board.configuration.snapshot();
-        if configuration.version == self.configuration_version {
+        let configuration: Arc<Configuration> = Arc::clone(&self.entry.board.configuration.load());
+        if Arc::ptr_eq(&configuration, &self.configuration) {
             return;
         }
         log::info!(
             target: "limpethook",
-            epoch = self.scheduler.epoch(), version = configuration.version, before = self.configuration_version;
+            epoch = self.scheduler.epoch(), version = configuration.version, before = self.configuration.version;
             "owner_configured"
         );
-        self.configuration_version = configuration.version;
         self.scheduler
             .configure(configuration.policies(), configuration.guarantees());
+        self.configuration = configuration;
+    }
+
+    /// Asks for a check of the configuration if another entry accepted a job by a policy that this one does not know.
+    fn compare_policy(&self, job: &AcceptedJob) {
+        let mut routes = self.configuration.routes.iter();
+        let route = routes.find(|route| route.queue == job.queue);
+        if route.is_none_or(|route| route.policy != job.policy) {
+            self.entry.check_requested.notify_one();
+        }
     }
 
     fn answer_due_reports(&mut self, now: Duration) {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod confirmations;
 mod dependency;
 pub mod entry;
+mod in_force;
 mod keys;
 mod leader;
 mod members;
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -5,9 +5,10 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result};
-use model::{Epoch, JobId, JobState};
+use model::{Epoch, JobId, JobState, Revision};
 use wire::{Call, CellView, KnownState, Leader, Reply};
 
+use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::leader::Event;
 use crate::{cancel, records, submit};
@@ -24,6 +25,8 @@
             Ok(Reply::Done)
         }
         Call::ConfigurationAfter(version) => newer_configuration(&entry, version),
+        Call::ConfigurationState => Ok(configuration_state(&entry)),
+        Call::ConfigurationDocument(after) => configuration_document(&entry, after),
         Call::Submit(submission) => submit::store_relayed(&entry, submission.id, submission.job)
             .await
             .map(|()| Reply::Done),
@@ -148,6 +151,7 @@
     }
 }
 
+/// Answers processes of earlier versions of the program, which compare configurations by their version.
 fn newer_configuration(entry: &Entry, after: u64) -> Result<Reply> {
     let configuration = entry.board.configuration.snapshot();
     if configuration.version <= after {
@@ -157,3 +161,21 @@
     let newer = (configuration.version, encoded.to_vec());
     Ok(Reply::Configuration(Some(newer)))
 }
+
+fn configuration_state(entry: &Entry) -> Reply {
+    let in_force = entry.board.in_force.load();
+    let known = in_force.configuration().is_some();
+    let state = known.then(|| (in_force.revision(), in_force.age(boot_now())));
+    Reply::ConfigurationState(state)
+}
+
+fn configuration_document(entry: &Entry, after: Revision) -> Result<Reply> {
+    let in_force = entry.board.in_force.snapshot();
+    let revision = in_force.revision();
+    let newer = in_force.configuration().filter(|_| revision > after);
+    let document = newer.map(|configuration| records::encode(&**configuration));
+    let document = document.transpose()?;
+    Ok(Reply::ConfigurationDocument(
+        document.map(|encoded| (revision, encoded.to_vec())),
+    ))
+}
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -197,6 +197,10 @@
                 current: current.collect(),
             });
         }
+        if transaction.puts.is_empty() && transaction.deletes.is_empty() {
+            let revision = state.revision;
+            return Ok(CommitOutcome::Written { revision });
+        }
         state.revision += 1;
         let revision = state.revision;
         for (key, value, lease) in &transaction.puts {
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -126,12 +126,54 @@
     Ok(())
 }
 
+/// Guards against an entry that stays behind for good because its watch continued after a change that it was not shown.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_missed_by_watch_is_applied() -> Result<()> {
+    expect_change_despite(WatchFault::MissesChanges).await
+}
+
+/// Guards against an entry that stays behind for good because the event of a change could not be decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_garbled_in_watch_is_applied() -> Result<()> {
+    expect_change_despite(WatchFault::GarblesValues).await
+}
+
+/// Guards against a watch that has fallen silent and is noticed only after the time that a change may take.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_during_silent_watch_is_applied() -> Result<()> {
+    expect_change_despite(WatchFault::Silent).await
+}
+
 /// Guards against an entry that waits after the response to its watch was cut.
 #[tokio::test(flavor = "multi_thread")]
 async fn change_in_cut_response_is_applied() -> Result<()> {
     expect_change_despite(WatchFault::Closed).await
 }
 
+/// Guards against entries that are all behind because their watches fell silent at once, so that no peer knows better.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_during_silent_watches_of_all_is_applied() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    put(&memory, "1").await?;
+    let mut entries: Vec<Started> = Vec::new();
+    for _ in 0..3 {
+        let seeds = entries.iter().map(|other| other.entry.settings.addr);
+        let seeds = seeds.collect();
+        entries.push(start_entry(FaultyStore::new(&memory), seeds).await?);
+    }
+    for started in &entries {
+        assert!(started.wait_for(1, TIMEOUT).await.is_some());
+        started.store.set_watch_fault(WatchFault::Silent);
+    }
+    put(&memory, "2").await?;
+    let changed_at = Instant::now();
+    for started in &entries {
+        let limit = BOUND.saturating_sub(changed_at.elapsed());
+        assert!(started.wait_for(2, limit).await.is_some());
+    }
+    Ok(())
+}
+
 /// Guards against an entry without the store that asks a few peers of many, none of which has the newer version.
 #[tokio::test(flavor = "multi_thread")]
 async fn change_known_to_one_peer_is_applied() -> Result<()> {
@@ -154,6 +196,102 @@
     Ok(())
 }
 
+/// Guards against a large document that no peer can pass on, because its transfer takes longer than the timeout of the question.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_document_of_peer_is_applied() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    memory.is_down.store(true, Ordering::Release);
+    let large = PeerConfiguration {
+        transfer: Duration::from_millis(900),
+        ..PeerConfiguration::fresh(3)
+    };
+    let seeds = vec![start_peer(large).await];
+    let started = start_entry(FaultyStore::new(&memory), seeds).await?;
+    assert!(started.wait_for(3, BOUND).await.is_some());
+    Ok(())
+}
+
+/// Guards against entries that ignore a configuration which an operator restored under its earlier version, until they restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_version_is_applied() -> Result<()> {
+    let (memory, started) = start_configured().await?;
+    put(&memory, "5 new").await?;
+    assert!(started.wait_for(5, BOUND).await.is_some());
+    put(&memory, "1 old").await?;
+    assert!(started.wait_for(1, BOUND).await.is_some());
+    let restarted = start_entry(FaultyStore::new(&memory), Vec::new()).await?;
+    assert!(restarted.wait_for(1, BOUND).await.is_some());
+    Ok(())
+}
+
+/// Guards against a document that was stored again with other tokens under the same version and is ignored.
+#[tokio::test(flavor = "multi_thread")]
+async fn rewritten_version_is_applied() -> Result<()> {
+    let (memory, started) = start_configured().await?;
+    put(&memory, "1 new").await?;
+    let deadline = Instant::now() + BOUND;
+    let has_token = |token| {
+        let configuration = started.entry.board.configuration.load();
+        configuration.account(token).is_some()
+    };
+    while !has_token("new") && Instant::now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert!(has_token("new") && !has_token("old"));
+    Ok(())
+}
+
+/// Delays the log line of a version that comes from a peer, as a process does that is not scheduled at this point.
+struct DelayingLogger;
+
+/// Version whose log line is delayed.
+const DELAYED_VERSION: u64 = 4_002;
+
+impl log::Log for DelayingLogger {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let applied = record.args().to_string() == "configuration_applied";
+        let version = record.key_values().get("version".into());
+        let version = version.and_then(|version| version.to_u64());
+        if applied && version == Some(DELAYED_VERSION) {
+            std::thread::sleep(Duration::from_millis(600));
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+static LOGGER: Once = Once::new();
+
+/// Guards against two controllers that apply configurations at once: the one from a peer was compared with the version in
+/// force, then the watch applied a newer one, and the older one replaced it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn older_configuration_of_peer_replaces_no_newer_one() -> Result<()> {
+    LOGGER.call_once(|| {
+        log::set_logger(&DelayingLogger).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    let memory = Arc::new(MemoryStore::default());
+    put(&memory, "4001").await?;
+    let peer = PeerConfiguration {
+        revision: 2,
+        ..PeerConfiguration::fresh(DELAYED_VERSION)
+    };
+    let seeds = vec![start_peer(peer).await];
+    let started = start_entry(FaultyStore::new(&memory), seeds).await?;
+    assert!(started.wait_for(4_001, TIMEOUT).await.is_some());
+    // The peer is asked after a second at the latest. Its answer is about to be applied when the change arrives.
+    tokio::time::sleep(Duration::from_millis(1_250)).await;
+    put(&memory, "4003").await?;
+    assert!(started.wait_for(4_003, BOUND).await.is_some());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(started.version(), 4_003);
+    Ok(())
+}
+
 /// Guards against an entry that calls the store without a pause, because the history was compacted after the last change of
 /// the configuration.
 #[tokio::test(flavor = "multi_thread")]
@@ -197,6 +335,35 @@
     Ok(())
 }
 
+/// Guards against a withdrawn token that is accepted after a restart: the first peer that answers is cut off and has an old
+/// configuration, and the store answers a little later.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_entry_serves_no_unconfirmed_configuration() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    put(&memory, "9").await?;
+    let old = PeerConfiguration {
+        age: Duration::from_mins(1),
+        ..PeerConfiguration::fresh(0)
+    };
+    let old = PeerConfiguration { version: 3, ..old };
+    let store = FaultyStore::new(&memory);
+    store.is_silent.store(true, Ordering::Release);
+    let seeds = vec![start_peer(old).await];
+    let started = start_entry(store, seeds).await?;
+    let deadline = Instant::now() + Duration::from_millis(700);
+    while Instant::now() < deadline {
+        assert_eq!(started.version(), 0);
+        assert!(!started.entry.is_ready());
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    started.store.is_silent.store(false, Ordering::Release);
+    while started.version() == 0 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert_eq!(started.version(), 9);
+    Ok(())
+}
+
 /// Guards against entries that never serve again when they restart during an outage of the store: without a confirmed
 /// configuration they take the newest that any peer has after a limited wait.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/cell/tests/configuration/peer.rs
+++ b/components/cell/tests/configuration/peer.rs
@@ -49,6 +49,14 @@
                 let newer = (self.version > after).then(|| (self.version, self.document()));
                 Reply::Configuration(newer)
             }
+            Call::ConfigurationState => {
+                Reply::ConfigurationState(Some((self.revision, Some(self.age))))
+            }
+            Call::ConfigurationDocument(after) => {
+                tokio::time::sleep(self.transfer).await;
+                let newer = (self.revision > after).then(|| (self.revision, self.document()));
+                Reply::ConfigurationDocument(newer)
+            }
             _ => Reply::CellView(CellView::default()),
         })
     }
--- a/components/cell/tests/configuration/store.rs
+++ b/components/cell/tests/configuration/store.rs
@@ -9,8 +9,8 @@
 use errors::{Error, ErrorKind, Result};
 use model::Revision;
 use store::{
-    Change, CommitOutcome, KvPair, KvStore, LeaseId, Listing, Precondition, Transaction,
-    TransactionStore, WatchOutcome, WriteOutcome,
+    Change, CheckOutcome, CommitOutcome, KvPair, KvStore, LeaseId, Listing, Precondition,
+    Transaction, TransactionStore, WatchOutcome, WriteOutcome,
 };
 
 use crate::CONFIGURATION_KEY;
@@ -175,4 +175,15 @@
         self.check_silent(READ_TIMEOUT).await?;
         self.inner.commit(transaction).await
     }
+
+    async fn read_if_changed(
+        &self,
+        key: &str,
+        known: Revision,
+        timeout: Duration,
+    ) -> Result<CheckOutcome> {
+        self.check_silent(timeout).await?;
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.inner.read_if_changed(key, known, timeout).await
+    }
 }
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -259,6 +259,20 @@
                     let newer = (version > after).then_some((version, encoded));
                     Ok(Reply::Configuration(newer))
                 }
+                Call::ConfigurationState => {
+                    tokio::time::sleep(delay).await;
+                    let age = Duration::from_mins(1);
+                    Ok(Reply::ConfigurationState(Some((version, Some(age)))))
+                }
+                Call::ConfigurationDocument(after) => {
+                    let configuration = Configuration {
+                        version,
+                        ..Configuration::default()
+                    };
+                    let encoded = postcard::to_stdvec(&configuration).unwrap_or_default();
+                    let newer = (version > after).then_some((version, encoded));
+                    Ok(Reply::ConfigurationDocument(newer))
+                }
                 _ => Ok(Reply::CellView(CellView::default())),
             }
         }
--- a/components/store/src/kv.rs
+++ b/components/store/src/kv.rs
@@ -169,10 +169,41 @@
     LeaseExpired,
 }
 
+/// The result of a read that depends on a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CheckOutcome {
+    /// The key still has the given revision.
+    Unchanged,
+    /// The key has another revision, or no longer exists.
+    Changed(Option<KvPair>),
+}
+
 /// A key-value service with transactions.
 #[async_trait]
 pub trait TransactionStore: KvStore {
     /// Runs a transaction. An error after the request was sent is "may have run", as the transaction may still take
     /// effect later.
     async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome>;
+
+    /// Reads the newest value of a key unless it has this revision; 0 means that the key does not exist. The size of the
+    /// response does not depend on the value if it has not changed.
+    ///
+    /// Fails if no response begins within the timeout.
+    async fn read_if_changed(
+        &self,
+        key: &str,
+        known: Revision,
+        _timeout: Duration,
+    ) -> Result<CheckOutcome> {
+        let transaction = Transaction {
+            preconditions: vec![(key.into(), known)],
+            ..Transaction::default()
+        };
+        Ok(match self.commit(&transaction).await? {
+            CommitOutcome::Conflict { current } => {
+                CheckOutcome::Changed(current.into_iter().next())
+            }
+            CommitOutcome::Written { .. } | CommitOutcome::LeaseExpired => CheckOutcome::Unchanged,
+        })
+    }
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -15,8 +15,8 @@
 pub use frames::{FrameHeader, decode_frames, encode_frames};
 pub use http::{HttpStore, HttpStoreSettings};
 pub use kv::{
-    Change, CommitOutcome, Key, KvPair, KvStore, LeaseId, Listing, MAX_VALUE_BYTES, Precondition,
-    Transaction, TransactionStore, WatchOutcome, WriteOutcome,
+    Change, CheckOutcome, CommitOutcome, Key, KvPair, KvStore, LeaseId, Listing, MAX_VALUE_BYTES,
+    Precondition, Transaction, TransactionStore, WatchOutcome, WriteOutcome,
 };
 pub use wire::{
     ErrorResponse, LEASE_HEADER, LeaseRequest, LeaseResponse, REVISION_HEADER, WriteResponse,
--- a/components/wire/src/messages/mod.rs
+++ b/components/wire/src/messages/mod.rs
@@ -6,6 +6,8 @@
 mod requests;
 mod sections;
 
+use std::time::Duration;
+
 use errors::Error;
 use model::{
     CellId, EntryId, Epoch, Instructions, JobId, QueueId, RequestId, Revision, Worker, WorkerReport,
@@ -101,6 +103,10 @@
     /// Agent to entry: wait for a limited time until the cell has an owner with a higher epoch, and return the state of the
     /// cell.
     CellViewAfter(Epoch),
+    /// Any entry to any other: return the revision of the configuration, and how long ago it was confirmed to be the newest.
+    ConfigurationState,
+    /// Any entry to any other: return the configuration if it was stored after this revision.
+    ConfigurationDocument(Revision),
 }
 
 /// The reply to a call.
@@ -146,4 +152,8 @@
     Count(u32),
     /// Whether the cancelled job was known.
     JobKnown(bool),
+    /// The revision of the configuration and the age of its last confirmation, if there are any.
+    ConfigurationState(Option<(Revision, Option<Duration>)>),
+    /// The encoded configuration with its revision, if it is newer than the requested one.
+    ConfigurationDocument(Option<(Revision, Vec<u8>)>),
 }
