--- a/tests/platform/soak/series.rs
+++ b/tests/platform/soak/series.rs
@@ -32,6 +32,8 @@
     LaunchAfterExit(Target, Instant),
     RestartWorker(usize),
     SetStorePath(Target, ProxyMode),
+    /// The open connections to the store forward nothing any more.
+    StallStorePath(Target),
     SetStoreFaults(StoreFaults),
     Compact,
 }
@@ -162,6 +164,9 @@
             }
             Action::RestartWorker(index) => deployment.restart_worker(index).await?,
             Action::SetStorePath(target, mode) => deployment.store_proxy(target).set_mode(mode),
+            Action::StallStorePath(target) => {
+                deployment.store_proxy(target).stall_open_connections();
+            }
             Action::SetStoreFaults(faults) => deployment.store.set_faults(faults),
             Action::Compact => deployment.store.compact(),
         }
@@ -208,7 +213,7 @@
         self.ends.push(end);
         let is_entry = |target: &Target| matches!(target, Target::Entry(_));
         let is_agent = |target: &Target| matches!(target, Target::Agent(_));
-        match self.rng.u8(..12) {
+        match self.rng.u8(..13) {
             0..=2 => self.plan_loss_of_owner_with_machines(deployment, now, lasts),
             3 => {
                 let count = self.rng.usize(1..4);
@@ -253,11 +258,17 @@
                 }
             }
             9 => {
+                let max = if self.rng.bool() { usize::MAX } else { 2 };
+                for target in self.draw_targets(deployment, max, |_| true) {
+                    self.plan(now, Action::StallStorePath(target));
+                }
+            }
+            10 => {
                 let faults = super::faults::random_store_faults(&mut self.rng);
                 self.plan(now, Action::SetStoreFaults(faults));
                 self.plan(end, Action::SetStoreFaults(StoreFaults::default()));
             }
-            10 => {
+            11 => {
                 for _ in 0..self.rng.usize(1..4) {
                     let worker = self.rng.usize(..deployment.workers.len());
                     let at = now + self.random_ms(0..1_000);
