--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -22,7 +22,7 @@
 mod series;
 mod worker_faults;
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use platform_standin::{Deployment, Result};
 
@@ -271,3 +271,10 @@
     }
     Ok(())
 }
+
+/// Prints a fault with the time as in the logs of the processes.
+fn print_fault(fault: &std::fmt::Arguments<'_>) -> Result<()> {
+    let ts = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64();
+    println!("ts={ts:.3} {fault}");
+    Ok(())
+}
--- a/tests/platform/soak/series.rs
+++ b/tests/platform/soak/series.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use platform_standin::{Deployment, ProxyMode, Result, StoreFaults, Target};
 
-use super::restart_crashed_workers;
+use super::{print_fault, restart_crashed_workers};
 
 /// Interval between checks for actions that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -133,6 +133,9 @@
     }
 
     async fn carry_out(&mut self, deployment: &mut Deployment, action: Action) -> Result<()> {
+        if !matches!(action, Action::LaunchAfterExit(..)) {
+            print_fault(&format_args!("fault={action:?}"))?;
+        }
         match action {
             Action::Signal(target, signal) => deployment.signal(target, signal)?,
             Action::Kill(target, down_for) => {
