End each storm of the soak with a fault of one moment that has to be got over in calm

A machine that is gone for good together with the owner, or stalled connections of all entries to the store, are followed by calm, in which the checkers hold.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -63,7 +63,7 @@
 const MIDDLE_FLEET_ENTRIES: usize = 7;
 const MIDDLE_FLEET_AGENTS: usize = 16;
 /// Duration of the calm after the faults in which jobs are submitted and the configuration changes.
-const CALM_SECONDS: u64 = 10;
+const CALM_SECONDS: u64 = 12;
 /// Interval between probes of an entry.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Range of the interval between submissions in milliseconds.
@@ -254,22 +254,13 @@
     }
     series.end(deployment).await?;
     worker_faults.end(deployment);
+    series.inject_last_fault(deployment).await?;
     while Instant::now() < changes_end {
         tokio::time::sleep_until(changes.next_at.into()).await;
         changes.advance(&deployment.operator);
     }
     drop(prober);
-    Ok(())
-}
-
-/// Starts new incarnations of the workers that a task has crashed.
-async fn restart_crashed_workers(deployment: &mut Deployment) -> Result<()> {
-    for index in 0..deployment.workers.len() {
-        if !deployment.workers[index].is_up() {
-            deployment.restart_worker(index).await?;
-        }
-    }
-    Ok(())
+    deployment.restore_machines().await
 }
 
 /// Prints a fault with the time as in the logs of the processes.
--- a/tests/platform/soak/faults.rs
+++ b/tests/platform/soak/faults.rs
@@ -5,8 +5,6 @@
 use fastrand::Rng;
 use platform_standin::{Deployment, ProxyMode, Result, StoreFaults, Target};
 
-use super::restart_crashed_workers;
-
 /// Maximum number of these faults that are active at the same time.
 const MAX_ACTIVE_FAULTS: usize = 3;
 
@@ -45,7 +43,7 @@
             return Ok(());
         }
         end_expired_faults(deployment, &mut self.active, Instant::now()).await?;
-        restart_crashed_workers(deployment).await?;
+        deployment.restart_crashed_workers().await?;
         if self.active.len() < MAX_ACTIVE_FAULTS {
             let lasts = Duration::from_millis(self.rng.u64(300..4_000));
             let fault = inject_random_fault(deployment, &mut self.rng, &self.active).await?;
--- a/tests/platform/soak/jobs.rs
+++ b/tests/platform/soak/jobs.rs
@@ -6,8 +6,6 @@
 use fastrand::Rng;
 use platform_standin::{Client, Deployment, InvariantChecker, Result, TaskBody};
 
-use super::restart_crashed_workers;
-
 /// One in this many jobs has a task that crashes each worker that starts it.
 const DEADLY_JOB_INTERVAL: u8 = 20;
 /// Interval at which crashed workers are started again while jobs end.
@@ -139,7 +137,7 @@
 ) -> Result<String> {
     let mut outcome = String::new();
     while !matches!(&*outcome, "completed" | "failed" | "cancelled") && Instant::now() < deadline {
-        restart_crashed_workers(deployment).await?;
+        deployment.restart_crashed_workers().await?;
         outcome = client.outcome(queue, id, RESTART_INTERVAL).await;
     }
     Ok(outcome)
--- a/tests/platform/soak/series.rs
+++ b/tests/platform/soak/series.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use platform_standin::{Deployment, ProxyMode, Result, StoreFaults, Target};
 
-use super::{print_fault, restart_crashed_workers};
+use super::print_fault;
 
 /// Interval between checks for actions that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -18,8 +18,10 @@
 const EXIT_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time in which series begin between two calm gaps.
 const STORMY_TIME: Duration = Duration::from_secs(10);
-/// Calm time after the last series of a storm. Checks for standing jobs need 7 s.
-const CALM_TIME: Duration = Duration::from_secs(10);
+/// Time from the last series of a storm to a last fault.
+const LAUNCH_TIME: Duration = Duration::from_secs(1);
+/// Calm time after that. The checks need 7 s from the end of all faults.
+const CALM_TIME: Duration = Duration::from_secs(12);
 
 #[derive(Debug, Clone, Copy)]
 enum Action {
@@ -36,6 +38,8 @@
     SetStorePath(Target, ProxyMode),
     /// The open connections to the store forward nothing any more.
     StallStorePath(Target),
+    /// Ends a process, and its worker if it is an agent, until the next storm or the end.
+    RemoveMachine(Target),
     SetStoreFaults(StoreFaults),
     Compact,
 }
@@ -50,6 +54,8 @@
     /// Until when each process belongs to a series.
     reserved: HashMap<Target, Instant>,
     storm_ends_at: Instant,
+    /// When the last fault before a calm gap is due.
+    last_fault_at: Option<Instant>,
     next_series_at: Instant,
     pub(super) next_at: Instant,
 }
@@ -66,6 +72,7 @@
             ends: Vec::new(),
             reserved: HashMap::new(),
             storm_ends_at: now + STORMY_TIME,
+            last_fault_at: None,
             next_series_at: now + Duration::from_millis(500),
             next_at: now,
         }
@@ -82,11 +89,12 @@
         if now < self.next_at {
             return Ok(());
         }
-        restart_crashed_workers(deployment).await?;
+        deployment.restart_crashed_workers().await?;
         self.ends.retain(|end| *end > now);
         if now >= self.next_series_at {
             if now >= self.storm_ends_at {
                 self.storm_ends_at = now + STORMY_TIME;
+                deployment.restore_machines().await?;
             }
             if self.ends.len() < self.max_overlapping {
                 self.plan_series(deployment, now);
@@ -95,10 +103,15 @@
             if self.next_series_at >= self.storm_ends_at {
                 let last = self.ends.iter().copied().max().unwrap_or(now);
                 self.storm_ends_at = now;
-                self.next_series_at = last + CALM_TIME;
+                self.last_fault_at = Some(last + LAUNCH_TIME);
+                self.next_series_at = last + LAUNCH_TIME + CALM_TIME;
             }
         }
         self.carry_out_due(deployment, now).await?;
+        if self.last_fault_at.is_some_and(|at| at <= now) {
+            self.last_fault_at = None;
+            self.inject_last_fault(deployment).await?;
+        }
         self.next_at = Instant::now() + CHECK_INTERVAL;
         Ok(())
     }
@@ -173,6 +186,7 @@
                 deployment.store_proxy(target).stall_open_connections();
             }
             Action::SetStoreFaults(faults) => deployment.store.set_faults(faults),
+            Action::RemoveMachine(target) => deployment.remove_machine(target),
             Action::Compact => deployment.store.compact(),
         }
         Ok(())
--- a/tests/platform/soak/series/planning.rs
+++ b/tests/platform/soak/series/planning.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_standin::{Deployment, ProxyMode, StoreFaults, Target};
+use platform_standin::{Deployment, ProxyMode, Result, StoreFaults, Target};
 
 use super::{Action, EXIT_TIMEOUT, Series};
 use crate::soak::faults::random_store_faults;
@@ -131,4 +131,40 @@
         }
         self.ends.push(at + EXIT_TIMEOUT / 2);
     }
+
+    /// Injects a fault of one moment before a calm time, which has to be got over without help.
+    pub(in crate::soak) async fn inject_last_fault(
+        &mut self,
+        deployment: &mut Deployment,
+    ) -> Result<()> {
+        let is_entry = |target: &Target| matches!(target, Target::Entry(_));
+        let is_agent = |target: &Target| matches!(target, Target::Agent(_));
+        let owner = deployment.last_ownership()?.entry;
+        let actions: Vec<Action> = match self.rng.u8(..8) {
+            0 | 1 => {
+                let count = self.rng.usize(1..3);
+                let agents = self.draw_targets(deployment, count, is_agent);
+                let lost = [owner].into_iter().chain(agents);
+                lost.map(Action::RemoveMachine).collect()
+            }
+            2 => vec![Action::RemoveMachine(owner)],
+            3 => {
+                let agents = self.draw_targets(deployment, 2, is_agent);
+                agents.into_iter().map(Action::RemoveMachine).collect()
+            }
+            4 | 5 => {
+                let entries = self.draw_targets(deployment, usize::MAX, is_entry);
+                entries.into_iter().map(Action::StallStorePath).collect()
+            }
+            6 => {
+                let all = self.draw_targets(deployment, usize::MAX, |_| true);
+                all.into_iter().map(Action::StallStorePath).collect()
+            }
+            _ => Vec::new(),
+        };
+        for action in actions {
+            self.carry_out(deployment, action).await?;
+        }
+        Ok(())
+    }
 }
