--- a/tests/platform/configuration_applied.rs
+++ b/tests/platform/configuration_applied.rs
@@ -8,8 +8,8 @@
 
 use crate::start_deployment;
 
-/// The bound of the settings if they do not state one.
-const BOUND: Duration = Duration::from_millis(2_500);
+/// The bound in the settings of the deployment.
+const BOUND: Duration = Duration::from_secs(4);
 const ENTRY: Target = Target::Entry(0);
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
