--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,7 +1,7 @@
 //! The daemons as separate processes on a stand-in for the users' platform.
 
 mod checkers;
-mod configuration;
+mod configuration_changes;
 mod faults;
 mod job_lifecycle;
 mod other_senders;
