--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,7 +2,7 @@
 
 mod checkers;
 mod configuration;
-mod configuration_applied;
+mod configuration_changes;
 mod faults;
 mod job_lifecycle;
 mod other_senders;
