Name no source when a confirmation lapses, and ask all entries before a configuration is known

change_known_to_one_peer_is_applied now begins with an entry that has lost the store after its start, which asks a few peers; before, it tested a start, at which all are asked. The condition is the same.

--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -163,7 +163,7 @@
                 revision,
                 at: asked_at,
             };
-            entry.record_configuration(&confirmed, Source::StoreRead);
+            entry.record_configuration(&confirmed, Some(Source::StoreRead));
             entry.record_store_result(true, &"configuration checked");
             Check::Confirmed
         }
@@ -192,7 +192,7 @@
 pub(crate) async fn follow_age(entry: Arc<Entry>) {
     let mut ticks = entry.timer.subscribe_every(AGE_CHECK_INTERVAL);
     while ticks.recv().await.is_some() {
-        entry.record_configuration(&Event::Passed, Source::StoreRead);
+        entry.record_configuration(&Event::Passed, None);
     }
 }
 
@@ -228,7 +228,7 @@
         revision: found.revision,
         at: asked_at,
     };
-    entry.record_configuration(&confirmed, Source::StoreRead);
+    entry.record_configuration(&confirmed, Some(Source::StoreRead));
     true
 }
 
@@ -240,7 +240,7 @@
                 configuration: Arc::new(configuration),
                 revision: found.revision,
             };
-            entry.record_configuration(&event, source);
+            entry.record_configuration(&event, Some(source));
             true
         }
         Err(report) => {
@@ -251,8 +251,8 @@
 }
 
 impl Entry {
-    /// Records evidence about the newest configuration, and applies a newer one.
-    pub(crate) fn record_configuration(&self, event: &Event, source: Source) {
+    /// Records evidence about the newest configuration, and applies a newer one. `source` is `None` if only time has passed.
+    pub(crate) fn record_configuration(&self, event: &Event, source: Option<Source>) {
         let bound = self.settings.configuration_bound;
         let now = boot_now();
         let (before, after) = {
@@ -289,9 +289,10 @@
         event: &Event,
         before: &InForce,
         after: &InForce,
-        source: Source,
+        source: Option<Source>,
         now: Duration,
     ) {
+        let source = source.map_or("none", Source::name);
         let version =
             |in_force: &InForce| in_force.configuration().map_or(0, |known| known.version);
         let current = version(after);
@@ -304,7 +305,7 @@
             count_event(self, "older");
             log::info!(
                 target: "limpethook",
-                version = configuration.version, current = current, source = source.name(),
+                version = configuration.version, current = current, source = source,
                 revision = *revision, current_revision = after.revision();
                 "configuration_older"
             );
@@ -315,7 +316,7 @@
             count_event(self, "applied");
             log::info!(
                 target: "limpethook",
-                version = current, before = version(before), source = source.name(),
+                version = current, before = version(before), source = source,
                 revision = after.revision(), routes = configuration.routes.len(),
                 accounts = configuration.accounts.len();
                 "configuration_applied"
@@ -332,7 +333,7 @@
             let millis = |age: Option<Duration>| age.map(|age| age.as_millis());
             log::warn!(
                 target: "limpethook",
-                version = current, revision = after.revision(), source = source.name(),
+                version = current, revision = after.revision(), source = source,
                 age_before_ms:? = millis(before.age(now)), age_ms:? = millis(after.age(now)),
                 bound_ms = self.settings.configuration_bound.as_millis();
                 "{event}"
@@ -383,14 +384,13 @@
 }
 
 /// Asks some of the other entries concurrently for the states of their configurations, and fetches the newest document if this
-/// entry does not have it.
+/// entry does not have it. An entry without a configuration asks all of them, because some may be cut off and have an old one.
 async fn ask_entries(entry: &Arc<Entry>) {
     let bound = entry.settings.configuration_bound;
-    let confirmed = {
-        let in_force = entry.board.in_force.load();
-        in_force.is_confirmed_within(bound / 2, boot_now())
-    };
-    let count = if confirmed {
+    let in_force = entry.board.in_force.snapshot();
+    let count = if in_force.configuration().is_none() {
+        usize::MAX
+    } else if in_force.is_confirmed_within(bound / 2, boot_now()) {
         SAMPLE_SIZE
     } else {
         UNCONFIRMED_SAMPLE_SIZE
@@ -416,7 +416,7 @@
                 revision: state.revision,
                 at,
             };
-            entry.record_configuration(&confirmed, Source::Peer);
+            entry.record_configuration(&confirmed, Some(Source::Peer));
         }
     }
 }
@@ -452,7 +452,7 @@
                 configuration: Arc::new(configuration),
                 revision,
             };
-            entry.record_configuration(&event, Source::Peer);
+            entry.record_configuration(&event, Some(Source::Peer));
             true
         }
         Err(report) => {
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -179,17 +179,24 @@
 async fn change_known_to_one_peer_is_applied() -> Result<()> {
     let mut applied = 0;
     for _ in 0..4 {
-        let (memory, _) = start_configured().await?;
+        let memory = Arc::new(MemoryStore::default());
+        put(&memory, "1").await?;
         let mut seeds = Vec::new();
         for peer in 0..11 {
-            let mut configuration = PeerConfiguration::fresh(if peer == 5 { 9 } else { 1 });
-            if peer != 5 {
-                configuration.age = Duration::from_mins(1);
-            }
-            seeds.push(start_peer(configuration).await);
+            let behind = PeerConfiguration {
+                age: Duration::from_mins(1),
+                ..PeerConfiguration::fresh(1)
+            };
+            let newest = PeerConfiguration {
+                revision: 1_000,
+                ..PeerConfiguration::fresh(9)
+            };
+            seeds.push(start_peer(if peer == 5 { newest } else { behind }).await);
         }
-        let started = start_entry(FaultyStore::new(&memory), seeds).await?;
-        started.store.is_silent.store(true, Ordering::Release);
+        let store = FaultyStore::new(&memory);
+        let started = start_entry(Arc::clone(&store), seeds).await?;
+        assert!(started.wait_for(1, TIMEOUT).await.is_some());
+        store.is_silent.store(true, Ordering::Release);
         applied += u32::from(started.wait_for(9, BOUND).await.is_some());
     }
     assert_eq!(applied, 4, "of 4 entries");
