--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -29,8 +29,8 @@
 /// write give 240 ends per second.
 const MAX_END_WRITES: usize = 8;
 /// Maximum number of concurrent writes of placements, which starts wait for. With a slow store, 15 jobs per
-/// write and 200 ms per write give 300 jobs per second.
-const MAX_PLACEMENT_WRITES: usize = 4;
+/// write and 200 ms per write give 600 jobs per second.
+const MAX_PLACEMENT_WRITES: usize = 8;
 
 /// A report that waits for instructions.
 struct PendingReport {
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -165,6 +165,19 @@
     assert!(wait.until.is_some());
 }
 
+/// Guards against a job that stands without a reason: the store has not confirmed the record that names the agent.
+#[test]
+fn waits_name_record_not_stored() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    cell.accept(7, job(1, vec![step(1)]));
+    for _ in 0..20 {
+        cell.advance(ms(100));
+        cell.report("w1");
+        cell.scheduler.plan(cell.now, cell.now);
+    }
+    assert_eq!(reason_of(&cell, 7), Some(WaitReason::RecordNotStored));
+}
+
 /// Guards against a job that stands without a reason: the worker does not answer the start.
 #[test]
 fn waits_name_start_unanswered() {
