Test takeovers while the end of a run is not stored

Cause: may_have_runs_of ignores unstored ends, so that the record of a job drops the agent that still lists an end which the store lacks. The next owner does not wait for that agent and starts the task again.

--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -282,3 +282,46 @@
     let started: Vec<JobId> = starts.iter().map(|start| start.run.task.job).collect();
     assert_eq!(started, [8]);
 }
+
+/// Returns an owner whose job has ended its first task on `w1` and goes on to its second on `w2`. The record names `w2` alone,
+/// and the progress with the end is not stored yet.
+fn cell_with_unstored_end(end: model::RunEnd) -> TestCell {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    let next = model::Step {
+        after: vec![0],
+        ..step(1)
+    };
+    cell.accept(7, job(1, vec![step(1), next]));
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(first_task(7)).as_deref(), Some("w1"));
+    let mut second = worker("w2", "r1");
+    second.report.confirmed_epoch = 1;
+    cell.workers.insert("w2".into(), second);
+    cell.report("w2");
+    cell.workers["w1"].report.draining = Some(ms(60_000));
+    cell.report("w1");
+    cell.end_run(first_task(7), end);
+    cell.advance(ms(2_000));
+    cell.report_all();
+    cell.plan_and_start();
+    assert!(cell.stored[&7].placements.contains("w2"));
+    cell
+}
+
+/// Guards against a second run of a task that has ended on an agent that is heard late: the record must name the agent until
+/// its end is stored.
+#[test]
+fn takeover_waits_for_agent_with_unstored_end() {
+    let cell = cell_with_unstored_end(model::RunEnd::Done);
+    let mut cell = cell.take_over(2, &["w1"]);
+    recover(&mut cell);
+    assert_eq!(cell.run_number(first_task(7)), None);
+}
+
+/// Guards against one attempt too many of a task whose failure on an agent is not stored: the record must name the agent until
+/// then.
+#[test]
+fn record_names_agent_with_unstored_failure() {
+    let cell = cell_with_unstored_end(model::RunEnd::Failed);
+    assert!(cell.stored[&7].placements.contains("w1"));
+}
