--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -325,3 +325,31 @@
     let cell = cell_with_unstored_end(model::RunEnd::Failed);
     assert!(cell.stored[&7].placements.contains("w1"));
 }
+
+/// Guards against a job that stands for a lease because an agent is lost on which its only run has ended and is stored.
+#[test]
+fn takeover_holds_no_job_for_agent_of_stored_end() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    let next = model::Step {
+        after: vec![0],
+        ..step(8)
+    };
+    // The gang has no room on one worker, so that the job has no run when the owner is lost.
+    let next = model::Step { gang: true, ..next };
+    cell.accept(7, job(1, vec![step(1), next]));
+    cell.plan_and_start();
+    cell.end_run(first_task(7), model::RunEnd::Done);
+    cell.store_changes();
+    cell.advance(ms(2_000));
+    cell.report_all();
+    cell.plan_and_start();
+    let mut cell = cell.take_over(2, &["w1"]);
+    for name in ["w2", "w3"] {
+        let mut other = worker(name, "r1");
+        other.report.confirmed_epoch = 2;
+        cell.workers.insert(name.into(), other);
+    }
+    recover(&mut cell);
+    assert_eq!(cell.scheduler.recovery_state().jobs, 0);
+    assert!(cell.run_number(task(7, 1, 0)).is_some());
+}
