--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -353,3 +353,24 @@
     assert_eq!(cell.scheduler.recovery_state().jobs, 0);
     assert!(cell.run_number(task(7, 1, 0)).is_some());
 }
+
+/// Guards against a job that waits for an agent other than those of its record: the lease of its lost agent has lapsed, while
+/// another agent reports incomplete lists.
+#[test]
+fn lapsed_agent_holds_no_job_longer_than_its_own_lease() {
+    let cell = cell_with_jobs(&[7, 8]);
+    let lost = cell.agent_of(first_task(7)).expect("the task runs");
+    let mut cell = cell.take_over(2, &[&lost]);
+    // Another agent of the roster is in touch, but its list is never complete.
+    let other = cell.agents().remove(0);
+    cell.workers[&other].report.lists_complete = false;
+    let settings = settings();
+    let until = cell.now + settings.store_outage_grace + lapse_after(settings.max_lease) + ms(500);
+    while cell.now < until {
+        cell.advance(ms(250));
+        cell.scheduler.expire_leases(cell.now);
+        cell.scheduler.try_end_recovery(cell.now);
+        recover(&mut cell);
+    }
+    assert!(cell.run_number(first_task(7)).is_some());
+}
