--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -374,3 +374,22 @@
     }
     assert!(cell.run_number(first_task(7)).is_some());
 }
+
+/// Guards against stop orders for starts that were never ordered, because the store was slow to record their agents.
+#[test]
+fn unrecorded_start_is_not_given_up() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(cell.scheduler.take_placements(10).len(), 1);
+    let until = cell.now + lapse_after(settings().max_lease) + ms(1_000);
+    while cell.now < until {
+        cell.advance(ms(500));
+        cell.report_all();
+        cell.scheduler.expire_leases(cell.now);
+        cell.scheduler.plan(cell.now, ms(1_000));
+        assert!(cell.unrecorded_instructions("w1").stops.is_empty());
+    }
+    cell.scheduler.mark_placements_stored(&[7], cell.now);
+    assert_eq!(cell.unrecorded_instructions("w1").starts.len(), 1);
+}
