--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -393,3 +393,27 @@
     cell.scheduler.mark_placements_stored(&[7], cell.now);
     assert_eq!(cell.unrecorded_instructions("w1").starts.len(), 1);
 }
+
+/// Guards against a lasting task that stands for a lease because another task of its job ran on a lost agent: its own run was
+/// adopted, so that no other run of it can exist.
+#[test]
+fn takeover_restarts_adopted_lasting_task_beside_lost_agent() {
+    let mut cell = cell_with_jobs(&[]);
+    let lasting = model::Step {
+        long_running: true,
+        ..step(6)
+    };
+    cell.accept(7, job(1, vec![lasting]));
+    cell.plan_and_start();
+    let lost = cell.agent_of(first_task(7)).expect("the task runs");
+    let mut indices = 0..6;
+    let other = indices.find(|index| cell.agent_of(task(7, 0, *index)).as_ref() != Some(&lost));
+    let other = task(7, 0, other.expect("another worker runs a task"));
+    let mut cell = cell.take_over(2, &[&lost]);
+    recover(&mut cell);
+    cell.end_run(other, model::RunEnd::Broken);
+    cell.advance(ms(2_500));
+    recover(&mut cell);
+    assert!(cell.run_number(other).is_some());
+    assert_eq!(cell.run_number(first_task(7)), None);
+}
