--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -383,3 +383,26 @@
     assert!(started.entry.is_ready());
     Ok(())
 }
+
+/// Guards against a change that the store has answered and that is applied only when the transfer of a document from a stalled
+/// peer has timed out: the check waits for both.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_read_beside_stalled_peer_is_applied() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    put(&memory, "1").await?;
+    let stalled = PeerConfiguration {
+        revision: 1_000,
+        transfer: Duration::from_secs(30),
+        ..PeerConfiguration::fresh(2)
+    };
+    let seeds = vec![start_peer(stalled).await];
+    let started = start_entry(FaultyStore::new(&memory), seeds).await?;
+    assert!(started.wait_for(1, TIMEOUT).await.is_some());
+    started.store.set_watch_fault(WatchFault::Silent);
+    // Longer than the delay of the question to other entries, shorter than the timeout of a check.
+    started.store.check_ms.store(300, Ordering::Release);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    put(&memory, "2").await?;
+    assert!(started.wait_for(2, BOUND).await.is_some());
+    Ok(())
+}
--- a/components/cell/tests/configuration/store.rs
+++ b/components/cell/tests/configuration/store.rs
@@ -1,6 +1,6 @@
 //! A client of the key-value service in memory whose answers about the configuration can be disturbed.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -44,6 +44,8 @@
     watch_fault: Mutex<WatchFault>,
     /// Whether no read and no watch is answered.
     pub(crate) is_silent: AtomicBool,
+    /// Time that each check of the configuration takes, in milliseconds.
+    pub(crate) check_ms: AtomicU64,
     /// Watches from an earlier revision are answered as compacted.
     pub(crate) compacted: Mutex<Revision>,
     /// Number of reads and watches of the configuration.
@@ -56,6 +58,7 @@
             inner: Arc::clone(inner),
             watch_fault: Mutex::new(WatchFault::None),
             is_silent: AtomicBool::new(false),
+            check_ms: AtomicU64::new(0),
             compacted: Mutex::new(0),
             calls: AtomicUsize::new(0),
         })
@@ -184,6 +187,8 @@
     ) -> Result<CheckOutcome> {
         self.check_silent(timeout).await?;
         self.calls.fetch_add(1, Ordering::Relaxed);
+        let delay = self.check_ms.load(Ordering::Acquire);
+        tokio::time::sleep(Duration::from_millis(delay)).await;
         self.inner.read_if_changed(key, known, timeout).await
     }
 }
