--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -1,7 +1,6 @@
 //! The configuration in force while the store, its watches and other entries are disturbed.
 
 #[path = "../common/mod.rs"]
-#[expect(dead_code, reason = "shared with tests about jobs")]
 mod common;
 mod peer;
 mod store;
@@ -13,8 +12,9 @@
 
 use ::store::{KvStore, Precondition};
 use cell::{AccountTokens, Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, free_addr, scheduler_settings};
+use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
 use errors::{Error, ErrorKind, Result};
+use model::{AcceptedJob, JobGraph, QueueId, QueuePolicy, Step};
 use tokio_util::sync::CancellationToken;
 
 use crate::peer::{PeerConfiguration, start_peer};
@@ -406,3 +406,78 @@
     assert!(started.wait_for(2, BOUND).await.is_some());
     Ok(())
 }
+
+/// Guards against an accepted job that the owner never learns of: the entry that stored it could not reach the owner, and the
+/// watch of the jobs continued after it, as that of the configuration once did.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_missed_by_watch_is_known_to_owner() -> Result<()> {
+    let (memory, started) = start_configured().await?;
+    let queue = QueueId::from("batch");
+    let deadline = Instant::now() + TIMEOUT;
+    while started.entry.board.states.load().epoch == 0 {
+        assert!(Instant::now() < deadline, "the entry owns the cell");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    started.store.misses_others.store(true, Ordering::Release);
+    let job = AcceptedJob {
+        account: "faro".into(),
+        queue: queue.clone(),
+        policy: QueuePolicy {
+            service: "optics".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            needs_approval: false,
+        },
+        graph: JobGraph {
+            body: "body".into(),
+            steps: vec![Step {
+                tasks: 1,
+                ..Step::default()
+            }],
+            recurrence: None,
+        },
+        accepted_at: cell::clock::wall_now(),
+    };
+    let record = bytes::Bytes::from(accepted_record(job));
+    let key = "limpethook/jobs/0000000000000007";
+    memory.put(key, record, Precondition::Any, None).await?;
+    // The disturbance ends; two further watches take ten seconds.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    started.store.misses_others.store(false, Ordering::Release);
+    let deadline = Instant::now() + TIMEOUT * 3 / 2;
+    while started.entry.waiting(&queue).await? == 0 {
+        assert!(Instant::now() < deadline, "the owner knows the job");
+        tokio::time::sleep(POLL_INTERVAL * 10).await;
+    }
+    Ok(())
+}
+
+/// Guards against entries that wait for an owner that has ended, because the watch of the members continued after the removal
+/// of its record.
+#[tokio::test(flavor = "multi_thread")]
+async fn end_of_owner_missed_by_watch_is_noticed() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    put(&memory, "1").await?;
+    let owner_key = "limpethook/cell/owner";
+    let owner = ("other", free_addr(), 7_u64);
+    let record = postcard::to_stdvec(&owner).unwrap_or_default();
+    memory
+        .put(owner_key, record.into(), Precondition::Any, None)
+        .await?;
+    let started = start_entry(FaultyStore::new(&memory), Vec::new()).await?;
+    assert!(started.wait_for(1, TIMEOUT).await.is_some());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(started.entry.board.states.load().epoch, 0);
+    started.store.misses_others.store(true, Ordering::Release);
+    memory.delete(owner_key, Precondition::Any).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    started.store.misses_others.store(false, Ordering::Release);
+    let deadline = Instant::now() + TIMEOUT * 3 / 2;
+    while started.entry.board.states.load().epoch == 0 {
+        assert!(Instant::now() < deadline, "the entry owns the cell");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
--- a/components/cell/tests/configuration/store.rs
+++ b/components/cell/tests/configuration/store.rs
@@ -46,6 +46,8 @@
     pub(crate) is_silent: AtomicBool,
     /// Time that each check of the configuration takes, in milliseconds.
     pub(crate) check_ms: AtomicU64,
+    /// Whether the watches of all other keys return later revisions without the changes.
+    pub(crate) misses_others: AtomicBool,
     /// Watches from an earlier revision are answered as compacted.
     pub(crate) compacted: Mutex<Revision>,
     /// Number of reads and watches of the configuration.
@@ -59,6 +61,7 @@
             watch_fault: Mutex::new(WatchFault::None),
             is_silent: AtomicBool::new(false),
             check_ms: AtomicU64::new(0),
+            misses_others: AtomicBool::new(false),
             compacted: Mutex::new(0),
             calls: AtomicUsize::new(0),
         })
@@ -127,7 +130,13 @@
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<WatchOutcome> {
         self.check_silent(wait + WATCH_TIMEOUT_MARGIN).await?;
         if prefix != CONFIGURATION_KEY {
-            return self.inner.watch(prefix, after, wait).await;
+            let mut outcome = self.inner.watch(prefix, after, wait).await?;
+            if self.misses_others.load(Ordering::Acquire)
+                && let WatchOutcome::Changes { changes, .. } = &mut outcome
+            {
+                changes.clear();
+            }
+            return Ok(outcome);
         }
         self.calls.fetch_add(1, Ordering::Relaxed);
         let compacted = *self.compacted.lock().expect("lock is not poisoned");
