--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -282,3 +282,138 @@
     let started: Vec<JobId> = starts.iter().map(|start| start.run.task.job).collect();
     assert_eq!(started, [8]);
 }
+
+/// Returns an owner whose job has ended its first task on `w1` and goes on to its second on `w2`. The record names `w2` alone,
+/// and the progress with the end is not stored yet.
+fn cell_with_unstored_end(end: model::RunEnd) -> TestCell {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    let next = model::Step {
+        after: vec![0],
+        ..step(1)
+    };
+    cell.accept(7, job(1, vec![step(1), next]));
+    cell.plan_and_start();
+    assert_eq!(cell.agent_of(first_task(7)).as_deref(), Some("w1"));
+    let mut second = worker("w2", "r1");
+    second.report.confirmed_epoch = 1;
+    cell.workers.insert("w2".into(), second);
+    cell.report("w2");
+    cell.workers["w1"].report.draining = Some(ms(60_000));
+    cell.report("w1");
+    cell.end_run(first_task(7), end);
+    cell.advance(ms(2_000));
+    cell.report_all();
+    cell.plan_and_start();
+    assert!(cell.stored[&7].placements.contains("w2"));
+    cell
+}
+
+/// Guards against a second run of a task that has ended on an agent that is heard late: the record must name the agent until
+/// its end is stored.
+#[test]
+fn takeover_waits_for_agent_with_unstored_end() {
+    let cell = cell_with_unstored_end(model::RunEnd::Done);
+    let mut cell = cell.take_over(2, &["w1"]);
+    recover(&mut cell);
+    assert_eq!(cell.run_number(first_task(7)), None);
+}
+
+/// Guards against one attempt too many of a task whose failure on an agent is not stored: the record must name the agent until
+/// then.
+#[test]
+fn record_names_agent_with_unstored_failure() {
+    let cell = cell_with_unstored_end(model::RunEnd::Failed);
+    assert!(cell.stored[&7].placements.contains("w1"));
+}
+
+/// Guards against a job that stands for a lease because an agent is lost on which its only run has ended and is stored.
+#[test]
+fn takeover_holds_no_job_for_agent_of_stored_end() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    let next = model::Step {
+        after: vec![0],
+        ..step(8)
+    };
+    // The gang has no room on one worker, so that the job has no run when the owner is lost.
+    let next = model::Step { gang: true, ..next };
+    cell.accept(7, job(1, vec![step(1), next]));
+    cell.plan_and_start();
+    cell.end_run(first_task(7), model::RunEnd::Done);
+    cell.store_changes();
+    cell.advance(ms(2_000));
+    cell.report_all();
+    cell.plan_and_start();
+    let mut cell = cell.take_over(2, &["w1"]);
+    for name in ["w2", "w3"] {
+        let mut other = worker(name, "r1");
+        other.report.confirmed_epoch = 2;
+        cell.workers.insert(name.into(), other);
+    }
+    recover(&mut cell);
+    assert_eq!(cell.scheduler.recovery_state().jobs, 0);
+    assert!(cell.run_number(task(7, 1, 0)).is_some());
+}
+
+/// Guards against a job that waits for an agent other than those of its record: the lease of its lost agent has lapsed, while
+/// another agent reports incomplete lists.
+#[test]
+fn lapsed_agent_holds_no_job_longer_than_its_own_lease() {
+    let cell = cell_with_jobs(&[7, 8]);
+    let lost = cell.agent_of(first_task(7)).expect("the task runs");
+    let mut cell = cell.take_over(2, &[&lost]);
+    // Another agent of the roster is in touch, but its list is never complete.
+    let other = cell.agents().remove(0);
+    cell.workers[&other].report.lists_complete = false;
+    let settings = settings();
+    let until = cell.now + settings.store_outage_grace + lapse_after(settings.max_lease) + ms(500);
+    while cell.now < until {
+        cell.advance(ms(250));
+        cell.scheduler.expire_leases(cell.now);
+        cell.scheduler.try_end_recovery(cell.now);
+        recover(&mut cell);
+    }
+    assert!(cell.run_number(first_task(7)).is_some());
+}
+
+/// Guards against stop orders for starts that were never ordered, because the store was slow to record their agents.
+#[test]
+fn unrecorded_start_is_not_given_up() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1")]);
+    cell.accept(7, job(1, vec![step(1)]));
+    cell.scheduler.plan(cell.now, ms(1_000));
+    assert_eq!(cell.scheduler.take_placements(10).len(), 1);
+    let until = cell.now + lapse_after(settings().max_lease) + ms(1_000);
+    while cell.now < until {
+        cell.advance(ms(500));
+        cell.report_all();
+        cell.scheduler.expire_leases(cell.now);
+        cell.scheduler.plan(cell.now, ms(1_000));
+        assert!(cell.unrecorded_instructions("w1").stops.is_empty());
+    }
+    cell.scheduler.mark_placements_stored(&[7], cell.now);
+    assert_eq!(cell.unrecorded_instructions("w1").starts.len(), 1);
+}
+
+/// Guards against a lasting task that stands for a lease because another task of its job ran on a lost agent: its own run was
+/// adopted, so that no other run of it can exist.
+#[test]
+fn takeover_restarts_adopted_lasting_task_beside_lost_agent() {
+    let mut cell = cell_with_jobs(&[]);
+    let lasting = model::Step {
+        long_running: true,
+        ..step(6)
+    };
+    cell.accept(7, job(1, vec![lasting]));
+    cell.plan_and_start();
+    let lost = cell.agent_of(first_task(7)).expect("the task runs");
+    let mut indices = 0..6;
+    let other = indices.find(|index| cell.agent_of(task(7, 0, *index)).as_ref() != Some(&lost));
+    let other = task(7, 0, other.expect("another worker runs a task"));
+    let mut cell = cell.take_over(2, &[&lost]);
+    recover(&mut cell);
+    cell.end_run(other, model::RunEnd::Broken);
+    cell.advance(ms(2_500));
+    recover(&mut cell);
+    assert!(cell.run_number(other).is_some());
+    assert_eq!(cell.run_number(first_task(7)), None);
+}
