Repair what the review of the takeover found

- A record no longer drops an agent whose end or crash of the job is not stored: the next owner did not wait for that agent and started the task again beside its done end, or with too few counted attempts (takeover_waits_for_agent_with_unstored_end, record_names_agent_with_unstored_failure failed).
- The record of a job that has waited for a second without any run is emptied, so that the job waits for no agent after a takeover (takeover_holds_no_job_for_agent_of_stored_end failed; the test plans right after the end, as the owner does).
- Each pending agent ends its wait with its own lease (lapsed_agent_holds_no_job_longer_than_its_own_lease failed).
- A start that waits for its record is not given up as unanswered (unrecorded_start_is_not_given_up failed).
- The owner reads the changes of the jobs since its last check again every 5 s, and entries list the members every 10 s: a watch that moved past a change left a job or the end of an owner unknown (job_missed_by_watch_is_known_to_owner, end_of_owner_missed_by_watch_is_noticed failed).
- The removal of earlier owners is repeated until it is stored, and recovery compares records with the pending agents instead of each agent with each job.

--- a/components/cell/src/leader/job_watch.rs
+++ b/components/cell/src/leader/job_watch.rs
@@ -8,6 +8,7 @@
 use model::Revision;
 use store::{Change, KvPair, WatchOutcome};
 
+use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::keys::{self, JOBS_PREFIX, JobKey};
 use crate::leader::load::decode_accepted;
@@ -16,13 +17,24 @@
 /// Duration of one watch. Entries notify the owner of each job, so a silent watch delays only the
 /// changes whose notification failed.
 const WATCH_DURATION: Duration = Duration::from_secs(5);
+/// Interval at which the changes since the last check are read again, because a watch may continue after a change that it
+/// did not show.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Delay after a failed watch.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Follows the jobs until the owner ends.
 pub(crate) async fn run(entry: Arc<Entry>, handle: LeaderHandle, mut after: Revision) {
+    let mut checked = after;
+    let mut next_check_at = boot_now() + CHECK_INTERVAL;
     loop {
-        match watch_once(&entry, &handle, &mut after).await {
+        let watched = if boot_now() < next_check_at {
+            watch_once(&entry, &handle, &mut after, WATCH_DURATION).await
+        } else {
+            next_check_at = boot_now() + CHECK_INTERVAL;
+            watch_once(&entry, &handle, &mut checked, Duration::ZERO).await
+        };
+        match watched {
             Ok(()) => {}
             Err(report) => {
                 log::debug!(target: "limpethook", error:% = report.current_context(); "job_watch_failed");
@@ -32,12 +44,13 @@
     }
 }
 
-async fn watch_once(entry: &Entry, handle: &LeaderHandle, after: &mut Revision) -> Result<()> {
-    match entry
-        .store
-        .watch(JOBS_PREFIX, *after, WATCH_DURATION)
-        .await?
-    {
+async fn watch_once(
+    entry: &Entry,
+    handle: &LeaderHandle,
+    after: &mut Revision,
+    duration: Duration,
+) -> Result<()> {
+    match entry.store.watch(JOBS_PREFIX, *after, duration).await? {
         WatchOutcome::Changes { changes, revision } => {
             for change in changes {
                 match change {
--- a/components/cell/src/members.rs
+++ b/components/cell/src/members.rs
@@ -17,6 +17,8 @@
 
 /// Duration of one watch. A connection that goes silent is noticed one watch later.
 const WATCH_DURATION: Duration = Duration::from_secs(5);
+/// Interval at which the members are listed, because a watch may continue after a change that it did not show.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// Delay after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// TTL of a registration. A stale address only costs a failed call.
@@ -44,6 +46,7 @@
 }
 
 async fn watch_store(entry: &Entry) -> Result<()> {
+    let list_at = boot_now() + LIST_INTERVAL;
     let listing = entry.store.list(CELL_PREFIX).await?;
     let mut members = Members {
         loaded: true,
@@ -56,7 +59,7 @@
     publish(entry, members);
     entry.record_store_result(true, &"members listed");
     let mut after = listing.revision;
-    loop {
+    while boot_now() < list_at {
         let changes = match entry
             .store
             .watch(CELL_PREFIX, after, WATCH_DURATION)
@@ -81,6 +84,7 @@
         }
         publish(entry, members);
     }
+    Ok(())
 }
 
 fn publish(entry: &Entry, members: Members) {
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -362,16 +362,17 @@
     // After this time, no earlier owner lets an agent renew a lease, whether it answered or not. An earlier owner that kept no
     // records of placements stays listed until the records are complete.
     handle.wait_until_recorded().await;
-    if let Err(report) = remove_earlier_owners(&entry, epoch, record).await {
+    while let Err(report) = remove_earlier_owners(&entry, epoch, &record).await {
         log::info!(target: "limpethook", error:% = report.current_context(); "recent_owners_write_failed");
+        tokio::time::sleep(CONFIRM_RETRY_DELAY).await;
     }
 }
 
 /// Records that only this owner may let agents renew leases, and that the records of placements are complete.
-async fn remove_earlier_owners(entry: &Entry, epoch: Epoch, record: OwnerRecord) -> Result<()> {
+async fn remove_earlier_owners(entry: &Entry, epoch: Epoch, record: &OwnerRecord) -> Result<()> {
     let recent = RecentOwners {
         recording: vec![record.nonce],
-        owners: vec![record],
+        owners: vec![record.clone()],
     };
     let value = records::encode(&recent)?;
     let transaction = Transaction {
--- a/components/graph/src/hang.rs
+++ b/components/graph/src/hang.rs
@@ -61,8 +61,12 @@
         let mut unanswered = Vec::new();
         for worker in self.workers.values() {
             for placement in worker.placements.values() {
-                let is_starting = matches!(placement, AnyPlacement::Starting(_));
-                if is_starting && now > placement.placed_at() + limit {
+                // One that waits for its record was not ordered.
+                let is_ordered = matches!(
+                    placement,
+                    AnyPlacement::Starting(starting) if starting.state.sent_at.is_some()
+                );
+                if is_ordered && now > placement.placed_at() + limit {
                     unanswered.push((worker.agent.clone(), placement.unit_key()));
                 }
             }
--- a/components/graph/src/records.rs
+++ b/components/graph/src/records.rs
@@ -42,6 +42,11 @@
         self.stored.contains(agent)
     }
 
+    /// Returns whether the stored record names any of the agents.
+    pub(crate) fn names_any(&self, agents: &IndexSet<AgentId>) -> bool {
+        self.stored.iter().any(|agent| agents.contains(agent))
+    }
+
     /// Returns whether a write is in flight.
     pub(crate) fn is_being_written(&self) -> bool {
         self.submitted.is_some()
@@ -83,6 +88,13 @@
         Some(agents)
     }
 
+    /// Takes an empty record to store in place of one that names agents without any runs.
+    fn submit_empty(&mut self) -> IndexSet<AgentId> {
+        self.stored.clear();
+        self.submitted = Some(IndexSet::new());
+        IndexSet::new()
+    }
+
     /// Records that the write was carried out; returns since when placements waited for it.
     fn mark_stored(&mut self) -> Option<Duration> {
         let stored = self.submitted.take()?;
@@ -103,6 +115,8 @@
     reliable: bool,
     /// Jobs whose records lack agents.
     due: IndexSet<JobId>,
+    /// Jobs without runs whose records name agents.
+    idle: IndexSet<JobId>,
 }
 
 impl Records {
@@ -172,9 +186,44 @@
                 changes.push(PlacementChange { job: id, agents });
             }
         }
+        self.take_outdated_records(limit, &mut changes);
         changes
     }
 
+    /// Takes the records of jobs that have had no run for a while, so that these jobs wait for no agent after a takeover.
+    fn take_outdated_records(&mut self, limit: usize, changes: &mut Vec<PlacementChange>) {
+        for id in std::mem::take(&mut self.records.idle) {
+            if changes.len() >= limit {
+                self.records.idle.insert(id);
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let is_settled = job.end.is_none()
+                && !job.awaiting_recovery
+                && !job.record.is_being_written()
+                && job.record.wanted.is_empty();
+            let workers = &self.workers;
+            let may_have_runs = |agent: &AgentId| {
+                let worker = workers.get(agent);
+                worker.is_none_or(|worker| worker.may_have_runs_of(id))
+            };
+            if is_settled && !job.record.stored.iter().any(may_have_runs) {
+                let agents = job.record.submit_empty();
+                changes.push(PlacementChange { job: id, agents });
+            }
+        }
+    }
+
+    /// Notes a job that has waited for a while without any run.
+    pub(crate) fn note_idle_job(&mut self, id: JobId) {
+        let job = self.jobs.get(&id);
+        if job.is_some_and(|job| !job.record.stored.is_empty()) {
+            self.records.idle.insert(id);
+        }
+    }
+
     /// Records that the records of jobs that were taken last were stored.
     pub fn mark_placements_stored(&mut self, jobs: &[JobId], now: Duration) {
         for id in jobs {
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -89,9 +89,7 @@
             return;
         }
         let pending = &self.pending_agents;
-        let is_recovered = |job: &&Job| {
-            job.awaiting_recovery && !pending.iter().any(|agent| job.record.contains(agent))
-        };
+        let is_recovered = |job: &&Job| job.awaiting_recovery && !job.record.names_any(pending);
         let recovered = self.jobs.values().filter(is_recovered);
         let recovered: Vec<JobId> = recovered.map(|job| job.id).collect();
         self.end_recovery_of(&recovered);
@@ -260,6 +258,21 @@
         !is_lost && (!is_overdue || !self.pending_agents.contains(agent))
     }
 
+    /// Ends the waits for the agents whose leases have lapsed.
+    fn end_lapsed_waits(&mut self, now: Duration) {
+        let pending = self.pending_agents.iter();
+        let lapsed = pending.filter(|agent| !self.may_hold_lease(agent, now));
+        let lapsed: Vec<AgentId> = lapsed.cloned().collect();
+        for agent in &lapsed {
+            self.pending_agents.shift_remove(agent);
+            self.log_wait_end(agent, "lapsed", now);
+        }
+        if !lapsed.is_empty() {
+            self.lapsed_agents += lapsed.len();
+            self.end_job_recoveries();
+        }
+    }
+
     /// Ends recovery if the runs of all agents in the roster are known, or the leases of the other workers have lapsed;
     /// otherwise does nothing.
     ///
@@ -272,26 +285,23 @@
         let Some(deadline) = self.recovery_deadline else {
             return;
         };
-        let mut pending = self.pending_agents.iter();
-        let may_have_runs = |agent| now < deadline || self.may_hold_lease(agent, now);
-        if pending.any(may_have_runs) {
+        if now >= deadline {
+            self.end_lapsed_waits(now);
+        }
+        if !self.pending_agents.is_empty() {
             self.log_pending_agents(deadline, now);
             return;
         }
-        for agent in self.pending_agents.clone() {
-            self.log_wait_end(&agent, "lapsed", now);
-        }
         let took = now.saturating_sub(self.recovery_started_at);
         self.recovery_time = Some(took);
         log::info!(
             target: "limpethook",
-            epoch = self.epoch, jobs = self.jobs.len(), unheard = self.pending_agents.len(),
+            epoch = self.epoch, jobs = self.jobs.len(), unheard = self.lapsed_agents,
             took_ms = took.as_millis();
             "adoption_ended"
         );
         self.recovery_deadline = None;
         self.plan_needed = true;
-        self.pending_agents.clear();
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         self.end_recovery_of(&jobs);
     }
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -110,6 +110,8 @@
     pub(crate) guaranteed: IndexSet<JobId>,
     /// Agents in the roster of earlier owners whose runs this owner does not know yet.
     pub(crate) pending_agents: IndexSet<AgentId>,
+    /// Number of agents whose leases lapsed before this owner knew their runs.
+    pub(crate) lapsed_agents: usize,
     /// What is known of the records of placements.
     pub(crate) records: Records,
     /// Times that starts waited for their records, collected for the metrics.
@@ -163,6 +165,7 @@
             records: Records::default(),
             record_delays: Vec::new(),
             pending_agents: roster,
+            lapsed_agents: 0,
             plan_needed: true,
             next_plan_at: Duration::ZERO,
             recovery_deadline: Some(now + wait),
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -1,6 +1,6 @@
 //! Jobs that wait, with the reason, for the log, the metrics and operators.
 //!
-//! The waits are derived from the state at an interval and decide nothing. Only jobs that have waited for a while are looked
+//! The waits are derived from the state at an interval and decide nothing about placing. Only jobs that have waited for a while are looked
 //! at, and the costlier reasons are found for a few of them at a time.
 
 use std::fmt;
@@ -299,6 +299,9 @@
                 // A later check determines its reason.
                 (None, None, ..) => continue,
             };
+            if running == 0 {
+                self.note_idle_job(id);
+            }
             let checked_at = earlier.as_ref().map_or(now, |recorded| recorded.checked_at);
             self.waits.jobs.insert(
                 id,
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -128,11 +128,16 @@
         now > self.last_renewed_at + lapse_after(max_lease)
     }
 
-    /// Returns whether the worker may have runs of a job.
+    /// Returns whether the worker may have runs of a job, or its agent has an end or a crash of it that is not stored yet.
     pub(crate) fn may_have_runs_of(&self, job: JobId) -> bool {
         let mut placements = self.placements.keys();
         let mut orphans = self.orphan_runs.keys();
-        placements.any(|task| task.job == job) || orphans.any(|orphan| orphan.task.job == job)
+        let mut ends = self.unstored_ends.iter();
+        let mut crashes = self.reported_crashes.values();
+        placements.any(|task| task.job == job)
+            || orphans.any(|orphan| orphan.task.job == job)
+            || ends.any(|(_, id, _)| *id == job)
+            || crashes.any(|jobs| jobs.contains_key(&job))
     }
 
     /// Returns the name of the rack.
--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -340,6 +340,7 @@
     cell.plan_and_start();
     cell.end_run(first_task(7), model::RunEnd::Done);
     cell.store_changes();
+    cell.plan_and_start();
     cell.advance(ms(2_000));
     cell.report_all();
     cell.plan_and_start();
