--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -150,11 +150,14 @@
     let outcome = match first {
         Ok(outcome) => {
             if outcome.is_err() {
-                ask_entries(entry).await;
+                start_asking(entry);
             }
             outcome
         }
-        Err(_) => tokio::join!(read, ask_entries(entry)).0,
+        Err(_) => {
+            start_asking(entry);
+            read.await
+        }
     };
     match outcome {
         Ok(CheckOutcome::Unchanged) => {
@@ -372,10 +375,23 @@
 pub(crate) async fn poll_entries(entry: Arc<Entry>) {
     let mut ticks = entry.timer.subscribe_every(POLL_INTERVAL);
     while ticks.recv().await.is_some() {
-        ask_entries(&entry).await;
+        start_asking(&entry);
     }
 }
 
+/// Asks the other entries in a background task, unless that is under way. An entry that stalls while it passes on a document
+/// delays neither the checks nor what the store answers.
+fn start_asking(entry: &Arc<Entry>) {
+    let Ok(permit) = Arc::clone(&entry.asking).try_lock_owned() else {
+        return;
+    };
+    let entry = Arc::clone(entry);
+    tokio::spawn(async move {
+        ask_entries(&entry).await;
+        drop(permit);
+    });
+}
+
 /// Configuration of another entry.
 struct PeerState {
     addr: std::net::SocketAddr,
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -48,6 +48,8 @@
     pub(crate) check_requested: Notify,
     /// When the last check of the configuration ended, in milliseconds on the boot clock.
     pub(crate) checked_at_ms: AtomicU64,
+    /// Held while other entries are asked for their configurations.
+    pub(crate) asking: Arc<tokio::sync::Mutex<()>>,
     /// Serializes the changes of the configuration.
     pub(crate) configuration_writer: Mutex<()>,
     /// When the process started, on the boot clock.
@@ -96,6 +98,7 @@
             confirmations: Confirmations::default(),
             check_requested: Notify::new(),
             checked_at_ms: AtomicU64::new(0),
+            asking: Arc::default(),
             configuration_writer: Mutex::new(()),
             started_at: boot_now(),
             store_availability: Dependency::new(false),
