--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -13,6 +13,10 @@
 use crate::trust::{TrustLevel, is_last_attempt, trusted_candidates, waits_for_sound_workers};
 use crate::worker::Worker;
 
+/// How many times the additional run time across racks a gang waits for a single rack: the slower run costs the gang that time,
+/// and keeps all of its workers from others for as long.
+pub(crate) const RACK_WAIT_FACTOR: u32 = 2;
+
 /// Workers with the number of tasks of a unit that each runs.
 pub(crate) type Assignment = Vec<(AgentId, u32)>;
 
@@ -243,7 +247,7 @@
 /// - Until the unit has waited for `locality_wait`, only the rack with its data is tried, provided that this rack could
 ///   hold the unit if it was empty.
 /// - A gang that is sensitive to racks tries those with enough slots, the one with the fewest such slots first. It is placed
-///   across racks if no rack could hold it even when empty, or once it has waited for `locality_wait`.
+///   across racks if no rack could hold it even when empty, or once it has waited for `locality_wait` twice.
 /// - Any other unit tries the rack with its data first, and then all racks together.
 pub(crate) fn racks_to_try(
     step: &Step,
@@ -287,7 +291,7 @@
         .into_iter()
         .map(|(rack, _)| Some(rack.into()))
         .collect();
-    if !fits_one_rack || !may_wait {
+    if !fits_one_rack || waited >= locality_wait * RACK_WAIT_FACTOR {
         racks.push(None);
     }
     racks
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -6,7 +6,9 @@
 
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
-use crate::fit::{has_label, pack_on_racks, racks_to_try, resources_per_task, tasks_on_worker};
+use crate::fit::{
+    RACK_WAIT_FACTOR, has_label, pack_on_racks, racks_to_try, resources_per_task, tasks_on_worker,
+};
 use crate::headroom::headroom_deadline;
 use crate::job::{Job, Unit, UnitId};
 use crate::order::ReadyUnit;
@@ -174,12 +176,12 @@
         let all: Vec<_> = candidates.iter().collect();
         if pack_on_racks(&all, &racks, unit.tasks).is_none() {
             let awaits_data = racks.len() == 1 && racks[0] == step.data_rack;
-            let reason = if awaits_data {
-                WaitReason::DataRack
+            let (reason, wait) = if awaits_data {
+                (WaitReason::DataRack, locality_wait)
             } else {
-                WaitReason::SingleRack
+                (WaitReason::SingleRack, locality_wait * RACK_WAIT_FACTOR)
             };
-            let until = unit.ready_at.unwrap_or(now) + locality_wait;
+            let until = unit.ready_at.unwrap_or(now) + wait;
             return Some((reason, Some(until)));
         }
         if takes_any_place {
