Count each state of a model check once

Cause: `bfs` of pathfinding checks the property for every successor, also for states that it has visited before, so that the counts were of steps.

Change: states are counted where their successors are computed, once for each.

--- a/components/specs/src/explore.rs
+++ b/components/specs/src/explore.rs
@@ -7,7 +7,7 @@
 /// The result of an exploration.
 #[derive(Debug)]
 pub struct Exploration<S> {
-    /// The number of distinct states that were visited.
+    /// The number of distinct states whose successors were visited; all reachable ones if none violates the property.
     pub states: usize,
     /// A shortest path to a state that violates the property, if any.
     pub violation: Option<Vec<S>>,
@@ -27,9 +27,11 @@
     violates: impl Fn(&S) -> bool,
 ) -> Exploration<S> {
     let mut states = 0;
-    let violation = bfs(start, successors, |state| {
+    // Counted here because `bfs` calls this once a state, and the check of the property once a step.
+    let count_successors = |state: &S| {
         states += 1;
-        violates(state)
-    });
+        successors(state)
+    };
+    let violation = bfs(start, count_successors, violates);
     Exploration { states, violation }
 }
