--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -147,17 +147,12 @@
     let read = entry.store.read_if_changed(key, revision, timeout);
     tokio::pin!(read);
     let first = tokio::time::timeout(bound / HEDGE_PART, &mut read).await;
+    if !matches!(first, Ok(Ok(_))) {
+        start_asking(entry);
+    }
     let outcome = match first {
-        Ok(outcome) => {
-            if outcome.is_err() {
-                start_asking(entry);
-            }
-            outcome
-        }
-        Err(_) => {
-            start_asking(entry);
-            read.await
-        }
+        Ok(outcome) => outcome,
+        Err(_) => read.await,
     };
     match outcome {
         Ok(CheckOutcome::Unchanged) => {
