--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use model::{AgentId, JobId};
 
-use crate::job::{Job, UnitId};
+use crate::job::{Job, Phase, UnitId};
 use crate::placement::AnyPlacement;
 use crate::scheduler::{Scheduler, lapse_after};
 
@@ -73,11 +73,14 @@
     StopUnanswered,
     /// The worker of the run is silent.
     WorkerSilent,
+    /// No unit is ready although some are not done, and no worker has a run of the job: an end was lost, or a unit is taken for
+    /// placed without a run.
+    NothingReady,
 }
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Recovery,
         Self::CrashNotStored,
         Self::Backoff,
@@ -100,6 +103,7 @@
         Self::StartUnanswered,
         Self::StopUnanswered,
         Self::WorkerSilent,
+        Self::NothingReady,
     ];
 
     /// Returns whether the scheduler chooses the wait for a better place, or for the sake of others.
@@ -139,6 +143,7 @@
             Self::StartUnanswered => "start_unanswered",
             Self::StopUnanswered => "stop_unanswered",
             Self::WorkerSilent => "worker_silent",
+            Self::NothingReady => "nothing_ready",
         }
     }
 }
@@ -330,8 +335,21 @@
             let runs = runs.swap_remove(&job.id).unwrap_or_default();
             let since = before.get(&job.id).map(|recorded| recorded.wait.since);
             let unplaced = unplaced_wait(job, recovers_until, since, now);
-            let waits = unplaced.into_iter().chain(runs.oldest);
-            let oldest = waits.min_by_key(|wait| wait.since)?;
+            let mut waits: Vec<OpenWait> = unplaced.into_iter().chain(runs.oldest).collect();
+            if waits.is_empty() && runs.running == 0 && !job.ready.all_done() {
+                let known = before.get(&job.id).map(|recorded| &recorded.wait);
+                let known = known.filter(|wait| wait.reason == WaitReason::NothingReady);
+                let open = job
+                    .units
+                    .iter()
+                    .find(|(_, unit)| unit.phase() != Phase::Done);
+                waits.extend(open.map(|(unit, _)| OpenWait {
+                    unit: *unit,
+                    since: known.map_or(now.saturating_sub(MIN_WAIT), |wait| wait.since),
+                    known: Some((WaitReason::NothingReady, None, None)),
+                }));
+            }
+            let oldest = waits.into_iter().min_by_key(|wait| wait.since)?;
             let is_long = now.saturating_sub(oldest.since) >= MIN_WAIT;
             is_long.then_some((job.id, oldest, runs.running))
         });
--- a/components/graph/tests/waits.rs
+++ b/components/graph/tests/waits.rs
@@ -196,6 +196,20 @@
     assert!(wait.until.is_some());
 }
 
+/// Guards against a job that stands without a reason: none of its units becomes ready. Here two steps depend on each other, which
+/// stands for a lost end.
+#[test]
+fn waits_name_nothing_ready() {
+    let mut cell = TestCell::new(1, workers(&["w1"], "r1"));
+    let after = |previous| {
+        let mut step = step(1);
+        step.after = vec![previous];
+        step
+    };
+    let reason = reason_after_wait(&mut cell, job(1, vec![after(1), after(0)]));
+    assert_eq!(reason, Some(WaitReason::NothingReady));
+}
+
 /// Guards against waits that are listed after they have ended, and against those that are usual.
 #[test]
 fn waits_end_with_placement() {
