--- a/components/graph/tests/takeovers/cell.rs
+++ b/components/graph/tests/takeovers/cell.rs
@@ -10,7 +10,7 @@
     AcceptedJob, AgentId, Epoch, Instructions, JobId, RunEnd, TaskId, TaskRun, WorkerReport,
 };
 
-use crate::machine::{Machine, Run};
+use crate::machine::{Machine, Run, SLOTS};
 use crate::owner::{Owner, Recording};
 use crate::settings;
 use crate::store::{Store, StoredJob};
@@ -462,6 +462,13 @@
         self.runs().map(|(_, run)| run.task.job).collect()
     }
 
+    /// Returns how many more tasks fit on the machines that are not lost.
+    pub(crate) fn free_slots(&self, lost: &[AgentId]) -> usize {
+        let used = self.runs().filter(|(agent, _)| !lost.contains(agent));
+        let machines = self.machines.len() - lost.len();
+        (machines * SLOTS).saturating_sub(used.count())
+    }
+
     /// Returns how long recovery may take when agents are lost.
     pub(crate) fn longest_recovery() -> Duration {
         settings().store_outage_grace + lapse_after(settings().max_lease)
--- a/components/graph/tests/takeovers/machine.rs
+++ b/components/graph/tests/takeovers/machine.rs
@@ -18,7 +18,13 @@
     memory_mb: 1_000,
 };
 /// Number of tasks that fit on a worker.
-pub(crate) const SLOTS: u32 = 6;
+pub(crate) const SLOTS: usize = 6;
+/// Resources of a worker.
+const CAPACITY: ResourceVector = ResourceVector {
+    accelerators: 6,
+    millicores: 6_000,
+    memory_mb: 6_000,
+};
 /// How long the outcome of an order is reported.
 const OUTCOME_RETENTION: Duration = Duration::from_secs(5);
 
@@ -125,7 +131,7 @@
         {
             return Err(Refusal::Outdated);
         }
-        if self.runs.len() >= SLOTS as usize {
+        if self.runs.len() >= SLOTS {
             return Err(Refusal::NoRoom);
         }
         self.runs.entry(run).or_insert(Run {
@@ -307,11 +313,7 @@
             name: format!("worker-{}", self.agent_id).into(),
             service: "optics".into(),
             incarnation: Some(worker.incarnation),
-            capacity: ResourceVector {
-                accelerators: TASK_RESOURCES.accelerators * SLOTS,
-                millicores: TASK_RESOURCES.millicores * SLOTS,
-                memory_mb: TASK_RESOURCES.memory_mb * SLOTS,
-            },
+            capacity: CAPACITY,
             labels: vec!["a".into(), self.rack.clone()],
             draining: None,
             absent: false,
--- a/components/graph/tests/takeovers/main.rs
+++ b/components/graph/tests/takeovers/main.rs
@@ -24,6 +24,9 @@
 /// Longest time after a takeover until a job has a start that can have no run on an agent that is not heard.
 const START_BOUND: Duration = Duration::from_secs(3);
 
+/// Maximum number of tasks of a step, which may be a gang.
+const MAX_TASKS: u8 = 3;
+
 pub(crate) fn settings() -> SchedulerSettings {
     SchedulerSettings {
         max_lease: ms(6_000),
@@ -57,7 +60,7 @@
 fn draw_job(rng: &mut Rng) -> AcceptedJob {
     let steps = rng.u32(1..5);
     let steps = (0..steps).map(|index: u32| {
-        let tasks = rng.u32(1..4);
+        let tasks = u32::from(rng.u8(1..=MAX_TASKS));
         Step {
             tasks,
             resources: TASK_RESOURCES,
@@ -246,7 +249,7 @@
     run_series(run_losses_in_stalls, 600);
 }
 
-/// Loses the owner together with some of the machines, and checks each job that can have no run there.
+/// Loses the owner together with some of the machines, and checks each job that can have no run there while the others have room.
 fn run_loss_with_owner(u: &mut Unstructured<'_>) -> Result<()> {
     let rng = Rng::with_seed(u.arbitrary()?);
     let machines = u.int_in_range(3..=8)?;
@@ -279,8 +282,9 @@
     while cell.now < began_at + ms(6_000) {
         cell.step();
         let (running, open) = (cell.running_jobs(), cell.open_jobs());
+        let has_room = cell.free_slots(&lost) >= usize::from(MAX_TASKS);
         for id in &free {
-            if running.contains(id) || !open.contains(id) {
+            if running.contains(id) || !open.contains(id) || !has_room {
                 idle_since.swap_remove(id);
                 continue;
             }
