Test takeovers after owners without records

Cause: owners that list themselves as recording too early were not detected by the random faults, where recovery has mostly ended by then.

Change: a series of quick takeovers after one or two owners without records, in stalls of the store.

--- a/components/graph/tests/takeovers/cell.rs
+++ b/components/graph/tests/takeovers/cell.rs
@@ -59,6 +59,8 @@
     gangs: IndexMap<(JobId, u32, u64), IndexMap<TaskRun, AgentId>>,
     /// Owners of versions that keep no records of placements.
     pub(crate) unrecording: IndexSet<Epoch>,
+    /// Mean number of ticks until the entries of earlier owners are restarted and answer.
+    pub(crate) entry_restart_ticks: u32,
 }
 
 impl Cell {
@@ -81,6 +83,7 @@
             takes_over_at: None,
             gangs: IndexMap::new(),
             unrecording: IndexSet::new(),
+            entry_restart_ticks: 500,
         }
     }
 
@@ -208,7 +211,7 @@
         let has_ended = earlier.iter().all(|owner| !owner.is_acting);
         let limit = settings().store_outage_grace + OWNER_LEASE;
         let is_late = self.now >= latest.began_at + limit;
-        let answers = self.rng.u32(0..500) == 0;
+        let answers = self.rng.u32(..self.entry_restart_ticks) == 0;
         if has_ended && (is_late || answers) && latest.previous_ended_at.is_none() {
             latest.previous_ended_at = Some(self.now);
         }
--- a/components/graph/tests/takeovers/main.rs
+++ b/components/graph/tests/takeovers/main.rs
@@ -249,6 +249,43 @@
     run_series(run_losses_in_stalls, 600);
 }
 
+/// Loses owners, each together with the agent of one machine, after one or two that kept no records.
+fn run_takeovers_after_unrecorded(u: &mut Unstructured<'_>) -> Result<()> {
+    let rng = Rng::with_seed(u.arbitrary()?);
+    let machines = u.int_in_range(2..=4)?;
+    let mut cell = Cell::new(machines, rng);
+    cell.unrecording = (1..=u.int_in_range(1..=2)?).collect();
+    cell.entry_restart_ticks = 10;
+    submit_jobs(&mut cell, 1..6);
+    cell.run_for(ms(u.int_in_range(300..=2_500)?));
+    for _ in 0..u.int_in_range(2..=4)? {
+        let lost = draw_agents(&mut cell, 1);
+        cell.kill_owner();
+        cell.machines[&lost[0]].agent = None;
+        let owners = cell.owners.len();
+        while cell.owners.len() == owners {
+            cell.step();
+        }
+        let stall = ms(cell.rng.u64(0..1_500));
+        cell.store.stalls_until = cell.now + stall;
+        let time_to_restart = ms(cell.rng.u64(0..2_500));
+        cell.run_for(time_to_restart);
+        let now = cell.now;
+        cell.machines[&lost[0]].start_agent(now);
+        let time_after_restart = ms(cell.rng.u64(0..1_500));
+        cell.run_for(time_after_restart);
+    }
+    complete_all(&mut cell);
+    Ok(())
+}
+
+/// Guards against an owner that lists itself as recording after one that kept no records, before it has heard all runs and their
+/// records are stored.
+#[test]
+fn takeovers_after_unrecorded_owner_run_once() {
+    run_series(run_takeovers_after_unrecorded, 300);
+}
+
 /// Loses the owner together with some of the machines, and checks each job that can have no run there while the others have room.
 fn run_loss_with_owner(u: &mut Unstructured<'_>) -> Result<()> {
     let rng = Rng::with_seed(u.arbitrary()?);
