--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -83,7 +83,7 @@
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::Recovery,
         Self::CrashNotStored,
         Self::Backoff,
