Drop agents from the record of a job once its ends there are stored

The records rightly named both workers, and nothing shrank them afterwards, because a record was rewritten only for a new agent or a job without any run.

--- a/components/graph/src/changes.rs
+++ b/components/graph/src/changes.rs
@@ -77,5 +77,7 @@
                 .unstored_ends
                 .retain(|(_, id, needed)| *id != job.id || *needed > job.stored_version);
         }
+        let id = job.id;
+        self.note_stored_end(id);
     }
 }
--- a/components/graph/src/records.rs
+++ b/components/graph/src/records.rs
@@ -88,11 +88,15 @@
         Some(agents)
     }
 
-    /// Takes an empty record to store in place of one that names agents without any runs.
-    fn submit_empty(&mut self) -> IndexSet<AgentId> {
-        self.stored.clear();
-        self.submitted = Some(IndexSet::new());
-        IndexSet::new()
+    /// Takes the agents to store that are selected, if the stored record names others as well.
+    fn submit_shrunk(&mut self, selected: impl Fn(&AgentId) -> bool) -> Option<IndexSet<AgentId>> {
+        let before = self.stored.len();
+        self.stored.retain(selected);
+        if self.stored.len() == before {
+            return None;
+        }
+        self.submitted = Some(self.stored.clone());
+        self.submitted.clone()
     }
 
     /// Records that the write was carried out; returns since when placements waited for it.
@@ -115,8 +119,10 @@
     reliable: bool,
     /// Jobs whose records lack agents.
     due: IndexSet<JobId>,
-    /// Jobs without runs whose records name agents.
-    idle: IndexSet<JobId>,
+    /// Jobs with a stored end since the records were last compared with the runs.
+    ended_runs: IndexSet<JobId>,
+    /// Jobs whose records may name agents without runs.
+    outdated: IndexSet<JobId>,
 }
 
 impl Records {
@@ -190,40 +196,46 @@
         changes
     }
 
-    /// Takes the records of jobs that have had no run for a while, so that these jobs wait for no agent after a takeover.
+    /// Takes the records that name agents without runs, so that their jobs do not wait for these agents after a takeover.
     fn take_outdated_records(&mut self, limit: usize, changes: &mut Vec<PlacementChange>) {
-        for id in std::mem::take(&mut self.records.idle) {
-            if changes.len() >= limit {
-                self.records.idle.insert(id);
-                continue;
-            }
+        for id in std::mem::take(&mut self.records.outdated) {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let is_settled = job.end.is_none()
-                && !job.awaiting_recovery
-                && !job.record.is_being_written()
-                && job.record.wanted.is_empty();
+            // A record that lacks agents is compared when these are added.
+            if job.end.is_some() || job.awaiting_recovery || !job.record.wanted.is_empty() {
+                continue;
+            }
+            if changes.len() >= limit || job.record.is_being_written() {
+                self.records.outdated.insert(id);
+                continue;
+            }
             let workers = &self.workers;
             let may_have_runs = |agent: &AgentId| {
                 let worker = workers.get(agent);
                 worker.is_none_or(|worker| worker.may_have_runs_of(id))
             };
-            if is_settled && !job.record.stored.iter().any(may_have_runs) {
-                let agents = job.record.submit_empty();
+            if let Some(agents) = job.record.submit_shrunk(may_have_runs) {
                 changes.push(PlacementChange { job: id, agents });
             }
         }
     }
 
-    /// Notes a job that has waited for a while without any run.
-    pub(crate) fn note_idle_job(&mut self, id: JobId) {
+    /// Notes a job of which an end was stored, so that its record may name an agent without runs.
+    pub(crate) fn note_stored_end(&mut self, id: JobId) {
         let job = self.jobs.get(&id);
         if job.is_some_and(|job| !job.record.stored.is_empty()) {
-            self.records.idle.insert(id);
+            self.records.ended_runs.insert(id);
         }
     }
 
+    /// Lets the records be compared with the runs of the jobs of which ends were stored. This is done at an interval, because
+    /// most of these jobs need another agent soon, or end.
+    pub(crate) fn check_records(&mut self) {
+        let ended = std::mem::take(&mut self.records.ended_runs);
+        self.records.outdated.extend(ended);
+    }
+
     /// Records that the records of jobs that were taken last were stored.
     pub fn mark_placements_stored(&mut self, jobs: &[JobId], now: Duration) {
         for id in jobs {
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -278,6 +278,7 @@
         }
         self.waits.next_check_at = now + CHECK_INTERVAL;
         self.waits.changed = true;
+        self.check_records();
         let mut before = std::mem::take(&mut self.waits.jobs);
         let mut open = self.open_waits(&before, now);
         // Those that were determined the longest ago come first.
@@ -304,9 +305,6 @@
                 // A later check determines its reason.
                 (None, None, ..) => continue,
             };
-            if running == 0 {
-                self.note_idle_job(id);
-            }
             let checked_at = earlier.as_ref().map_or(now, |recorded| recorded.checked_at);
             self.waits.jobs.insert(
                 id,
--- a/components/graph/tests/recovery.rs
+++ b/components/graph/tests/recovery.rs
@@ -418,3 +418,31 @@
     assert!(cell.run_number(other).is_some());
     assert_eq!(cell.run_number(first_task(7)), None);
 }
+
+/// Guards against a job that stands after a takeover because its record still names an agent on which its run has ended: the
+/// end was not stored yet when the job was placed on another agent.
+#[test]
+fn takeover_holds_no_job_for_agent_of_earlier_step() {
+    let next = model::Step {
+        after: vec![0],
+        ..step(1)
+    };
+    let mut cell = cell_with_jobs(&[]);
+    cell.accept(7, job(1, vec![step(1), next]));
+    cell.plan_and_start();
+    let first = cell.agent_of(first_task(7)).expect("the task runs");
+    cell.workers[&first].report.draining = Some(ms(60_000));
+    cell.end_run(first_task(7), model::RunEnd::Done);
+    cell.plan_and_start();
+    cell.store_changes();
+    for _ in 0..2 {
+        cell.advance(ms(500));
+        cell.report_all();
+        cell.plan_and_start();
+    }
+    let second = cell.agent_of(task(7, 1, 0)).expect("the next task runs");
+    assert_ne!(first, second);
+    let mut cell = cell.take_over(2, &[&first]);
+    recover(&mut cell);
+    assert_eq!(cell.scheduler.recovery_state().jobs, 0);
+}
