review: case 10 shows tasks beyond maxPerServer on one minion

ROUTE, new: tasks of a step with maxPerServer 1 that are started again on a full fleet reserve the same minion and run there side by side.

--- a/review/standin-2/src/minion.rs
+++ b/review/standin-2/src/minion.rs
@@ -24,6 +24,8 @@
     number: u64,
     work: Duration,
     fails: bool,
+    /// The run fails if it ends before this time.
+    fails_until_ms: u64,
     started_at: Instant,
     stop_at: Option<Instant>,
 }
@@ -199,6 +201,7 @@
             number,
             work: Duration::from_millis(specification["ms"].as_u64().unwrap_or(1000)),
             fails: specification["fails"].as_bool().unwrap_or(false),
+            fails_until_ms: specification["failsUntilMs"].as_u64().unwrap_or(0),
             started_at: Instant::now(),
             stop_at: None,
         };
@@ -263,7 +266,8 @@
             } else if has_lapsed {
                 Some("lapsed")
             } else if run.started_at + run.work <= now {
-                Some(if run.fails { "failed" } else { "done" })
+                let fails = run.fails || unix_ms() < run.fails_until_ms;
+                Some(if fails { "failed" } else { "done" })
             } else {
                 None
             }
--- a/review/standin-2/src/scenarios.rs
+++ b/review/standin-2/src/scenarios.rs
@@ -3,6 +3,7 @@
 mod crash_loop;
 mod lost_with_owner;
 mod recovery_by_job;
+mod spread;
 mod waiting;
 
 use std::path::Path;
@@ -26,6 +27,7 @@
         "crash-loop" => crash_loop::run(&record, trouble),
         "lost-with-owner" => lost_with_owner::run(&record, trouble),
         "recovery-by-job" => recovery_by_job::run(&record, trouble),
+        "spread" => spread::run(&record, trouble),
         "waiting" => waiting::run(&record, trouble),
         _ => return ExitCode::from(2),
     };
