--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -42,6 +42,8 @@
 pub(crate) struct Running {
     /// When the run was first reported.
     pub(crate) started_at: Duration,
+    /// Progress of the first report: a run that resumes from a checkpoint does not begin at zero.
+    pub(crate) first_percent: u32,
     /// Progress from 0 to 100.
     pub(crate) percent: u32,
     /// When the percentage last changed.
@@ -52,6 +54,19 @@
     pub(crate) survived: Duration,
 }
 
+impl Running {
+    /// Returns the progress since the first report, in percentage points.
+    fn gained(&self) -> u32 {
+        self.percent.saturating_sub(self.first_percent)
+    }
+
+    /// Returns the time that a percentage point has taken so far; zero before any progress.
+    pub(crate) fn time_per_percent(&self) -> Duration {
+        let worked = self.progressed_at.saturating_sub(self.started_at);
+        worked.checked_div(self.gained()).unwrap_or_default()
+    }
+}
+
 /// The run is being stopped; its resources stay occupied until its end is known.
 #[derive(Debug, Clone)]
 pub(crate) struct Stopping {
@@ -83,10 +98,11 @@
 }
 
 impl Placement<Starting> {
-    fn into_running(self, now: Duration) -> Placement<Running> {
+    fn into_running(self, now: Duration, percent: u32) -> Placement<Running> {
         self.with_state(Running {
             started_at: now,
-            percent: 0,
+            first_percent: percent,
+            percent,
             progressed_at: now,
             checkpointed_at: None,
             survived: Duration::ZERO,
@@ -256,7 +272,7 @@
     /// Applies progress reported by the worker; `checkpointed` tells whether the report has a new checkpoint.
     pub(crate) fn with_progress(self, now: Duration, percent: u32, checkpointed: bool) -> Self {
         let mut placement = match self {
-            Self::Starting(placement) => placement.into_running(now),
+            Self::Starting(placement) => placement.into_running(now, percent),
             Self::Running(placement) => placement,
             stopping @ Self::Stopping(_) => return stopping,
         };
@@ -275,11 +291,11 @@
     pub(crate) fn remaining_time(&self, expected: Duration, now: Duration) -> Duration {
         let elapsed = now.saturating_sub(self.placed_at());
         match self {
-            Self::Running(placement) if placement.state.percent >= MIN_PERCENT_FOR_PACE => {
+            Self::Running(placement) if placement.state.gained() >= MIN_PERCENT_FOR_PACE => {
                 let state = &placement.state;
-                let worked = state.progressed_at.saturating_sub(state.started_at);
-                let total = worked * 100 / state.percent;
-                total.saturating_sub(now.saturating_sub(state.started_at))
+                let left = 100_u32.saturating_sub(state.percent);
+                let since_progress = now.saturating_sub(state.progressed_at);
+                (state.time_per_percent() * left).saturating_sub(since_progress)
             }
             _ => expected.saturating_sub(elapsed),
         }
