Use workers again whose agents were cut off for longer than a lease

A worker whose lease had lapsed was marked as lost again in the cycle after each of its reports, because the time of its last lease had not changed, and no lease was renewed for a lost worker. So it stayed lost until the owner changed.

Its silence is now counted from the report with which it returned, if that is later. What recovery and waits read, the time of the last lease, stays as it was. Log event worker_returned.

--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -28,6 +28,11 @@
         }
         worker.last_report_sent_at = report.sent_at;
         worker.last_report_at = now;
+        if worker.lost && !report.absent && worker.is_silent(self.settings.max_lease, now) {
+            // Otherwise the lapsed lease would make it lost again before the reply that begins the next one.
+            worker.returned_at = Some(now);
+            log::info!(target: "limpethook", agent:% = report.agent; "worker_returned");
+        }
         self.apply_crashes(report, now);
         if report.incarnation.is_none() && report.absent {
             self.apply_absence_without_contact(report, now);
@@ -405,7 +410,7 @@
         let workers = self.workers.values();
         let may_have_runs = |worker: &&Worker| !worker.lost || !worker.placements.is_empty();
         let lapsed = workers.filter(may_have_runs);
-        let lapsed = lapsed.filter(|worker| worker.has_lapsed(max_lease, now));
+        let lapsed = lapsed.filter(|worker| worker.is_silent(max_lease, now));
         let lapsed: Vec<AgentId> = lapsed.map(|worker| worker.agent.clone()).collect();
         for agent in lapsed {
             // No start order can be pending, because workers refuse orders that arrive after the end of their lease.
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -61,6 +61,9 @@
     ///
     /// [`max_lease`]: crate::scheduler::SchedulerSettings::max_lease
     pub(crate) last_renewed_at: Duration,
+    /// When the worker last reported again after its lease had lapsed. Its next lease begins with the reply to that report,
+    /// so that no lease can lapse before as long after this.
+    pub(crate) returned_at: Option<Duration>,
     /// `sent_at` of the latest report.
     pub(crate) last_report_sent_at: Duration,
     /// When the latest report arrived.
@@ -106,6 +109,7 @@
             runs_known: false,
             lost: false,
             last_renewed_at: now,
+            returned_at: None,
             last_report_sent_at: Duration::ZERO,
             last_report_at: now,
             placements: IndexMap::new(),
@@ -128,6 +132,13 @@
         now > self.last_renewed_at + lapse_after(max_lease)
     }
 
+    /// Returns whether the worker is silent: the lease has lapsed that this owner last let the agent renew, and so has one that
+    /// it could have begun since the worker reported again.
+    pub(crate) fn is_silent(&self, max_lease: Duration, now: Duration) -> bool {
+        let returned_at = self.returned_at.unwrap_or(Duration::ZERO);
+        self.has_lapsed(max_lease, now) && now > returned_at + lapse_after(max_lease)
+    }
+
     /// Returns whether the worker may have runs of a job, or its agent has an end or a crash of it that is not stored yet.
     pub(crate) fn may_have_runs_of(&self, job: JobId) -> bool {
         let mut placements = self.placements.keys();
