Check the spread limit when room is reserved and when it is used

The limit was checked against the tasks on a worker only, so that several units of a step reserved room on one worker, and a reservation was used although other tasks of the step had started there since. eligibility.rs decides which workers a unit may use, and how many of its tasks; candidates, reservations, probes and each placement ask it. Reserved tasks and orphan runs of the step count.

--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::{AgentId, ResourceVector, Step, TaskId};
+use model::{AgentId, ResourceVector, Step};
 
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
+use crate::eligibility::is_eligible;
 use crate::job::{Job, Unit, UnitId};
 use crate::reservations::{FleetResources, PlacementOptions, WorkerResources};
 use crate::scheduler::Scheduler;
@@ -82,16 +83,11 @@
         let (id, unit) = unit;
         let step = job.step(id);
         let task_resources = resources_per_task(step);
-        let eligible = |(_, worker): &(usize, &Worker)| {
-            worker.accepts_tasks(now)
-                && worker.service == job.policy.service
-                && has_label(worker, step.required_label.as_deref())
-        };
-        let candidate = |(index, worker)| {
-            let remaining_spread = step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
-                limit.saturating_sub(tasks_on_worker(worker, job, id))
-            });
-            let max_tasks = remaining_spread.min(unit.tasks);
+        let workers = self.workers.values().enumerate();
+        let eligible =
+            workers.filter(|(_, worker)| worker.accepts_tasks(now) && is_eligible(worker, job, id));
+        let candidates = eligible.map(|(index, worker)| {
+            let max_tasks = self.allowed_tasks(job, id, worker).min(unit.tasks);
             let free: ResourceVector = available[index];
             let blocked = is_blocked_by_trial(worker, unit, now);
             let slots = free.fit_count(task_resources).min(max_tasks);
@@ -103,9 +99,8 @@
                 slots: if blocked { 0 } else { slots },
                 max_slots: worker.capacity.fit_count(task_resources).min(max_tasks),
             }
-        };
-        let workers = self.workers.values().enumerate();
-        workers.filter(eligible).map(candidate).collect()
+        });
+        candidates.collect()
     }
 
     /// Returns how long a unit waits for the rack with its data, or for a single rack: the additional run time that it would
@@ -176,8 +171,7 @@
         let workers = self.workers.values().zip(&fleet.free);
         let usable = workers.filter(|(worker, free)| {
             worker.accepts_quarantine_probe(now)
-                && worker.service == job.policy.service
-                && has_label(worker, step.required_label.as_deref())
+                && self.allowed_tasks(job, id, worker) > 0
                 && !unit.avoided_workers.contains(&worker.agent)
                 && free.fit_count(task_resources) > 0
                 && (!job.policy.needs_approval
@@ -332,15 +326,3 @@
     }
     Some(assignment)
 }
-
-pub(crate) fn has_label(worker: &Worker, label: Option<&str>) -> bool {
-    label.is_none_or(|label| worker.labels.iter().any(|own| **own == *label))
-}
-
-/// Returns the number of tasks of the same step and occurrence on a worker.
-pub(crate) fn tasks_on_worker(worker: &Worker, job: &Job, unit: UnitId) -> u32 {
-    let same_step = |task: &&TaskId| {
-        task.job == job.id && task.step == unit.step && task.occurrence == unit.occurrence
-    };
-    u32::try_from(worker.placements.keys().filter(same_step).count()).unwrap_or(u32::MAX)
-}
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -30,6 +30,7 @@
 mod changes;
 mod crashes;
 mod drain;
+mod eligibility;
 mod ends;
 mod estimates;
 mod fit;
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -134,6 +134,18 @@
         now: Duration,
     ) -> Outcome {
         match self.decide(ready, fleet, headroom, now) {
+            Decision::Place(assignment, _) if !self.is_allowed(ready, &assignment) => {
+                // The worker of a reservation may have got other tasks of the step since.
+                log::info!(
+                    target: "limpethook",
+                    job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, first = ready.unit.first,
+                    workers:? = assignment;
+                    "reservation_not_allowed"
+                );
+                self.reservations.shift_remove(&(ready.job, ready.unit));
+                self.plan_needed = true;
+                Outcome::Waits
+            }
             Decision::Place(assignment, task_resources) => {
                 self.deduct(fleet, &assignment, task_resources);
                 self.reservations.shift_remove(&(ready.job, ready.unit));
--- a/components/graph/src/room.rs
+++ b/components/graph/src/room.rs
@@ -9,7 +9,8 @@
 use indexmap::IndexMap;
 use model::{ResourceVector, ServiceId};
 
-use crate::fit::{has_label, resources_per_task};
+use crate::eligibility::has_label;
+use crate::fit::resources_per_task;
 use crate::job::{Job, Unit, UnitId};
 use crate::reservations::FleetResources;
 use crate::scheduler::Scheduler;
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -6,9 +6,8 @@
 
 use crate::approvals::StepId;
 use crate::crashes::is_blocked_by_trial;
-use crate::fit::{
-    RACK_WAIT_FACTOR, has_label, pack_on_racks, racks_to_try, resources_per_task, tasks_on_worker,
-};
+use crate::eligibility::has_label;
+use crate::fit::{RACK_WAIT_FACTOR, pack_on_racks, racks_to_try, resources_per_task};
 use crate::headroom::headroom_deadline;
 use crate::job::{Job, Unit, UnitId};
 use crate::order::ReadyUnit;
@@ -124,9 +123,9 @@
         if !fits(&workers, &free) {
             return Some((WaitReason::Trial, None));
         }
-        if let Some(limit) = step.max_tasks_per_worker {
+        if step.max_tasks_per_worker.is_some() {
             let slots = workers.iter().map(|(index, worker)| {
-                let remaining = limit.saturating_sub(tasks_on_worker(worker, job, id));
+                let remaining = self.remaining_spread(job, id, worker);
                 fleet.free[*index].fit_count(task_resources).min(remaining)
             });
             if slots.fold(0, u32::saturating_add) < unit.tasks {
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -222,7 +222,7 @@
     }
 
     /// Returns whether new tasks may be placed on the worker unless it is quarantined.
-    fn is_available(&self) -> bool {
+    pub(crate) fn is_available(&self) -> bool {
         self.confirmed && self.runs_known && !self.lost && self.drain_deadline.is_none()
     }
 
