Start nothing in data centres that operators evacuate

The check of the configuration reads the keys of the evacuations in the same call. The owner starts nothing before a read after its election, nor when the last one is too old for a start to begin within the bound. An evacuated worker gets no new task by the mechanism that draining uses; what runs there may end. Starts that were not ordered or not answered are withdrawn, and agents drop orders that are old. Workers that are slow after their start are used last by gangs and urgent units.

--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -12,6 +12,9 @@
 
 /// Maximum number of rejected names that are kept.
 const MAX_REJECTED_NAMES: usize = 16;
+/// How long a start waits for a poll. The owner repeats its orders every 0.6 s while it wants them carried out; an older one may
+/// have been withdrawn, as by the evacuation of the data centre.
+const MAX_DEFERRAL: Duration = Duration::from_millis(1500);
 /// Maximum number of other services that are logged.
 const MAX_LOGGED_SERVICES: usize = 16;
 
@@ -100,6 +103,7 @@
         self.capacity = announcement.capacity;
         self.labels = announcement.labels;
         self.leaves_at = announcement.draining.map(|left| now + left);
+        self.cold_until = now + announcement.cold_remaining;
         before != (self.capacity, self.is_draining())
     }
 
@@ -162,6 +166,7 @@
         self.ends.clear();
         self.leaving = false;
         self.leaves_at = None;
+        self.cold_until = Duration::ZERO;
         self.sightings = Sightings::default();
         self.crashed = false;
         self.trials.clear();
@@ -226,8 +231,15 @@
     }
 
     /// Takes the starts that waited for a poll which was sent at `requested_at`. Announcements that arrived since don't hold
-    /// them up: other senders may announce all the time.
-    pub(crate) fn take_deferred_starts(&mut self, requested_at: Duration) -> Vec<DeferredStart> {
+    /// them up: other senders may announce all the time. Starts that waited for too long are dropped; the owner orders them
+    /// again if they are still wanted.
+    pub(crate) fn take_deferred_starts(
+        &mut self,
+        requested_at: Duration,
+        now: Duration,
+    ) -> Vec<DeferredStart> {
+        self.deferred_starts
+            .retain(|_, start| now <= start.received_at + MAX_DEFERRAL);
         let all = self.candidates.is_empty();
         let is_due =
             |_: &TaskRun, start: &mut DeferredStart| all || start.received_at <= requested_at;
--- a/components/cell/src/agent/mod.rs
+++ b/components/cell/src/agent/mod.rs
@@ -54,6 +54,8 @@
     pub labels: Vec<Box<str>>,
     /// Set while the worker is draining: the time left to its tasks.
     pub draining: Option<Duration>,
+    /// How much longer the worker runs slower than usual because it has just started.
+    pub cold_remaining: Duration,
 }
 
 /// A message from the worker to its agent.
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -153,7 +153,7 @@
     /// Continues after a poll that was sent at `requested_at` was answered: carries out the starts that waited for it, and
     /// rejects those that an earlier incarnation did not answer.
     pub(super) fn resume_orders(&mut self, requested_at: Duration) {
-        for start in self.state.take_deferred_starts(requested_at) {
+        for start in self.state.take_deferred_starts(requested_at, boot_now()) {
             self.start_if(true, start.order, start.body);
         }
         for run in self.state.take_stray_starts() {
--- a/components/cell/src/agent/report.rs
+++ b/components/cell/src/agent/report.rs
@@ -30,6 +30,8 @@
             ends: self.ends.clone(),
             crashes: self.crashes.iter().cloned().collect(),
             sent_at: now,
+            data_centre: self.settings.data_centre.clone(),
+            cold_remaining: self.cold_until.saturating_sub(now),
         }
     }
 
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -64,6 +64,8 @@
     pub(super) service: ServiceId,
     pub(super) capacity: ResourceVector,
     pub(super) labels: Vec<Box<str>>,
+    /// Until when the worker runs slower than usual because it has just started.
+    pub(super) cold_until: Duration,
     /// When the worker leaves, if it is draining.
     pub(super) leaves_at: Option<Duration>,
     /// Highest epoch of an owner.
@@ -138,6 +140,7 @@
             rejected_names: IndexSet::new(),
             capacity: ResourceVector::default(),
             labels: Vec::new(),
+            cold_until: Duration::ZERO,
             leaves_at: None,
             epoch: 0,
             confirmed_epoch: 0,
--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -8,6 +8,7 @@
 use wire::Leader;
 
 use crate::configuration::Configuration;
+use crate::evacuations::Evacuations;
 use crate::in_force::InForce;
 use crate::leader::LeaderHandle;
 use crate::members::Members;
@@ -33,6 +34,8 @@
     ///
     /// [`Entry::record_configuration`]: crate::entry::Entry::record_configuration
     pub(crate) in_force: Section<InForce>,
+    /// Evacuated data centres; written by the check of the configuration.
+    pub(crate) evacuations: Section<Evacuations>,
     /// Entries and owner of the cell; written by the members controller.
     pub(crate) members: Section<Members>,
     /// Newest owner announced by another entry; written by the handler of announcements.
--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -130,21 +130,23 @@
     }
 }
 
-/// Result of a check.
+/// Result of a check of the configuration and the evacuations.
 enum Check {
     Confirmed,
     Unanswered,
     Unreadable,
 }
 
-/// Reads whether the configuration has changed. The other entries are asked as well if the store takes long to answer.
+/// Reads whether the configuration or the evacuations have changed. The other entries are asked as well if the store takes long to answer.
 async fn check_once(entry: &Arc<Entry>) -> Check {
     let key = &*entry.settings.configuration_key;
     let bound = entry.settings.configuration_bound;
     let revision = entry.board.in_force.load().revision();
     let asked_at = boot_now();
     let timeout = bound / CHECK_TIMEOUT_PART;
-    let read = entry.store.read_if_changed(key, revision, timeout);
+    let mut known = vec![(key.into(), revision)];
+    known.extend(entry.evacuation_keys());
+    let read = entry.store.read_if_changed(&known, timeout);
     tokio::pin!(read);
     let first = tokio::time::timeout(bound / HEDGE_PART, &mut read).await;
     if !matches!(first, Ok(Ok(_))) {
@@ -162,12 +164,15 @@
                 at: asked_at,
             };
             entry.record_configuration(&confirmed, Some(Source::StoreRead));
+            entry.confirm_evacuations(asked_at);
             entry.record_store_result(true, &"configuration checked");
             Check::Confirmed
         }
         Ok(CheckOutcome::Changed(found)) => {
             entry.record_store_result(true, &"configuration checked");
-            if record_read(entry, found.as_ref(), asked_at) {
+            entry.record_evacuations(&found, asked_at);
+            let found = found.iter().find(|found| *found.key == *key);
+            if record_read(entry, found, asked_at) {
                 Check::Confirmed
             } else {
                 Check::Unreadable
@@ -219,7 +224,8 @@
     let Some(found) = found else {
         return true;
     };
-    if !record_found(entry, found, Source::StoreRead) {
+    let is_known = found.revision == entry.board.in_force.load().revision();
+    if !is_known && !record_found(entry, found, Source::StoreRead) {
         return false;
     }
     let confirmed = Event::Confirmed {
--- /dev/null
+++ b/components/cell/src/evacuations.rs
@@ -0,0 +1,116 @@
+//! Data centres that an operator evacuates: their workers get no new tasks.
+//!
+//! An evacuation is a key in the store, one for each data centre, which the operator removes to take the evacuation back. The
+//! check of the configuration reads these keys with it, so that they cost no call of their own.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use model::{DataCentreId, Revision};
+use store::{Key, KvPair};
+
+use crate::clock::boot_now;
+use crate::entry::Entry;
+use crate::settings::EvacuationSettings;
+
+/// Time from the decision of the owner to start a task until the last attempt of the agent to start it.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// What is known of the evacuations.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Evacuations {
+    /// Revisions of the keys of the evacuated data centres.
+    revisions: IndexMap<DataCentreId, Revision>,
+    /// When the evacuations were last confirmed to be these, on the boot clock.
+    confirmed_at: Option<Duration>,
+}
+
+impl Evacuations {
+    /// Returns the evacuated data centres.
+    pub(crate) fn data_centres(&self) -> IndexSet<DataCentreId> {
+        self.revisions.keys().cloned().collect()
+    }
+
+    /// Returns whether the evacuations were confirmed after `since`, and recently enough for the tasks that are started now to
+    /// begin within the bound of an evacuation that is not known yet.
+    pub(crate) fn allow_starts(&self, since: Duration, bound: Duration, now: Duration) -> bool {
+        let limit = bound.saturating_sub(START_TIME).max(bound / 4);
+        self.confirmed_at
+            .is_some_and(|at| at >= since && now <= at + limit)
+    }
+
+    /// Returns the state after a read that began at `asked_at` and found these keys among those of the settings.
+    fn after_read(
+        &self,
+        settings: &EvacuationSettings,
+        found: &[KvPair],
+        asked_at: Duration,
+    ) -> Self {
+        let revision = |data_centre: &DataCentreId| {
+            let key = settings.key(data_centre);
+            let found = found.iter().find(|found| found.key == key)?;
+            Some((data_centre.clone(), found.revision))
+        };
+        Self {
+            revisions: settings.data_centres.iter().filter_map(revision).collect(),
+            confirmed_at: self.confirmed_at.max(Some(asked_at)),
+        }
+    }
+
+    fn after_confirmation(&self, asked_at: Duration) -> Self {
+        Self {
+            confirmed_at: self.confirmed_at.max(Some(asked_at)),
+            ..self.clone()
+        }
+    }
+}
+
+impl Entry {
+    /// Returns the keys of the evacuations with their known revisions; none if the deployment has no evacuations.
+    pub(crate) fn evacuation_keys(&self) -> Vec<(Key, Revision)> {
+        let Some(settings) = &self.settings.evacuations else {
+            return Vec::new();
+        };
+        let known = self.board.evacuations.load();
+        let with_revision = |data_centre: &DataCentreId| {
+            let revision = known.revisions.get(data_centre).copied();
+            (settings.key(data_centre), revision.unwrap_or(0))
+        };
+        settings.data_centres.iter().map(with_revision).collect()
+    }
+
+    /// Records that the keys had the known revisions at some time after `asked_at`.
+    pub(crate) fn confirm_evacuations(&self, asked_at: Duration) {
+        if self.settings.evacuations.is_some() {
+            let confirmed = self.board.evacuations.load().after_confirmation(asked_at);
+            self.board.evacuations.publish(confirmed);
+        }
+    }
+
+    /// Records the existing keys among those that were read at some time after `asked_at`.
+    pub(crate) fn record_evacuations(&self, found: &[KvPair], asked_at: Duration) {
+        let Some(settings) = &self.settings.evacuations else {
+            return;
+        };
+        let before = self.board.evacuations.snapshot();
+        let after = before.after_read(settings, found, asked_at);
+        if after.revisions != before.revisions {
+            log::warn!(
+                target: "limpethook",
+                data_centres:? = after.data_centres(), before:? = before.data_centres(),
+                read_ms = boot_now().saturating_sub(asked_at).as_millis();
+                "evacuations_changed"
+            );
+        }
+        self.board.evacuations.publish(after);
+    }
+
+    /// Returns whether an owner that was elected at `since` knows the evacuations well enough to start tasks.
+    pub(crate) fn evacuations_allow_starts(&self, since: Duration, now: Duration) -> bool {
+        let Some(settings) = &self.settings.evacuations else {
+            return true;
+        };
+        let known = self.board.evacuations.load();
+        known.allow_starts(since, settings.bound, now)
+    }
+}
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -65,6 +65,8 @@
     roster_revision: Revision,
     awaiting_roster: Vec<(WorkerReport, oneshot::Sender<Instructions>)>,
     configuration: Arc<Configuration>,
+    /// When this owner started, on the boot clock.
+    started_at: Duration,
     /// Version of the job states that were last published.
     published_version: Option<u64>,
 }
@@ -112,6 +114,8 @@
             pending_agents = recovery.agents, records_reliable = relies_on_records;
             "owner_starts"
         );
+        // What is known of the evacuations may be older than this owner.
+        entry.check_requested.notify_one();
         let writer = Writer::new(Arc::clone(&entry), handle.clone());
         writer.delete_placements(&loaded.stale_placements);
         Self {
@@ -128,6 +132,7 @@
             roster_revision: loaded.roster_revision,
             awaiting_roster: Vec::new(),
             configuration: Arc::default(),
+            started_at: now,
             published_version: None,
         }
     }
@@ -151,6 +156,8 @@
             }
         }
         self.entry.metrics.recovering_jobs.set(0);
+        self.entry.metrics.evacuated_workers.set(0);
+        self.entry.metrics.missing_guarantees.set(0);
         self.entry.board.states.publish(JobStates::default());
         self.publish_waits(std::iter::empty(), &IndexMap::new(), Duration::ZERO);
     }
@@ -238,13 +245,15 @@
         }
     }
 
-    fn is_valid(&self, now: Duration) -> bool {
+    /// Returns whether this owner may start tasks: its lease can't have lapsed, and it knows the evacuated data centres.
+    fn may_start(&self, now: Duration) -> bool {
         let until = self.handle.valid_until_ms.load(Ordering::Acquire);
         now < Duration::from_millis(until)
+            && self.entry.evacuations_allow_starts(self.started_at, now)
     }
 
     fn send_instructions(&mut self, agent: &AgentId, pending: PendingReport, now: Duration) {
-        let starts = self.is_valid(now);
+        let starts = self.may_start(now);
         let instructions = self
             .scheduler
             .instructions(agent, pending.report_sent_at, starts, now);
@@ -255,9 +264,10 @@
     fn run_cycle(&mut self) {
         let now = boot_now();
         self.apply_configuration();
+        self.apply_evacuations(now);
         self.scheduler.expire_leases(now);
         self.scheduler.try_end_recovery(now);
-        if self.is_valid(now) {
+        if self.may_start(now) {
             self.scheduler.plan(now, wall_now());
             self.ask_advisor(now);
         }
@@ -355,6 +365,20 @@
         self.configuration = configuration;
     }
 
+    fn apply_evacuations(&mut self, now: Duration) {
+        if self.entry.settings.evacuations.is_none() {
+            return;
+        }
+        let data_centres = self.entry.board.evacuations.load().data_centres();
+        self.scheduler.set_evacuations(&data_centres, now);
+        let state = self.scheduler.evacuation_state();
+        let metrics = &self.entry.metrics;
+        let workers = i64::try_from(state.workers).unwrap_or(i64::MAX);
+        metrics.evacuated_workers.set(workers);
+        let missing = i64::from(state.missing_accelerators);
+        metrics.missing_guarantees.set(missing);
+    }
+
     /// Asks for a check of the configuration if another entry accepted a job by a policy that this one does not know.
     fn compare_policy(&self, job: &AcceptedJob) {
         let mut routes = self.configuration.routes.iter();
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -40,6 +40,10 @@
     pub configuration: IntCounterVec,
     /// Number of jobs that the owner does not place before recovery has ended for them.
     pub recovering_jobs: IntGauge,
+    /// Number of workers in evacuated data centres; 0 if this entry is not the owner.
+    pub evacuated_workers: IntGauge,
+    /// Guaranteed accelerators beyond those that evacuations leave; 0 if this entry is not the owner.
+    pub missing_guarantees: IntGauge,
     /// Time from the start of an owner to the end of its recovery in seconds.
     pub recovery_seconds: Histogram,
     /// Time that starts wait for the records of their placements in seconds.
@@ -104,6 +108,14 @@
                 "limpethook_recovering_jobs",
                 "Jobs that are not placed before recovery has ended for them",
             )?,
+            evacuated_workers: gauge(
+                "limpethook_evacuated_workers",
+                "Workers in evacuated data centres",
+            )?,
+            missing_guarantees: gauge(
+                "limpethook_evacuated_guaranteed_accelerators",
+                "Guaranteed accelerators beyond those that evacuations leave",
+            )?,
             recovery_seconds: histogram(
                 "limpethook_recovery_seconds",
                 "Time from the start of an owner to the end of its recovery",
--- a/components/cell/src/settings.rs
+++ b/components/cell/src/settings.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use graph::SchedulerSettings;
-use model::{AgentId, EntryId, ServiceId};
+use model::{AgentId, DataCentreId, EntryId, ServiceId};
+use store::Key;
 
 /// Settings of an entry.
 #[derive(Debug, Clone)]
@@ -21,6 +22,8 @@
     pub configuration_key: Box<str>,
     /// How long after a configuration was stored requests may still be handled by an earlier one.
     pub configuration_bound: Duration,
+    /// Evacuations of data centres, if the deployment has them.
+    pub evacuations: Option<EvacuationSettings>,
     /// Settings of the scheduler.
     pub scheduler: SchedulerSettings,
     /// How long the record of a job is kept after the job has ended.
@@ -31,6 +34,24 @@
     pub handover_time: Duration,
 }
 
+/// Settings of the evacuations of data centres.
+#[derive(Debug, Clone)]
+pub struct EvacuationSettings {
+    /// Prefix of the store keys; the name of the data centre follows.
+    pub key_prefix: Box<str>,
+    /// All data centres of the deployment.
+    pub data_centres: Vec<DataCentreId>,
+    /// How long after an evacuation was stored tasks may still start in its data centre.
+    pub bound: Duration,
+}
+
+impl EvacuationSettings {
+    /// Returns the store key of a data centre.
+    pub(crate) fn key(&self, data_centre: &str) -> Key {
+        format!("{}{data_centre}", self.key_prefix).into()
+    }
+}
+
 /// Settings of an agent.
 #[derive(Debug, Clone)]
 pub struct AgentSettings {
@@ -38,6 +59,8 @@
     pub agent: AgentId,
     /// Service that the worker belongs to.
     pub service: ServiceId,
+    /// Data centre of the agent and its worker; empty if it is not known.
+    pub data_centre: DataCentreId,
     /// Addresses of entries to contact at the start; some may no longer exist.
     pub seeds: Vec<SocketAddr>,
     /// Longest lease that the worker grants.
--- a/components/cell/tests/agent/main.rs
+++ b/components/cell/tests/agent/main.rs
@@ -39,6 +39,7 @@
         },
         labels: vec!["a".into()],
         draining: None,
+        cold_remaining: Duration::ZERO,
     })
 }
 
@@ -129,6 +130,7 @@
     let settings = AgentSettings {
         agent: "agent".into(),
         service: "optics".into(),
+        data_centre: "east".into(),
         seeds: vec![entry.addr],
         max_lease: Duration::from_secs(6),
     };
@@ -161,6 +163,7 @@
     let settings = AgentSettings {
         agent: "agent".into(),
         service: "optics".into(),
+        data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease: Duration::from_secs(6),
     };
@@ -196,6 +199,7 @@
     let settings = AgentSettings {
         agent: "agent".into(),
         service: "optics".into(),
+        data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease: Duration::from_secs(6),
     };
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -29,6 +29,7 @@
     let settings = cell::AgentSettings {
         agent: "agent".into(),
         service: "optics".into(),
+        data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease,
     };
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -82,6 +82,7 @@
         processor_share: 1.0,
         seeds,
         configuration_key: CONFIGURATION_KEY.into(),
+        evacuations: None,
         configuration_bound: BOUND,
         scheduler: scheduler_settings(),
         retention: Duration::from_mins(2),
--- a/components/cell/tests/configuration/store.rs
+++ b/components/cell/tests/configuration/store.rs
@@ -9,7 +9,7 @@
 use errors::{Error, ErrorKind, Result};
 use model::Revision;
 use store::{
-    Change, CheckOutcome, CommitOutcome, KvPair, KvStore, LeaseId, Listing, Precondition,
+    Change, CheckOutcome, CommitOutcome, Key, KvPair, KvStore, LeaseId, Listing, Precondition,
     Transaction, TransactionStore, WatchOutcome, WriteOutcome,
 };
 
@@ -190,14 +190,13 @@
 
     async fn read_if_changed(
         &self,
-        key: &str,
-        known: Revision,
+        known: &[(Key, Revision)],
         timeout: Duration,
     ) -> Result<CheckOutcome> {
         self.check_silent(timeout).await?;
         self.calls.fetch_add(1, Ordering::Relaxed);
         let delay = self.check_ms.load(Ordering::Acquire);
         tokio::time::sleep(Duration::from_millis(delay)).await;
-        self.inner.read_if_changed(key, known, timeout).await
+        self.inner.read_if_changed(known, timeout).await
     }
 }
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -65,6 +65,7 @@
         processor_share,
         seeds,
         configuration_key: CONFIGURATION_KEY.into(),
+        evacuations: None,
         configuration_bound: Duration::from_millis(2_500),
         scheduler: scheduler_settings(),
         retention: Duration::from_mins(2),
@@ -188,6 +189,8 @@
         ends: Vec::new(),
         crashes: Vec::new(),
         sent_at: Duration::ZERO,
+        data_centre: Box::default(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
@@ -445,6 +448,8 @@
         ends: Vec::new(),
         crashes: Vec::new(),
         sent_at,
+        data_centre: Box::default(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/takeover.rs
@@ -61,6 +61,7 @@
             processor_share: 1.0,
             seeds: Vec::new(),
             configuration_key: "operator/configuration".into(),
+            evacuations: None,
             configuration_bound: Duration::from_millis(2_500),
             scheduler: scheduler_settings(),
             retention: Duration::from_mins(2),
@@ -166,6 +167,8 @@
         ends: Vec::new(),
         crashes: Vec::new(),
         sent_at: cell::clock::boot_now(),
+        data_centre: Box::default(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -140,7 +140,10 @@
                 levels.find_map(|workers| pack_on_rack(workers, rack.as_deref(), 1))
             })
         } else {
-            pack_on_racks(&sound, &racks, unit.1.tasks)
+            let warm = sound.iter().copied();
+            let warm: Vec<_> = warm.filter(|c| !c.worker.is_cold(now)).collect();
+            let on_warm = pack_on_racks(&warm, &racks, unit.1.tasks);
+            on_warm.or_else(|| pack_on_racks(&sound, &racks, unit.1.tasks))
         };
         let may_wait = !options.takes_any_place;
         if assignment.is_some() || (may_wait && waits_for_sound_workers(job, unit, &sound, now)) {
--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -21,6 +21,7 @@
             return false;
         };
         let unsent = |placement: &AnyPlacement| match placement {
+            AnyPlacement::Starting(_) if worker.evacuated_since.is_some() => false,
             AnyPlacement::Starting(placement) => {
                 needs_sending(placement.state.sent_at, now)
                     && is_recorded(&self.jobs, placement.job, &worker.agent)
@@ -77,6 +78,8 @@
         if !worker.confirmed {
             return instructions;
         }
+        // A start that was ordered before the evacuation is not sent again.
+        let may_start = may_start && worker.evacuated_since.is_none();
         worker.acknowledged_sequence = acknowledgeable_sequence(worker);
         instructions.acknowledged = worker.acknowledged_sequence;
         let mut starting = Vec::new();
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -66,6 +66,7 @@
             }
             self.stop_hanging_runs(now);
             self.stop_unanswered_starts(now);
+            self.withdraw_evacuated_starts(now);
         }
         self.plan_needed = false;
         self.drop_stale_reservations(now);
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -52,6 +52,7 @@
             return;
         };
         let capacity_changed = worker.capacity != report.capacity;
+        worker.evacuated_since = self.evacuated.get(&report.data_centre).copied();
         self.plan_needed |= update_description(worker, report, now);
         if capacity_changed {
             self.withdraw_starts_beyond_capacity(&report.agent);
@@ -508,6 +509,8 @@
         );
     }
     worker.name = report.name.clone();
+    worker.data_centre = report.data_centre.clone();
+    worker.cold_until = now + report.cold_remaining;
     worker.service = report.service.clone();
     worker.capacity = report.capacity;
     worker.labels.clone_from(&report.labels);
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -5,8 +5,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AcceptedJob, AccountId, AgentId, Epoch, JobEnd, JobId, JobState, QueueId, QueuePolicy,
-    ResourceVector, RunNumber, ServiceId,
+    AcceptedJob, AccountId, AgentId, DataCentreId, Epoch, JobEnd, JobId, JobState, QueueId,
+    QueuePolicy, ResourceVector, RunNumber, ServiceId,
 };
 
 use crate::approvals::{Approvals, StepId};
@@ -86,6 +86,8 @@
     /// Guaranteed accelerators by client account.
     pub(crate) guarantees: IndexMap<AccountId, u32>,
     pub(crate) reservations: IndexMap<UnitKey, Reservation>,
+    /// The evacuated data centres, and since when this owner knows of each evacuation.
+    pub(crate) evacuated: IndexMap<DataCentreId, Duration>,
     /// Approvals by the external advisor, for steps of queues that require them.
     pub(crate) approvals: IndexMap<StepId, Approvals>,
     /// Resource demand of recent urgent jobs.
@@ -151,6 +153,7 @@
             queues: IndexMap::new(),
             guarantees: IndexMap::new(),
             reservations: IndexMap::new(),
+            evacuated: IndexMap::new(),
             approvals: IndexMap::new(),
             urgent_demand: UrgentDemand::default(),
             estimates: Estimates::default(),
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -106,6 +106,10 @@
         if !fits(&workers, &free) {
             return Some((WaitReason::Draining, None));
         }
+        workers.retain(|(_, worker)| worker.evacuated_since.is_none());
+        if !fits(&workers, &free) {
+            return Some((WaitReason::Evacuated, None));
+        }
         let quarantines = workers.iter().map(|(_, worker)| worker.quarantined_until);
         let until = quarantines.max();
         workers.retain(|(_, worker)| now >= worker.quarantined_until);
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -48,6 +48,8 @@
     Unconfirmed,
     /// Workers with room are about to shut down.
     Draining,
+    /// Workers with room are in data centres that are evacuated.
+    Evacuated,
     /// Workers with room are quarantined.
     Quarantined,
     /// Workers with room are not approved by the advisor.
@@ -83,7 +85,7 @@
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Recovery,
         Self::CrashNotStored,
         Self::Backoff,
@@ -93,6 +95,7 @@
         Self::StopPending,
         Self::Unconfirmed,
         Self::Draining,
+        Self::Evacuated,
         Self::Quarantined,
         Self::NotApproved,
         Self::Trial,
@@ -134,6 +137,7 @@
             Self::StopPending => "stop_pending",
             Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::Quarantined => "quarantined",
             Self::NotApproved => "not_approved",
             Self::Trial => "trial",
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use model::{AgentId, Incarnation, JobId, ResourceVector, ServiceId, TaskId, TaskRun};
+use model::{
+    AgentId, DataCentreId, Incarnation, JobId, ResourceVector, ServiceId, TaskId, TaskRun,
+};
 
 use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
@@ -45,6 +47,12 @@
     /// Total resources.
     pub(crate) capacity: ResourceVector,
     pub(crate) labels: Vec<Box<str>>,
+    /// The data centre; empty if it is not known.
+    pub(crate) data_centre: DataCentreId,
+    /// Since when its data centre is known to be evacuated.
+    pub(crate) evacuated_since: Option<Duration>,
+    /// Until when the worker runs slower than usual because it has just started.
+    pub(crate) cold_until: Duration,
     /// When the worker shuts down, set while it drains.
     pub(crate) drain_deadline: Option<Duration>,
     /// Whether the worker confirmed the epoch of this owner; it gets no orders before.
@@ -104,6 +112,9 @@
             incarnation: None,
             capacity: ResourceVector::default(),
             labels: Vec::new(),
+            data_centre: Box::default(),
+            evacuated_since: None,
+            cold_until: Duration::ZERO,
             drain_deadline: None,
             confirmed: false,
             runs_known: false,
@@ -223,7 +234,13 @@
 
     /// Returns whether new tasks may be placed on the worker unless it is quarantined.
     pub(crate) fn is_available(&self) -> bool {
-        self.confirmed && self.runs_known && !self.lost && self.drain_deadline.is_none()
+        let is_leaving = self.drain_deadline.is_some() || self.evacuated_since.is_some();
+        self.confirmed && self.runs_known && !self.lost && !is_leaving
+    }
+
+    /// Returns whether the worker runs slower than usual because it has just started.
+    pub(crate) fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
     }
 
     /// Returns whether the worker is quarantined and has no runs, so that a task may probe it.
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -141,6 +141,8 @@
             ends: Vec::new(),
             crashes: Vec::new(),
             sent_at: Duration::ZERO,
+            data_centre: Box::default(),
+            cold_remaining: Duration::ZERO,
         },
         next_end_sequence: 1,
         started_at: IndexMap::new(),
--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -287,6 +287,8 @@
                 ends: Vec::new(),
                 crashes: Vec::new(),
                 sent_at: Duration::ZERO,
+                data_centre: Box::default(),
+                cold_remaining: Duration::ZERO,
             };
             let worker = SimulatedWorker {
                 report,
--- a/components/graph/tests/takeovers/machine.rs
+++ b/components/graph/tests/takeovers/machine.rs
@@ -325,6 +325,8 @@
             ends: worker.ends.clone(),
             crashes: Vec::new(),
             sent_at: now,
+            data_centre: Box::default(),
+            cold_remaining: Duration::ZERO,
         })
     }
 }
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::{ResourceVector, RunEnd, TaskId, TaskRun};
-use crate::ids::{AgentId, Epoch, Incarnation, JobId, RunNumber, ServiceId};
+use crate::ids::{AgentId, DataCentreId, Epoch, Incarnation, JobId, RunNumber, ServiceId};
 
 /// Why a worker refused to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,6 +121,10 @@
     pub crashes: Vec<WorkerCrash>,
     /// When the report was created, by the boot clock of the agent.
     pub sent_at: Duration,
+    /// Data centre of the worker; empty if it is not known.
+    pub data_centre: DataCentreId,
+    /// How much longer the worker runs slower than usual because it has just started.
+    pub cold_remaining: Duration,
 }
 
 /// An order to start a task.
--- a/components/store/src/kv.rs
+++ b/components/store/src/kv.rs
@@ -172,10 +172,10 @@
 /// The result of a read that depends on a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CheckOutcome {
-    /// The key still has the given revision.
+    /// All keys still have the given revisions.
     Unchanged,
-    /// The key has another revision, or no longer exists.
-    Changed(Option<KvPair>),
+    /// A key has another revision: the existing keys among them, in their current state.
+    Changed(Vec<KvPair>),
 }
 
 /// A key-value service with transactions.
@@ -185,24 +185,21 @@
     /// effect later.
     async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome>;
 
-    /// Reads the newest value of a key unless it has this revision; 0 means that the key does not exist. The size of the
-    /// response does not depend on the value if it has not changed.
+    /// Reads the newest values of keys unless all of them have these revisions; 0 means that the key does not exist. The size
+    /// of the response does not depend on the values if none has changed.
     ///
     /// Fails if no response begins within the timeout.
     async fn read_if_changed(
         &self,
-        key: &str,
-        known: Revision,
+        known: &[(Key, Revision)],
         _timeout: Duration,
     ) -> Result<CheckOutcome> {
         let transaction = Transaction {
-            preconditions: vec![(key.into(), known)],
+            preconditions: known.to_vec(),
             ..Transaction::default()
         };
         Ok(match self.commit(&transaction).await? {
-            CommitOutcome::Conflict { current } => {
-                CheckOutcome::Changed(current.into_iter().next())
-            }
+            CommitOutcome::Conflict { current } => CheckOutcome::Changed(current),
             CommitOutcome::Written { .. } | CommitOutcome::LeaseExpired => CheckOutcome::Unchanged,
         })
     }
