--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -53,111 +53,127 @@
 impl Metrics {
     /// Creates and registers all metrics.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
-        };
-        let histogram = |name: &str, help: &str| {
-            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(opts)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let gauges = |name: &str, help: &str, label: &str| {
-            let gauges = GaugeVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok::<_, prometheus::Error>(gauges)
-        };
-        let waiting_jobs = IntGaugeVec::new(
-            Opts::new(
+        let registrar = Registrar(Registry::new());
+        Ok(Self {
+            waiting_jobs: registrar.int_gauges(
                 "limpethook_waiting_jobs",
                 "Jobs that have waited for at least a second",
-            ),
-            &["reason"],
-        )?;
-        registry.register(Box::new(waiting_jobs.clone()))?;
-        Ok(Self {
-            waiting_jobs,
-            longest_wait: gauges(
+                "reason",
+            )?,
+            longest_wait: registrar.gauges(
                 "limpethook_longest_wait_seconds",
                 "Longest wait of a job that has waited for at least a second",
                 "reason",
             )?,
-            configuration_version: gauge(
+            configuration_version: registrar.gauge(
                 "limpethook_configuration_version",
                 "Version of the configuration in force",
             )?,
-            configuration_confirmed: gauges(
+            configuration_confirmed: registrar.gauges(
                 "limpethook_configuration_confirmed_age_seconds",
                 "Time since a source was asked for a newer configuration and answered",
                 "source",
             )?,
-            configuration: counters(
+            configuration: registrar.counters(
                 "limpethook_configuration_events_total",
                 "Events of the configuration",
                 &["event"],
             )?,
-            recovering_jobs: gauge(
+            recovering_jobs: registrar.gauge(
                 "limpethook_recovering_jobs",
                 "Jobs that are not placed before recovery has ended for them",
             )?,
-            evacuated_workers: gauge(
+            evacuated_workers: registrar.gauge(
                 "limpethook_evacuated_workers",
                 "Workers in evacuated data centres",
             )?,
-            missing_guarantees: gauge(
+            missing_guarantees: registrar.gauge(
                 "limpethook_evacuated_guaranteed_accelerators",
                 "Guaranteed accelerators beyond those that evacuations leave",
             )?,
-            recovery_seconds: histogram(
+            recovery_seconds: registrar.histogram(
                 "limpethook_recovery_seconds",
                 "Time from the start of an owner to the end of its recovery",
             )?,
-            record_seconds: histogram(
+            record_seconds: registrar.histogram(
                 "limpethook_placement_record_seconds",
                 "Time that starts wait for the records of their placements",
             )?,
-            requests: counters(
+            requests: registrar.counters(
                 "limpethook_job_requests_total",
                 "Requests of clients about jobs",
                 &["call", "outcome"],
             )?,
-            dependencies: counters(
+            dependencies: registrar.counters(
                 "limpethook_dependency_changes_total",
                 "Lost and regained dependencies",
                 &["dependency", "change"],
             )?,
-            owner: counters(
+            owner: registrar.counters(
                 "limpethook_owner_events_total",
                 "Events of the owner",
                 &["event"],
             )?,
-            worker_crashes: counters(
+            worker_crashes: registrar.counters(
                 "limpethook_worker_crashes_total",
                 "Crashes of workers",
                 &["suspects"],
             )?,
-            runs_removed: counters(
+            runs_removed: registrar.counters(
                 "limpethook_runs_removed_total",
                 "Runs taken for ended without a report of their end",
                 &["reason"],
             )?,
-            submit_seconds: histogram(
+            submit_seconds: registrar.histogram(
                 "limpethook_job_submit_seconds",
                 "Time from a submission to its answer",
             )?,
-            start_seconds: histogram(
+            start_seconds: registrar.histogram(
                 "limpethook_job_start_seconds",
                 "Time from the acceptance of a job to its first running task",
             )?,
-            registry,
+            registry: registrar.0,
         })
     }
 }
+
+/// Creates metrics and registers them.
+struct Registrar(Registry);
+
+impl Registrar {
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<IntCounterVec> {
+        let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(counters.clone()))?;
+        Ok(counters)
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> prometheus::Result<Histogram> {
+        let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        let histogram = Histogram::with_opts(opts)?;
+        self.0.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+        let gauge = IntGauge::new(name, help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
+    fn gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<GaugeVec> {
+        let gauges = GaugeVec::new(Opts::new(name, help), &[label])?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
+    fn int_gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+}
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use cell::EntrySettings;
 use errors::{Error, ErrorKind, Result};
 use graph::SchedulerSettings;
 use indexmap::IndexMap;
@@ -27,6 +28,8 @@
     changed: Notify,
     /// Whether all calls are refused.
     pub(crate) is_down: AtomicBool,
+    /// Whether transactions without changes, which only read, are refused.
+    pub(crate) refuses_checks: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -62,6 +65,24 @@
     }
 }
 
+/// Returns the settings of an entry on a free address, for a deployment without evacuations.
+pub(crate) fn entry_settings() -> EntrySettings {
+    let addr = free_addr();
+    EntrySettings {
+        entry: format!("entry-{}", addr.port()).into(),
+        addr,
+        processor_share: 1.0,
+        seeds: Vec::new(),
+        configuration_key: "operator/configuration".into(),
+        evacuations: None,
+        configuration_bound: Duration::from_millis(2_500),
+        scheduler: scheduler_settings(),
+        retention: Duration::from_mins(2),
+        min_store_lease: Duration::from_secs(1),
+        handover_time: Duration::from_secs(5),
+    }
+}
+
 /// Returns a loopback address with a free port.
 pub(crate) fn free_addr() -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback is available");
@@ -188,6 +209,10 @@
 impl TransactionStore for MemoryStore {
     async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome> {
         self.check_up()?;
+        let is_check = transaction.puts.is_empty() && transaction.deletes.is_empty();
+        if is_check && self.refuses_checks.load(Ordering::Acquire) {
+            return Err(Error::not_run(ErrorKind::Timeout, "the check is not answered").report());
+        }
         let mut state = self.state.lock().expect("lock is not poisoned");
         let mut expected = transaction.preconditions.iter();
         if expected.any(|(key, revision)| state.revision_of(key) != *revision) {
@@ -197,7 +222,7 @@
                 current: current.collect(),
             });
         }
-        if transaction.puts.is_empty() && transaction.deletes.is_empty() {
+        if is_check {
             let revision = state.revision;
             return Ok(CommitOutcome::Written { revision });
         }
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -12,7 +12,7 @@
 
 use ::store::{KvStore, Precondition};
 use cell::{AccountTokens, Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
+use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
 use errors::{Error, ErrorKind, Result};
 use model::{AcceptedJob, JobGraph, QueueId, QueuePolicy, Step};
 use tokio_util::sync::CancellationToken;
@@ -75,19 +75,10 @@
 }
 
 async fn start_entry(store: Arc<FaultyStore>, seeds: Vec<SocketAddr>) -> Result<Started> {
-    let addr = free_addr();
     let settings = EntrySettings {
-        entry: format!("entry-{}", addr.port()).into(),
-        addr,
-        processor_share: 1.0,
         seeds,
-        configuration_key: CONFIGURATION_KEY.into(),
-        evacuations: None,
         configuration_bound: BOUND,
-        scheduler: scheduler_settings(),
-        retention: Duration::from_mins(2),
-        min_store_lease: Duration::from_secs(1),
-        handover_time: Duration::from_secs(5),
+        ..entry_settings()
     };
     let shutdown = CancellationToken::new();
     let client = Arc::clone(&store) as Arc<dyn ::store::TransactionStore>;
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
+use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
 use errors::{Error, ErrorKind, Result};
 use graph::{Progress, UnitProgress};
 use model::{
@@ -61,16 +61,9 @@
 ) -> Result<(Arc<Entry>, CancellationToken)> {
     let settings = EntrySettings {
         entry: name.into(),
-        addr: free_addr(),
         processor_share,
         seeds,
-        configuration_key: CONFIGURATION_KEY.into(),
-        evacuations: None,
-        configuration_bound: Duration::from_millis(2_500),
-        scheduler: scheduler_settings(),
-        retention: Duration::from_mins(2),
-        min_store_lease: Duration::from_secs(1),
-        handover_time: Duration::from_secs(5),
+        ..entry_settings()
     };
     let shutdown = CancellationToken::new();
     let store = Arc::clone(store) as Arc<dyn store::TransactionStore>;
--- /dev/null
+++ b/components/cell/tests/evacuation.rs
@@ -0,0 +1,227 @@
+//! The owner and the evacuations in the store.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cell::{Configuration, Entry, EntrySettings, EvacuationSettings};
+use common::{MemoryStore, SECRET, accepted_record, entry_settings};
+use errors::Result;
+use model::{AcceptedJob, Instructions, JobGraph, QueuePolicy, ResourceVector, Step, WorkerReport};
+use store::{KvStore, Precondition};
+use tokio_util::sync::CancellationToken;
+use wire::{Call, Key, Peers, Reply};
+
+const BOUND: Duration = Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(10);
+const PREFIX: &str = "operator/evacuate/";
+
+/// A worker of two tasks in the data centre `east`, under the owner of an entry.
+struct Cell {
+    store: Arc<MemoryStore>,
+    entry: Arc<Entry>,
+    peers: Peers,
+    shutdown: CancellationToken,
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        self.shutdown.cancel();
+    }
+}
+
+fn job() -> AcceptedJob {
+    AcceptedJob {
+        account: "faro".into(),
+        queue: "batch".into(),
+        policy: QueuePolicy {
+            service: "optics".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            needs_approval: false,
+        },
+        graph: JobGraph {
+            body: "body".into(),
+            steps: vec![Step {
+                tasks: 1,
+                resources: task_resources(),
+                expected: Duration::from_secs(1),
+                ..Step::default()
+            }],
+            recurrence: None,
+        },
+        accepted_at: cell::clock::wall_now(),
+    }
+}
+
+fn task_resources() -> ResourceVector {
+    ResourceVector {
+        accelerators: 0,
+        millicores: 1_000,
+        memory_mb: 1_000,
+    }
+}
+
+async fn evacuate(store: &MemoryStore, data_centre: &str) -> Result<()> {
+    let key = format!("{PREFIX}{data_centre}");
+    let value = Bytes::from_static(b"{}");
+    store.put(&key, value, Precondition::Any, None).await?;
+    Ok(())
+}
+
+/// Stores the record of an accepted job.
+async fn put_job(store: &MemoryStore, id: u64) -> Result<()> {
+    let key = format!("limpethook/jobs/{id:016x}");
+    let record = Bytes::from(accepted_record(job()));
+    store.put(&key, record, Precondition::Any, None).await?;
+    Ok(())
+}
+
+impl Cell {
+    async fn start(store: Arc<MemoryStore>) -> Result<Self> {
+        let key = "operator/configuration";
+        let value = Bytes::from_static(b"1");
+        store.put(key, value, Precondition::Any, None).await?;
+        let settings = EntrySettings {
+            evacuations: Some(EvacuationSettings {
+                key_prefix: PREFIX.into(),
+                data_centres: vec!["east".into(), "west".into()],
+                bound: BOUND,
+            }),
+            ..entry_settings()
+        };
+        let decode = |_: &[u8]| {
+            Ok(Configuration {
+                version: 1,
+                ..Configuration::default()
+            })
+        };
+        let shutdown = CancellationToken::new();
+        let client = Arc::clone(&store) as Arc<dyn store::TransactionStore>;
+        let entry = Entry::start(settings, client, None, decode, SECRET, shutdown.clone()).await?;
+        let cell = Self {
+            store,
+            entry,
+            peers: Peers::new(Key::from_secret(SECRET)),
+            shutdown,
+        };
+        cell.wait_until(|| cell.epoch() > 0).await;
+        Ok(cell)
+    }
+
+    fn epoch(&self) -> u64 {
+        self.entry.board.states.load().epoch
+    }
+
+    async fn wait_until(&self, condition: impl Fn() -> bool) {
+        let fulfilled = async {
+            while !condition() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let waited = tokio::time::timeout(TIMEOUT, fulfilled).await;
+        waited.expect("condition in time");
+    }
+
+    /// Sends a report of the worker and returns the instructions.
+    async fn report(&self) -> Result<Instructions> {
+        let report = WorkerReport {
+            agent: "w1".into(),
+            name: "worker".into(),
+            service: "optics".into(),
+            incarnation: Some(1),
+            capacity: task_resources().saturating_mul(2),
+            labels: vec!["a".into(), "r1".into()],
+            draining: None,
+            absent: false,
+            confirmed_epoch: self.epoch(),
+            owner_epoch: self.epoch(),
+            complete: true,
+            lists_complete: true,
+            runs: Vec::new(),
+            ends: Vec::new(),
+            crashes: Vec::new(),
+            sent_at: cell::clock::boot_now(),
+            data_centre: "east".into(),
+            cold_remaining: Duration::ZERO,
+        };
+        let call = Call::Report(Box::new(report));
+        let addr = self.entry.settings.addr;
+        match self.peers.call(addr, &call, TIMEOUT).await? {
+            Reply::Instructions(instructions) => Ok(*instructions),
+            other => panic!("unexpected reply: {other:?}"),
+        }
+    }
+
+    /// Returns whether the worker gets a task within so many reports, each of which waits up to a second.
+    async fn starts_within(&self, reports: u32) -> Result<bool> {
+        for _ in 0..reports {
+            if !self.report().await?.starts.is_empty() {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+}
+
+/// Guards against an owner that starts tasks before it knows of an evacuation that was stored before its election.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_owner_knows_earlier_evacuation() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    evacuate(&store, "east").await?;
+    put_job(&store, 7).await?;
+    let cell = Cell::start(store).await?;
+    assert!(!cell.starts_within(3).await?);
+    let evacuated = cell.entry.metrics.evacuated_workers.get();
+    assert_eq!(evacuated, 1);
+    Ok(())
+}
+
+/// Guards against an evacuation that takes effect too late, and against one that stays in effect after it was taken back.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_follows_store() -> Result<()> {
+    let cell = Cell::start(Arc::new(MemoryStore::default())).await?;
+    cell.entry.submit(7, job(), TIMEOUT).await?;
+    assert!(cell.starts_within(5).await?);
+    evacuate(&cell.store, "east").await?;
+    let evacuated = &cell.entry.metrics.evacuated_workers;
+    cell.report().await?;
+    cell.wait_until(|| evacuated.get() == 1).await;
+    cell.entry.submit(8, job(), TIMEOUT).await?;
+    assert!(!cell.starts_within(3).await?);
+    let key = format!("{PREFIX}east");
+    cell.store.delete(&key, Precondition::Any).await?;
+    assert!(cell.starts_within(5).await?);
+    Ok(())
+}
+
+/// Guards against an evacuation of another data centre that stops this one.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_of_other_data_centre_leaves_worker() -> Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    evacuate(&store, "west").await?;
+    let cell = Cell::start(store).await?;
+    cell.entry.submit(7, job(), TIMEOUT).await?;
+    assert!(cell.starts_within(5).await?);
+    Ok(())
+}
+
+/// Guards against an owner that starts tasks although it could not read the evacuations for longer than their bound, and against
+/// one that does not go on once the store answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_starts_nothing_without_recent_read() -> Result<()> {
+    let cell = Cell::start(Arc::new(MemoryStore::default())).await?;
+    assert!(!cell.starts_within(1).await?, "no job was submitted");
+    cell.store.refuses_checks.store(true, Ordering::Release);
+    tokio::time::sleep(BOUND).await;
+    put_job(&cell.store, 7).await?;
+    assert!(!cell.starts_within(2).await?);
+    cell.store.refuses_checks.store(false, Ordering::Release);
+    assert!(cell.starts_within(5).await?);
+    Ok(())
+}
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/takeover.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, free_addr, scheduler_settings};
+use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
 use model::{
     AcceptedJob, JobGraph, JobId, QueuePolicy, ResourceVector, Step, TaskRun, WorkerReport,
 };
@@ -57,16 +57,7 @@
         }
         let settings = EntrySettings {
             entry: "entry".into(),
-            addr: free_addr(),
-            processor_share: 1.0,
-            seeds: Vec::new(),
-            configuration_key: "operator/configuration".into(),
-            evacuations: None,
-            configuration_bound: Duration::from_millis(2_500),
-            scheduler: scheduler_settings(),
-            retention: Duration::from_mins(2),
-            min_store_lease: Duration::from_secs(1),
-            handover_time: Duration::from_secs(5),
+            ..entry_settings()
         };
         let shutdown = CancellationToken::new();
         let shared = Arc::clone(&store) as Arc<dyn store::TransactionStore>;
--- a/components/graph/tests/worker_states.rs
+++ b/components/graph/tests/worker_states.rs
@@ -87,7 +87,8 @@
     assert!(starts_within(&mut cell, 7, ms(500)));
     cell.workers.insert("w2".into(), worker("w2", "r1"));
     cell.workers["w2"].report.confirmed_epoch = 1;
-    let lapses_at = cell.now + lapse_after(settings().max_lease) - ms(600);
+    let lease = lapse_after(settings().max_lease).saturating_sub(ms(600));
+    let lapses_at = cell.now + lease;
     while cell.now < lapses_at {
         cell.advance(ms(200));
         cell.report("w2");
