--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod checkers;
 mod configuration;
 mod configuration_changes;
+mod evacuation;
 mod faults;
 mod job_lifecycle;
 mod other_senders;
