Add limpethook platform check-config

The checks of platform/src/check had no command. check-config reads the document, the one in force and the settings from files, prints a line for each finding or one JSON document, and exits with 0 if there are no errors, 1 if there are, and 2 for invalid arguments or files that cannot be read. Log lines of `limpethook platform` start with the daemons only, so that the command prints nothing else.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -94,6 +94,32 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Check the operator's configuration document before it is sent.
+    ///
+    /// Exits with 0 if there are no errors, with 1 if there are, and with 2 for invalid arguments or unreadable files.
+    CheckConfig(CheckConfigArgs),
+}
+
+/// Arguments of `platform check-config`.
+#[derive(Debug, Args)]
+pub(crate) struct CheckConfigArgs {
+    /// Configuration document in the JSON format of the platform.
+    pub(crate) file: PathBuf,
+    /// Document in force, with which the differences are listed.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) against: Option<PathBuf>,
+    /// Settings file of a process of the deployment, for checks against its bounds.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) settings: Option<PathBuf>,
+    /// Number of workers that have to hold the guarantees.
+    #[arg(long, value_name = "COUNT", requires = "accelerators_per_worker")]
+    pub(crate) workers: Option<u32>,
+    /// Number of accelerators of each worker.
+    #[arg(long, value_name = "COUNT", requires = "workers")]
+    pub(crate) accelerators_per_worker: Option<u32>,
+    /// Print the findings as one JSON document.
+    #[arg(long)]
+    pub(crate) json: bool,
 }
 
 #[derive(Debug, Subcommand)]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Implementations of the subcommands.
 
 mod agent;
+mod check_config;
 mod config;
 mod entry;
 mod fetch;
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -9,12 +9,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cli::PlatformCommand;
-use crate::cmd::{block_on, shutdown};
+use crate::cmd::{block_on, check_config, shutdown};
 
-/// Runs a daemon on the users' platform.
+/// Runs a subcommand of `platform`.
 pub(crate) fn run(command: &PlatformCommand) -> Result<ExitCode> {
-    telemetry::init_logs("platform", log::LevelFilter::Info)?;
     match command {
+        PlatformCommand::CheckConfig(args) => Ok(check_config::run(args)),
         PlatformCommand::Entry { settings } => run_daemon(settings, platform::run_entry),
         PlatformCommand::Agent { settings } => run_daemon(settings, platform::run_agent),
     }
@@ -27,6 +27,7 @@
 where
     F: Future<Output = Result<()>>,
 {
+    telemetry::init_logs("platform", log::LevelFilter::Info)?;
     let settings = platform::load_settings(path)?;
     block_on(async {
         let shutdown = shutdown::watch_signals()?;
