Give orders one deadline, and stop runs while the evacuations are not known

Delays added up: an order could wait on its way, then for a poll, and then be attempted three times, up to 3.8 s after the decision in a test. It is now valid for 2 s after the report that it answers, in deployments with evacuations. An owner that may not start tasks goes on to stop runs on draining workers. A check may take 1 s, so that a slow store doesn't hold all starts. Gangs are not spread over racks to avoid cold workers, whose times are reported only where evacuations exist.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -25,9 +25,6 @@
 const UNCONFIRMED_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of reports in flight: one waits at the owner while another delivers changes.
 const MAX_REPORTS_IN_FLIGHT: u32 = 2;
-/// Maximum age of the report that an order to start answers. A report waits for orders for a second; a later answer was delayed
-/// on its way, and what it orders may have been withdrawn since, as by the evacuation of the data centre.
-const MAX_ORDER_AGE: Duration = Duration::from_millis(2500);
 const EVENT_QUEUE_CAPACITY: usize = 256;
 /// Delay after an entry reported no newer owner, or did not answer.
 const OWNER_FOLLOW_DELAY: Duration = Duration::from_millis(200);
@@ -255,7 +252,8 @@
         }
         self.state.acknowledged = self.state.acknowledged.max(instructions.acknowledged);
         let bodies: IndexMap<JobId, Box<str>> = instructions.bodies.into_iter().collect();
-        let is_late = boot_now() > instructions.report_sent_at + MAX_ORDER_AGE;
+        let expires_at = self.state.orders_expire_at(instructions.report_sent_at);
+        let is_late = boot_now() > expires_at;
         if is_late && !instructions.starts.is_empty() {
             log::warn!(
                 target: "limpethook",
@@ -266,7 +264,7 @@
         let starts = instructions.starts.into_iter();
         for order in starts.filter(|_| !is_late) {
             let body = bodies.get(&order.run.task.job).cloned();
-            self.start(order, body.unwrap_or_default());
+            self.start(order, body.unwrap_or_default(), expires_at);
         }
         for run in instructions.stops {
             self.stop(run);
--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -12,9 +12,6 @@
 
 /// Maximum number of rejected names that are kept.
 const MAX_REJECTED_NAMES: usize = 16;
-/// How long a start waits for a poll. The owner repeats its orders every 0.6 s while it wants them carried out; an older one may
-/// have been withdrawn, as by the evacuation of the data centre.
-const MAX_DEFERRAL: Duration = Duration::from_millis(1500);
 /// Maximum number of other services that are logged.
 const MAX_LOGGED_SERVICES: usize = 16;
 
@@ -217,7 +214,13 @@
 
     /// Keeps a start until a poll shows which incarnation it reaches. A start on a worker that was reported as absent is
     /// dropped, because the owner places the task elsewhere.
-    pub(crate) fn defer_start(&mut self, order: StartOrder, body: Box<str>, now: Duration) {
+    pub(crate) fn defer_start(
+        &mut self,
+        order: StartOrder,
+        body: Box<str>,
+        expires_at: Duration,
+        now: Duration,
+    ) {
         if self.absent_since.is_some() {
             return;
         }
@@ -226,20 +229,21 @@
             order,
             body,
             received_at: now,
+            expires_at,
         };
         self.deferred_starts.insert(run, deferred);
     }
 
     /// Takes the starts that waited for a poll which was sent at `requested_at`. Announcements that arrived since don't hold
-    /// them up: other senders may announce all the time. Starts that waited for too long are dropped; the owner orders them
-    /// again if they are still wanted.
+    /// them up: other senders may announce all the time. Starts whose orders are no longer valid are dropped; the owner repeats
+    /// its orders every 0.6 s while they are wanted.
     pub(crate) fn take_deferred_starts(
         &mut self,
         requested_at: Duration,
         now: Duration,
     ) -> Vec<DeferredStart> {
         self.deferred_starts
-            .retain(|_, start| now <= start.received_at + MAX_DEFERRAL);
+            .retain(|_, start| now <= start.expires_at);
         let all = self.candidates.is_empty();
         let is_due =
             |_: &TaskRun, start: &mut DeferredStart| all || start.received_at <= requested_at;
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -6,7 +6,6 @@
 use errors::{Result, Verdict};
 use graph::PROBATION;
 use model::{Incarnation, Refusal, StartOrder, TaskRun};
-use tokio_util::sync::CancellationToken;
 
 use crate::agent::actor::{Actor, Event};
 use crate::agent::state::OrderState;
@@ -36,12 +35,18 @@
 
 impl Actor {
     /// Starts a task, once it is known which incarnation of the worker the start reaches.
-    pub(super) fn start(&mut self, order: StartOrder, body: Box<str>) {
+    pub(super) fn start(&mut self, order: StartOrder, body: Box<str>, expires_at: Duration) {
         let is_located = self.state.knows_incarnation();
-        self.start_if(is_located, order, body);
+        self.start_if(is_located, order, body, expires_at);
     }
 
-    fn start_if(&mut self, is_located: bool, order: StartOrder, body: Box<str>) {
+    fn start_if(
+        &mut self,
+        is_located: bool,
+        order: StartOrder,
+        body: Box<str>,
+        expires_at: Duration,
+    ) {
         let known = self.state.orders.get(&order.run);
         let unanswered = match known.map(|(order, _)| order) {
             None => order.repeated,
@@ -64,7 +69,7 @@
         }
         if !is_located {
             log::info!(target: "limpethook", task:% = order.run.task, run = order.run.run; "start_deferred");
-            self.state.defer_start(order, body, now);
+            self.state.defer_start(order, body, expires_at, now);
             if self.state.is_refusing() {
                 self.state.refuse_deferred_starts(now);
                 self.report_due = true;
@@ -91,7 +96,8 @@
         let client = Arc::clone(&self.client);
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let start = send_start_with_retries(&*client, &name, &request, &retries_cancelled);
+            let may_retry = || !retries_cancelled.is_cancelled() && boot_now() <= expires_at;
+            let start = send_start_with_retries(&*client, &name, &request, may_retry);
             let start = supervise::catch_panic("start", start).await;
             let (reply, lost) = start.unwrap_or_else(|report| (Err(report), true));
             let outcome = StartOutcome {
@@ -154,7 +160,7 @@
     /// rejects those that an earlier incarnation did not answer.
     pub(super) fn resume_orders(&mut self, requested_at: Duration) {
         for start in self.state.take_deferred_starts(requested_at, boot_now()) {
-            self.start_if(true, start.order, start.body);
+            self.start_if(true, start.order, start.body, start.expires_at);
         }
         for run in self.state.take_stray_starts() {
             self.stop(run);
@@ -226,7 +232,7 @@
     client: &dyn WorkerClient,
     name: &str,
     request: &StartRequest,
-    retries_cancelled: &CancellationToken,
+    may_retry: impl Fn() -> bool,
 ) -> (Result<StartReply>, bool) {
     let mut attempts = 1;
     let mut unanswered = false;
@@ -239,7 +245,7 @@
         unanswered |= verdict.is_some_and(|verdict| verdict != Verdict::NotRun);
         if verdict.is_some() && attempts < MAX_START_ATTEMPTS {
             tokio::time::sleep(START_RETRY_DELAY).await;
-            if !retries_cancelled.is_cancelled() {
+            if may_retry() {
                 attempts += 1;
                 continue;
             }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -51,6 +51,8 @@
     /// Body of the job.
     pub(super) body: Box<str>,
     pub(super) received_at: Duration,
+    /// When the order is no longer valid.
+    pub(super) expires_at: Duration,
 }
 
 #[derive(Debug)]
@@ -177,6 +179,15 @@
         self.settings.max_lease
     }
 
+    /// Returns when the orders are no longer valid that answer the report sent at a time. What an order says may be withdrawn
+    /// later, as by the evacuation of the data centre. A time of zero stands for a report that renewed no lease.
+    pub(crate) fn orders_expire_at(&self, report_sent_at: Duration) -> Duration {
+        match self.settings.order_validity {
+            Some(validity) if !report_sent_at.is_zero() => report_sent_at + validity,
+            _ => Duration::MAX,
+        }
+    }
+
     /// Returns whether the worker accepts no new tasks.
     pub(crate) fn is_draining(&self) -> bool {
         self.leaves_at.is_some() || self.leaving
--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -33,7 +33,7 @@
 /// Fraction of the time between two checks by which it varies, so that the entries do not check at once.
 const CHECK_JITTER: f64 = 0.2;
 /// The timeout of a check and the delay until other entries are asked beside it are these parts of the bound.
-const CHECK_TIMEOUT_PART: u32 = 5;
+pub(crate) const CHECK_TIMEOUT_PART: u32 = 5;
 const HEDGE_PART: u32 = 10;
 /// Timeout for asking another entry for the state of its configuration: several times the latency between regions.
 const STATE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -116,7 +116,7 @@
         let delay = match checked {
             Check::Confirmed => {
                 let jitter = 1.0 + CHECK_JITTER * (2.0 * fastrand::f64() - 1.0);
-                (bound / CHECKS_PER_BOUND).mul_f64(jitter)
+                (entry.check_bound() / CHECKS_PER_BOUND).mul_f64(jitter)
             }
             Check::Unanswered => bound / HEDGE_PART,
             // Another read is unlikely to help, and the document may be large.
@@ -143,7 +143,7 @@
     let bound = entry.settings.configuration_bound;
     let revision = entry.board.in_force.load().revision();
     let asked_at = boot_now();
-    let timeout = bound / CHECK_TIMEOUT_PART;
+    let timeout = entry.check_timeout();
     let mut known = vec![(key.into(), revision)];
     known.extend(entry.evacuation_keys());
     let read = entry.store.read_if_changed(&known, timeout);
--- a/components/cell/src/evacuations.rs
+++ b/components/cell/src/evacuations.rs
@@ -10,11 +10,13 @@
 use store::{Key, KvPair};
 
 use crate::clock::boot_now;
+use crate::configure::CHECK_TIMEOUT_PART;
 use crate::entry::Entry;
-use crate::settings::EvacuationSettings;
+use crate::settings::{EvacuationSettings, ORDER_VALIDITY};
 
-/// Time from the decision of the owner to start a task until the last attempt of the agent to start it.
-const START_TIME: Duration = Duration::from_secs(2);
+/// Time from the decision of the owner to start a task until the last attempt of the agent has ended: an order is valid for
+/// [`ORDER_VALIDITY`], and a call takes up to 0.45 s.
+const START_TIME: Duration = ORDER_VALIDITY.saturating_add(Duration::from_millis(500));
 
 /// What is known of the evacuations.
 #[derive(Debug, Clone, Default)]
@@ -65,7 +67,29 @@
     }
 }
 
+/// Timeout of a check where there are evacuations. The owner keeps its lease beside a store that takes almost as long, and then
+/// may start tasks only if it can read the evacuations as well.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl Entry {
+    /// Returns the time in which a change of the configuration or of the evacuations has to be known.
+    pub(crate) fn check_bound(&self) -> Duration {
+        let evacuations = self.settings.evacuations.as_ref();
+        let bound = evacuations.map(|settings| settings.bound);
+        let configuration = self.settings.configuration_bound;
+        bound.map_or(configuration, |bound| bound.min(configuration))
+    }
+
+    /// Returns the timeout of a check of the configuration and the evacuations.
+    pub(crate) fn check_timeout(&self) -> Duration {
+        let usual = self.settings.configuration_bound / CHECK_TIMEOUT_PART;
+        if self.settings.evacuations.is_some() {
+            usual.max(CHECK_TIMEOUT)
+        } else {
+            usual
+        }
+    }
+
     /// Returns the keys of the evacuations with their known revisions; none if the deployment has no evacuations.
     pub(crate) fn evacuation_keys(&self) -> Vec<(Key, Revision)> {
         let Some(settings) = &self.settings.evacuations else {
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -245,11 +245,15 @@
         }
     }
 
-    /// Returns whether this owner may start tasks: its lease can't have lapsed, and it knows the evacuated data centres.
-    fn may_start(&self, now: Duration) -> bool {
+    /// Returns whether the lease of this owner can't have lapsed.
+    fn is_valid(&self, now: Duration) -> bool {
         let until = self.handle.valid_until_ms.load(Ordering::Acquire);
         now < Duration::from_millis(until)
-            && self.entry.evacuations_allow_starts(self.started_at, now)
+    }
+
+    /// Returns whether this owner may start tasks: it is valid, and knows the evacuated data centres.
+    fn may_start(&self, now: Duration) -> bool {
+        self.is_valid(now) && self.entry.evacuations_allow_starts(self.started_at, now)
     }
 
     fn send_instructions(&mut self, agent: &AgentId, pending: PendingReport, now: Duration) {
@@ -270,6 +274,8 @@
         if self.may_start(now) {
             self.scheduler.plan(now, wall_now());
             self.ask_advisor(now);
+        } else if self.is_valid(now) {
+            self.scheduler.stop_runs(now);
         }
         if !self.is_recorded && self.scheduler.are_records_complete() {
             self.is_recorded = true;
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -34,4 +34,4 @@
 pub use board::{CellBoard, JobStates};
 pub use configuration::{AccountTokens, Configuration, Route};
 pub use entry::Entry;
-pub use settings::{AgentSettings, EntrySettings, EvacuationSettings};
+pub use settings::{AgentSettings, EntrySettings, EvacuationSettings, ORDER_VALIDITY};
--- a/components/cell/src/settings.rs
+++ b/components/cell/src/settings.rs
@@ -65,4 +65,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Longest lease that the worker grants.
     pub max_lease: Duration,
+    /// How long after the report that an order to start answers the start may be attempted; without a limit if there is none.
+    pub order_validity: Option<Duration>,
 }
+
+/// The validity of orders in a deployment with evacuations: a report waits a second for orders, and the rest is for the calls.
+pub const ORDER_VALIDITY: Duration = Duration::from_secs(2);
--- a/components/cell/tests/agent/main.rs
+++ b/components/cell/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Agents beside a worker that restarts, and in front of an owner that changes.
 
 mod late_answers;
+mod late_starts;
 mod other_senders;
 mod owner;
 mod restarts;
@@ -133,6 +134,7 @@
         data_centre: "east".into(),
         seeds: vec![entry.addr],
         max_lease: Duration::from_secs(6),
+        order_validity: Some(cell::ORDER_VALIDITY),
     };
     let shutdown = CancellationToken::new();
     let client = Arc::new(UnresponsiveWorker::default()) as Arc<dyn WorkerClient>;
@@ -166,6 +168,7 @@
         data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease: Duration::from_secs(6),
+        order_validity: Some(cell::ORDER_VALIDITY),
     };
     let shutdown = CancellationToken::new();
     let client = Arc::clone(&worker) as Arc<dyn WorkerClient>;
@@ -202,6 +205,7 @@
         data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease: Duration::from_secs(6),
+        order_validity: Some(cell::ORDER_VALIDITY),
     };
     let directory = Arc::new(NoDirectory);
     let (handle, ended) = cell::agent::start(settings, client, directory, SECRET, shutdown.clone());
--- a/components/cell/tests/agent/other_senders.rs
+++ b/components/cell/tests/agent/other_senders.rs
@@ -32,6 +32,7 @@
         data_centre: "east".into(),
         seeds: vec![owner.addr],
         max_lease,
+        order_validity: None,
     };
     let client = Arc::clone(worker);
     let directory = Arc::new(crate::owner::NoDirectory);
--- a/components/cell/tests/agent/owner.rs
+++ b/components/cell/tests/agent/owner.rs
@@ -29,6 +29,8 @@
     pub(crate) leader: Option<Leader>,
     /// Whether reports get no reply.
     pub(crate) silent: bool,
+    /// Delay of each reply after the orders were taken.
+    pub(crate) reply_delay: std::time::Duration,
     pub(crate) starts: VecDeque<StartOrder>,
     pub(crate) stops: VecDeque<TaskRun>,
     /// End up to which the ends of the worker are acknowledged.
@@ -115,17 +117,21 @@
     }
     tokio::time::sleep(POLL_INTERVAL).await;
     let epoch = leader().epoch;
-    let mut state = state.lock().expect("lock is not poisoned");
-    let instructions = Instructions {
-        epoch,
-        report_sent_at: report.sent_at,
-        incarnation: report.incarnation,
-        acknowledged: state.acknowledged,
-        bodies: Vec::new(),
-        starts: state.starts.drain(..).collect(),
-        stops: state.stops.drain(..).collect(),
-        stored_crashes: state.stored_crashes.clone(),
+    let (instructions, delay) = {
+        let mut state = state.lock().expect("lock is not poisoned");
+        let instructions = Instructions {
+            epoch,
+            report_sent_at: report.sent_at,
+            incarnation: report.incarnation,
+            acknowledged: state.acknowledged,
+            bodies: Vec::new(),
+            starts: state.starts.drain(..).collect(),
+            stops: state.stops.drain(..).collect(),
+            stored_crashes: state.stored_crashes.clone(),
+        };
+        state.reports.push(*report);
+        (instructions, state.reply_delay)
     };
-    state.reports.push(*report);
+    tokio::time::sleep(delay).await;
     Ok(Reply::Instructions(Box::new(instructions)))
 }
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -30,6 +30,8 @@
     pub(crate) is_down: AtomicBool,
     /// Whether transactions without changes, which only read, are refused.
     pub(crate) refuses_checks: AtomicBool,
+    /// Time that such transactions take, in milliseconds.
+    pub(crate) check_ms: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -213,6 +215,10 @@
         if is_check && self.refuses_checks.load(Ordering::Acquire) {
             return Err(Error::not_run(ErrorKind::Timeout, "the check is not answered").report());
         }
+        if is_check {
+            let delay = self.check_ms.load(Ordering::Acquire);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
         let mut state = self.state.lock().expect("lock is not poisoned");
         let mut expected = transaction.preconditions.iter();
         if expected.any(|(key, revision)| state.revision_of(key) != *revision) {
--- a/components/cell/tests/evacuation.rs
+++ b/components/cell/tests/evacuation.rs
@@ -10,7 +10,10 @@
 use cell::{Configuration, Entry, EntrySettings, EvacuationSettings};
 use common::{MemoryStore, SECRET, accepted_record, entry_settings};
 use errors::Result;
-use model::{AcceptedJob, Instructions, JobGraph, QueuePolicy, ResourceVector, Step, WorkerReport};
+use model::{
+    AcceptedJob, Instructions, JobGraph, QueuePolicy, ResourceVector, RunReport, RunStatus, Step,
+    WorkerReport,
+};
 use store::{KvStore, Precondition};
 use tokio_util::sync::CancellationToken;
 use wire::{Call, Key, Peers, Reply};
@@ -128,9 +131,13 @@
         waited.expect("condition in time");
     }
 
-    /// Sends a report of the worker and returns the instructions.
+    /// Sends a report of the idle worker and returns the instructions.
     async fn report(&self) -> Result<Instructions> {
-        let report = WorkerReport {
+        self.send(self.idle_report()).await
+    }
+
+    fn idle_report(&self) -> WorkerReport {
+        WorkerReport {
             agent: "w1".into(),
             name: "worker".into(),
             service: "optics".into(),
@@ -149,7 +156,10 @@
             sent_at: cell::clock::boot_now(),
             data_centre: "east".into(),
             cold_remaining: Duration::ZERO,
-        };
+        }
+    }
+
+    async fn send(&self, report: WorkerReport) -> Result<Instructions> {
         let call = Call::Report(Box::new(report));
         let addr = self.entry.settings.addr;
         match self.peers.call(addr, &call, TIMEOUT).await? {
@@ -225,3 +235,52 @@
     assert!(cell.starts_within(5).await?);
     Ok(())
 }
+
+/// Guards against an owner that starts nothing while the store is slow, although it keeps its lease and nothing is evacuated.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_starts_tasks_beside_slow_store() -> Result<()> {
+    let cell = Cell::start(Arc::new(MemoryStore::default())).await?;
+    assert!(!cell.starts_within(1).await?, "no job was submitted");
+    let epoch = cell.epoch();
+    cell.store.check_ms.store(600, Ordering::Release);
+    tokio::time::sleep(BOUND).await;
+    cell.entry.submit(7, job(), TIMEOUT).await?;
+    assert!(cell.starts_within(4).await?);
+    assert_eq!(cell.epoch(), epoch, "the ownership was kept");
+    Ok(())
+}
+
+/// Guards against an owner that stops nothing on a draining worker while it cannot read the evacuations.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_stops_runs_before_drain_without_recent_read() -> Result<()> {
+    let cell = Cell::start(Arc::new(MemoryStore::default())).await?;
+    let mut long = job();
+    long.graph.steps[0].expected = Duration::from_mins(1);
+    cell.entry.submit(7, long, TIMEOUT).await?;
+    let mut starts = Vec::new();
+    while starts.is_empty() {
+        starts = cell.report().await?.starts;
+    }
+    cell.store.refuses_checks.store(true, Ordering::Release);
+    let running = RunReport {
+        run: starts[0].run,
+        status: RunStatus::Running {
+            percent: 10,
+            checkpoint: Box::default(),
+            survived: Duration::from_secs(1),
+        },
+    };
+    let silent_since = tokio::time::Instant::now();
+    let mut stops = Vec::new();
+    while stops.is_empty() && silent_since.elapsed() < BOUND * 2 {
+        let drains = silent_since.elapsed() > BOUND;
+        let report = WorkerReport {
+            draining: drains.then_some(Duration::from_secs(8)),
+            runs: vec![running.clone()],
+            ..cell.idle_report()
+        };
+        stops = cell.send(report).await?.stops;
+    }
+    assert_eq!(stops, [starts[0].run]);
+    Ok(())
+}
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -140,10 +140,7 @@
                 levels.find_map(|workers| pack_on_rack(workers, rack.as_deref(), 1))
             })
         } else {
-            let warm = sound.iter().copied();
-            let warm: Vec<_> = warm.filter(|c| !c.worker.is_cold(now)).collect();
-            let on_warm = pack_on_racks(&warm, &racks, unit.1.tasks);
-            on_warm.or_else(|| pack_on_racks(&sound, &racks, unit.1.tasks))
+            pack_warm_first(&sound, &racks, unit.1.tasks, now)
         };
         let may_wait = !options.takes_any_place;
         if assignment.is_some() || (may_wait && waits_for_sound_workers(job, unit, &sound, now)) {
@@ -219,6 +216,22 @@
     prefixes.find_map(|workers| pack_on_racks(workers, racks, tasks))
 }
 
+/// Packs tasks on workers that are not slow after their start, if possible. Racks count more: a run across racks is slowed down
+/// more than by a cold worker.
+fn pack_warm_first(
+    workers: &[&Candidate<'_>],
+    racks: &[Option<Box<str>>],
+    tasks: u32,
+    now: Duration,
+) -> Option<Assignment> {
+    let warm = workers.iter().copied();
+    let warm: Vec<&Candidate<'_>> = warm.filter(|c| !c.worker.is_cold(now)).collect();
+    let mut groups = racks.chunk_by(|a, b| a.is_some() == b.is_some());
+    groups.find_map(|racks| {
+        pack_on_racks(&warm, racks, tasks).or_else(|| pack_on_racks(workers, racks, tasks))
+    })
+}
+
 /// Packs tasks on the workers of the first rack that has room for all of them.
 pub(crate) fn pack_on_racks(
     workers: &[&Candidate<'_>],
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -49,11 +49,12 @@
     ///
     /// Does nothing if no event since the latest plan and no time limit allows another decision.
     pub fn plan(&mut self, now: Duration, unix_time: Duration) {
-        self.stop_runs_before_drain(now);
         let is_due = now >= self.next_plan_at;
         if !self.plan_needed && !is_due {
+            self.stop_runs_before_drain(now);
             return;
         }
+        self.stop_due_runs(is_due, now);
         if is_due {
             self.next_plan_at = now + PLAN_INTERVAL;
             self.update_expected_times();
@@ -64,9 +65,6 @@
                     self.next_plan_at = self.next_plan_at.min(due_at);
                 }
             }
-            self.stop_hanging_runs(now);
-            self.stop_unanswered_starts(now);
-            self.withdraw_evacuated_starts(now);
         }
         self.plan_needed = false;
         self.drop_stale_reservations(now);
@@ -75,6 +73,28 @@
         self.check_waits(now);
     }
 
+    /// Stops runs as [`plan`] does, and places nothing.
+    ///
+    /// [`plan`]: Self::plan
+    pub fn stop_runs(&mut self, now: Duration) {
+        let is_due = now >= self.next_plan_at;
+        if is_due {
+            self.next_plan_at = now + PLAN_INTERVAL;
+        }
+        // What has changed is planned once tasks may start again.
+        self.stop_due_runs(is_due, now);
+    }
+
+    /// Stops the runs that drains, standstills and evacuations end.
+    fn stop_due_runs(&mut self, is_due: bool, now: Duration) {
+        self.stop_runs_before_drain(now);
+        if is_due {
+            self.stop_hanging_runs(now);
+            self.stop_unanswered_starts(now);
+            self.withdraw_evacuated_starts(now);
+        }
+    }
+
     fn plan_jobs(&mut self, ready_jobs: Vec<ReadyJob>, now: Duration) {
         if ready_jobs.is_empty() {
             return;
--- a/components/graph/tests/evacuation.rs
+++ b/components/graph/tests/evacuation.rs
@@ -257,3 +257,28 @@
     pass(&mut cell, ms(600));
     assert_eq!(tasks_on(&cell, "e1"), 0);
 }
+
+/// Guards against a gang that is spread over racks, which triples its run time, to avoid a worker that is slow for a moment.
+#[test]
+fn plan_keeps_gang_on_one_rack_beside_cold_workers() {
+    let half = |name: &str, rack: &str| {
+        let mut half = worker(name, rack);
+        half.report.data_centre = "east".into();
+        half.report.capacity = common::TASK_RESOURCES.saturating_mul(2);
+        half
+    };
+    let workers = vec![worker_in("e1", "east"), half("e2", "r2"), half("e3", "r3")];
+    let mut cell = TestCell::new(1, workers);
+    evacuate(&mut cell, &["east"]);
+    let sensitive = Step {
+        rack_sensitive: true,
+        ..gang(4)
+    };
+    cell.accept(JOB, job(0, vec![sensitive]));
+    pass(&mut cell, ms(60_000));
+    evacuate(&mut cell, &[]);
+    cell.workers["e1"].report.cold_remaining = ms(100);
+    cell.report_all();
+    cell.plan_and_start();
+    assert_eq!(tasks_on(&cell, "e1"), 4);
+}
--- a/components/graph/tests/worker_states.rs
+++ b/components/graph/tests/worker_states.rs
@@ -126,9 +126,12 @@
     let mut cell = cell();
     // A single task would probe the worker before the end of its quarantine.
     cell.accept(7, job(1, vec![gang(2)]));
-    let (_, run) = cell.first_start();
-    let refusal = common::refused(run, Refusal::Unhealthy);
-    cell.workers["w1"].report.runs.push(refusal);
+    cell.scheduler.plan(cell.now, Duration::from_secs(1));
+    let starts = cell.instructions("w1").starts;
+    let refusals = starts
+        .iter()
+        .map(|start| common::refused(start.run, Refusal::Unhealthy));
+    cell.workers["w1"].report.runs = refusals.collect();
     cell.report("w1");
     cell.workers["w1"].report.runs.clear();
     run_for(&mut cell, ms(3_000));
