Treat a closed pipe as the end of the output of check-config

println! panics if the reader has closed the pipe, so that check-config ... | true ended with exit code 101 and a panic message.

The findings are written with writeln!; a broken pipe ends the output, and the exit code tells the findings as before. Any other error of the output ends the command with exit code 2.

--- a/src/cmd/check_config.rs
+++ b/src/cmd/check_config.rs
@@ -1,5 +1,6 @@
 //! `limpethook platform check-config`.
 
+use std::io::{self, ErrorKind as IoErrorKind, Write};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -15,14 +16,18 @@
 
 /// Checks a document and prints the findings.
 pub(super) fn run(args: &CheckConfigArgs) -> ExitCode {
-    match check(args) {
+    let findings = check(args).and_then(|findings| {
+        print(&findings, args.json).map_err(|e| invalid_argument(Path::new("stdout"), &e))?;
+        Ok(findings)
+    });
+    match findings {
         Ok(findings) => {
-            print(&findings, args.json);
             let has_errors = findings.iter().any(|f| f.severity == Severity::Error);
             ExitCode::from(u8::from(has_errors))
         }
         Err(report) => {
-            eprintln!("error: {}", report.current_context().message);
+            // Nothing else can be done if the error stream is closed as well.
+            let _ = writeln!(io::stderr(), "error: {}", report.current_context().message);
             ExitCode::from(EXIT_INVALID_ARGUMENTS)
         }
     }
@@ -59,12 +64,21 @@
     Error::not_run(ErrorKind::InvalidRequest, message).report()
 }
 
-fn print(findings: &[Finding], as_json: bool) {
-    if as_json {
-        println!("{}", json!({ "findings": findings }));
-        return;
+/// Prints the findings. A reader that closes the pipe, such as `head`, needs no more of them.
+fn print(findings: &[Finding], as_json: bool) -> io::Result<()> {
+    match write_findings(&mut io::stdout().lock(), findings, as_json) {
+        Err(e) if e.kind() == IoErrorKind::BrokenPipe => Ok(()),
+        written => written,
     }
-    for finding in findings {
-        println!("{finding}");
+}
+
+fn write_findings(out: &mut impl Write, findings: &[Finding], as_json: bool) -> io::Result<()> {
+    if as_json {
+        writeln!(out, "{}", json!({ "findings": findings }))?;
+    } else {
+        for finding in findings {
+            writeln!(out, "{finding}")?;
+        }
     }
+    out.flush()
 }
--- a/tests/check_config.rs
+++ b/tests/check_config.rs
@@ -85,3 +85,25 @@
     assert_eq!(lines.collect::<Vec<_>>(), expected);
     Ok(())
 }
+
+/// Guards against a panic, with exit code 101, if the reader of the output closes the pipe.
+#[test]
+fn check_config_closed_pipe() -> Result<()> {
+    let sound = write("closed-pipe-sound", &document(8, 1024))?;
+    let faulty = write("closed-pipe-faulty", &document(8, 0))?;
+    let in_force = write("closed-pipe-in-force", &document(7, 2048))?;
+    for (file, code) in [(&sound, 0), (&faulty, 1)] {
+        for format in [None, Some("--json")] {
+            let (reader, writer) = std::io::pipe()?;
+            drop(reader);
+            let mut command = Command::new(env!("CARGO_BIN_EXE_limpethook"));
+            command.args(["platform", "check-config"]).arg(file);
+            command.arg("--against").arg(&in_force).args(format);
+            let output = command.stdout(writer).output()?;
+            let text = String::from_utf8(output.stderr)?;
+            assert_eq!(output.status.code(), Some(code), "{format:?}: {text}");
+            assert_eq!(text, "", "{format:?}");
+        }
+    }
+    Ok(())
+}
