--- a/src/cli.rs
+++ b/src/cli.rs
@@ -96,7 +96,8 @@
     },
     /// Check the operator's configuration document before it is sent.
     ///
-    /// Exits with 0 if there are no errors, with 1 if there are, and with 2 for invalid arguments or unreadable files.
+    /// Exits with 0 if there are no errors, also if there are warnings, with 1 if there are errors, and with 2 for invalid
+    /// arguments, unreadable files or output that cannot be written.
     CheckConfig(CheckConfigArgs),
 }
 
