Simulate workers of several speeds and uneven work

The simulated fleet ran all tasks of a job equally fast on all workers, so that no load test showed what slow workers cost. Workers have speeds now, and the work of tasks can vary by 30% with one task in thirty that takes seven times as long. A gang ends with its slowest member, the others wait at 100 percent and end as broken.

experiment_speeds compares two versions of the scheduler.

--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -97,6 +97,8 @@
     /// Whether it counts as at work: alone, or with all members of its gang present.
     working_since: Option<Duration>,
     stopping: bool,
+    /// Whether another member has completed its gang.
+    completed: bool,
 }
 
 #[derive(Debug)]
@@ -108,6 +110,8 @@
     joined_at: Duration,
     first_run_at: Option<Duration>,
     is_down: bool,
+    /// Factor by which its runs are faster than the work of their tasks tells.
+    speed: f64,
 }
 
 /// Members of a gang that are present on their workers.
@@ -126,11 +130,20 @@
     rng: Rng,
     outcomes: IndexMap<JobId, JobOutcome>,
     report: LoadReport,
+    /// Speeds of the workers, which repeat.
+    speeds: &'static [f64],
+    /// Whether the work of the tasks of a job differs.
+    is_uneven: bool,
 }
 
 impl Fleet {
     /// Creates a fleet of idle workers under one owner.
     pub(crate) fn new(workers: usize, seed: u64) -> Self {
+        Self::with_speeds(workers, seed, &[1.0])
+    }
+
+    /// Creates a fleet whose workers have speeds, which repeat.
+    pub(crate) fn with_speeds(workers: usize, seed: u64, speeds: &'static [f64]) -> Self {
         let mut scheduler = Scheduler::new(SETTINGS, 1, IndexSet::new(), Duration::ZERO);
         scheduler.try_end_recovery(Duration::ZERO);
         let mut fleet = Self {
@@ -146,6 +159,8 @@
             rng: Rng::with_seed(seed),
             outcomes: IndexMap::new(),
             report: LoadReport::default(),
+            speeds,
+            is_uneven: false,
         };
         fleet.join(workers);
         fleet.push(Duration::ZERO, Event::Tick);
@@ -156,6 +171,11 @@
         &mut self.scheduler
     }
 
+    /// Lets the work of the tasks of a job differ by 30%, and one task in thirty take seven times as long.
+    pub(crate) fn vary_work(&mut self) {
+        self.is_uneven = true;
+    }
+
     pub(crate) fn arrive(&mut self, arrivals: Vec<Arrival>) {
         for arrival in arrivals {
             self.push(arrival.at, Event::Arrive(self.arrivals.len()));
@@ -296,6 +316,7 @@
                 joined_at: self.now,
                 first_run_at: None,
                 is_down: false,
+                speed: self.speeds[index % self.speeds.len()],
             };
             self.workers.insert(agent.clone(), worker);
             // Reports of a fleet are spread over the interval.
@@ -344,6 +365,7 @@
                 work,
                 working_since: None,
                 stopping: false,
+                completed: false,
             },
         );
         if arrival.deadly && run.task.index == 0 {
@@ -364,24 +386,43 @@
             return;
         }
         let members = members.clone();
-        let work = if self.is_slowed_down(run, &members) {
-            work.mul_f64(SETTINGS.slowdown)
+        let slowdown = if self.is_slowed_down(run, &members) {
+            SETTINGS.slowdown
         } else {
-            work
+            1.0
         };
-        for (agent, run) in members {
-            if let Some(running) = self
-                .workers
-                .get_mut(&agent)
-                .and_then(|w| w.runs.get_mut(&run))
-            {
+        let mut longest = Duration::ZERO;
+        for (agent, run) in &members {
+            let variation = self.work_variation();
+            let Some(worker) = self.workers.get_mut(agent) else {
+                continue;
+            };
+            let time = work.mul_f64(slowdown * variation / worker.speed);
+            if let Some(running) = worker.runs.get_mut(run) {
                 running.working_since = Some(now);
-                running.work = work;
+                running.work = time;
+            }
+            longest = longest.max(time);
+        }
+        for (agent, run) in members {
+            let time = self.workers.get(&agent).and_then(|w| w.runs.get(&run));
+            if time.is_some_and(|running| running.work == longest) {
+                self.push(now + longest, Event::End(agent, run, RunEnd::Done));
             }
-            self.push(now + work, Event::End(agent, run, RunEnd::Done));
         }
     }
 
+    /// Returns the factor by which the work of a task differs from that of its job.
+    fn work_variation(&mut self) -> f64 {
+        if !self.is_uneven {
+            return 1.0;
+        }
+        // The sum of twelve uniform numbers is close to a normal distribution with variance 1 and mean 6.
+        let normal: f64 = (0..12).map(|_| self.rng.f64()).sum::<f64>() - 6.0;
+        let tail = if self.rng.u32(0..30) == 0 { 7.0 } else { 1.0 };
+        (0.3 * normal).exp() * tail
+    }
+
     /// Returns whether a rack-sensitive gang runs across racks.
     fn is_slowed_down(&self, run: TaskRun, members: &[(AgentId, TaskRun)]) -> bool {
         let arrival = &self.arrivals[(run.task.job - 1) as usize];
@@ -424,14 +465,23 @@
         worker.next_end_sequence += 1;
         let arrival = &self.arrivals[(run.task.job - 1) as usize];
         let step = &arrival.job.graph.steps[run.task.step as usize];
-        if let Some(running) = running.filter(|_| end != RunEnd::Done) {
+        let is_wasted = |running: &SimulatedRun| end != RunEnd::Done && !running.completed;
+        if let Some(running) = running.filter(is_wasted) {
             let wasted = self.now.saturating_sub(running.started_at);
             let equivalents = f64::from(step.resources.accelerators)
                 + f64::from(step.resources.millicores) / 8_000.0;
             self.report.thrown_away += wasted.as_secs_f64() * equivalents;
         }
         if end == RunEnd::Done {
-            self.gangs.swap_remove(&gang_of(run, step.gang));
+            let gang = gang_of(run, step.gang);
+            for (agent, member) in self.gangs.swap_remove(&gang).unwrap_or_default() {
+                let worker = self.workers.get_mut(&agent);
+                if let Some(other) = worker.and_then(|worker| worker.runs.get_mut(&member)) {
+                    other.completed = true;
+                    let at = self.now + BREAK_DELAY;
+                    self.push(at, Event::End(agent, member, RunEnd::Broken));
+                }
+            }
         } else {
             self.break_gang(run);
         }
@@ -509,7 +559,7 @@
                 RunReport {
                     run: *run,
                     status: RunStatus::Running {
-                        percent: (share * 100.0).clamp(0.0, 99.0) as u32,
+                        percent: (share * 100.0).clamp(0.0, 100.0) as u32,
                         checkpoint: Box::default(),
                         survived: elapsed.unwrap_or_default(),
                     },
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -292,17 +292,19 @@
     assert!(started >= 1.0, "{started} of the gangs started in time");
 }
 
+/// Returns a number from the environment of an experiment.
+fn setting(name: &str, default: f64) -> f64 {
+    let value = std::env::var(name)
+        .ok()
+        .and_then(|value| value.parse().ok());
+    value.unwrap_or(default)
+}
+
 /// Prints the means over several seeds, to compare two versions of the scheduler in pairs. `LOAD_SEEDS` is the number of
 /// seeds and `LOAD_FACTOR` the load, both optional.
 #[test]
 #[ignore = "an experiment without a bound"]
 fn experiment_mixed_load() {
-    let setting = |name: &str, default: f64| {
-        let value = std::env::var(name)
-            .ok()
-            .and_then(|value| value.parse().ok());
-        value.unwrap_or(default)
-    };
     let (seeds, factor) = (
         setting("LOAD_SEEDS", 8.0) as u64,
         setting("LOAD_FACTOR", 1.0),
@@ -337,6 +339,45 @@
     println!("{thrown_away} accelerator seconds thrown away, {idle} idle while a job waits");
 }
 
+/// Speeds of the workers of a deployment with three kinds of workers.
+const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+
+/// Runs urgent and large gangs beside background work, with a tail of run times, on workers of several speeds.
+fn run_on_speeds(seed: u64, factor: f64, speeds: &'static [f64]) -> LoadReport {
+    const SIZE: usize = 57;
+    let mut rng = Rng::with_seed(seed);
+    let mut fleet = Fleet::with_speeds(SIZE, seed, speeds);
+    fleet.vary_work();
+    let factor = SIZE as f64 / WORKERS as f64 * factor;
+    let large = Class {
+        tasks: 6.0,
+        max_tasks: 35,
+        ..LARGE
+    };
+    for class in [URGENT, large, SMALL] {
+        fleet.arrive(class.arrivals(Duration::ZERO, seconds(120), factor, &mut rng));
+    }
+    fleet.run(seconds(180))
+}
+
+/// Prints the share of jobs that end in time on workers of three speeds, to compare two versions of the scheduler in pairs.
+/// `LOAD_SEEDS` and `LOAD_FACTOR` are as above; `LOAD_EVEN=1` gives all workers the same speed.
+#[test]
+#[ignore = "an experiment without a bound"]
+fn experiment_speeds() {
+    let seeds = setting("LOAD_SEEDS", 6.0) as u64;
+    let factor = setting("LOAD_FACTOR", 0.6);
+    let is_even = setting("LOAD_EVEN", 0.0) > 0.0;
+    for class in [URGENT, LARGE, SMALL] {
+        let shares = (0..seeds).map(|seed| {
+            let workers = if is_even { &[1.0][..] } else { &SPEEDS };
+            run_on_speeds(seed, factor, workers).share_in_time(class.name)
+        });
+        let mean = shares.sum::<f64>() / seeds as f64;
+        println!("{}: {mean:.3} in time", class.name);
+    }
+}
+
 /// Guards against a workload whose tasks do not fit any worker, which would make the other tests vacuous.
 #[test]
 fn workload_fits_workers() {
