--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -32,6 +32,8 @@
     pub waiting_jobs: IntGaugeVec,
     /// The longest of these waits in seconds by reason.
     pub longest_wait: GaugeVec,
+    /// Workers by class of their learned speed; 0 if this entry is not the owner.
+    pub worker_speeds: IntGaugeVec,
     /// Version of the configuration by which this process handles requests.
     pub configuration_version: IntGauge,
     /// Seconds since a source was last asked for a newer configuration and answered, by source; -1 if it never did.
@@ -60,6 +62,11 @@
                 "Jobs that have waited for at least a second",
                 "reason",
             )?,
+            worker_speeds: registrar.int_gauges(
+                "limpethook_worker_speeds",
+                "Workers by class of their learned speed",
+                "class",
+            )?,
             longest_wait: registrar.gauges(
                 "limpethook_longest_wait_seconds",
                 "Longest wait of a job that has waited for at least a second",
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -68,6 +68,8 @@
     SingleRack,
     /// Only workers on which runs failed have room.
     SuspectWorkers,
+    /// Only workers on which the unit would end late have room.
+    FasterWorkers,
     /// Nothing keeps the unit from being placed; the next plan tries it.
     NextPlan,
     /// The record that names the agent of the placement is not stored yet.
@@ -85,7 +87,7 @@
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::Recovery,
         Self::CrashNotStored,
         Self::Backoff,
@@ -105,6 +107,7 @@
         Self::DataRack,
         Self::SingleRack,
         Self::SuspectWorkers,
+        Self::FasterWorkers,
         Self::NextPlan,
         Self::RecordNotStored,
         Self::StartUnanswered,
@@ -122,6 +125,7 @@
                 | Self::DataRack
                 | Self::SingleRack
                 | Self::SuspectWorkers
+                | Self::FasterWorkers
         )
     }
 
@@ -147,6 +151,7 @@
             Self::DataRack => "data_rack",
             Self::SingleRack => "single_rack",
             Self::SuspectWorkers => "suspect_workers",
+            Self::FasterWorkers => "faster_workers",
             Self::NextPlan => "next_plan",
             Self::RecordNotStored => "record_not_stored",
             Self::StartUnanswered => "start_unanswered",
