--- a/tests/client_limits/crowd.rs
+++ b/tests/client_limits/crowd.rs
@@ -67,7 +67,7 @@
         let connecting = timeout(WRITE_TIMEOUT, TcpStream::connect(addr)).await;
         let mut stream = connecting.ok()?.ok()?;
         let mut bytes = self.bytes(port, index);
-        if index % COMPLETE_EVERY != 0 {
+        if !index.is_multiple_of(COMPLETE_EVERY) {
             // The last line end of a head or chunked body, and the last byte of any other body.
             bytes.truncate(bytes.len() - 1);
         }
