Limit what clients can make a process hold

Cause: no limit bounded the connections of a process, the read buffers of heads (417 KB each), the bodies that are being received, or the frames of senders without the key. A chunk of one byte held about forty bytes, because the list of chunks kept an entry and a share of the read buffer for each. Nothing closed a connection that stopped before the end of its request.

Change: the new crate `ingress` keeps one account for all ports that a client reaches. A fifth of `limits.memoryMb` bounds the bytes of connections, read buffers, unfinished bodies and responses, and `limits.fileDescriptors` less 200 the connections. What is held longest and most is closed first; a complete request and another process of the deployment never are. A body without room is refused with 503 and Retry-After, which is true because its request is not complete. Heads and bodies have times, taken from the configuration at entries. Bodies are read in parts that are reserved as bytes arrive. Connections of other processes leave the budget with their first valid frame. Decisions are in `decide.rs`, without I/O. The limits of requests are a new field at the end of the configuration that entries fetch from each other; documents of earlier versions are read with the defaults.

Also: `limits` in the settings no longer needs `cpuShare`, and an agent that cannot take an announcement for lack of memory answers 503 with Retry-After instead of 400.

Not measured: the cost of a request, and 3,600 agents.

--- a/components/cell/src/configuration.rs
+++ b/components/cell/src/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use ingress::decide::RequestLimits;
 use model::{AccountId, QueueId, QueuePolicy};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,8 @@
     pub accounts: Vec<AccountTokens>,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Limits on the head of a request and on the times of a connection.
+    pub request_limits: RequestLimits,
 }
 
 impl Configuration {
--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -457,7 +457,7 @@
     let Ok(Reply::ConfigurationDocument(Some((revision, encoded)))) = answer else {
         return false;
     };
-    match records::decode::<Configuration>("configuration from a peer", &encoded) {
+    match records::decode_configuration("configuration from a peer", &encoded) {
         Ok(configuration) => {
             let event = Event::Found {
                 configuration: Arc::new(configuration),
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
+use ingress::ClientBoard;
 use store::TransactionStore;
 use timer::Timer;
 use tokio::net::TcpListener;
@@ -79,6 +80,19 @@
         decode: DecodeConfiguration,
         secret: &str,
         shutdown: CancellationToken,
+    ) -> Result<Arc<Self>> {
+        Self::start_accounted(settings, store, advisor, decode, secret, None, shutdown).await
+    }
+
+    /// Starts an entry whose server of calls shares the account `clients` with the other servers of the process.
+    pub async fn start_accounted(
+        settings: EntrySettings,
+        store: Arc<dyn TransactionStore>,
+        advisor: Option<Arc<dyn Advisor>>,
+        decode: DecodeConfiguration,
+        secret: &str,
+        clients: Option<Arc<ClientBoard>>,
+        shutdown: CancellationToken,
     ) -> Result<Arc<Self>> {
         let addr = settings.addr;
         let listener = shards::bind_with_retry(addr, || TcpListener::bind(addr)).await?;
@@ -106,7 +120,11 @@
             peer_results: ArcSwap::default(),
         });
         let handler_entry = Arc::clone(&entry);
-        tokio::spawn(Server::new(listener, key).serve(
+        let mut server = Server::new(listener, key);
+        if let Some(clients) = clients {
+            server = server.account(clients);
+        }
+        tokio::spawn(server.serve(
             move |_, call| serve::answer(Arc::clone(&handler_entry), call),
             CancellationToken::new(),
         ));
--- a/components/cell/src/records.rs
+++ b/components/cell/src/records.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+use crate::configuration::Configuration;
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum JobRecord {
     /// The job was accepted and has not ended.
@@ -89,6 +91,19 @@
     Ok(RecentOwners { owners, recording })
 }
 
+/// Decodes a configuration from a peer. Earlier versions end it after the size of bodies.
+pub(crate) fn decode_configuration(key: &str, value: &[u8]) -> Result<Configuration> {
+    let ((version, routes, accounts, max_body_bytes), request_limits) =
+        decode_extended(key, value)?;
+    Ok(Configuration {
+        version,
+        routes,
+        accounts,
+        max_body_bytes,
+        request_limits,
+    })
+}
+
 /// Decodes a record of two fields, the second of which earlier versions do not write.
 fn decode_extended<A: DeserializeOwned, B: DeserializeOwned + Default>(
     key: &str,
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -218,6 +218,21 @@
     Ok(())
 }
 
+/// Guards against a document of a peer of an earlier version that cannot be read during an upgrade.
+#[tokio::test(flavor = "multi_thread")]
+async fn document_of_earlier_version_is_applied() -> Result<()> {
+    let memory = Arc::new(MemoryStore::default());
+    memory.is_down.store(true, Ordering::Release);
+    let earlier = PeerConfiguration {
+        has_no_request_limits: true,
+        ..PeerConfiguration::fresh(3)
+    };
+    let seeds = vec![start_peer(earlier).await];
+    let started = start_entry(FaultyStore::new(&memory), seeds).await?;
+    assert!(started.wait_for(3, BOUND).await.is_some());
+    Ok(())
+}
+
 /// Guards against entries that ignore a configuration which an operator restored under its earlier version, until they restart.
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_version_is_applied() -> Result<()> {
--- a/components/cell/tests/configuration/peer.rs
+++ b/components/cell/tests/configuration/peer.rs
@@ -21,6 +21,8 @@
     pub(crate) age: Duration,
     /// Time that the transfer of the document takes.
     pub(crate) transfer: Duration,
+    /// Whether its document ends before the limits of requests.
+    pub(crate) has_no_request_limits: bool,
 }
 
 impl PeerConfiguration {
@@ -31,6 +33,7 @@
             revision: version,
             age: Duration::ZERO,
             transfer: Duration::ZERO,
+            has_no_request_limits: false,
         }
     }
 
@@ -39,7 +42,12 @@
             version: self.version,
             ..Configuration::default()
         };
-        postcard::to_stdvec(&configuration).unwrap_or_default()
+        let mut document = postcard::to_stdvec(&configuration).unwrap_or_default();
+        if self.has_no_request_limits {
+            let limits = postcard::to_stdvec(&configuration.request_limits).unwrap_or_default();
+            document.truncate(document.len() - limits.len());
+        }
+        document
     }
 
     async fn answer(self, call: Call) -> Result<Reply> {
--- /dev/null
+++ b/components/ingress/src/http.rs
@@ -0,0 +1,219 @@
+//! HTTP servers that keep an account of their connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::{Error, ErrorKind, Result};
+use futures::StreamExt;
+use salvo::conn::{Acceptor, ConnCtrl};
+use salvo::fuse::{ArcConnObserver, ConnObserver, FuseAction, FuseConfig, FuseInfo, FusePolicy};
+use salvo::http::body::{Body, ResBody};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Server};
+
+use crate::connection::{Connection, Exchange, MAX_READ_BUFFER_BYTES, Receiving, Serving};
+use crate::decide;
+use crate::ledger::ClientBoard;
+
+/// Delay after which a client should repeat a request that was refused for lack of memory.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Creates a server whose connections are accounted for. Its router needs the hoop of [`track_exchanges`].
+pub fn limited_server<A: Acceptor + Send>(acceptor: A, clients: &Arc<ClientBoard>) -> Server<A> {
+    let mut server = Server::new(acceptor).fuse_policy(ConnectionPolicy(Arc::clone(clients)));
+    server.http1_mut().max_buf_size(MAX_READ_BUFFER_BYTES);
+    server
+}
+
+/// Accepts connections while there is room.
+struct ConnectionPolicy(Arc<ClientBoard>);
+
+#[async_trait]
+impl FusePolicy for ConnectionPolicy {
+    async fn decide(&self, _info: &FuseInfo) -> FuseAction {
+        if self.0.make_room().await {
+            // The controller closes connections that take too long.
+            FuseAction::Accept(FuseConfig::disabled())
+        } else {
+            FuseAction::Reject
+        }
+    }
+
+    fn observe(&self, info: &FuseInfo, ctrl: &ConnCtrl) -> Option<ArcConnObserver> {
+        let closer = ctrl.clone();
+        let addrs = info
+            .remote_addr
+            .clone()
+            .into_std()
+            .zip(info.local_addr.clone().into_std());
+        let opened =
+            addrs.and_then(|(remote, local)| self.0.open(remote, local, move || closer.abort()));
+        let Some(connection) = opened else {
+            // Another port has taken the room.
+            ctrl.abort();
+            return None;
+        };
+        Some(Arc::new(HttpConnection {
+            connection,
+            ctrl: ctrl.clone(),
+        }))
+    }
+}
+
+/// Records what is read and written on a connection.
+struct HttpConnection {
+    connection: Arc<Connection>,
+    ctrl: ConnCtrl,
+}
+
+impl ConnObserver for HttpConnection {
+    fn on_read(&self, bytes: usize) {
+        if let Some(reason) = self.connection.record_http_read(bytes) {
+            self.connection.count(reason);
+            self.ctrl.abort();
+        }
+    }
+
+    fn on_write(&self, _bytes: usize) {
+        self.connection.record_progress();
+    }
+}
+
+/// Returns a handler that keeps the account of each request and comes before all others.
+pub fn track_exchanges(clients: &Arc<ClientBoard>) -> impl Handler {
+    ExchangeTracker(Arc::clone(clients))
+}
+
+struct ExchangeTracker(Arc<ClientBoard>);
+
+#[async_trait]
+impl Handler for ExchangeTracker {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let remote = req.remote_addr().clone().into_std();
+        let local = req.local_addr().clone().into_std();
+        let slot = remote
+            .zip(local)
+            .and_then(|(remote, local)| self.0.find(remote, local));
+        let Some(slot) = slot else {
+            // The connection is being closed.
+            ctrl.call_next(req, depot, res).await;
+            return;
+        };
+        slot.clients.record_response(slot.index, 0);
+        let exchange = Exchange::begin(slot.clone());
+        if req.body().is_end_stream() {
+            let _serving = exchange.received();
+            ctrl.call_next(req, depot, res).await;
+        } else {
+            depot.insert_typed(exchange);
+            ctrl.call_next(req, depot, res).await;
+        }
+        if let ResBody::Once(body) = &res.body {
+            slot.clients.record_response(slot.index, body.len());
+        }
+    }
+}
+
+/// Reads the body of a request of at most `limit` bytes. The account of the request is held until the returned value is dropped.
+///
+/// Memory is reserved as the body arrives, and chunks are copied into parts: a chunk of one byte would otherwise hold its share of
+/// the read buffer and an entry in a list, about forty times its size.
+pub async fn read_body(
+    req: &mut Request,
+    depot: &mut Depot,
+    limit: usize,
+) -> Result<(Vec<u8>, Option<Exchange<Serving>>)> {
+    let mut parts = Parts {
+        exchange: depot.remove_typed::<Exchange<Receiving>>().ok(),
+        buffers: Vec::new(),
+        length: 0,
+    };
+    let mut body = req.take_body();
+    if body.size_hint().lower() > limit as u64 {
+        return Err(invalid_body(&format!("it exceeds {limit} bytes")));
+    }
+    while let Some(frame) = body.next().await {
+        let frame = frame.map_err(|e| invalid_body(&e))?;
+        // Trailers are not part of the body.
+        if let Ok(chunk) = frame.into_data() {
+            parts.append(&chunk, limit)?;
+        }
+    }
+    parts.join()
+}
+
+/// What has arrived of a body.
+struct Parts {
+    exchange: Option<Exchange<Receiving>>,
+    buffers: Vec<Vec<u8>>,
+    length: usize,
+}
+
+impl Parts {
+    fn append(&mut self, mut chunk: &[u8], limit: usize) -> Result<()> {
+        if self.length + chunk.len() > limit {
+            return Err(invalid_body(&format!("it exceeds {limit} bytes")));
+        }
+        while !chunk.is_empty() {
+            let room = self
+                .buffers
+                .last()
+                .map_or(0, |part| part.capacity() - part.len());
+            if room == 0 {
+                let capacity = decide::body_part(self.length, limit);
+                self.reserve(capacity)?;
+                self.buffers.push(Vec::with_capacity(capacity));
+                continue;
+            }
+            let (now, later) = chunk.split_at(room.min(chunk.len()));
+            if let Some(part) = self.buffers.last_mut() {
+                part.extend_from_slice(now);
+            }
+            self.length += now.len();
+            chunk = later;
+        }
+        Ok(())
+    }
+
+    fn join(mut self) -> Result<(Vec<u8>, Option<Exchange<Serving>>)> {
+        let body = if self.buffers.len() > 1 {
+            self.reserve(self.length)?;
+            let mut body = Vec::with_capacity(self.length);
+            for part in std::mem::take(&mut self.buffers) {
+                body.extend_from_slice(&part);
+                if let Some(exchange) = &mut self.exchange {
+                    exchange.give_back(part.capacity());
+                }
+            }
+            body
+        } else {
+            self.buffers.pop().unwrap_or_default()
+        };
+        Ok((body, self.exchange.map(Exchange::received)))
+    }
+
+    /// Reserves memory; without an account, the connection is being closed.
+    fn reserve(&mut self, bytes: usize) -> Result<()> {
+        if self
+            .exchange
+            .as_mut()
+            .is_none_or(|exchange| exchange.reserve(bytes))
+        {
+            return Ok(());
+        }
+        let message = "unfinished requests use up the memory for requests";
+        let error = Error::not_run(ErrorKind::Overloaded, message);
+        Err(error.retry_after(RETRY_DELAY).report())
+    }
+}
+
+fn invalid_body(reason: &dyn std::fmt::Display) -> error_stack::Report<Error> {
+    let message = format!("cannot read request body: {reason}");
+    Error::not_run(ErrorKind::InvalidRequest, message).report()
+}
--- /dev/null
+++ b/components/ingress/src/lib.rs
@@ -0,0 +1,17 @@
+//! Limits on the memory, the descriptors and the time that clients can make a process spend.
+//!
+//! `decide` says how much a connection may hold and which one is closed, without I/O. The servers of a process share one
+//! [`ClientBoard`] with an account of each connection; the controller in `controller` closes the ones that take too long.
+
+mod connection;
+mod controller;
+pub mod decide;
+mod http;
+mod ledger;
+mod rlimit;
+
+pub use connection::{Connection, Exchange, Receiving, Serving};
+pub use controller::spawn as spawn_controller;
+pub use http::{limited_server, read_body, track_exchanges};
+pub use ledger::ClientBoard;
+pub use rlimit::soft_descriptor_limit;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -64,17 +64,15 @@
     serve(addr, Router::with_path("metrics").get(TextHandler(text))).await;
 }
 
-/// Serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`, until the process
-/// exits.
-pub async fn serve_metrics_and_waits<F, W>(addr: SocketAddr, text: F, waits: W)
+/// Returns a router that serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`.
+pub fn metrics_and_waits_router<F, W>(text: F, waits: W) -> Router
 where
     F: Fn() -> String + Send + Sync + 'static,
     W: Fn() -> String + Send + Sync + 'static,
 {
-    let router = Router::new()
+    Router::new()
         .push(Router::with_path("metrics").get(TextHandler(text)))
-        .push(Router::with_path("waits").get(TextHandler(waits)));
-    serve(addr, router).await;
+        .push(Router::with_path("waits").get(TextHandler(waits)))
 }
 
 async fn serve(addr: SocketAddr, router: Router) {
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -206,7 +206,7 @@
     traffic: &Arc<TrafficCounters>,
 ) -> std::io::Result<(FrameReader, FrameWriter)> {
     let stream = TcpStream::connect(addr).await?;
-    handshake(stream, key, Side::Client, traffic).await
+    handshake(stream, key, Side::Client, traffic, None).await
 }
 
 fn unreachable(addr: SocketAddr, reason: &dyn fmt::Display) -> Error {
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -4,15 +4,17 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
+use ingress::Connection;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use telemetry::traffic;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::auth::{Key, NONCE_LEN, TAG_LEN};
+use crate::metered::MeteredReader;
 use crate::traffic::TrafficCounters;
 
 /// Maximum size of a frame in bytes, larger than the largest body that an entry accepts.
@@ -26,7 +28,7 @@
 
 /// The read half of a connection.
 pub(crate) struct FrameReader {
-    inner: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    inner: FramedRead<MeteredReader, LengthDelimitedCodec>,
     key: Key,
     sequence: u64,
     traffic: Arc<TrafficCounters>,
@@ -53,6 +55,7 @@
     key: &Key,
     side: Side,
     traffic: &Arc<TrafficCounters>,
+    account: Option<Arc<Connection>>,
 ) -> std::io::Result<(FrameReader, FrameWriter)> {
     stream.set_nodelay(true)?;
     let own: [u8; NONCE_LEN] = fastrand::u128(..).to_le_bytes();
@@ -75,7 +78,7 @@
     };
     let (read, write) = stream.into_split();
     let reader = FrameReader {
-        inner: FramedRead::new(read, codec()),
+        inner: FramedRead::new(MeteredReader::new(read, account), codec()),
         key: read_key,
         sequence: 0,
         traffic: Arc::clone(traffic),
@@ -112,6 +115,7 @@
             log::warn!(target: "limpethook", reason = "invalid authentication tag"; "connection_closed");
             return None;
         }
+        self.inner.get_mut().finish_frame();
         self.sequence += 1;
         postcard::from_bytes(message).ok()
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod datagram;
 mod frame;
 mod messages;
+mod metered;
 
 mod server;
 mod traffic;
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use errors::Result;
+use ingress::{ClientBoard, Connection};
 use telemetry::TraceParent;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -37,12 +38,24 @@
 pub struct Server {
     listener: TcpListener,
     key: Key,
+    clients: Option<Arc<ClientBoard>>,
 }
 
 impl Server {
     /// Creates a server that accepts connections on a bound listener.
     pub fn new(listener: TcpListener, key: Key) -> Self {
-        Self { listener, key }
+        Self {
+            listener,
+            key,
+            clients: None,
+        }
+    }
+
+    /// Accounts for the connections, so that senders without the key cannot use up the memory and descriptors of the process.
+    #[must_use]
+    pub fn account(mut self, clients: Arc<ClientBoard>) -> Self {
+        self.clients = Some(clients);
+        self
     }
 
     /// Handles calls until `shutdown` is cancelled; each call runs in its own task.
@@ -61,18 +74,53 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let connection = serve_connection(stream, peer, self.key.clone(), Arc::clone(&handler));
-            tokio::spawn(shutdown.clone().run_until_cancelled_owned(connection));
+            let closed = shutdown.child_token();
+            let account = match &self.clients {
+                Some(clients) => match open_account(clients, &stream, peer, &closed).await {
+                    Some(account) => Some(account),
+                    None => continue,
+                },
+                None => None,
+            };
+            let connection = serve_connection(
+                stream,
+                peer,
+                self.key.clone(),
+                account,
+                Arc::clone(&handler),
+            );
+            tokio::spawn(closed.run_until_cancelled_owned(connection));
         }
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, peer: SocketAddr, key: Key, handler: Arc<H>)
-where
+/// Opens the account of a connection; `None` if the process has no room for it.
+async fn open_account(
+    clients: &Arc<ClientBoard>,
+    stream: &TcpStream,
+    peer: SocketAddr,
+    closed: &CancellationToken,
+) -> Option<Arc<Connection>> {
+    let local = stream.local_addr().ok()?;
+    if !clients.make_room().await {
+        return None;
+    }
+    let closed = closed.clone();
+    clients.open(peer, local, move || closed.cancel())
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    key: Key,
+    account: Option<Arc<Connection>>,
+    handler: Arc<H>,
+) where
     H: Fn(CallContext, Call) -> F + Send + Sync + 'static,
     F: Future<Output = Result<Reply>> + Send + 'static,
 {
-    let Ok((mut reader, writer)) = handshake(stream, &key, Side::Server, &Arc::default()).await
+    let Ok((mut reader, writer)) =
+        handshake(stream, &key, Side::Server, &Arc::default(), account).await
     else {
         return;
     };
