--- /dev/null
+++ b/components/ingress/tests/server.rs
@@ -0,0 +1,99 @@
+//! A server whose connections are accounted for, on loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use ingress::decide::{Capacity, RequestLimits};
+use ingress::{ClientBoard, limited_server, spawn_controller, track_exchanges};
+use salvo::conn::TcpListener;
+use salvo::http::Method;
+use salvo::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Reads the body of a POST, and takes its time for any other request.
+struct SlowHandler(Duration);
+
+#[async_trait]
+impl Handler for SlowHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if *req.method() == Method::POST {
+            let body = ingress::read_body(req, depot, 262_144).await;
+            assert!(body.is_ok(), "the body is read");
+        } else {
+            tokio::time::sleep(self.0).await;
+        }
+        res.render("done");
+    }
+}
+
+async fn start(
+    capacity: Capacity,
+    limits: RequestLimits,
+    time: Duration,
+) -> std::io::Result<(SocketAddr, Arc<ClientBoard>)> {
+    let addr = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let clients = ClientBoard::new(capacity);
+    spawn_controller(&clients, &timer::Timer::start(), move || limits);
+    let acceptor = TcpListener::new(addr).try_bind().await;
+    let server = limited_server(acceptor.expect("the address is free"), &clients);
+    let router = Router::with_path("{**rest}").goal(SlowHandler(time));
+    let service = Service::new(router).hoop(track_exchanges(&clients));
+    tokio::spawn(server.serve(service));
+    Ok((addr, clients))
+}
+
+/// Guards against cutting a request that is being handled, because nobody reads its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_unread_body_is_answered() -> std::io::Result<()> {
+    let limits = RequestLimits {
+        idle_timeout: Duration::from_millis(500),
+        ..RequestLimits::default()
+    };
+    let capacity = Capacity {
+        connections: 100,
+        bytes: 32 << 20,
+    };
+    let (addr, _clients) = start(capacity, limits, Duration::from_secs(4)).await?;
+    let mut stream = TcpStream::connect(addr).await?;
+    let request = b"DELETE /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}";
+    stream.write_all(request).await?;
+    let mut buf = [0; 300];
+    let length = stream.read(&mut buf).await?;
+    assert!(buf[..length].starts_with(b"HTTP/1.1 200"));
+    Ok(())
+}
+
+/// Guards against closing idle connections in calm conditions, because a body that arrived on them in small pieces still counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_stay_after_bodies() -> std::io::Result<()> {
+    // A tenth of what an entry with 160 MB has.
+    let capacity = Capacity {
+        connections: 390,
+        bytes: 3_355_443,
+    };
+    let (addr, clients) = start(capacity, RequestLimits::default(), Duration::ZERO).await?;
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n";
+    let mut open = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(addr).await?;
+        stream.write_all(head.as_bytes()).await?;
+        for piece in vec![b'x'; 60_000].chunks(1_000) {
+            stream.write_all(piece).await?;
+            tokio::task::yield_now().await;
+        }
+        let mut buf = [0; 300];
+        assert!(stream.read(&mut buf).await? > 0);
+        open.push(stream);
+    }
+    assert_eq!(clients.connection_count(), 100);
+    Ok(())
+}
