graph: Start copies of slow runs of steps that allow them

`Step::speculative` was decoded and never used: a job waited for its slowest task, and 3 tasks in 100 take seven times as long as the others.

A unit may now have a second run, `Unit::copy`, with its own run number and its own placement on another worker. The run number and the number of active runs describe the other one as before. Whichever ends becomes the current run first, so that each path has one case; if the task is not done, the remaining run becomes the only one. Orders, hang detection, unanswered starts, drains and shrunk capacities apply to one run of such a unit. Preemption stops copies first, and a copy gives way to any ready unit that could use its room. A new owner adopts both runs if the step allows copies.

An end is neither stored nor acknowledged while the start of the other run is ordered and unanswered, because a start may follow an acknowledged end for at most a second.

Steps without `speculative`, and gangs and lasting tasks, have one run.

--- a/components/graph/src/changes.rs
+++ b/components/graph/src/changes.rs
@@ -40,6 +40,7 @@
     /// Takes pending changes, at most one per job in flight, so that writes of different jobs may complete in any
     /// order.
     fn take_changes(&mut self, limit: usize, filter: impl Fn(&Job) -> bool) -> Vec<Change> {
+        let held = self.held_jobs();
         let changed = self.jobs.values_mut();
         let changed = changed
             .filter(|job| {
@@ -47,6 +48,7 @@
                     && job.submitted_version <= job.stored_version
                     // The end deletes the record of placements.
                     && !(job.end.is_some() && job.record.is_being_written())
+                    && !held.contains(&job.id)
                     && filter(job)
             })
             .take(limit);
--- a/components/graph/src/drain.rs
+++ b/components/graph/src/drain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use model::AgentId;
 
 use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
@@ -21,7 +22,8 @@
     /// Stops the runs on draining workers that are not expected to end before the drain deadline: runs that support
     /// checkpoints early enough to take one, and those that would lose all their work as soon as that is known.
     pub(crate) fn stop_runs_before_drain(&mut self, now: Duration) {
-        let mut stopped: IndexSet<UnitKey> = IndexSet::new();
+        // The other run of a unit with a copy goes on.
+        let mut stopped: IndexSet<(UnitKey, Option<AgentId>)> = IndexSet::new();
         for worker in self.workers.values() {
             let Some(deadline) = worker.drain_deadline else {
                 continue;
@@ -30,12 +32,16 @@
             let placements = worker.placements.values();
             for placement in placements.filter(|placement| !placement.is_stopping()) {
                 if self.must_stop(placement, left, now) {
-                    stopped.insert(placement.unit_key());
+                    let key = placement.unit_key();
+                    let only_on = self.has_copy(key).then(|| worker.agent.clone());
+                    stopped.insert((key, only_on));
                 }
             }
         }
         if !stopped.is_empty() {
-            self.stop_where(|unit, _| stopped.contains(&unit));
+            self.stop_where(|unit, agent| {
+                stopped.contains(&(unit, None)) || stopped.contains(&(unit, Some(agent.clone())))
+            });
         }
     }
 
--- a/components/graph/src/ends.rs
+++ b/components/graph/src/ends.rs
@@ -4,6 +4,7 @@
 
 use model::{AgentId, EndReport, JobEnd, JobId, RunEnd, RunNumber, TaskId, WorkerReport};
 
+use crate::copies::allows_copies;
 use crate::job::{Phase, UnitId};
 use crate::placement::AnyPlacement;
 use crate::scheduler::Scheduler;
@@ -50,7 +51,14 @@
         let job = self.jobs.get_mut(&task.job)?;
         let ended = job.end.is_some();
         let long_running = job.step(unit_id).long_running;
+        let allows_copies = allows_copies(job.step(unit_id));
         let unit = job.units.get_mut(&unit_id)?;
+        let is_copy = was_placed && unit.is_copy(end.run.run);
+        if is_copy {
+            unit.make_current(end.run.run);
+        }
+        let has_other_run = was_placed && unit.copy.is_some();
+        let is_unplaced = allows_copies && !was_placed && unit.phase() == Phase::Active;
         log::info!(
             target: "limpethook",
             task:% = task, run = end.run.run, agent:% = agent, end:? = end.end, sequence = end.sequence,
@@ -65,12 +73,16 @@
         }
         if was_placed && unit.run_number == end.run.run {
             unit.active_runs = unit.active_runs.saturating_sub(1);
-        } else if end.run.run < unit.run_number {
-            // The late end of an earlier run, after which the unit was placed again. A failure counts as a failed attempt. A
-            // success completes the unit, unless its task is long-running, and the later run is not needed any more.
+        } else if end.run.run < unit.run_number || is_unplaced {
+            // The late end of an earlier run, after which the unit was placed again, or of a copy that was given up. A failure
+            // counts as a failed attempt. A success completes the unit, unless its task is long-running, and the remaining runs
+            // are not needed any more.
             match end.end {
                 RunEnd::Done if !long_running => {
                     self.complete_unit(agent, task.job, unit_id, now);
+                    if allows_copies {
+                        self.hold_unanswered((task.job, unit_id));
+                    }
                     self.stop_unit(task.job, unit_id);
                 }
                 RunEnd::Failed => self.record_failed_run(agent, end, unit_id, now),
@@ -84,7 +96,9 @@
         }
         // The end of the current run, or of one that has no placement here: it was started by an earlier owner and not
         // adopted, or it was removed when its worker was lost. All of these are applied alike.
-        if !end.checkpoint.is_empty() && unit.phase() != Phase::Done {
+        // The progress of the checkpoint is not known. It may be behind the one that the other run has left.
+        let keeps_checkpoint = has_other_run && !unit.checkpoint.is_empty();
+        if !end.checkpoint.is_empty() && unit.phase() != Phase::Done && !keeps_checkpoint {
             unit.checkpoint = end.checkpoint.clone();
         }
         match end.end {
@@ -92,8 +106,12 @@
             RunEnd::Done => {
                 if let Some(AnyPlacement::Running(placement)) = placement {
                     self.record_run_time(&placement, now);
+                    self.record_step_time((task.job, unit_id), &placement.state, now);
                 }
                 self.complete_unit(agent, task.job, unit_id, now);
+                if has_other_run {
+                    self.end_copy((task.job, unit_id), is_copy);
+                }
             }
             RunEnd::Failed => self.record_failed_run(agent, end, unit_id, now),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone if !ended => {
@@ -136,6 +154,7 @@
             return;
         }
         unit.checkpoint = Box::default();
+        unit.copy = None;
         job.complete(unit_id);
         job.mark_changed();
         if job.end.is_none() && job.is_complete() {
@@ -218,7 +237,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let unit = job.units.get(&unit_id);
+        let unit = job.units.get_mut(&unit_id);
         let Some(unit) = unit.filter(|unit| unit.phase() == Phase::Active) else {
             return;
         };
@@ -226,6 +245,8 @@
             self.stop_unit(id, unit_id);
             return;
         }
-        job.requeue(unit_id, now);
+        if !unit.promote_copy() {
+            job.requeue(unit_id, now);
+        }
     }
 }
--- a/components/graph/src/estimates.rs
+++ b/components/graph/src/estimates.rs
@@ -49,6 +49,11 @@
         runs.product_sum += declared * actual;
     }
 
+    /// Returns the number of completed runs of a queue.
+    pub(crate) fn completed_runs(&self, queue: &QueueId) -> f64 {
+        self.0.get(queue).map_or(0.0, |runs| runs.count)
+    }
+
     /// Returns the expected run time of a task of a queue; the declared time if no run has completed.
     pub(crate) fn expected(&self, queue: &QueueId, declared: Duration) -> Duration {
         let Some(runs) = self.0.get(queue) else {
--- a/components/graph/src/hang.rs
+++ b/components/graph/src/hang.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::{AgentId, JobId};
+use model::{AgentId, JobId, RunNumber};
 
 use crate::job::{Job, UnitId, UnitKey};
 use crate::placement::{AnyPlacement, Running};
@@ -111,24 +111,26 @@
                 worker.quarantine(now);
             }
             self.record_hang(id, unit_id);
-            self.stop_unit(id, unit_id);
+            self.stop_runs_on(hanging.key, &hanging.agent);
         }
     }
 
     fn hanging_units(&self, now: Duration) -> Vec<HangingUnit> {
-        let mut activities: IndexMap<UnitKey, UnitActivity<'_>> = IndexMap::new();
+        // A copy makes progress by itself.
+        let mut activities: IndexMap<(UnitKey, RunNumber), UnitActivity<'_>> = IndexMap::new();
         for worker in self.workers.values() {
             for placement in worker.placements.values() {
                 if let AnyPlacement::Running(running) = placement {
                     activities
-                        .entry(placement.unit_key())
+                        .entry((placement.unit_key(), placement.task_run().run))
                         .and_modify(|activity| activity.add(worker, &running.state))
                         .or_insert_with(|| UnitActivity::new(worker, &running.state));
                 }
             }
         }
         let activities = activities.into_iter();
-        let hanging = activities.filter_map(|(key, activity)| self.check_hang(key, &activity, now));
+        let hanging =
+            activities.filter_map(|((key, _), activity)| self.check_hang(key, &activity, now));
         hanging.collect()
     }
 
@@ -182,7 +184,7 @@
                 job:% = format_args!("{id:016x}"), step = unit.step, first = unit.first, agent:% = agent;
                 "start_given_up"
             );
-            self.stop_unit(id, unit);
+            self.stop_runs_on((id, unit), &agent);
         }
     }
 
--- a/components/graph/src/instructions.rs
+++ b/components/graph/src/instructions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::{AgentId, Instructions, JobId, StartOrder};
+use model::{AgentId, Instructions, JobId, RunNumber, StartOrder};
 
 use crate::approvals::StepId;
 use crate::job::{Job, Phase, UnitId};
@@ -108,7 +108,7 @@
         }
         let mut bodies: IndexMap<JobId, Box<str>> = IndexMap::new();
         for (run, (id, unit), repeated, trial) in starting {
-            let Some((body, checkpoint)) = self.start_payload(id, unit) else {
+            let Some((body, checkpoint)) = self.start_payload(id, unit, run.run) else {
                 continue;
             };
             bodies.entry(id).or_insert(body);
@@ -128,11 +128,19 @@
     }
 
     /// Returns the job body and the checkpoint that a run of a unit starts with.
-    fn start_payload(&self, id: JobId, unit: UnitId) -> Option<(Box<str>, Box<str>)> {
+    fn start_payload(
+        &self,
+        id: JobId,
+        unit: UnitId,
+        run: RunNumber,
+    ) -> Option<(Box<str>, Box<str>)> {
         let job = self.jobs.get(&id)?;
         let unit = job.units.get(&unit)?;
         let is_active = unit.phase() == Phase::Active;
-        is_active.then(|| (job.spec.graph.body.clone(), unit.start_checkpoint.clone()))
+        is_active.then(|| {
+            let checkpoint = unit.start_checkpoint_of(run).into();
+            (job.spec.graph.body.clone(), checkpoint)
+        })
     }
 }
 
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{AcceptedJob, AgentId, JobEnd, JobId, QueuePolicy, RunNumber, Step};
 
+use crate::copies::{StepTimes, UnitCopy, allows_copies};
 use crate::crashes::RunCrash;
 use crate::estimates::Estimates;
 use crate::progress::{Progress, UnitCrashes, UnitProgress};
@@ -77,6 +78,10 @@
     pub(crate) ready_at: Option<Duration>,
     /// When the latest run was placed.
     pub(crate) placed_at: Duration,
+    /// A second run of a task whose step allows copies. The fields above are about the other run.
+    pub(crate) copy: Option<UnitCopy>,
+    /// Number of copies placed by this owner.
+    pub(crate) copies: u32,
 }
 
 impl Unit {
@@ -107,6 +112,8 @@
             avoided_workers: Vec::new(),
             ready_at: None,
             placed_at: Duration::ZERO,
+            copy: None,
+            copies: 0,
         }
     }
 }
@@ -136,6 +143,8 @@
     pub(crate) ready: ReadyUnits,
     /// Agents of the workers on which its runs failed.
     failed_on: IndexSet<AgentId>,
+    /// Run times of the completed runs by step, for steps that allow copies; `None` if there are no such steps.
+    pub(crate) step_times: Option<IndexMap<u32, StepTimes>>,
     /// Whether any of its units is done.
     has_done_unit: bool,
     /// The latest version that contains a crash for which a unit waits.
@@ -173,6 +182,12 @@
             total_accelerators: total_accelerators(&spec.graph.steps),
             ready: ReadyUnits::new(&spec.graph.steps),
             failed_on: IndexSet::new(),
+            step_times: spec
+                .graph
+                .steps
+                .iter()
+                .any(allows_copies)
+                .then(IndexMap::new),
             has_done_unit: false,
             latest_crash_version: 0,
             spec,
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -8,6 +8,7 @@
 //!   are placed and restarted together.
 //! - A run is one execution of a task on a worker, identified by the task and a run number that increases with each
 //!   restart. A placement is the owner's record of a run that has not ended.
+//! - A copy is a second run of a task whose step allows it, on another worker. The first run that completes counts.
 //! - The owner of a cell has the only active scheduler. Each owner has a higher epoch than the one before, and workers
 //!   that have confirmed an epoch refuse orders of lower ones.
 //! - An agent runs beside each worker. It sends reports about the worker to the owner and passes on the orders in the
@@ -28,6 +29,7 @@
 
 mod approvals;
 mod changes;
+mod copies;
 mod crashes;
 mod drain;
 mod eligibility;
@@ -59,6 +61,7 @@
 
 pub use approvals::{ApprovalRequest, StepId};
 pub use changes::{Change, Content};
+pub use copies::CopyEvent;
 pub use crashes::{CrashEvidence, PROBATION, RunCrash};
 pub use progress::{Progress, UnitCrashes, UnitProgress};
 pub use records::PlacementChange;
--- a/components/graph/src/placement.rs
+++ b/components/graph/src/placement.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    /// Returns whether the worker may still start the run: its start was ordered and not answered, or may have been.
+    pub(crate) fn may_still_start(&self) -> bool {
+        match self {
+            Self::Starting(placement) => placement.state.sent_at.is_some(),
+            Self::Running(_) => false,
+            Self::Stopping(placement) => !placement.state.was_reported,
+        }
+    }
+
     /// Marks the run for stopping. If it is already being stopped, the time of the last stop order is cleared, so that
     /// the order is sent again at once.
     pub(crate) fn into_unsent_stopping(self) -> Self {
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use model::{JobId, ResourceVector, TaskId, TaskRun};
 
+use crate::copies::MAX_WAITING;
 use crate::fit::{Assignment, resources_per_task};
 use crate::job::UnitId;
 use crate::order::{ReadyJob, ReadyUnit, URGENT_PRIORITY};
@@ -70,20 +71,24 @@
         self.plan_needed = false;
         self.drop_stale_reservations(now);
         let ready_jobs = self.update_ready_jobs(now);
-        self.plan_jobs(ready_jobs, now);
+        let waiting = self.plan_jobs(ready_jobs, now);
+        self.review_copies(&waiting, is_due, now);
         self.check_waits(now);
     }
 
-    fn plan_jobs(&mut self, ready_jobs: Vec<ReadyJob>, now: Duration) {
+    /// Returns the first units that were not placed.
+    fn plan_jobs(&mut self, ready_jobs: Vec<ReadyJob>, now: Duration) -> Vec<ReadyUnit> {
+        let mut waiting = Vec::new();
         if ready_jobs.is_empty() {
-            return;
+            return waiting;
         }
         let mut fleet = self.fleet_resources();
         self.update_half_idle_services(&fleet, now);
         let headroom = self.headroom_workers(&fleet, now);
         for ready_job in ready_jobs {
-            self.plan_job(ready_job, &mut fleet, &headroom, now);
+            self.plan_job(ready_job, &mut fleet, &headroom, &mut waiting, now);
         }
+        waiting
     }
 
     /// Places the ready units of a job.
@@ -95,6 +100,7 @@
         ready_job: ReadyJob,
         fleet: &mut FleetResources,
         headroom: &[bool],
+        waiting: &mut Vec<ReadyUnit>,
         now: Duration,
     ) {
         let job = self.jobs.get_mut(&ready_job.job);
@@ -102,6 +108,9 @@
         let mut misses: IndexMap<u32, u32> = IndexMap::new();
         while let Some(unit) = heads.pop() {
             let outcome = self.place_or_reserve(ready_job.unit(unit), fleet, headroom, now);
+            if outcome != Outcome::Placed && waiting.len() < MAX_WAITING {
+                waiting.push(ready_job.unit(unit));
+            }
             let Some(job) = self.jobs.get_mut(&ready_job.job) else {
                 return;
             };
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -86,8 +86,8 @@
             lost = selection.cost.lost, guaranteed = ready.guaranteed, workers:? = selection.assignment;
             "units_preempted"
         );
-        for (job, unit) in &selection.victims {
-            self.stop_unit(*job, *unit);
+        for victim in &selection.victims {
+            self.stop_victim(*victim);
         }
     }
 
@@ -152,7 +152,9 @@
             by_rack
                 .entry(candidate.worker.rack())
                 .or_default()
-                .push(preemptible_worker(candidate, projected, &costs));
+                .push(preemptible_worker(candidate, projected, &costs, |run| {
+                    self.victim_key(run)
+                }));
         }
         let cheapest = |workers: &[PreemptibleWorker<'_>]| {
             select_victims(workers, unit.tasks, task_resources, &costs)
@@ -205,8 +207,16 @@
         let mut costs = IndexMap::new();
         let placements = self.workers.values().flat_map(|w| w.placements.values());
         for placement in placements {
-            let key = placement.unit_key();
-            if placement.is_stopping() || !self.is_preemptible(key.0, ready) {
+            let key = self.victim_key(placement);
+            if placement.is_stopping() {
+                continue;
+            }
+            if self.is_copy(placement) {
+                // It is stopped before anything else, whatever its job.
+                costs.insert(key, StopCost::default());
+                continue;
+            }
+            if !self.is_preemptible(key.0, ready) {
                 continue;
             }
             let cost = costs.entry(key).or_insert_with(|| StopCost {
@@ -241,10 +251,11 @@
     candidate: &Candidate<'a>,
     free: ResourceVector,
     costs: &IndexMap<UnitKey, StopCost>,
+    victim_key: impl Fn(&AnyPlacement) -> UnitKey,
 ) -> PreemptibleWorker<'a> {
     let mut units: IndexMap<UnitKey, ResourceVector> = IndexMap::new();
     for placement in candidate.worker.placements.values() {
-        let unit = placement.unit_key();
+        let unit = victim_key(placement);
         if !placement.is_stopping() && costs.contains_key(&unit) {
             let resources = units.entry(unit).or_default();
             *resources = resources.saturating_add(placement.resources());
--- a/components/graph/src/recovery.rs
+++ b/components/graph/src/recovery.rs
@@ -5,6 +5,7 @@
 
 use model::{AgentId, JobId, ResourceVector, RunNumber, RunReport, RunStatus, TaskId, TaskRun};
 
+use crate::copies::allows_copies;
 use crate::fit::resources_per_task;
 use crate::job::{Job, Phase};
 use crate::placement::AnyPlacement;
@@ -197,11 +198,18 @@
         let Some(unit) = job.units.get(&unit_id) else {
             return false;
         };
+        let is_other_run = awaiting_recovery
+            && allows_copies(job.step(unit_id))
+            && unit.phase() == Phase::Active
+            && unit.run_number != run_number
+            && unit.copy.is_none();
         let is_needed = match unit.phase() {
             // During recovery, the run is adopted unless a newer run of the unit is known.
             Phase::Waiting => awaiting_recovery && unit.run_number <= run_number,
             // Another member of the same run of a gang was adopted before.
-            Phase::Active => unit.run_number == run_number && unit.active_runs < unit.tasks,
+            Phase::Active if unit.run_number == run_number => unit.active_runs < unit.tasks,
+            // The earlier owner had started a copy.
+            Phase::Active => is_other_run,
             Phase::Done => false,
         };
         if !is_needed {
@@ -210,12 +218,16 @@
         let Some(unit) = job.activate(unit_id) else {
             return false;
         };
-        if unit.active_runs == 0 {
-            unit.start_checkpoint = unit.checkpoint.clone();
+        if is_other_run {
+            unit.adopt_copy(run_number, now);
+        } else {
+            if unit.active_runs == 0 {
+                unit.start_checkpoint = unit.checkpoint.clone();
+            }
+            unit.run_number = run_number;
+            unit.active_runs += 1;
+            unit.placed_at = now;
         }
-        unit.run_number = run_number;
-        unit.active_runs += 1;
-        unit.placed_at = now;
         let run = TaskRun::new(task, run_number);
         let placement = AnyPlacement::new(task.job, unit_id, run, resources, now);
         let placement = placement.with_trial(unit.is_suspect());
@@ -223,7 +235,14 @@
             .placements
             .insert(task, placement.with_start_sent(now));
         self.record_agent(task.job, agent, true, now);
-        log::info!(target: "limpethook", task:% = task, run = run.run, agent:% = agent; "run_adopted");
+        if is_other_run {
+            self.record_adopted_copy((task.job, unit_id), agent);
+        }
+        log::info!(
+            target: "limpethook",
+            task:% = task, run = run.run, agent:% = agent, is_other_run = is_other_run;
+            "run_adopted"
+        );
         true
     }
 
--- a/components/graph/src/reports.rs
+++ b/components/graph/src/reports.rs
@@ -120,7 +120,7 @@
                 job:% = format_args!("{job:016x}"), step = unit.step, first = unit.first, agent:% = agent, capacity:? = capacity;
                 "start_withdrawn"
             );
-            self.stop_unit(job, unit);
+            self.stop_runs_on((job, unit), agent);
         }
     }
 
@@ -389,6 +389,7 @@
         let Some(unit) = job.units.get_mut(&unit_id) else {
             return;
         };
+        unit.make_current(placement.task_run().run);
         if unit.run_number != placement.task_run().run {
             return;
         }
@@ -397,7 +398,9 @@
             return;
         }
         if unit.active_runs == 0 {
-            job.requeue(unit_id, now);
+            if !unit.promote_copy() {
+                job.requeue(unit_id, now);
+            }
         } else {
             self.stop_unit(id, unit_id);
         }
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::approvals::{Approvals, StepId};
+use crate::copies::Copies;
 use crate::estimates::Estimates;
 use crate::fit::Assignment;
 use crate::headroom::UrgentDemand;
@@ -100,6 +101,8 @@
     pub(crate) crash_suspects: Vec<usize>,
     /// Number of runs removed without a report of their end, collected for the metrics.
     pub(crate) removed_runs: IndexMap<RemovalReason, usize>,
+    /// Copies of slow runs.
+    pub(crate) copies: Copies,
     /// Services that are under half in use, and since when.
     pub(crate) half_idle_since: IndexMap<ServiceId, Duration>,
     /// Jobs that wait, for the log, the metrics and operators.
@@ -158,6 +161,7 @@
             start_delays: Vec::new(),
             crash_suspects: Vec::new(),
             removed_runs: IndexMap::new(),
+            copies: Copies::default(),
             half_idle_since: IndexMap::new(),
             waits: Waits::default(),
             status_version: 0,
--- a/components/graph/tests/common/mod.rs
+++ b/components/graph/tests/common/mod.rs
@@ -329,7 +329,12 @@
     /// Ends the run of a task on its worker and delivers the report.
     pub(crate) fn end_run(&mut self, task: TaskId, end: RunEnd) {
         let agent = self.agent_of(task).expect("the task runs");
-        let worker = &mut self.workers[&agent];
+        self.end_run_on(&agent, task, end);
+    }
+
+    /// Ends the run of a task on a worker and delivers the report.
+    pub(crate) fn end_run_on(&mut self, agent: &str, task: TaskId, end: RunEnd) {
+        let worker = &mut self.workers[agent];
         let index = worker
             .report
             .runs
@@ -344,7 +349,7 @@
             checkpoint: Box::default(),
         });
         worker.next_end_sequence += 1;
-        self.report(&agent);
+        self.report(agent);
     }
 
     /// Crashes a worker. Its agent finds nothing at its address and reports that.
