--- a/components/graph/tests/load/fleet.rs
+++ b/components/graph/tests/load/fleet.rs
@@ -59,8 +59,22 @@
     pub(crate) work: Duration,
     /// Whether its first task crashes each worker that starts it.
     pub(crate) deadly: bool,
+    pub(crate) stragglers: Stragglers,
 }
 
+/// Which runs take seven times as long as the others.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Stragglers {
+    None,
+    /// A share of the runs.
+    Runs(f64),
+    /// Each run of one task in this many.
+    Tasks(u32),
+}
+
+/// How many times longer a straggler takes.
+const STRAGGLER_FACTOR: u32 = 7;
+
 /// A change of the fleet or of the load during a run.
 #[derive(Debug, Clone)]
 pub(crate) enum Change {
@@ -336,7 +350,13 @@
         let fails = worker.fails;
         let arrival = &self.arrivals[(run.task.job - 1) as usize];
         let step = &arrival.job.graph.steps[run.task.step as usize];
-        let (work, tasks, is_gang) = (arrival.work, step.tasks, step.gang);
+        let is_straggler = match arrival.stragglers {
+            Stragglers::None => false,
+            Stragglers::Runs(share) => self.rng.f64() < share,
+            Stragglers::Tasks(one_in) => run.task.index.is_multiple_of(one_in),
+        };
+        let factor = if is_straggler { STRAGGLER_FACTOR } else { 1 };
+        let (work, tasks, is_gang) = (arrival.work * factor, step.tasks, step.gang);
         worker.runs.insert(
             run,
             SimulatedRun {
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use fleet::{Arrival, Change, Fleet, WORKER_CAPACITY};
+use fleet::{Arrival, Change, Fleet, Stragglers, WORKER_CAPACITY};
 use indexmap::IndexMap;
 use model::{AgentId, ResourceVector, Step};
 use report::LoadReport;
@@ -292,6 +292,74 @@
     assert!(started >= 1.0, "{started} of the gangs started in time");
 }
 
+/// Runs small jobs with stragglers beside urgent ones, with or without copies.
+fn run_with_stragglers(
+    stragglers: Stragglers,
+    speculative: bool,
+    factor: f64,
+    seed: u64,
+) -> LoadReport {
+    let mut rng = Rng::with_seed(seed);
+    let mut fleet = fleet(WORKERS, seed);
+    let mut small = SMALL.arrivals(Duration::ZERO, seconds(40), factor, &mut rng);
+    for arrival in &mut small {
+        arrival.stragglers = stragglers;
+        arrival.job.graph.steps[0].speculative = speculative;
+    }
+    fleet.arrive(small);
+    fleet.arrive(URGENT.arrivals(Duration::ZERO, seconds(40), 1.0, &mut rng));
+    let report = fleet.run(seconds(120));
+    report.print(if speculative { "copies" } else { "no copies" });
+    report
+}
+
+/// Pattern: background steps with a tail of stragglers: 3 runs in 100 take seven times as long as the others.
+///
+/// Guards against jobs that wait for a few slow runs while workers are free, and against urgent jobs that wait for copies.
+#[test]
+fn load_copies_shorten_tail_of_stragglers() {
+    let stragglers = Stragglers::Runs(0.03);
+    let without = run_with_stragglers(stragglers, false, 1.0, 11);
+    let with = run_with_stragglers(stragglers, true, 1.0, 11);
+    let times = [&with, &without].map(|report| report.mean_time(SMALL.name));
+    assert!(times[0] < times[1].mul_f64(0.75), "{times:?}");
+    let in_time = [&with, &without].map(|report| report.share_in_time(SMALL.name));
+    assert!(in_time[0] > in_time[1] + 0.1, "{in_time:?}");
+    let urgent = [&with, &without].map(|report| report.share_in_time(URGENT.name));
+    assert!(urgent[0] >= urgent[1] - 0.02, "{urgent:?}");
+}
+
+/// Pattern: background steps in which one task in 33 is slow wherever it runs.
+///
+/// Guards against copies that go on taking resources although they are as slow as their originals.
+#[test]
+fn load_copies_of_slow_tasks_cost_little() {
+    let stragglers = Stragglers::Tasks(33);
+    let without = run_with_stragglers(stragglers, false, 1.0, 12);
+    let with = run_with_stragglers(stragglers, true, 1.0, 12);
+    let times = [&with, &without].map(|report| report.mean_time(SMALL.name));
+    assert!(times[0] < times[1].mul_f64(1.05), "{times:?}");
+    let thrown_away = [&with, &without].map(|report| report.thrown_away);
+    assert!(thrown_away[0] < thrown_away[1] + 200.0, "{thrown_away:?}");
+}
+
+/// Prints what copies change over several seeds and loads.
+#[test]
+#[ignore = "an experiment without a bound"]
+fn experiment_copies() {
+    for stragglers in [Stragglers::Runs(0.03), Stragglers::Tasks(33)] {
+        for factor in [0.5, 1.0, 1.5, 2.0] {
+            for seed in 20..24 {
+                println!("{stragglers:?}, load {factor}, seed {seed}");
+                let reports = [false, true]
+                    .map(|copies| run_with_stragglers(stragglers, copies, factor, seed));
+                let times = reports.map(|report| report.mean_time(SMALL.name).as_millis());
+                println!("mean times of small jobs without and with copies: {times:?} ms");
+            }
+        }
+    }
+}
+
 /// Prints the means over several seeds, to compare two versions of the scheduler in pairs. `LOAD_SEEDS` is the number of
 /// seeds and `LOAD_FACTOR` the load, both optional.
 #[test]
--- a/components/graph/tests/load/report.rs
+++ b/components/graph/tests/load/report.rs
@@ -71,6 +71,18 @@
         in_time as f64 / total.max(1) as f64
     }
 
+    /// Returns the mean time from the acceptance to the end of the jobs of a class that have ended.
+    pub(crate) fn mean_time(&self, class: &str) -> Duration {
+        let ended = self.of_class(class).filter_map(|job| {
+            let (at, _) = job.ended?;
+            Some(at.saturating_sub(job.accepted_at))
+        });
+        let times: Vec<Duration> = ended.collect();
+        let count = u32::try_from(times.len()).unwrap_or(u32::MAX);
+        let total: Duration = times.iter().sum();
+        total.checked_div(count).unwrap_or_default()
+    }
+
     /// Returns the share of the jobs of a class whose first run began within a time.
     pub(crate) fn share_started_within(&self, class: &str, time: Duration) -> f64 {
         let total = self.of_class(class).count();
--- a/components/graph/tests/load/workload.rs
+++ b/components/graph/tests/load/workload.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use model::{AcceptedJob, JobGraph, QueuePolicy, ResourceVector, Step};
 
-use crate::fleet::Arrival;
+use crate::fleet::{Arrival, Stragglers};
 
 /// Client accounts; a few of them submit most of the jobs.
 pub(crate) const ACCOUNTS: u32 = 24;
@@ -132,6 +132,7 @@
         let account = rng.u32(0..ACCOUNTS).min(rng.u32(0..ACCOUNTS));
         Arrival {
             deadly: false,
+            stragglers: Stragglers::None,
             at,
             class: self.name,
             work,
