--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -289,6 +289,11 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
+        for (event, count) in self.scheduler.take_copy_events() {
+            let copies = &self.entry.metrics.copies;
+            let copies = copies.with_label_values(&[event.name()]);
+            copies.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+        }
         if self.scheduler.take_waits_changed() {
             let counts = self.scheduler.wait_counts(now);
             self.publish_waits(self.scheduler.waits(), &counts, now);
