Decide by the cost to callers what waits and what is stopped

Cause: which unit is placed first, which runs are stopped and who may use the headroom followed different criteria. Late jobs came before those still in time, an urgent unit stopped work up to twice its own whatever that changed for its caller, runs about to end were stopped, and units that stopped nothing kept resources idle for as long as they waited.

Change: stakes.rs gives the value of a job by its priority and relative work, its prospect (in time, late, worthless) and what a later end costs. Where the ready units of a service need more than is free, jobs are placed by guarantee, then worthless ones last, then priority, prospect and value for each unit of work. Runs are stopped for a unit without a guarantee only if its caller gains more than the others lose; each earlier stop of a unit makes the next dearer. Runs that end about as soon as a stop would take effect are not stopped. A worthless job becomes overdue after 10 s and gets a turn, by account. Decisions are logged and counted by reason (limpethook_shortage_decisions_total).

--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -289,6 +289,11 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
+        for (reason, count) in self.scheduler.take_shortage_decisions() {
+            let decisions = &self.entry.metrics.shortage_decisions;
+            let decisions = decisions.with_label_values(&[reason.to_string()]);
+            decisions.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+        }
         if self.scheduler.take_waits_changed() {
             let counts = self.scheduler.wait_counts(now);
             self.publish_waits(self.scheduler.waits(), &counts, now);
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -28,6 +28,8 @@
     pub worker_crashes: IntCounterVec,
     /// Runs that the owner took for ended without a report of their end, by what it took as proof.
     pub runs_removed: IntCounterVec,
+    /// Decisions to stop, to spare or to defer work for which there was too little room, by reason.
+    pub shortage_decisions: IntCounterVec,
     /// Jobs that have waited for at least a second by reason; 0 if this entry is not the owner.
     pub waiting_jobs: IntGaugeVec,
     /// The longest of these waits in seconds by reason.
@@ -71,16 +73,8 @@
             registry.register(Box::new(gauges.clone()))?;
             Ok::<_, prometheus::Error>(gauges)
         };
-        let waiting_jobs = IntGaugeVec::new(
-            Opts::new(
-                "limpethook_waiting_jobs",
-                "Jobs that have waited for at least a second",
-            ),
-            &["reason"],
-        )?;
-        registry.register(Box::new(waiting_jobs.clone()))?;
         Ok(Self {
-            waiting_jobs,
+            waiting_jobs: waiting_jobs(&registry)?,
             longest_wait: gauges(
                 "limpethook_longest_wait_seconds",
                 "Longest wait of a job that has waited for at least a second",
@@ -137,6 +131,11 @@
                 "Runs taken for ended without a report of their end",
                 &["reason"],
             )?,
+            shortage_decisions: counters(
+                "limpethook_shortage_decisions_total",
+                "Decisions about work for which there was too little room",
+                &["reason"],
+            )?,
             submit_seconds: histogram(
                 "limpethook_job_submit_seconds",
                 "Time from a submission to its answer",
@@ -149,3 +148,15 @@
         })
     }
 }
+
+fn waiting_jobs(registry: &Registry) -> prometheus::Result<IntGaugeVec> {
+    let waiting_jobs = IntGaugeVec::new(
+        Opts::new(
+            "limpethook_waiting_jobs",
+            "Jobs that have waited for at least a second",
+        ),
+        &["reason"],
+    )?;
+    registry.register(Box::new(waiting_jobs.clone()))?;
+    Ok(waiting_jobs)
+}
--- a/components/graph/src/headroom.rs
+++ b/components/graph/src/headroom.rs
@@ -8,9 +8,9 @@
 
 use crate::job::Job;
 use crate::order::{ReadyUnit, URGENT_PRIORITY};
-use crate::preempt::accelerator_equivalents;
 use crate::reservations::FleetResources;
 use crate::scheduler::Scheduler;
+use crate::stakes::{Prospect, Stake, accelerator_equivalents};
 
 /// Window over which the demand of urgent jobs is averaged. At the arrival rates at which headroom is useful, several
 /// urgent jobs arrive within it.
@@ -91,7 +91,8 @@
     }
 
     /// Returns whether a unit may use the headroom: an urgent or a long-running one, or one whose job was accepted
-    /// longer ago than half of its slack. The slack is the completion objective less the expected run time.
+    /// longer ago than half of its slack. The slack is the completion objective less the expected run time. Where there is too
+    /// little room, a unit without checkpoints whose job is late does not, until the job is overdue.
     ///
     /// Long-running tasks are included because their users notice at once when one is not running.
     pub(crate) fn may_use_headroom(&self, ready: ReadyUnit, now: Duration) -> bool {
@@ -99,8 +100,19 @@
             return false;
         };
         ready.priority == URGENT_PRIORITY
+            || ready.overdue
             || job.step(ready.unit).long_running
-            || now > headroom_deadline(job)
+            || (now > headroom_deadline(job) && !self.would_be_in_the_way(job, ready, now))
+    }
+
+    /// Returns whether a unit that begins now would probably be stopped for an urgent one, or keep it waiting, although its own
+    /// job does not end in time any more: where there is too little room, urgent units are expected within its run time, and a
+    /// stop would lose its work.
+    fn would_be_in_the_way(&self, job: &Job, ready: ReadyUnit, now: Duration) -> bool {
+        let stake = Stake::of(job, &self.queue_sizes);
+        self.shortage.is_in(&job.policy.service)
+            && !job.step(ready.unit).supports_checkpoints
+            && stake.prospect(now + job.remaining_time()) != Prospect::InTime
     }
 }
 
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -8,9 +8,11 @@
 
 use crate::crashes::RunCrash;
 use crate::estimates::Estimates;
+use crate::fit::resources_per_task;
 use crate::progress::{Progress, UnitCrashes, UnitProgress};
 use crate::ready::{ReadyUnits, StepHeads};
 use crate::records::PlacementRecord;
+use crate::stakes::accelerator_equivalents;
 
 /// Number of workers on which a job has to fail, without completing any unit, to count as faulty itself.
 const FAULTY_JOB_WORKERS: usize = 3;
@@ -64,6 +66,8 @@
     pub(crate) checkpoint_percent: u32,
     /// Number of runs that were stopped because they made no progress.
     pub(crate) hang_count: u32,
+    /// Number of runs that were stopped for other units.
+    pub(crate) preemptions: u32,
     /// The runs under which workers crashed, as far as they were not refuted.
     pub(crate) crashes: Vec<RunCrash>,
     /// Version of the job that contains the latest crash that made the unit a suspect; it is not placed before that is
@@ -101,6 +105,7 @@
             start_checkpoint: Box::default(),
             checkpoint_percent: 0,
             hang_count: 0,
+            preemptions: 0,
             crashes: Vec::new(),
             crash_version: 0,
             not_before: Duration::ZERO,
@@ -222,6 +227,68 @@
         self.accepted_at + self.objective()
     }
 
+    /// Returns the expected work of all tasks of an occurrence, in accelerator seconds.
+    pub(crate) fn work(&self) -> f64 {
+        let steps = (0..).zip(&self.spec.graph.steps);
+        steps
+            .map(|(number, step)| self.task_work(number) * f64::from(step.tasks))
+            .sum()
+    }
+
+    /// Returns the expected work of a task of a step, in accelerator seconds.
+    pub(crate) fn task_work(&self, step: u32) -> f64 {
+        let resources = resources_per_task(&self.spec.graph.steps[step as usize]);
+        accelerator_equivalents(resources) * self.expected_task_times[step as usize].as_secs_f64()
+    }
+
+    /// Returns the steps of the latest occurrence that have waiting units, with the number of tasks that wait.
+    pub(crate) fn waiting_tasks(&self) -> impl Iterator<Item = (u32, u32)> {
+        let occurrence = self.created_occurrences.saturating_sub(1);
+        let steps = (0..).zip(&self.spec.graph.steps);
+        let waiting = steps.map(move |(number, step)| {
+            let units = self.ready.waiting_units(occurrence, number);
+            (number, if step.gang { units * step.tasks } else { units })
+        });
+        waiting.filter(|(_, tasks)| *tasks > 0)
+    }
+
+    /// Returns the number of tasks of a step that are ready.
+    pub(crate) fn ready_tasks(&self, step: u32) -> u32 {
+        let units = self.ready.ready_units(step);
+        let step = &self.spec.graph.steps[step as usize];
+        units * if step.gang { step.tasks } else { 1 }
+    }
+
+    /// Returns the expected time from the start of the waiting units to the end of the job: the sum of the run times of the
+    /// steps that have any.
+    pub(crate) fn remaining_time(&self) -> Duration {
+        self.waiting_tasks()
+            .map(|(step, _)| self.expected_task_times[step as usize])
+            .sum()
+    }
+
+    /// Returns the expected time to the end of the job if a run of a step ends after `remaining`.
+    pub(crate) fn remaining_time_beside(&self, step: u32, remaining: Duration) -> Duration {
+        let mut own = remaining;
+        let mut others = Duration::ZERO;
+        for (number, _) in self.waiting_tasks() {
+            let expected = self.expected_task_times[number as usize];
+            if number == step {
+                own = own.max(expected);
+            } else {
+                others += expected;
+            }
+        }
+        own + others
+    }
+
+    /// Returns the expected work of the waiting units in accelerator seconds.
+    pub(crate) fn waiting_work(&self) -> f64 {
+        self.waiting_tasks()
+            .map(|(step, tasks)| self.task_work(step) * f64::from(tasks))
+            .sum()
+    }
+
     /// Returns the step of a unit.
     pub(crate) fn step(&self, unit: UnitId) -> &Step {
         &self.spec.graph.steps[unit.step as usize]
--- a/components/graph/src/plan.rs
+++ b/components/graph/src/plan.rs
@@ -11,6 +11,7 @@
 use crate::placement::AnyPlacement;
 use crate::reservations::{FleetResources, PlacementOptions, ReservationFilter};
 use crate::scheduler::Scheduler;
+use crate::stakes::Prospect;
 use crate::victims::Selection;
 
 /// Longest interval of the plans that depend only on time: hanging runs, quarantines and waits for a better place.
@@ -37,7 +38,7 @@
     /// Place it on these workers, with these resources for each task.
     Place(Assignment, ResourceVector),
     /// Reserve resources that the selected victims free, with these resources for each task.
-    Reserve(Selection, ResourceVector),
+    Reserve(Box<Selection>, ResourceVector),
     /// Try again later.
     Wait,
     /// Try again later; there is no room for any unit of the step.
@@ -100,13 +101,17 @@
         let job = self.jobs.get_mut(&ready_job.job);
         let mut heads = job.map(|job| job.step_heads(now)).unwrap_or_default();
         let mut misses: IndexMap<u32, u32> = IndexMap::new();
-        while let Some(unit) = heads.pop() {
+        let mut remaining = ready_job.overdue_units.unwrap_or(u32::MAX);
+        while let Some(unit) = heads.pop().filter(|_| remaining > 0) {
             let outcome = self.place_or_reserve(ready_job.unit(unit), fleet, headroom, now);
             let Some(job) = self.jobs.get_mut(&ready_job.job) else {
                 return;
             };
             let next = match outcome {
-                Outcome::Placed => job.next_ready(unit.step, Some(unit), now),
+                Outcome::Placed => {
+                    remaining -= 1;
+                    job.next_ready(unit.step, Some(unit), now)
+                }
                 Outcome::NoRoom => None,
                 Outcome::Waits => {
                     let misses = misses.entry(unit.step).or_default();
@@ -155,7 +160,7 @@
                 Outcome::Placed
             }
             Decision::Reserve(selection, task_resources) => {
-                self.reserve_resources(ready, selection, task_resources, fleet, now);
+                self.reserve_resources(ready, *selection, task_resources, fleet, now);
                 Outcome::Waits
             }
             Decision::Wait => Outcome::Waits,
@@ -265,12 +270,14 @@
         if let Some(assignment) = self.choose_workers(ready, &options, now) {
             return Decision::Place(assignment, options.task_resources);
         }
-        if ready.priority != URGENT_PRIORITY || !self.may_reserve(ready, now) {
+        let is_worth = ready.guaranteed || ready.prospect != Prospect::Worthless;
+        let reserves = ready.overdue || (ready.priority == URGENT_PRIORITY && is_worth);
+        if !reserves || !self.may_reserve(ready, now) {
             return Decision::Wait;
         }
         let selection = self.select_preemption(ready, &options, fleet, now);
         selection.map_or(Decision::Wait, |selection| {
-            Decision::Reserve(selection, options.task_resources)
+            Decision::Reserve(Box::new(selection), options.task_resources)
         })
     }
 
@@ -285,7 +292,7 @@
     /// Returns whether a unit may fit now, without looking at its requirements other than resources. Urgent units may also
     /// preempt.
     fn may_fit(&self, ready: ReadyUnit, fleet: &FleetResources, excluded: &[bool]) -> bool {
-        if ready.priority == URGENT_PRIORITY {
+        if ready.priority == URGENT_PRIORITY || ready.overdue {
             return true;
         }
         let Some(job) = self.jobs.get(&ready.job) else {
--- a/components/graph/src/preempt.rs
+++ b/components/graph/src/preempt.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{JobId, ResourceVector};
 
 use crate::fit::{Candidate, racks_to_try};
-use crate::job::{Job, UnitKey};
-use crate::order::{ReadyUnit, URGENT_PRIORITY};
+use crate::job::{Job, UnitId, UnitKey};
+use crate::order::ReadyUnit;
 use crate::placement::AnyPlacement;
 use crate::reservations::{FleetResources, PlacementOptions};
 use crate::scheduler::{Reservation, Scheduler};
+use crate::shortage::ShortageDecision;
+use crate::stakes::{Prospect, Stake, accelerator_equivalents};
 use crate::trust::{TrustLevel, trusted_candidates, waits_for_sound_workers};
 use crate::victims::{PreemptibleWorker, Selection, StopCost, select_victims};
 
@@ -18,15 +20,11 @@
 const RESERVATION_MARGIN: Duration = Duration::from_secs(2);
 /// Interval at which victims are selected again for a unit that did not preempt because its victims would lose too much.
 const RESELECTION_INTERVAL: Duration = Duration::from_millis(50);
-/// Work that may be lost for an urgent unit, as a multiple of its own expected work. The lost work is repeated later, while
-/// the clients of urgent jobs do not wait.
-const URGENT_WORK_WEIGHT: f64 = 2.0;
-/// Processor time that counts as much as one accelerator when costs are compared.
-const MILLICORES_PER_ACCELERATOR: f64 = 8_000.0;
-/// Added to the cost of stopping an urgent unit, in accelerator seconds, so that it is stopped only if no unit of a
-/// lower priority can be. Otherwise an urgent run that has just started would be the cheapest victim, although its job
-/// would then miss its deadline.
-const URGENT_STOP_COST: f64 = 1e6;
+/// Time that an urgent unit is expected to wait at least if no runs are stopped for it: others also take what becomes free. With
+/// 2 s and 5 s, the load tests served less value.
+const MIN_EXPECTED_WAIT: Duration = Duration::from_secs(10);
+/// Time that a stop takes on average, as a share of the longest.
+const MEAN_STOP_SHARE: f64 = 2.0 / 3.0;
 
 impl Scheduler {
     /// Returns whether runs were stopped for a unit that still waits for their resources.
@@ -37,7 +35,12 @@
 
     /// Returns whether a unit may get a new reservation: it has none, or one that did not preempt and that is not recent.
     pub(crate) fn may_reserve(&self, ready: ReadyUnit, now: Duration) -> bool {
-        let reservation = self.reservations.get(&(ready.job, ready.unit));
+        let key = (ready.job, ready.unit);
+        let declined_at = self.shortage.declined.get(&key);
+        if declined_at.is_some_and(|at| now < *at + RESELECTION_INTERVAL) {
+            return false;
+        }
+        let reservation = self.reservations.get(&key);
         reservation.is_none_or(|reservation| {
             !reservation.preempts && now >= reservation.created_at + RESELECTION_INTERVAL
         })
@@ -45,8 +48,8 @@
 
     /// Reserves the selected workers for a unit.
     ///
-    /// The victims are stopped if the unit is guaranteed, or if they lose little work compared with its own. Otherwise the
-    /// unit waits until they end.
+    /// The victims are stopped if the unit is guaranteed, or if that costs callers less than the later end of the unit's own job.
+    /// Otherwise the unit waits until they end, if its job is then still in time, or for other resources without a reservation.
     pub(crate) fn reserve_resources(
         &mut self,
         ready: ReadyUnit,
@@ -55,12 +58,31 @@
         fleet: &mut FleetResources,
         now: Duration,
     ) {
-        let acceptable_loss = URGENT_WORK_WEIGHT * self.unit_work(ready);
-        let preempts = ready.guaranteed || selection.cost.lost <= acceptable_loss;
+        let gain = self.preemption_gain(ready, &selection, now);
+        let is_worth = selection.cost.total() <= gain;
+        let preempts = !ready.overdue && (ready.guaranteed || is_worth);
+        let decision = match (preempts, ready.guaranteed) {
+            _ if ready.overdue => ShortageDecision::OverdueAwaitsEnds,
+            (true, true) => ShortageDecision::PreemptedForGuarantee,
+            (true, false) => ShortageDecision::PreemptedForValue,
+            (false, _) => ShortageDecision::NotWorthPreempting,
+        };
+        let mut awaited = IndexSet::new();
+        let key = (ready.job, ready.unit);
+        // A unit that waits selects anew every 50 ms, which is one decision.
+        let was_declined = self.shortage.declined.swap_remove(&key).is_some();
+        if preempts || !(was_declined || self.reservations.contains_key(&key)) {
+            self.record_selection(decision, ready, &selection, gain);
+        }
+        if !preempts && !ready.overdue && !self.waits_in_time(ready, &selection, now) {
+            self.reservations.shift_remove(&key);
+            self.shortage.declined.insert(key, now);
+            return;
+        }
         if preempts {
             // Without victims, the next plan uses the reservation.
             self.plan_needed = true;
-            self.stop_victims(ready, &selection);
+            awaited = self.stop_victims(&selection);
             // Later units of the same plan take the stopping runs into account.
             *fleet = FleetResources {
                 free: std::mem::take(&mut fleet.free),
@@ -69,38 +91,78 @@
         }
         let reservation = Reservation {
             assignment: selection.assignment,
+            awaited,
             preempts,
             guaranteed: ready.guaranteed,
+            overdue: ready.overdue,
             task_resources,
             created_at: now,
             expires_at: now + self.settings.max_stop_time + RESERVATION_MARGIN,
         };
-        self.reservations
-            .insert((ready.job, ready.unit), reservation);
+        self.reservations.insert(key, reservation);
     }
 
-    fn stop_victims(&mut self, ready: ReadyUnit, selection: &Selection) {
+    /// Returns whether the job of a unit ends in time if the unit starts once the selected units have ended by themselves. If not, it
+    /// reserves nothing, because the reserved resources would stay idle meanwhile.
+    fn waits_in_time(&self, ready: ReadyUnit, selection: &Selection, now: Duration) -> bool {
+        let job = self.jobs.get(&ready.job);
+        job.is_some_and(|job| {
+            let end = now + job.remaining_time() + selection.cost.remaining;
+            Stake::of(job, &self.queue_sizes).prospect(end) == Prospect::InTime
+        })
+    }
+
+    /// Stops the selected units, except those that are about to end, which are returned.
+    fn stop_victims(&mut self, selection: &Selection) -> IndexSet<UnitKey> {
+        let (ending, stopped): (IndexSet<UnitKey>, IndexSet<UnitKey>) = selection
+            .victims
+            .iter()
+            .partition(|unit| selection.ending.contains(*unit));
+        for (id, unit_id) in stopped {
+            let job = self.jobs.get_mut(&id);
+            if let Some(unit) = job.and_then(|job| job.units.get_mut(&unit_id)) {
+                unit.preemptions += 1;
+            }
+            self.stop_unit(id, unit_id);
+        }
+        ending
+    }
+
+    /// Logs and counts a decision to stop units for another one, or not to, with what was weighed.
+    fn record_selection(
+        &mut self,
+        decision: ShortageDecision,
+        ready: ReadyUnit,
+        selection: &Selection,
+        gain: f64,
+    ) {
+        let cost = &selection.cost;
         log::info!(
             target: "limpethook",
-            job:% = format_args!("{:016x}", ready.job), step = ready.unit.step, victims = selection.victims.len(),
-            lost = selection.cost.lost, guaranteed = ready.guaranteed, workers:? = selection.assignment;
-            "units_preempted"
+            decision:% = decision, job:% = format_args!("{:016x}", ready.job), step = ready.unit.step,
+            first = ready.unit.first, priority = ready.priority, guaranteed = ready.guaranteed, gain = gain,
+            work_value = cost.work_value, deadline_loss = cost.deadline_loss, lost = cost.lost,
+            remaining_ms = cost.remaining.as_millis(), victims = selection.victims.len(), ending = selection.ending.len(),
+            workers:? = selection.assignment;
+            "victims_selected"
         );
-        for (job, unit) in &selection.victims {
-            self.stop_unit(*job, *unit);
+        self.shortage.count(decision, 1);
+        if decision.stops_runs() && !selection.ending.is_empty() {
+            self.shortage
+                .count(ShortageDecision::EndingNotStopped, selection.ending.len());
         }
     }
 
-    /// Returns the expected work of a unit in accelerator seconds.
-    fn unit_work(&self, ready: ReadyUnit) -> f64 {
+    /// Returns what the caller of a unit gains if its victims are stopped, compared with waiting until they end.
+    fn preemption_gain(&self, ready: ReadyUnit, selection: &Selection, now: Duration) -> f64 {
         let Some(job) = self.jobs.get(&ready.job) else {
             return 0.0;
         };
-        let step = job.step(ready.unit);
-        let tasks = job.units.get(&ready.unit).map_or(0, |unit| unit.tasks);
-        f64::from(tasks)
-            * accelerator_equivalents(step.resources)
-            * job.expected_task_time(ready.unit).as_secs_f64()
+        let stake = Stake::of(job, &self.queue_sizes);
+        let end = now + job.remaining_time();
+        let after_stops = end + self.settings.max_stop_time;
+        let after_ends = end + selection.cost.remaining.max(MIN_EXPECTED_WAIT);
+        stake.loss(after_stops, after_ends)
     }
 
     /// Selects the cheapest victims that make room for all tasks of a unit, on workers that are not suspect if possible.
@@ -166,7 +228,7 @@
         let on_racks = rack_groups
             .into_iter()
             .filter_map(|workers| cheapest(workers));
-        let on_rack = on_racks.min_by(|a, b| a.cost.total.total_cmp(&b.cost.total));
+        let on_rack = on_racks.min_by(|a, b| a.cost.total().total_cmp(&b.cost.total()));
         if on_rack.is_some() {
             return on_rack;
         }
@@ -183,45 +245,94 @@
     /// Returns whether a unit may preempt a job. Guaranteed jobs are never preempted; other jobs are preempted by
     /// guaranteed units and by units of a higher priority.
     fn is_preemptible(&self, job: JobId, ready: ReadyUnit) -> bool {
+        if ready.overdue {
+            return true;
+        }
         if self.guaranteed.contains(&job) {
             return false;
         }
-        let lower = |job: &Job| job.policy.priority > ready.priority;
+        let lower =
+            |job: &Job| job.policy.priority > ready.priority && !self.shortage.had_turn(job.id);
         ready.guaranteed || self.jobs.get(&job).is_none_or(lower)
     }
 
-    /// Returns the additional cost of stopping an urgent job.
-    fn urgency_cost(&self, job: JobId) -> f64 {
-        let urgent = |job: &Job| job.policy.priority == URGENT_PRIORITY;
-        if self.jobs.get(&job).is_some_and(urgent) {
-            URGENT_STOP_COST
-        } else {
-            0.0
-        }
-    }
-
-    /// Returns the units that a unit may preempt, with the cost of stopping each.
+    /// Returns the units that a unit may preempt, with the cost of stopping each. For an overdue unit, these are all units, with
+    /// the cost of waiting until they end.
     fn stop_costs(&self, ready: ReadyUnit, now: Duration) -> IndexMap<UnitKey, StopCost> {
-        let mut costs = IndexMap::new();
+        let mut costs: IndexMap<UnitKey, StopCost> = IndexMap::new();
         let placements = self.workers.values().flat_map(|w| w.placements.values());
         for placement in placements {
             let key = placement.unit_key();
             if placement.is_stopping() || !self.is_preemptible(key.0, ready) {
                 continue;
             }
-            let cost = costs.entry(key).or_insert_with(|| StopCost {
-                lost: 0.0,
-                total: self.urgency_cost(key.0),
-            });
-            let resources = accelerator_equivalents(placement.resources());
             let lost = self.lost_time(placement, now);
             let occupied = lost + self.settings.max_stop_time / 2;
+            let resources = accelerator_equivalents(placement.resources());
+            let remaining = self.remaining_time(placement, now);
+            let cost = costs.entry(key).or_default();
             cost.lost += lost.as_secs_f64() * resources;
-            cost.total += occupied.as_secs_f64() * resources;
+            cost.work += occupied.as_secs_f64() * resources;
+            cost.remaining = cost.remaining.max(remaining);
+            cost.repeated = cost.repeated.max(lost);
+        }
+        let may_await = self.may_await_ends(ready, now);
+        for (key, cost) in &mut costs {
+            let Some(job) = self.jobs.get(&key.0) else {
+                continue;
+            };
+            if ready.overdue {
+                cost.work_value = cost.remaining.as_secs_f64() * cost.work;
+            } else if may_await && self.is_ending(cost.remaining) {
+                *cost = StopCost {
+                    remaining: cost.remaining,
+                    is_ending: true,
+                    ..StopCost::default()
+                };
+            } else {
+                self.weigh_stop(job, key.1, cost, now);
+            }
         }
         costs
     }
 
+    /// Returns the time that a run is expected to need until it ends. One that is later than expected is taken to need as long
+    /// again as it has run.
+    fn remaining_time(&self, placement: &AnyPlacement, now: Duration) -> Duration {
+        let (id, unit) = placement.unit_key();
+        let job = self.jobs.get(&id);
+        let expected = job.map_or(Duration::ZERO, |job| job.expected_task_time(unit));
+        let remaining = placement.remaining_time(expected, now);
+        if remaining.is_zero() {
+            return now.saturating_sub(placement.placed_at());
+        }
+        remaining
+    }
+
+    /// Returns whether a unit has waited for so short a time that it may wait for runs that are about to end, and still start in
+    /// time after a stop if they do not.
+    fn may_await_ends(&self, ready: ReadyUnit, now: Duration) -> bool {
+        let job = self.jobs.get(&ready.job);
+        let unit = job.and_then(|job| job.units.get(&ready.unit));
+        let ready_at = unit.and_then(|unit| unit.ready_at).unwrap_or(now);
+        now < ready_at + self.settings.max_stop_time / 2
+    }
+
+    /// Returns whether a run ends about as soon as its stop would take effect.
+    fn is_ending(&self, remaining: Duration) -> bool {
+        remaining < self.settings.max_stop_time.mul_f64(MEAN_STOP_SHARE)
+    }
+
+    /// Determines what a stop of a unit costs callers: the work that it repeats, and what its job loses by a later end.
+    fn weigh_stop(&self, job: &Job, unit: UnitId, cost: &mut StopCost, now: Duration) {
+        let stake = Stake::of(job, &self.queue_sizes);
+        let stops = job.units.get(&unit).map_or(0, |unit| unit.preemptions);
+        let end = now + job.remaining_time_beside(unit.step, cost.remaining);
+        let delay = self.settings.max_stop_time + cost.repeated;
+        cost.deadline_loss = stake.loss(end, end + delay);
+        cost.work_value = cost.work * stake.value_per_work() * f64::from(1 + stops);
+    }
+
     /// Returns the run time that is repeated after a stop of a run. A stop takes a checkpoint, so that a task that
     /// supports checkpoints loses only the time to restore it.
     fn lost_time(&self, placement: &AnyPlacement, now: Duration) -> Duration {
@@ -257,8 +368,3 @@
         units,
     }
 }
-
-/// Converts resources to accelerators; eight cores count as one accelerator.
-pub(crate) fn accelerator_equivalents(resources: ResourceVector) -> f64 {
-    f64::from(resources.accelerators) + f64::from(resources.millicores) / MILLICORES_PER_ACCELERATOR
-}
--- a/components/graph/src/ready.rs
+++ b/components/graph/src/ready.rs
@@ -201,6 +201,24 @@
         self.by_step.keys().copied()
     }
 
+    /// Returns the number of units of a step that are ready or that will be once the steps before are done. The units that are put
+    /// aside do not count.
+    pub(crate) fn waiting_units(&self, occurrence: u32, step: u32) -> u32 {
+        let Some(state) = self.steps.get(self.index(occurrence, step)) else {
+            return 0;
+        };
+        if state.open_dependencies > 0 {
+            return state.open_units;
+        }
+        state.open_units.min(self.ready_units(step))
+    }
+
+    /// Returns the number of ready units of a step.
+    pub(crate) fn ready_units(&self, step: u32) -> u32 {
+        let ready = self.by_step.get(&step).map_or(0, BTreeSet::len);
+        u32::try_from(ready).unwrap_or(u32::MAX)
+    }
+
     /// Returns the occurrences in which a step has ready units.
     pub(crate) fn occurrences_of(&self, step: u32) -> impl Iterator<Item = u32> {
         let mut next = Some(0);
--- a/components/graph/src/reservations.rs
+++ b/components/graph/src/reservations.rs
@@ -71,7 +71,9 @@
             unit.is_some_and(|unit| unit.phase() == Phase::Waiting)
         };
         self.reservations.retain(|unit, reservation| {
-            reservation.expires_at > now
+            let awaited_until = reservation.created_at + self.settings.max_stop_time;
+            (reservation.awaited.is_empty() || now < awaited_until)
+                && reservation.expires_at > now
                 && is_waiting(unit)
                 && reservation
                     .assignment
@@ -98,6 +100,7 @@
                     .get(agent)
                     .copied()
                     .unwrap_or_else(|| self.projected_free(agent));
+                let available = available.saturating_add(self.awaited_on(agent, reservation));
                 if available.fit_count(reservation.task_resources) < *tasks {
                     taken.insert(*unit);
                     break;
@@ -112,6 +115,18 @@
         taken
     }
 
+    /// Returns the resources on a worker of the runs that a reservation awaits.
+    fn awaited_on(&self, agent: &AgentId, reservation: &Reservation) -> ResourceVector {
+        let worker = self.workers.get(agent);
+        let placements = worker.into_iter().flat_map(|w| w.placements.values());
+        let awaited = placements.filter(|placement| {
+            !placement.is_stopping() && reservation.awaited.contains(&placement.unit_key())
+        });
+        awaited.fold(ResourceVector::default(), |sum, placement| {
+            sum.saturating_add(placement.resources())
+        })
+    }
+
     /// Returns the resources of a worker that are free or will be freed by stopping runs.
     fn projected_free(&self, agent: &AgentId) -> ResourceVector {
         let Some(worker) = self.workers.get(agent) else {
@@ -172,7 +187,8 @@
         let mut reserved = vec![ResourceVector::default(); self.workers.len()];
         for (unit, reservation) in &self.reservations {
             let own = *unit == (ready.job, ready.unit);
-            if own || !filter.selects(reservation) {
+            let yields = reservation.overdue && ready.guaranteed;
+            if own || yields || !filter.selects(reservation) {
                 continue;
             }
             for (agent, tasks) in &reservation.assignment {
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -17,6 +17,8 @@
 use crate::progress::Progress;
 use crate::records::Records;
 use crate::removals::RemovalReason;
+use crate::shortage::Shortage;
+use crate::stakes::QueueSizes;
 use crate::waits::Waits;
 use crate::worker::Worker;
 
@@ -60,8 +62,12 @@
     pub(crate) preempts: bool,
     /// Whether the unit is guaranteed.
     pub(crate) guaranteed: bool,
+    /// Whether its job is overdue and the runs there end by themselves. Guaranteed units may use the resources.
+    pub(crate) overdue: bool,
     /// Resources of one task of the unit.
     pub(crate) task_resources: ResourceVector,
+    /// Units whose runs on the reserved workers are about to end and are not stopped.
+    pub(crate) awaited: IndexSet<UnitKey>,
     /// The reserved workers, with the number of tasks on each.
     pub(crate) assignment: Assignment,
     /// When the workers were selected.
@@ -90,6 +96,10 @@
     pub(crate) approvals: IndexMap<StepId, Approvals>,
     /// Resource demand of recent urgent jobs.
     pub(crate) urgent_demand: UrgentDemand,
+    /// Mean size of the jobs by queue.
+    pub(crate) queue_sizes: QueueSizes,
+    /// Services with too little room for the units that are ready, as of the latest plan.
+    pub(crate) shortage: Shortage,
     /// Learned run times by queue.
     pub(crate) estimates: Estimates,
     /// Queues whose estimates have changed since the expected run times of their jobs were updated.
@@ -153,6 +163,8 @@
             reservations: IndexMap::new(),
             approvals: IndexMap::new(),
             urgent_demand: UrgentDemand::default(),
+            queue_sizes: QueueSizes::default(),
+            shortage: Shortage::default(),
             estimates: Estimates::default(),
             relearned_queues: IndexSet::new(),
             start_delays: Vec::new(),
@@ -273,6 +285,7 @@
         }
         job.create_due_occurrences(unix_time);
         self.urgent_demand.record(&job);
+        self.queue_sizes.record(&job);
         if loaded.cancelled {
             job.end = Some(JobEnd::Cancelled);
             job.mark_changed();
--- a/components/graph/src/victims.rs
+++ b/components/graph/src/victims.rs
@@ -1,19 +1,38 @@
 //! Selection of the units to stop so that the tasks of an urgent unit fit.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
-use model::{AgentId, ResourceVector};
+use model::{AgentId, JobId, ResourceVector};
 
 use crate::fit::Assignment;
 use crate::job::UnitKey;
-use crate::preempt::accelerator_equivalents;
+use crate::stakes::accelerator_equivalents;
 
-/// Cost of stopping a unit in accelerator seconds.
+/// Cost of stopping a unit, or several.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct StopCost {
-    /// Work that is lost and has to be repeated.
+    /// Work that is lost and has to be repeated, in accelerator seconds.
     pub(crate) lost: f64,
-    /// The lost work, the resources occupied while the unit stops, and a penalty for urgent units.
-    pub(crate) total: f64,
+    /// The lost work and the resources occupied while the unit stops, in accelerator seconds.
+    pub(crate) work: f64,
+    /// What that work is worth to callers; more for a unit that was stopped before.
+    pub(crate) work_value: f64,
+    /// What the caller of its job loses because the job ends later.
+    pub(crate) deadline_loss: f64,
+    /// Expected time until it ends if it is not stopped.
+    pub(crate) remaining: Duration,
+    /// Run time that it has to repeat.
+    pub(crate) repeated: Duration,
+    /// Whether it ends about as soon as a stop would have taken effect, so that it is not stopped.
+    pub(crate) is_ending: bool,
+}
+
+impl StopCost {
+    /// Returns what callers lose.
+    pub(crate) fn total(&self) -> f64 {
+        self.work_value + self.deadline_loss
+    }
 }
 
 /// A worker with the units on it that may be stopped.
@@ -33,6 +52,8 @@
 pub(crate) struct Selection {
     pub(crate) assignment: Assignment,
     pub(crate) victims: IndexSet<UnitKey>,
+    /// The victims that are about to end.
+    pub(crate) ending: IndexSet<UnitKey>,
     /// Cost of stopping all victims.
     pub(crate) cost: StopCost,
 }
@@ -114,7 +135,7 @@
 
 impl Selector<'_> {
     fn cost(&self, unit: UnitKey) -> f64 {
-        self.costs.get(&unit).map_or(0.0, |cost| cost.total)
+        self.costs.get(&unit).map_or(0.0, StopCost::total)
     }
 
     /// Returns the slots on a worker if the victims so far and the additional ones are stopped.
@@ -214,12 +235,27 @@
             remaining -= count;
             assignment.push((self.workers[index].agent.clone(), count));
         }
+        let mut deadline_losses: IndexMap<JobId, f64> = IndexMap::new();
         let costs = self.victims.iter().filter_map(|unit| self.costs.get(unit));
-        let cost = costs.fold(StopCost::default(), |sum, cost| StopCost {
+        let mut cost = costs.fold(StopCost::default(), |sum, cost| StopCost {
             lost: sum.lost + cost.lost,
-            total: sum.total + cost.total,
+            work: sum.work + cost.work,
+            work_value: sum.work_value + cost.work_value,
+            deadline_loss: 0.0,
+            remaining: sum.remaining.max(cost.remaining),
+            repeated: sum.repeated.max(cost.repeated),
+            is_ending: sum.is_ending || cost.is_ending,
         });
+        for (job, unit) in &self.victims {
+            let loss = deadline_losses.entry(*job).or_default();
+            let cost = self.costs.get(&(*job, *unit));
+            *loss = loss.max(cost.map_or(0.0, |cost| cost.deadline_loss));
+        }
+        cost.deadline_loss = deadline_losses.values().sum();
+        let is_ending = |unit: &&UnitKey| self.costs.get(*unit).is_some_and(|c| c.is_ending);
+        let ending = self.victims.iter().filter(is_ending).copied().collect();
         Selection {
+            ending,
             assignment,
             victims: self.victims,
             cost,
--- a/components/graph/src/wait_reasons.rs
+++ b/components/graph/src/wait_reasons.rs
@@ -13,6 +13,7 @@
 use crate::order::ReadyUnit;
 use crate::reservations::{FleetResources, ReservationFilter, available_resources};
 use crate::scheduler::Scheduler;
+use crate::stakes::Prospect;
 use crate::trust::{TrustLevel, sound_workers_deadline, trusted_candidates};
 use crate::waits::WaitReason;
 use crate::worker::Worker;
@@ -44,6 +45,8 @@
             unit: unit_id,
             guaranteed: self.guaranteed.contains(&id),
             priority: job.policy.priority,
+            prospect: Prospect::InTime,
+            overdue: false,
         };
         if let Some(found) = self.unusable_workers_reason(job, (unit_id, unit), fleet, now) {
             return found;
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -7,8 +7,8 @@
 
 use crate::job::UnitKey;
 use crate::placement::AnyPlacement;
-use crate::preempt::accelerator_equivalents;
 use crate::scheduler::lapse_after;
+use crate::stakes::accelerator_equivalents;
 
 /// Index of the rack name in the labels of a worker; index 0 has the kind of the worker.
 const RACK_LABEL_INDEX: usize = 1;
--- a/components/graph/tests/load/main.rs
+++ b/components/graph/tests/load/main.rs
@@ -12,6 +12,7 @@
 
 mod fleet;
 mod report;
+mod shortage;
 mod workload;
 
 use std::time::Duration;
