--- a/components/graph/tests/shortage.rs
+++ b/components/graph/tests/shortage.rs
@@ -49,13 +49,13 @@
     }
 }
 
-/// Accepts a gang that ends late at best, and then one of the same priority and a later deadline that ends in time.
+/// Accepts a short gang that ends late at best, and then a long one of the same priority and a later deadline that ends in time.
 fn accept_late_and_timely(cell: &mut TestCell) {
-    let mut late = job(1, vec![lasting(9, gang(4))]);
+    let mut late = job(1, vec![lasting(1, gang(4))]);
     late.policy.stretch = 0.0;
-    late.policy.target = ms(5_000);
+    late.policy.target = ms(900);
     cell.accept(7, late);
-    cell.accept(8, job(1, vec![gang(4)]));
+    cell.accept(8, job(1, vec![lasting(9, gang(4))]));
 }
 
 /// Guards against late jobs that come first because their deadlines are the earliest, and make one job after the other late.
