--- a/components/graph/tests/load/shortage.rs
+++ b/components/graph/tests/load/shortage.rs
@@ -19,6 +19,8 @@
 const ACCOUNT_COUNT: u32 = 10;
 /// Factor by which declared run times are wrong at most.
 const DECLARED_ERROR: f64 = 10.0;
+/// Time within which guaranteed jobs start on that deployment.
+const RECLAIM: Duration = Duration::from_millis(2_700);
 /// Time after the arrivals in which the last jobs may end.
 const TAIL: Duration = Duration::from_mins(1);
 
@@ -93,6 +95,23 @@
     fleet.run(seconds(60) + TAIL)
 }
 
+/// Urgent jobs that are all guaranteed, beside an overload of the others.
+fn guaranteed_beside_overload(seed: u64) -> LoadReport {
+    let mut rng = Rng::with_seed(seed);
+    let mut fleet = fleet(seed);
+    let accounts = (0..ACCOUNT_COUNT).map(|index| (format!("account-{index}").into(), u32::MAX));
+    let scheduler = fleet.scheduler();
+    scheduler.configure(IndexMap::new(), accounts.collect());
+    let small_gangs = Class {
+        max_tasks: 6,
+        ..URGENT
+    };
+    fleet.arrive(arrivals(small_gangs, [3, 40], 0.5, &mut rng));
+    fleet.arrive(arrivals(LARGE, [0, 40], 1.0, &mut rng));
+    fleet.arrive(arrivals(SMALL, [0, 40], 2.5, &mut rng));
+    fleet.run(seconds(50))
+}
+
 type Pattern = (&'static str, fn(u64) -> LoadReport);
 
 const PATTERNS: [Pattern; 4] = [
@@ -206,6 +225,20 @@
     assert!(thrown_away <= 8_600.0, "{thrown_away} thrown away");
 }
 
+/// Pattern: guaranteed urgent jobs beside an overload of lower priorities.
+///
+/// Guards against guaranteed jobs that wait too long for runs that are about to end: they start within 2.7 s.
+#[test]
+fn load_guaranteed_jobs_start_in_time_under_overload() {
+    let means = Means::of(guaranteed_beside_overload, SEEDS);
+    means.print("guaranteed beside overload");
+    let started = means.mean(|r| r.share_started_within(URGENT.name, RECLAIM));
+    assert!(
+        started >= 1.0,
+        "{started} of the guaranteed jobs started in time"
+    );
+}
+
 /// Prints the means over several seeds, to compare two versions of the scheduler in pairs. `LOAD_SEEDS` is the number of
 /// seeds.
 #[test]
