--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use errors::{Error, ErrorKind, Result};
 use graph::SchedulerSettings;
 use indexmap::IndexMap;
-use model::{AcceptedJob, JobEnd, QueueId, Revision};
+use model::{AcceptedJob, JobEnd, JobGraph, QueueId, QueuePolicy, ResourceVector, Revision, Step};
 use serde::Serialize;
 use store::{
     Change, CommitOutcome, KvPair, KvStore, LeaseId, Listing, Precondition, Transaction,
@@ -53,6 +53,33 @@
     },
 }
 
+/// Returns a job of one task that takes a second.
+pub(crate) fn accepted_job(resources: ResourceVector) -> AcceptedJob {
+    AcceptedJob {
+        account: "faro".into(),
+        queue: "batch".into(),
+        policy: QueuePolicy {
+            service: "optics".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            needs_approval: false,
+        },
+        graph: JobGraph {
+            body: "body".into(),
+            steps: vec![Step {
+                tasks: 1,
+                resources,
+                expected: Duration::from_secs(1),
+                ..Step::default()
+            }],
+            recurrence: None,
+        },
+        accepted_at: cell::clock::wall_now(),
+    }
+}
+
 pub(crate) fn accepted_record(job: AcceptedJob) -> Vec<u8> {
     postcard::to_stdvec(&JobRecord::Accepted(job)).expect("the job is encodable")
 }
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -12,9 +12,9 @@
 
 use ::store::{KvStore, Precondition};
 use cell::{AccountTokens, Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
+use common::{MemoryStore, SECRET, accepted_job, accepted_record, entry_settings, free_addr};
 use errors::{Error, ErrorKind, Result};
-use model::{AcceptedJob, JobGraph, QueueId, QueuePolicy, Step};
+use model::{AcceptedJob, QueueId, ResourceVector};
 use tokio_util::sync::CancellationToken;
 
 use crate::peer::{PeerConfiguration, start_peer};
@@ -434,25 +434,8 @@
     }
     started.store.misses_others.store(true, Ordering::Release);
     let job = AcceptedJob {
-        account: "faro".into(),
         queue: queue.clone(),
-        policy: QueuePolicy {
-            service: "optics".into(),
-            priority: 1,
-            max_attempts: 3,
-            stretch: 3.0,
-            target: Duration::from_secs(1),
-            needs_approval: false,
-        },
-        graph: JobGraph {
-            body: "body".into(),
-            steps: vec![Step {
-                tasks: 1,
-                ..Step::default()
-            }],
-            recurrence: None,
-        },
-        accepted_at: cell::clock::wall_now(),
+        ..accepted_job(ResourceVector::default())
     };
     let record = bytes::Bytes::from(accepted_record(job));
     let key = "limpethook/jobs/0000000000000007";
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
+use common::{MemoryStore, SECRET, accepted_job, accepted_record, entry_settings, free_addr};
 use errors::{Error, ErrorKind, Result};
 use graph::{Progress, UnitProgress};
 use model::{
-    AcceptedJob, Instructions, JobEnd, JobGraph, JobState, QueuePolicy, Refusal, ResourceVector,
-    RunReport, RunStatus, Step, WorkerReport,
+    AcceptedJob, Instructions, JobEnd, JobState, Refusal, ResourceVector, RunReport, RunStatus,
+    WorkerReport,
 };
 use store::{KvStore, Precondition};
 use tokio::net::TcpListener;
@@ -89,29 +89,7 @@
 }
 
 fn job() -> AcceptedJob {
-    AcceptedJob {
-        account: "faro".into(),
-        queue: "batch".into(),
-        policy: QueuePolicy {
-            service: "optics".into(),
-            priority: 1,
-            max_attempts: 3,
-            stretch: 3.0,
-            target: Duration::from_secs(1),
-            needs_approval: false,
-        },
-        graph: JobGraph {
-            body: "body".into(),
-            steps: vec![Step {
-                tasks: 1,
-                resources: ResourceVector::default(),
-                expected: Duration::from_secs(1),
-                ..Step::default()
-            }],
-            recurrence: None,
-        },
-        accepted_at: cell::clock::wall_now(),
-    }
+    accepted_job(ResourceVector::default())
 }
 
 /// Guards against a configuration controller that stops following the store after a panic.
--- a/components/cell/tests/evacuation.rs
+++ b/components/cell/tests/evacuation.rs
@@ -8,12 +8,9 @@
 
 use bytes::Bytes;
 use cell::{Configuration, Entry, EntrySettings, EvacuationSettings};
-use common::{MemoryStore, SECRET, accepted_record, entry_settings};
+use common::{MemoryStore, SECRET, accepted_job, accepted_record, entry_settings};
 use errors::Result;
-use model::{
-    AcceptedJob, Instructions, JobGraph, QueuePolicy, ResourceVector, RunReport, RunStatus, Step,
-    WorkerReport,
-};
+use model::{AcceptedJob, Instructions, ResourceVector, RunReport, RunStatus, WorkerReport};
 use store::{KvStore, Precondition};
 use tokio_util::sync::CancellationToken;
 use wire::{Call, Key, Peers, Reply};
@@ -37,29 +34,7 @@
 }
 
 fn job() -> AcceptedJob {
-    AcceptedJob {
-        account: "faro".into(),
-        queue: "batch".into(),
-        policy: QueuePolicy {
-            service: "optics".into(),
-            priority: 1,
-            max_attempts: 3,
-            stretch: 3.0,
-            target: Duration::from_secs(1),
-            needs_approval: false,
-        },
-        graph: JobGraph {
-            body: "body".into(),
-            steps: vec![Step {
-                tasks: 1,
-                resources: task_resources(),
-                expected: Duration::from_secs(1),
-                ..Step::default()
-            }],
-            recurrence: None,
-        },
-        accepted_at: cell::clock::wall_now(),
-    }
+    accepted_job(task_resources())
 }
 
 fn task_resources() -> ResourceVector {
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/takeover.rs
@@ -7,10 +7,8 @@
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
-use common::{MemoryStore, SECRET, accepted_record, entry_settings, free_addr};
-use model::{
-    AcceptedJob, JobGraph, JobId, QueuePolicy, ResourceVector, Step, TaskRun, WorkerReport,
-};
+use common::{MemoryStore, SECRET, accepted_job, accepted_record, entry_settings, free_addr};
+use model::{AcceptedJob, JobId, ResourceVector, TaskRun, WorkerReport};
 use store::{KvStore, Precondition};
 use tokio_util::sync::CancellationToken;
 use wire::{Call, Key, Peers, Reply};
@@ -115,29 +113,7 @@
 }
 
 fn job() -> AcceptedJob {
-    AcceptedJob {
-        account: "faro".into(),
-        queue: "batch".into(),
-        policy: QueuePolicy {
-            service: "optics".into(),
-            priority: 1,
-            max_attempts: 3,
-            stretch: 3.0,
-            target: Duration::from_secs(1),
-            needs_approval: false,
-        },
-        graph: JobGraph {
-            body: "body".into(),
-            steps: vec![Step {
-                tasks: 1,
-                resources: ONE_TASK,
-                expected: Duration::from_secs(1),
-                ..Step::default()
-            }],
-            recurrence: None,
-        },
-        accepted_at: cell::clock::wall_now(),
-    }
+    accepted_job(ONE_TASK)
 }
 
 fn idle_report(epoch: u64) -> WorkerReport {
