Check the eligibility of a candidate once

candidates() filters by is_eligible and then asked allowed_tasks, which checks it again for each worker of each unit that a plan tries. Only the spread limit is left to apply there. An overlong comment of the configuration check is wrapped.

--- a/components/cell/src/configure.rs
+++ b/components/cell/src/configure.rs
@@ -137,7 +137,8 @@
     Unreadable,
 }
 
-/// Reads whether the configuration or the evacuations have changed. The other entries are asked as well if the store takes long to answer.
+/// Reads whether the configuration or the evacuations have changed. The other entries are asked as well if the store takes long
+/// to answer.
 async fn check_once(entry: &Arc<Entry>) -> Check {
     let key = &*entry.settings.configuration_key;
     let bound = entry.settings.configuration_bound;
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -88,7 +88,7 @@
         let eligible =
             workers.filter(|(_, worker)| worker.accepts_tasks(now) && is_eligible(worker, job, id));
         let candidates = eligible.map(|(index, worker)| {
-            let max_tasks = self.allowed_tasks(job, id, worker).min(unit.tasks);
+            let max_tasks = self.remaining_spread(job, id, worker).min(unit.tasks);
             let free: ResourceVector = available[index];
             let blocked = is_blocked_by_trial(worker, unit, now);
             let slots = free.fit_count(task_resources).min(max_tasks);
