Test processes beside clients that send complete requests

The crowds so far stop short of the end of what they send. What holds no limit is a request once it is complete: it is decoded, stored, passed on to the owner and to agents, and read back after a takeover, and nobody may close its connection. The new tests send whole requests within the documented limits, in turn and in rows, to one entry, to the owner and to the others, beside stalling clients in waves that overlap, and to the native daemons. They check each process of the deployment: it lives within 64 MB and 450 descriptors, an ordinary request is answered, and a job of another client account is accepted. `complete_serves_single_requests` guards against limits that a single legal job meets in calm.

--- a/tests/client_limits/main.rs
+++ b/tests/client_limits/main.rs
@@ -3,8 +3,11 @@
 //! A test checks that the process lives, that its memory and its open descriptors stay within the limits of its settings, and
 //! that an ordinary request is answered while the crowd is still connected.
 
+mod complete;
 mod crowd;
+mod native;
 mod process;
+mod requests;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -32,12 +35,20 @@
 static RUNNING: Mutex<()> = Mutex::const_new(());
 
 async fn start(name: &str) -> Result<(MutexGuard<'static, ()>, Deployment)> {
+    start_entries(name, 1).await
+}
+
+/// Starts a deployment with one agent.
+async fn start_entries(
+    name: &str,
+    entries: usize,
+) -> Result<(MutexGuard<'static, ()>, Deployment)> {
     let guard = RUNNING.lock().await;
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let program = Path::new(env!("CARGO_BIN_EXE_limpethook"));
     let limits =
         json!({"cpuShare": 1.0, "memoryMb": MEMORY_MB, "fileDescriptors": FILE_DESCRIPTORS});
-    let deployment = Deployment::start_limited(program, &dir, 1, 1, limits).await?;
+    let deployment = Deployment::start_limited(program, &dir, entries, 1, limits).await?;
     Ok((guard, deployment))
 }
 
