Count complete jobs before they are decoded

Clients that send whole jobs of many steps made an entry with 64 MB use 316 MB (jobs of 21,000 steps) and 291 MB (1,000 steps). A body is counted as it arrives, but what it becomes is not: a step of 12 bytes takes 150 once decoded, the list of steps was held in two forms and doubled as it grew, and the record, its text form and the request to the store come on top.

--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -147,19 +147,12 @@
         }
     }
 
-    /// Lets the request hold more bytes; returns whether it may.
+    /// Lets the body hold more bytes; returns whether it may.
     pub(crate) fn reserve(&mut self, bytes: usize) -> bool {
-        let account = &mut self.account;
-        let granted = account.slot.clients.reserve(account.slot.index, bytes);
-        if granted {
-            account.held += bytes;
-        } else {
-            account.slot.clients.count(Reason::RefusedBody);
-        }
-        granted
+        self.account.reserve(bytes, Reason::RefusedBody)
     }
 
-    /// Counts bytes that the request no longer holds.
+    /// Counts bytes that the body no longer holds.
     pub(crate) fn give_back(&mut self, bytes: usize) {
         self.account.held -= bytes;
         let slot = &self.account.slot;
@@ -180,6 +173,27 @@
     }
 }
 
+impl Exchange<Serving> {
+    /// Lets a complete request hold more bytes while it is handled; returns whether it may. Otherwise it must be refused before
+    /// anything is stored.
+    pub fn reserve(&mut self, bytes: usize) -> bool {
+        self.account.reserve(bytes, Reason::RefusedRequest)
+    }
+}
+
+impl Account {
+    /// Counts more bytes if there is room for them, and `refusal` otherwise; returns whether there is.
+    fn reserve(&mut self, bytes: usize, refusal: Reason) -> bool {
+        let granted = self.slot.clients.reserve(self.slot.index, bytes);
+        if granted {
+            self.held += bytes;
+        } else {
+            self.slot.clients.count(refusal);
+        }
+        granted
+    }
+}
+
 impl Drop for Account {
     fn drop(&mut self) {
         self.slot.clients.give_back(self.slot.index, self.held);
--- a/components/ingress/src/decide.rs
+++ b/components/ingress/src/decide.rs
@@ -26,7 +26,7 @@
 pub struct Capacity {
     /// Number of connections, with those of other processes of the deployment.
     pub connections: usize,
-    /// Bytes of the connections of clients, their heads and bodies.
+    /// Bytes of the connections of clients, their heads and bodies, and of the requests that are handled.
     pub bytes: usize,
 }
 
@@ -169,25 +169,34 @@
     HeadTimeout,
     /// The body took too long.
     BodyTimeout,
+    /// The answer was not read for too long.
+    ResponseTimeout,
     /// Nothing was sent for too long after a request.
     Idle,
     /// A new connection was refused, because no other one could be closed for it.
     RefusedConnection,
     /// A body was refused, because no other connection could be closed for it.
     RefusedBody,
+    /// A complete request was refused, because there is no room to handle it.
+    RefusedRequest,
+    /// A job was refused, because the owner has no room for it.
+    RefusedJob,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 11] = [
         Self::Connections,
         Self::Memory,
         Self::HeadSize,
         Self::HeadTimeout,
         Self::BodyTimeout,
+        Self::ResponseTimeout,
         Self::Idle,
         Self::RefusedConnection,
         Self::RefusedBody,
+        Self::RefusedRequest,
+        Self::RefusedJob,
     ];
 
     /// Returns the name in logs and metrics.
@@ -198,9 +207,12 @@
             Self::HeadSize => "head_size",
             Self::HeadTimeout => "head_timeout",
             Self::BodyTimeout => "body_timeout",
+            Self::ResponseTimeout => "response_timeout",
             Self::Idle => "idle",
             Self::RefusedConnection => "refused_connection",
             Self::RefusedBody => "refused_body",
+            Self::RefusedRequest => "refused_request",
+            Self::RefusedJob => "refused_job",
         }
     }
 }
--- a/components/model/src/graph.rs
+++ b/components/model/src/graph.rs
@@ -132,7 +132,7 @@
 ///
 /// The owner uses about 200 bytes of memory for each task and has 160 MB on the smallest machine, and the record of
 /// completed tasks must fit into one value of the store.
-const MAX_TASKS: u64 = 65_536;
+pub const MAX_TASKS: u64 = 65_536;
 
 impl JobGraph {
     /// Returns the number of occurrences, which is 1 without a schedule.
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -17,8 +17,8 @@
 pub use endpoint::{Announced, Draining, Endpoint, Serving};
 pub use gang::{Armed, Gang, Member, Planned, Reserved, Running, gang_id};
 pub use graph::{
-    AcceptedJob, JobEnd, JobGraph, JobState, MAX_DURATION, QueuePolicy, Recurrence, ResourceVector,
-    RunEnd, Step, TaskId, TaskRun,
+    AcceptedJob, JobEnd, JobGraph, JobState, MAX_DURATION, MAX_TASKS, QueuePolicy, Recurrence,
+    ResourceVector, RunEnd, Step, TaskId, TaskRun,
 };
 pub use ids::{
     AccountId, AgentId, Attempt, CellId, DataCentreId, EndpointId, EntryId, Epoch, GangId,
