Limit the runs of a worker and the orders in flight

12,000 jobs of one task without resources made the agent use 208 MB and 7,296 descriptors, and a single job of 21,000 such steps 301 MB. Any number of them fits on a worker; the agent opened a connection for each start at once, with a copy of the specification each, kept each outcome for a minute and repeated all of them in each report.

A worker now gets at most 1,024 runs at a time, the other tasks wait. An agent sends 16 starts and 16 stops at a time; a start that was withdrawn, or has expired, while it waited is not sent. All starts of a job share its specification, and 2,048 outcomes are kept: a repeated order whose outcome is not known is sent again, and the worker refuses it as outdated. An owner has at most 32 requests to the advisor without an answer, since a job may have thousands of steps; the advisor rejects more than 32 that wait.

--- a/components/cell/src/agent/actor.rs
+++ b/components/cell/src/agent/actor.rs
@@ -6,7 +6,7 @@
 use errors::Result;
 use indexmap::IndexMap;
 use model::{Epoch, Incarnation, Instructions, JobId, TaskRun};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::agent::WorkerNotice;
 use crate::agent::link::Link;
@@ -25,6 +25,8 @@
 const UNCONFIRMED_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of reports in flight: one waits at the owner while another delivers changes.
 const MAX_REPORTS_IN_FLIGHT: u32 = 2;
+/// Maximum number of starts, and of stops, that are sent to the worker at the same time; each may open a connection.
+const MAX_ORDER_CALLS: usize = 16;
 const EVENT_QUEUE_CAPACITY: usize = 256;
 /// Delay after an entry reported no newer owner, or did not answer.
 const OWNER_FOLLOW_DELAY: Duration = Duration::from_millis(200);
@@ -73,6 +75,10 @@
     /// Whether the worker answers polls.
     pub(super) worker_availability: Dependency,
     pub(super) probes: Probes,
+    /// Starts that are sent to the worker at the same time.
+    pub(super) start_calls: Arc<Semaphore>,
+    /// Stops that are sent to the worker at the same time.
+    pub(super) stop_calls: Arc<Semaphore>,
     /// Whether the end of the leases is being awaited.
     pub(super) lapse_awaited: bool,
     pub(super) report_due: bool,
@@ -95,6 +101,8 @@
             owner_changes: 0,
             worker_availability: Dependency::new(false),
             probes: Probes::default(),
+            start_calls: Arc::new(Semaphore::new(MAX_ORDER_CALLS)),
+            stop_calls: Arc::new(Semaphore::new(MAX_ORDER_CALLS)),
             lapse_awaited: false,
             report_due: false,
         }
@@ -251,7 +259,10 @@
             return;
         }
         self.state.acknowledged = self.state.acknowledged.max(instructions.acknowledged);
-        let bodies: IndexMap<JobId, Box<str>> = instructions.bodies.into_iter().collect();
+        // All starts of a job share its body.
+        let bodies = instructions.bodies.into_iter();
+        let bodies: IndexMap<JobId, Arc<str>> =
+            bodies.map(|(job, body)| (job, body.into())).collect();
         let expires_at = self.state.orders_expire_at(instructions.report_sent_at);
         let is_late = boot_now() > expires_at;
         if is_late && !instructions.starts.is_empty() {
@@ -264,7 +275,7 @@
         let starts = instructions.starts.into_iter();
         for order in starts.filter(|_| !is_late) {
             let body = bodies.get(&order.run.task.job).cloned();
-            self.start(order, body.unwrap_or_default(), expires_at);
+            self.start(order, body.unwrap_or_else(|| Arc::from("")), expires_at);
         }
         for run in instructions.stops {
             self.stop(run);
--- a/components/cell/src/agent/incarnation.rs
+++ b/components/cell/src/agent/incarnation.rs
@@ -1,6 +1,7 @@
 //! Incarnations of the worker: what the agent knows is true of one process of the worker, and another one may answer the
 //! next call before the agent learns of it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{Incarnation, ResourceVector, StartOrder, TaskRun};
@@ -217,7 +218,7 @@
     pub(crate) fn defer_start(
         &mut self,
         order: StartOrder,
-        body: Box<str>,
+        body: Arc<str>,
         expires_at: Duration,
         now: Duration,
     ) {
--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -7,6 +7,10 @@
 use crate::agent::state::{OUTCOME_RETENTION, OrderState, State};
 use crate::agent::worker_client::{ListedRun, PollReply};
 
+/// Maximum number of outcomes of orders that are kept; each is part of the reports. A repeated order whose outcome is not known is
+/// sent again, and the worker refuses it.
+const MAX_OUTCOMES: usize = 2048;
+
 /// What came of the reply to a poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct PollOutcome {
@@ -177,13 +181,25 @@
     /// that it is gone.
     fn forget_outcomes(&mut self, now: Duration) {
         let (listed_runs, ended_runs) = (self.listed_runs(), self.ended_runs());
-        self.orders.retain(|run, (order, changed_at)| {
+        let is_final = |run: &TaskRun, order: &OrderState| {
             let is_final = match order {
                 OrderState::Refused(_) | OrderState::Gone => true,
                 OrderState::Started => ended_runs.contains(run),
                 _ => false,
             };
-            !is_final || listed_runs.contains(run) || now < *changed_at + OUTCOME_RETENTION
+            is_final && !listed_runs.contains(run)
+        };
+        let finals = self.orders.iter();
+        let finals = finals.filter(|(run, (order, _))| is_final(run, order));
+        // The first ones are the oldest.
+        let mut excess = finals.count().saturating_sub(MAX_OUTCOMES);
+        self.orders.retain(|run, (order, changed_at)| {
+            if !is_final(run, order) {
+                return true;
+            }
+            let is_excess = excess > 0;
+            excess = excess.saturating_sub(1);
+            !is_excess && now < *changed_at + OUTCOME_RETENTION
         });
     }
 }
--- a/components/cell/src/agent/orders.rs
+++ b/components/cell/src/agent/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use errors::{Result, Verdict};
+use errors::{Error, ErrorKind, Result, Verdict};
 use graph::PROBATION;
 use model::{Incarnation, Refusal, StartOrder, TaskRun};
 
@@ -35,7 +35,7 @@
 
 impl Actor {
     /// Starts a task, once it is known which incarnation of the worker the start reaches.
-    pub(super) fn start(&mut self, order: StartOrder, body: Box<str>, expires_at: Duration) {
+    pub(super) fn start(&mut self, order: StartOrder, body: Arc<str>, expires_at: Duration) {
         let is_located = self.state.knows_incarnation();
         self.start_if(is_located, order, body, expires_at);
     }
@@ -44,7 +44,7 @@
         &mut self,
         is_located: bool,
         order: StartOrder,
-        body: Box<str>,
+        body: Arc<str>,
         expires_at: Duration,
     ) {
         let known = self.state.orders.get(&order.run);
@@ -95,9 +95,12 @@
         let sent_to = self.state.incarnation;
         let client = Arc::clone(&self.client);
         let tx = self.tx.clone();
+        let calls = Arc::clone(&self.start_calls);
         tokio::spawn(async move {
-            let may_retry = || !retries_cancelled.is_cancelled() && boot_now() <= expires_at;
-            let start = send_start_with_retries(&*client, &name, &request, may_retry);
+            // Fails only if the semaphore is closed, which it never is.
+            let _permit = calls.acquire().await;
+            let may_send = || !retries_cancelled.is_cancelled() && boot_now() <= expires_at;
+            let start = send_start_with_retries(&*client, &name, &request, may_send);
             let start = supervise::catch_panic("start", start).await;
             let (reply, lost) = start.unwrap_or_else(|report| (Err(report), true));
             let outcome = StartOutcome {
@@ -184,7 +187,10 @@
         let epoch = self.state.epoch;
         let sent_to = self.state.incarnation;
         let tx = self.tx.clone();
+        let calls = Arc::clone(&self.stop_calls);
         tokio::spawn(async move {
+            // Fails only if the semaphore is closed, which it never is.
+            let _permit = calls.acquire().await;
             let stop = client.stop(run, epoch, STOP_TIMEOUT);
             let result = supervise::catch_panic("stop", stop).await.flatten();
             let event = Event::Stopped {
@@ -232,8 +238,14 @@
     client: &dyn WorkerClient,
     name: &str,
     request: &StartRequest,
-    may_retry: impl Fn() -> bool,
+    may_send: impl Fn() -> bool,
 ) -> (Result<StartReply>, bool) {
+    if !may_send() {
+        // It was stopped, or has expired, while it waited for the starts before it.
+        let message = "the start was withdrawn before it was sent";
+        let withdrawn = Error::not_run(ErrorKind::Cancelled, message).report();
+        return (Err(withdrawn), false);
+    }
     let mut attempts = 1;
     let mut unanswered = false;
     loop {
@@ -245,7 +257,7 @@
         unanswered |= verdict.is_some_and(|verdict| verdict != Verdict::NotRun);
         if verdict.is_some() && attempts < MAX_START_ATTEMPTS {
             tokio::time::sleep(START_RETRY_DELAY).await;
-            if may_retry() {
+            if may_send() {
                 attempts += 1;
                 continue;
             }
--- a/components/cell/src/agent/state.rs
+++ b/components/cell/src/agent/state.rs
@@ -1,6 +1,7 @@
 //! State of a worker as known to its agent, and the reports built from it.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use graph::{PROBATION, lapse_after};
@@ -49,7 +50,7 @@
 pub(crate) struct DeferredStart {
     pub(super) order: StartOrder,
     /// Body of the job.
-    pub(super) body: Box<str>,
+    pub(super) body: Arc<str>,
     pub(super) received_at: Duration,
     /// When the order is no longer valid.
     pub(super) expires_at: Duration,
--- a/components/cell/src/agent/worker_client.rs
+++ b/components/cell/src/agent/worker_client.rs
@@ -1,5 +1,6 @@
 //! Interface to the worker.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -12,7 +13,7 @@
     /// Run to start.
     pub run: TaskRun,
     /// Specification of the task.
-    pub body: Box<str>,
+    pub body: Arc<str>,
     /// Checkpoint to resume from; empty if there is none.
     pub checkpoint: Box<str>,
     /// Ticket from the external advisor.
--- a/components/cell/tests/agent/main.rs
+++ b/components/cell/tests/agent/main.rs
@@ -18,7 +18,7 @@
 use wire::Leader;
 
 use crate::owner::{NoDirectory, Owner};
-use crate::worker::{SteadyWorker, UnresponsiveWorker};
+use crate::worker::{CountingWorker, SteadyWorker, UnresponsiveWorker};
 
 const SECRET: &str = "agent test";
 const EPOCH: u64 = 7;
@@ -294,3 +294,34 @@
     ended.await?;
     Ok(())
 }
+
+/// Guards against an agent that opens a connection to its worker for each of many starts at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_sends_few_starts_at_a_time() -> std::result::Result<(), Box<dyn std::error::Error>> {
+    const ORDERS: u32 = 500;
+    let owner = Owner::start().await?;
+    let worker = Arc::new(CountingWorker::default());
+    let shutdown = CancellationToken::new();
+    let client = Arc::clone(&worker) as Arc<dyn WorkerClient>;
+    let (_handle, ended) = start_agent(&owner, client, &shutdown).await;
+    owner.update(|state| {
+        for index in 0..ORDERS {
+            let task = TaskId {
+                index,
+                ..run().task
+            };
+            state.starts.push_back(StartOrder {
+                run: TaskRun::new(task, 1),
+                ..start_order(false)
+            });
+        }
+    });
+    while worker.started.load(Ordering::Relaxed) < ORDERS as usize {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let most = worker.most_at_once.load(Ordering::Relaxed);
+    assert!(most <= 16, "{most} starts at once");
+    shutdown.cancel();
+    ended.await?;
+    Ok(())
+}
--- a/components/cell/tests/agent/worker.rs
+++ b/components/cell/tests/agent/worker.rs
@@ -288,3 +288,39 @@
         Ok(self.list())
     }
 }
+
+/// A worker that takes some milliseconds for each start and counts those that are in progress.
+#[derive(Default)]
+pub(crate) struct CountingWorker {
+    in_progress: AtomicUsize,
+    pub(crate) most_at_once: AtomicUsize,
+    pub(crate) started: AtomicUsize,
+}
+
+#[async_trait]
+impl WorkerClient for CountingWorker {
+    async fn start(&self, _: &str, _: &StartRequest, _: Duration) -> Result<StartReply> {
+        let at_once = self.in_progress.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most_at_once.fetch_max(at_once, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        self.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.started.fetch_add(1, Ordering::Relaxed);
+        Ok(StartReply::Yes)
+    }
+
+    async fn stop(&self, _run: TaskRun, _epoch: u64, _timeout: Duration) -> Result<()> {
+        Ok(())
+    }
+
+    async fn poll(&self, request: &PollRequest, _timeout: Duration) -> Result<PollReply> {
+        tokio::time::sleep(request.wait.unwrap_or_default().min(POLL_INTERVAL)).await;
+        Ok(PollReply {
+            incarnation: Some(1),
+            clock: Duration::from_secs(1),
+            fenced: false,
+            complete: true,
+            runs: Vec::new(),
+            ends: Vec::new(),
+        })
+    }
+}
--- a/components/graph/src/approvals.rs
+++ b/components/graph/src/approvals.rs
@@ -17,6 +17,8 @@
 /// Maximum number of occurrences of a step that hold or request an approval while they wait; the advisor answers one
 /// request after the other.
 const MAX_APPROVED_OCCURRENCES: usize = 16;
+/// Maximum number of requests without a response. The advisor rejects more than 32 that wait, and a job may have thousands of steps.
+const MAX_PENDING_REQUESTS: usize = 32;
 /// A request without a response is repeated after this time.
 const REQUEST_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// An approval is used only if it stays valid for this long, the time that a start order takes to reach the worker.
@@ -95,8 +97,18 @@
         if !jobs.any(|job| job.policy.needs_approval) {
             return requests;
         }
+        let is_pending = |approvals: &&Approvals| {
+            let requested_at = approvals.requested_at;
+            approvals.granted.is_empty()
+                && requested_at.is_some_and(|at| now < at + REQUEST_RETRY_INTERVAL)
+        };
+        let pending = self.approvals.values().filter(is_pending).count();
+        let allowed = MAX_PENDING_REQUESTS.saturating_sub(pending);
+        if allowed == 0 {
+            return requests;
+        }
         let free = self.fleet_resources().free;
-        for step in self.unapproved_steps(&free, now) {
+        for step in self.unapproved_steps(&free, allowed, now) {
             let agents = self.workers_to_approve(step, &free, now);
             let known = agents.iter().filter_map(|agent| self.workers.get(agent));
             let workers: Vec<Box<str>> = known.map(|worker| worker.name.clone()).collect();
@@ -113,8 +125,8 @@
     }
 
     /// Returns the steps that need an approval request and have waiting units whose dependencies are done. Of the
-    /// occurrences of a step, only the first ones are considered.
-    fn unapproved_steps(&self, free: &WorkerResources, now: Duration) -> Vec<StepId> {
+    /// occurrences of a step, only the first ones are considered, and `limit` steps at most are returned.
+    fn unapproved_steps(&self, free: &WorkerResources, limit: usize, now: Duration) -> Vec<StepId> {
         let mut steps = Vec::new();
         for job in self.jobs.values() {
             if !job.policy.needs_approval || job.end.is_some() || job.awaiting_recovery {
@@ -131,6 +143,9 @@
                     if self.needs_request(job, step, free, now) {
                         steps.push(step);
                     }
+                    if steps.len() == limit {
+                        return steps;
+                    }
                 }
             }
         }
--- a/components/graph/src/fit.rs
+++ b/components/graph/src/fit.rs
@@ -89,9 +89,10 @@
             workers.filter(|(_, worker)| worker.accepts_tasks(now) && is_eligible(worker, job, id));
         let candidates = eligible.map(|(index, worker)| {
             let max_tasks = self.remaining_spread(job, id, worker).min(unit.tasks);
+            let max_runs = worker.remaining_runs();
             let free: ResourceVector = available[index];
             let blocked = is_blocked_by_trial(worker, unit, now);
-            let slots = free.fit_count(task_resources).min(max_tasks);
+            let slots = free.fit_count(task_resources).min(max_tasks).min(max_runs);
             Candidate {
                 index,
                 worker,
--- a/components/graph/src/worker.rs
+++ b/components/graph/src/worker.rs
@@ -24,6 +24,10 @@
 /// Upper bound of the length of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(32);
 
+/// Maximum number of runs on a worker. Tasks may ask for no resources, so that any number of them would fit, and each run costs its
+/// agent and the owner some kilobytes.
+const MAX_RUNS: usize = 1024;
+
 /// A reported run that this owner neither placed nor adopted, because its job is unknown or has ended, or its unit does
 /// not need it. It is stopped, and occupies resources until it has ended.
 #[derive(Debug, Clone, Copy)]
@@ -176,6 +180,12 @@
         self.capacity.saturating_sub(self.used_resources())
     }
 
+    /// Returns how many more runs the worker may have.
+    pub(crate) fn remaining_runs(&self) -> u32 {
+        let runs = self.placements.len() + self.orphan_runs.len();
+        u32::try_from(MAX_RUNS.saturating_sub(runs)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the resources that runs occupy. An orphan run of unknown size counts as the whole worker.
     fn used_resources(&self) -> ResourceVector {
         let placed = self.placements.values().map(AnyPlacement::resources);
--- a/components/graph/tests/capacity.rs
+++ b/components/graph/tests/capacity.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{TASK_RESOURCES, TestCell, WORKER_CAPACITY, gang, job, step, task, worker};
-use model::{ResourceVector, RunEnd};
+use model::{ResourceVector, RunEnd, Step};
 
 /// Capacity of a worker that has shrunk to two tasks.
 const SHRUNKEN: ResourceVector = ResourceVector {
@@ -64,3 +64,17 @@
     shrink(&mut cell, "w1", capacity);
     assert!(cell.instructions("w1").stops.is_empty());
 }
+
+/// Guards against tasks without resources that fit on a worker without number, which its agent could not hold.
+#[test]
+fn plan_bounds_runs_of_worker() {
+    let mut cell = TestCell::new(1, vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let tiny = Step {
+        resources: ResourceVector::default(),
+        ..step(5_000)
+    };
+    cell.accept(7, job(1, vec![tiny]));
+    cell.plan_and_start();
+    let placed = (0..5_000).filter(|index| cell.run_number(task(7, 0, *index)).is_some());
+    assert_eq!(placed.count(), 2 * 1_024);
+}
