Protect answers until they are written, and close unread ones

The connection of a request waited for the next one as soon as its handler had returned, before the answer was written, so that it could be closed for others while its client read the answer (listed as open in docs/design/client-limits.md). A client that did not read at all was treated like one that reads. A connection is now in a phase of its own until the last byte of the answer is taken: it may be closed for others only when the client has taken nothing for 2 s, and is closed after the idle time. Bytes that the client sends meanwhile do not count as progress. The answer counts until it is written, and no longer until the next request.

Beyond 320 KiB, bytes no longer make it more likely that a connection is closed: an announcement of 4 MiB went before a crowd of older bodies.

`answer_is_closed_for_others_only_unread`, `victim_spares_answers_that_are_read` and `victim_spares_large_announcement_beside_crowd` guard both; the first one needs the new phase and was not run on the code before.

--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -42,6 +42,11 @@
         self.slot.clients.record_progress(self.slot.index);
     }
 
+    /// Records bytes that an HTTP server has written.
+    pub(crate) fn record_http_written(&self, bytes: usize) {
+        self.slot.clients.record_written(self.slot.index, bytes);
+    }
+
     /// Records that a message has begun.
     pub fn begin_message(&self) {
         if self.slot.clients.phase(self.slot.index) != Phase::Peer {
@@ -79,6 +84,8 @@
                 clients.enter(self.slot.index, Phase::Head);
                 Phase::Head
             }
+            // A client that sends further requests has not read the answer.
+            Phase::Responding => Phase::Responding,
             phase => {
                 self.record_progress();
                 phase
@@ -96,7 +103,7 @@
         if grown == 0 || self.reserve(grown) {
             return None;
         }
-        if phase == Phase::Serving {
+        if matches!(phase, Phase::Serving | Phase::Responding) {
             // The request that is being handled gets its answer.
             clients.add(self.slot.index, grown);
             return None;
--- a/components/ingress/src/decide.rs
+++ b/components/ingress/src/decide.rs
@@ -18,6 +18,11 @@
 const MIN_CONNECTIONS: usize = 16;
 /// Share of the budget by which it may be exceeded for memory that closed connections still hold, as a divisor.
 const CLOSING_DIVISOR: usize = 4;
+/// Size from which connections count as equally large.
+const LARGE_BYTES: usize = 320 * 1024;
+/// Time without a byte of an answer being read after which the connection may be closed for others. Several times what a slow
+/// link takes for a full window.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Added to each time-out, because the process may be slow to read what has arrived.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 
@@ -77,6 +82,8 @@
     Body,
     /// The request is complete and not yet answered.
     Serving,
+    /// The answer is being written.
+    Responding,
     /// The sender has proved to be a process of the deployment.
     Peer,
 }
@@ -101,14 +108,20 @@
 impl View {
     /// Returns how much is gained by closing the connection; `None` if it must not be closed.
     ///
-    /// A complete request may already run, so that closing its connection would leave the client without a true answer. Time
-    /// counts from the start of the phase: a client that sends a byte now and then has not progressed. Size counts twice, so
-    /// that unfinished bodies go before the connections of ordinary callers that wait between two requests.
+    /// A complete request may already run, so that closing its connection would leave the client without a true answer, unless
+    /// the client does not read it. Time counts from the start of the phase: a client that sends a byte now and then has not
+    /// progressed. Size counts twice, so that unfinished bodies go before the connections of ordinary callers that wait between
+    /// two requests. Beyond the size of most bodies it counts no more, so that a large announcement does not go before a crowd.
     fn gain(&self) -> Option<u128> {
-        if self.closing || matches!(self.phase, Phase::Serving | Phase::Peer) {
+        let is_protected = match self.phase {
+            Phase::Serving | Phase::Peer => true,
+            Phase::Responding => self.idle < READ_TIMEOUT,
+            Phase::Waiting | Phase::Head | Phase::Body => false,
+        };
+        if self.closing || is_protected {
             return None;
         }
-        let size = self.held as u128;
+        let size = self.held.min(LARGE_BYTES) as u128;
         Some(
             size.saturating_mul(size)
                 .saturating_mul(self.in_phase.as_millis() + 1),
@@ -227,6 +240,9 @@
         Phase::Body => (exceeds(view.idle, limits.idle_timeout)
             || exceeds(view.in_phase, limits.body_timeout))
         .then_some(Reason::BodyTimeout),
+        Phase::Responding => {
+            exceeds(view.idle, limits.idle_timeout).then_some(Reason::ResponseTimeout)
+        }
         Phase::Serving | Phase::Peer => None,
     }
 }
--- a/components/ingress/src/http.rs
+++ b/components/ingress/src/http.rs
@@ -75,8 +75,8 @@
         }
     }
 
-    fn on_write(&self, _bytes: usize) {
-        self.connection.record_progress();
+    fn on_write(&self, bytes: usize) {
+        self.connection.record_http_written(bytes);
     }
 }
 
@@ -106,7 +106,6 @@
             ctrl.call_next(req, depot, res).await;
             return;
         };
-        slot.clients.record_response(slot.index, 0);
         let exchange = Exchange::begin(slot.clone());
         // A request whose body is not read is complete for its handler, and may run already.
         let reads_body = matches!(*req.method(), Method::POST | Method::PUT);
@@ -117,9 +116,11 @@
             depot.insert_typed(exchange);
             ctrl.call_next(req, depot, res).await;
         }
-        if let ResBody::Once(body) = &res.body {
-            slot.clients.record_response(slot.index, body.len());
-        }
+        let length = match &res.body {
+            ResBody::Once(body) if *req.method() != Method::HEAD => body.len(),
+            _ => 0,
+        };
+        slot.clients.record_response(slot.index, length);
     }
 }
 
--- a/components/ingress/src/ledger.rs
+++ b/components/ingress/src/ledger.rs
@@ -21,6 +21,8 @@
 
 /// How long a new connection waits for another one to be closed.
 const ROOM_WAIT: Duration = Duration::from_millis(100);
+/// Bytes that the head of a response has at least.
+const MIN_HEAD_BYTES: usize = 64;
 /// Key of a free slot.
 const FREE: ConnectionKey = 0;
 
@@ -59,6 +61,8 @@
     held: AtomicUsize,
     /// Part of them that belongs to the latest response, which the client may not have read.
     response: AtomicUsize,
+    /// Bytes of the latest response that are not written yet.
+    unwritten: AtomicUsize,
     /// Bytes read since the phase began.
     read: AtomicUsize,
     phase_began_ms: AtomicU64,
@@ -74,6 +78,7 @@
         1 => Phase::Head,
         2 => Phase::Body,
         3 => Phase::Serving,
+        4 => Phase::Responding,
         _ => Phase::Peer,
     }
 }
@@ -84,7 +89,8 @@
         Phase::Head => 1,
         Phase::Body => 2,
         Phase::Serving => 3,
-        Phase::Peer => 4,
+        Phase::Responding => 4,
+        Phase::Peer => 5,
     }
 }
 
@@ -252,6 +258,7 @@
         slot.closing.store(false, Ordering::Relaxed);
         slot.read.store(0, Ordering::Relaxed);
         slot.response.store(0, Ordering::Relaxed);
+        slot.unwritten.store(0, Ordering::Relaxed);
         slot.key.store(FREE, Ordering::Release);
         self.connections.fetch_sub(1, Ordering::AcqRel);
         self.released.notify_waiters();
@@ -286,8 +293,37 @@
         self.held.fetch_sub(bytes, Ordering::AcqRel);
     }
 
-    /// Counts a response instead of the one before, which the client has read if it sends another request.
+    /// Counts a response instead of the one before. A connection that was served is protected until the response is written.
     pub(crate) fn record_response(&self, index: usize, bytes: usize) {
+        self.count_response(index, bytes);
+        let unwritten = bytes + MIN_HEAD_BYTES;
+        self.slots[index]
+            .unwritten
+            .store(unwritten, Ordering::Relaxed);
+        if self.phase(index) == Phase::Waiting {
+            self.enter(index, Phase::Responding);
+        }
+    }
+
+    /// Records bytes that were written; with the last ones of a response, the connection waits for the next request.
+    pub(crate) fn record_written(&self, index: usize, bytes: usize) {
+        self.record_progress(index);
+        let slot = &self.slots[index];
+        let subtract = |unwritten: usize| Some(unwritten.saturating_sub(bytes));
+        let before = slot
+            .unwritten
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, subtract)
+            .unwrap_or(0);
+        if before > 0 && before <= bytes {
+            self.count_response(index, 0);
+            if self.phase(index) == Phase::Responding {
+                self.enter(index, Phase::Waiting);
+            }
+        }
+    }
+
+    /// Counts the bytes of a response instead of those of the one before.
+    fn count_response(&self, index: usize, bytes: usize) {
         let before = self.slots[index].response.swap(bytes, Ordering::AcqRel);
         self.give_back(index, before);
         self.add(index, bytes);
--- a/components/ingress/tests/decide.rs
+++ b/components/ingress/tests/decide.rs
@@ -155,3 +155,32 @@
     assert_eq!(capacity, limit);
     assert!(reservations < 20, "{reservations} reservations");
 }
+
+/// Guards against an answer that is cut for others while it is being read, and against clients that keep answers by not reading.
+#[test]
+fn victim_spares_answers_that_are_read() {
+    let reading = view(1, Phase::Responding, 900_000, 60_000);
+    let waiting = view(2, Phase::Waiting, CONNECTION_BYTES, 1);
+    assert_eq!(victim([reading, waiting].into_iter()), Some(2));
+    let stalled = View {
+        idle: Duration::from_secs(3),
+        ..reading
+    };
+    assert_eq!(victim([stalled, waiting].into_iter()), Some(1));
+    let limits = RequestLimits::default();
+    assert_eq!(overdue(&stalled, &limits), None);
+    let abandoned = View {
+        idle: Duration::from_millis(16_100),
+        ..reading
+    };
+    assert_eq!(overdue(&abandoned, &limits), Some(Reason::ResponseTimeout));
+}
+
+/// Guards against an announcement of the largest size that is closed before the bodies of a crowd which came earlier.
+#[test]
+fn victim_spares_large_announcement_beside_crowd() {
+    let announcement = view(1, Phase::Body, 4 << 20, 100);
+    let crowd = (2..50).map(|key| view(key, Phase::Body, 270_000, 300));
+    let victim = victim(std::iter::once(announcement).chain(crowd));
+    assert!(victim.is_some_and(|key| key != 1), "{victim:?}");
+}
--- a/components/ingress/tests/server.rs
+++ b/components/ingress/tests/server.rs
@@ -13,7 +13,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Reads the body of a POST, and takes its time for any other request.
+/// Size of an answer that the buffers of the operating system do not hold.
+const LARGE_ANSWER_BYTES: usize = 32 << 20;
+
+/// Answers `/large` with a large text, reads the body of a POST, and takes its time for any other request.
 struct SlowHandler(Duration);
 
 #[async_trait]
@@ -25,6 +28,10 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        if req.uri().path() == "/large" {
+            res.render("x".repeat(LARGE_ANSWER_BYTES));
+            return;
+        }
         if *req.method() == Method::POST {
             let body = ingress::read_body(req, depot, 262_144).await;
             assert!(body.is_ok(), "the body is read");
@@ -97,3 +104,37 @@
     assert_eq!(clients.connection_count(), 100);
     Ok(())
 }
+
+/// Guards against an answer that is cut for another connection while its client reads it, and against a client that keeps its
+/// connection by not reading.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_closed_for_others_only_unread() -> std::io::Result<()> {
+    let capacity = Capacity {
+        connections: 2,
+        bytes: 64 << 20,
+    };
+    let (addr, _clients) = start(capacity, RequestLimits::default(), Duration::ZERO).await?;
+    let mut reader = TcpStream::connect(addr).await?;
+    let get = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+    reader.write_all(get).await?;
+    let mut idle = TcpStream::connect(addr).await?;
+    let mut buf = vec![0; 1 << 20];
+    reader.read_exact(&mut buf).await?;
+    let mut other = TcpStream::connect(addr).await?;
+    other
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await?;
+    assert!(other.read(&mut buf).await? > 0, "the other one is served");
+    assert_eq!(idle.read(&mut buf).await.unwrap_or(0), 0, "it is closed");
+    reader.read_exact(&mut buf).await?;
+    // From now on, nobody reads the rest of the answer.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    other.write_all(get).await?;
+    other.read_exact(&mut buf).await?;
+    let mut third = TcpStream::connect(addr).await?;
+    third
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await?;
+    assert!(third.read(&mut buf).await? > 0, "the third one is served");
+    Ok(())
+}
