Keep the read buffer of a connection at its first size

Reads are now one byte shorter than the first buffer, so that only a head makes it grow. Ruled out: counting less than hyper holds, and a lower maximum, which would refuse heads within the limit.

--- a/components/ingress/src/http.rs
+++ b/components/ingress/src/http.rs
@@ -11,17 +11,24 @@
 use salvo::http::Method;
 use salvo::http::body::{Body, ResBody};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Server};
+use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::connection::{Connection, Exchange, MAX_READ_BUFFER_BYTES, Receiving, Serving};
 use crate::decide;
 use crate::ledger::ClientBoard;
+use crate::short_reads::ShortReads;
 
 /// Delay after which a client should repeat a request that was refused for lack of memory.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Creates a server whose connections are accounted for. Its router needs the hoop of [`track_exchanges`].
-pub fn limited_server<A: Acceptor + Send>(acceptor: A, clients: &Arc<ClientBoard>) -> Server<A> {
-    let mut server = Server::new(acceptor).fuse_policy(ConnectionPolicy(Arc::clone(clients)));
+pub fn limited_server<A>(acceptor: A, clients: &Arc<ClientBoard>) -> Server<ShortReads<A>>
+where
+    A: Acceptor + Send,
+    A::Stream: AsyncRead + AsyncWrite,
+{
+    let mut server =
+        Server::new(ShortReads(acceptor)).fuse_policy(ConnectionPolicy(Arc::clone(clients)));
     server.http1_mut().max_buf_size(MAX_READ_BUFFER_BYTES);
     server
 }
