Limit the calls that requests of clients make

Each submission, cancellation and query of an unknown job called the store on a connection of its own if all others were in use, so that as many requests as there may be connections took twice the descriptors. At most 64 such calls of an entry are now in progress. Other requests wait up to 700 ms, several times what a slow store takes, and are refused with 503 and `Retry-After` then. Calls that other entries relay count as well; the calls of the owner and the controllers do not wait for them.

--- a/components/cell/src/cancel.rs
+++ b/components/cell/src/cancel.rs
@@ -33,6 +33,7 @@
             queue: queue.clone(),
         };
         let deadline = boot_now() + timeout;
+        let _permit = self.begin_client_call().await?;
         loop {
             let result = store_cancellation(self, &cancellation).await;
             let Err(report) = result else {
@@ -52,12 +53,15 @@
     }
 }
 
+/// Stores a cancellation that another entry relayed.
+pub(crate) async fn store_relayed(entry: &Arc<Entry>, cancellation: &Cancellation) -> Result<bool> {
+    let _permit = entry.begin_client_call().await?;
+    store_cancellation(entry, cancellation).await
+}
+
 /// Stores a cancellation and returns whether the job was known. For an unknown job, stores an ended
 /// record, so that a late submission finds it and does not run.
-pub(crate) async fn store_cancellation(
-    entry: &Arc<Entry>,
-    cancellation: &Cancellation,
-) -> Result<bool> {
+async fn store_cancellation(entry: &Arc<Entry>, cancellation: &Cancellation) -> Result<bool> {
     let id = cancellation.id;
     let key = keys::job(id);
     loop {
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -9,10 +9,11 @@
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
 use ingress::ClientBoard;
+use ingress::decide::{Capacity, MAX_CLIENT_CALLS, Reason};
 use store::TransactionStore;
 use timer::Timer;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio_util::sync::CancellationToken;
 use wire::{Key, Peers, Server};
 
@@ -45,6 +46,10 @@
     /// Cancelled when the shutdown begins.
     pub(crate) shutdown: CancellationToken,
     pub(crate) confirmations: Confirmations,
+    /// Account of what clients make the process hold.
+    pub(crate) clients: Arc<ClientBoard>,
+    /// Calls that requests of clients make to the store and to other processes.
+    client_calls: Semaphore,
     /// Asks for a check of the configuration.
     pub(crate) check_requested: Notify,
     /// When the last check of the configuration ended, in milliseconds on the boot clock.
@@ -81,7 +86,8 @@
         secret: &str,
         shutdown: CancellationToken,
     ) -> Result<Arc<Self>> {
-        Self::start_accounted(settings, store, advisor, decode, secret, None, shutdown).await
+        let clients = ClientBoard::new(Capacity::unlimited(MAX_CONNECTIONS));
+        Self::start_accounted(settings, store, advisor, decode, secret, clients, shutdown).await
     }
 
     /// Starts an entry whose server of calls shares the account `clients` with the other servers of the process.
@@ -91,7 +97,7 @@
         advisor: Option<Arc<dyn Advisor>>,
         decode: DecodeConfiguration,
         secret: &str,
-        clients: Option<Arc<ClientBoard>>,
+        clients: Arc<ClientBoard>,
         shutdown: CancellationToken,
     ) -> Result<Arc<Self>> {
         let addr = settings.addr;
@@ -110,6 +116,8 @@
             timer: Timer::start(),
             shutdown,
             confirmations: Confirmations::default(),
+            clients: Arc::clone(&clients),
+            client_calls: Semaphore::new(MAX_CLIENT_CALLS),
             check_requested: Notify::new(),
             checked_at_ms: AtomicU64::new(0),
             asking: Arc::default(),
@@ -120,10 +128,7 @@
             peer_results: ArcSwap::default(),
         });
         let handler_entry = Arc::clone(&entry);
-        let mut server = Server::new(listener, key);
-        if let Some(clients) = clients {
-            server = server.account(clients);
-        }
+        let server = Server::new(listener, key).account(clients);
         tokio::spawn(server.serve(
             move |_, call| serve::answer(Arc::clone(&handler_entry), call),
             CancellationToken::new(),
@@ -148,6 +153,20 @@
         supervise::spawn(name, move || controller(Arc::clone(&entry)));
     }
 
+    /// Waits for a permit to call the store or other processes for a client. Each such call may open a connection, and the
+    /// descriptors for them are limited.
+    pub(crate) async fn begin_client_call(&self) -> Result<SemaphorePermit<'_>> {
+        let permit = tokio::time::timeout(CLIENT_CALL_WAIT, self.client_calls.acquire()).await;
+        if let Ok(Ok(permit)) = permit {
+            return Ok(permit);
+        }
+        self.clients.count(Reason::RefusedRequest);
+        let message = "the entry handles too many requests";
+        Err(Error::not_run(ErrorKind::Overloaded, message)
+            .retry_after(CLIENT_CALL_RETRY_DELAY)
+            .report())
+    }
+
     /// Updates the metrics that depend on the time.
     pub fn refresh_metrics(&self) {
         let version = self.board.configuration.load().version;
@@ -264,6 +283,13 @@
     }
 }
 
+/// Connections of an entry without limits for its clients.
+const MAX_CONNECTIONS: usize = 1024;
+/// How long a request waits for other requests, several times what a slow store takes to answer.
+const CLIENT_CALL_WAIT: Duration = Duration::from_millis(700);
+/// Delay after which a client should repeat a request that waited in vain.
+const CLIENT_CALL_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// How long submissions are refused without asking other entries after none of them could reach the
 /// store: a few times the latency between regions, so that the return of the store is noticed soon.
 const OUTAGE_CONFIRMATION: Duration = Duration::from_millis(150);
--- a/components/cell/src/query.rs
+++ b/components/cell/src/query.rs
@@ -24,6 +24,7 @@
             return Ok(Some(state));
         }
         // The owner is unreachable or does not know the job yet.
+        let _permit = self.begin_client_call().await?;
         self.stored_state(id).await
     }
 
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -30,7 +30,7 @@
         Call::Submit(submission) => submit::store_relayed(&entry, submission.id, submission.job)
             .await
             .map(|()| Reply::Done),
-        Call::CancelJob(cancellation) => cancel::store_cancellation(&entry, &cancellation)
+        Call::CancelJob(cancellation) => cancel::store_relayed(&entry, &cancellation)
             .await
             .map(Reply::JobKnown),
         call => answer_as_leader(&entry, call).await,
--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -56,6 +56,7 @@
         if self.is_outage_confirmed() {
             return Err(refusal(&store_unreachable()));
         }
+        let _permit = self.begin_client_call().await?;
         if self.is_store_lost() {
             return store_via_entries(self, id, &job, deadline).await;
         }
@@ -224,6 +225,7 @@
     if entry.is_store_lost() {
         return Err(store_unreachable());
     }
+    let _permit = entry.begin_client_call().await?;
     store_with_retries(entry, id, &job, boot_now() + RELAYED_TIMEOUT).await
 }
 
--- a/components/ingress/src/decide.rs
+++ b/components/ingress/src/decide.rs
@@ -12,6 +12,9 @@
 /// Share of the memory of a machine that clients may make the process hold, as a divisor. Buffers that grow are copied, and
 /// freed memory returns late, so that the process may use up to three times as much.
 const MEMORY_DIVISOR: usize = 5;
+/// Calls to the store and to other processes that requests of clients make at the same time. At 4 ms each, they are enough for
+/// 16,000 requests a second.
+pub const MAX_CLIENT_CALLS: usize = 64;
 /// Descriptors that are left for listeners and for connections that the process opens itself.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Connections that are accepted under any settings.
@@ -45,6 +48,14 @@
             bytes,
         }
     }
+
+    /// Returns a capacity without limits on memory.
+    pub fn unlimited(connections: usize) -> Self {
+        Self {
+            connections,
+            bytes: usize::MAX / 2,
+        }
+    }
 }
 
 /// Limits of a single request.
--- a/components/ingress/src/ledger.rs
+++ b/components/ingress/src/ledger.rs
@@ -147,7 +147,8 @@
         Reason::ALL.map(|reason| (reason, count(reason)))
     }
 
-    pub(crate) fn count(&self, reason: Reason) {
+    /// Counts that a limit was met.
+    pub fn count(&self, reason: Reason) {
         self.events[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 
