Admit jobs at the owner before they are stored

Small bodies of jobs with 65,536 tasks made the owner use 8.6 GB with 64 MB and answer nobody, and jobs that wait or last used what they liked. The owner keeps every job until it has ended, whichever entry stored it, and the next owner reads all of them back; nothing counted them.

The scheduler now counts what each job takes with its steps, tasks and occurrences, by client account, and the owner publishes the sums. A client account may use as much of the room for jobs, a quarter of the memory of the smallest entry, as it leaves free: half of it if it is alone, so that the first job of another account finds room. A single job is accepted in calm whatever it takes. An entry decides before anything is stored: at the owner by the published usage and what is pending, elsewhere without asking while there is plenty of room and little that the owner does not know, and otherwise by a call to the owner, which keeps the room for 2 s. A refusal has `Retry-After: 5`, and none is given for a job that the owner knows, since it would say that the job never runs. Cancellations of unknown jobs leave records and are admitted in the same way. Half of what jobs take beyond half of their room is taken from the requests. All parts of an entry share one decoded copy of a job.

Ruled out: asking the owner before each job, a round trip between regions more for each submission; a share for each account, since most are idle.

--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use board::Section;
+use graph::JobUsage;
 use indexmap::IndexMap;
 use model::{Epoch, JobId, JobState, QueueId};
 use wire::Leader;
@@ -44,6 +45,8 @@
     pub(crate) local_leader: Section<Option<LeaderHandle>>,
     /// Job states of the owner in this process; written by the owner.
     pub states: Section<JobStates>,
+    /// Memory that the jobs of the owner in this process take; written by the owner.
+    pub(crate) job_usage: Section<JobUsage>,
     /// Jobs that wait at the owner in this process, one line each, for operators; written by the owner.
     pub waits: Section<Box<str>>,
 }
--- a/components/cell/src/cancel.rs
+++ b/components/cell/src/cancel.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use errors::Result;
+use graph::ENDED_JOB_BYTES;
 use model::{AccountId, JobEnd, JobId, QueueId};
 use store::{CommitOutcome, Transaction};
 use wire::{Call, Cancellation, Reply};
@@ -64,9 +65,15 @@
 async fn store_cancellation(entry: &Arc<Entry>, cancellation: &Cancellation) -> Result<bool> {
     let id = cancellation.id;
     let key = keys::job(id);
+    let mut admission = None;
     loop {
         let found = with_timeout(entry.store.get(&key)).await?;
         let known = found.is_some();
+        if !known && admission.is_none() {
+            // The record stays as long as that of a job that has ended.
+            let admitted = entry.ask_owner_to_admit(id, &cancellation.account, ENDED_JOB_BYTES);
+            admission = Some(admitted.await?);
+        }
         let transaction = match &found {
             Some(found) => {
                 let record: JobRecord = records::decode(&key, &found.value)?;
@@ -86,6 +93,9 @@
                 if known {
                     notify_owner(entry, Call::JobCancelled(id));
                 }
+                if let Some(admission) = admission {
+                    entry.keep_for_a_while(admission);
+                }
                 return Ok(known);
             }
             // The job was created or has ended in the meantime; read it again.
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::{Key, Peers, Server};
 
+use crate::admission::Admissions;
 use crate::advisor::Advisor;
 use crate::board::CellBoard;
 use crate::clock::boot_now;
@@ -48,6 +49,7 @@
     pub(crate) confirmations: Confirmations,
     /// Account of what clients make the process hold.
     pub(crate) clients: Arc<ClientBoard>,
+    pub(crate) admissions: Arc<Admissions>,
     /// Calls that requests of clients make to the store and to other processes.
     client_calls: Semaphore,
     /// Asks for a check of the configuration.
@@ -117,6 +119,7 @@
             shutdown,
             confirmations: Confirmations::default(),
             clients: Arc::clone(&clients),
+            admissions: Arc::default(),
             client_calls: Semaphore::new(MAX_CLIENT_CALLS),
             check_requested: Notify::new(),
             checked_at_ms: AtomicU64::new(0),
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use graph::{PlacementChange, Scheduler, Wait, WaitReason};
+use graph::{JobUsage, PlacementChange, Scheduler, Wait, WaitReason};
 use indexmap::{IndexMap, IndexSet};
 use model::{AcceptedJob, AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
@@ -159,6 +159,9 @@
         self.entry.metrics.evacuated_workers.set(0);
         self.entry.metrics.missing_guarantees.set(0);
         self.entry.board.states.publish(JobStates::default());
+        self.entry.board.job_usage.publish(JobUsage::default());
+        self.entry.metrics.job_bytes.set(0);
+        self.entry.clients.record_jobs(0);
         self.publish_waits(std::iter::empty(), &IndexMap::new(), Duration::ZERO);
         self.entry.metrics.worker_speeds.reset();
     }
@@ -169,7 +172,12 @@
         events.with_label_values(&[event.name()]).inc();
         match event {
             Event::Report { report, tx } => self.handle_report(report, tx, now),
-            Event::JobStored { id, job, revision } => {
+            Event::JobStored {
+                id,
+                job,
+                revision,
+                admission,
+            } => {
                 self.job_revisions
                     .entry(id)
                     .or_insert_with(|| JobRevisions {
@@ -179,7 +187,16 @@
                     });
                 self.compare_policy(&job);
                 self.scheduler.accept(id, job, now, wall_now());
+                // The room is given back only after the job counts as part of the usage.
+                self.publish_usage();
+                drop(admission);
+                self.entry.admissions.settle(id);
+            }
+            Event::JobAsked { id, tx } => {
+                // The asking entry may have given up.
+                let _ = tx.send(self.scheduler.state(id).is_some());
             }
+            Event::JobEnded(id, end) => self.scheduler.record_ended(id, end),
             Event::PreviousEnded => self.scheduler.previous_ended(now),
             Event::JobDeleted(id) => {
                 self.scheduler.remove_deleted_jobs(|ended| ended == id);
@@ -322,6 +339,7 @@
             seconds.observe(took.as_secs_f64());
         }
         self.scheduler.compact_ended_jobs();
+        self.publish_usage();
         let waiting = self.scheduler.recovery_state().jobs;
         let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
         self.entry.metrics.recovering_jobs.set(waiting);
@@ -521,6 +539,16 @@
         self.entry.board.waits.publish(lines.into());
     }
 
+    fn publish_usage(&self) {
+        let usage = self.scheduler.usage();
+        if **self.entry.board.job_usage.load() != *usage {
+            let total = i64::try_from(usage.total).unwrap_or(i64::MAX);
+            self.entry.metrics.job_bytes.set(total);
+            self.entry.clients.record_jobs(usage.total);
+            self.entry.board.job_usage.publish(usage.clone());
+        }
+    }
+
     fn publish_states(&self) {
         let states = self.scheduler.states();
         let waiting = self.scheduler.queued_job_counts();
--- a/components/cell/src/leader/job_watch.rs
+++ b/components/cell/src/leader/job_watch.rs
@@ -11,8 +11,9 @@
 use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::keys::{self, JOBS_PREFIX, JobKey};
-use crate::leader::load::decode_accepted;
+use crate::leader::load::decode_record;
 use crate::leader::{Event, LeaderHandle};
+use crate::records::JobRecord;
 
 /// Duration of one watch. Entries notify the owner of each job, so a silent watch delays only the
 /// changes whose notification failed.
@@ -83,11 +84,20 @@
 async fn send_event(handle: &LeaderHandle, found: &KvPair) -> Result<()> {
     match keys::parse_job_key(&found.key) {
         Some(JobKey::Record(id)) => {
-            let Some(job) = decode_accepted(found) else {
-                return Ok(());
+            let event = match decode_record(found) {
+                Ok(JobRecord::Accepted(job)) => Event::JobStored {
+                    id,
+                    job,
+                    revision: found.revision,
+                    admission: None,
+                },
+                Ok(JobRecord::Ended { end, .. }) => Event::JobEnded(id, end),
+                Err(report) => {
+                    log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
+                    return Ok(());
+                }
             };
-            let revision = found.revision;
-            handle.send(Event::JobStored { id, job, revision }).await
+            handle.send(event).await
         }
         Some(JobKey::Cancellation(id)) => handle.send(Event::JobCancelled(id)).await,
         None => Ok(()),
--- a/components/cell/src/leader/load.rs
+++ b/components/cell/src/leader/load.rs
@@ -1,12 +1,11 @@
 //! Loads the records of jobs when an owner starts.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use errors::{Error, ErrorKind, Result};
 use graph::{LoadedJob, Progress};
 use indexmap::{IndexMap, IndexSet};
-use model::{AcceptedJob, AgentId, JobEnd, JobId, QueueId, Revision};
+use model::{AgentId, JobEnd, JobId, QueueId, Revision};
 use store::KvPair;
 
 use crate::entry::Entry;
@@ -122,7 +121,7 @@
             Ok(JobRecord::Accepted(spec)) => {
                 let job = LoadedJob {
                     id,
-                    spec: Arc::new(spec),
+                    spec,
                     progress: None,
                     cancelled: false,
                 };
@@ -148,7 +147,7 @@
 }
 
 /// Decodes and checks the record of a job.
-fn decode_record(found: &KvPair) -> Result<JobRecord> {
+pub(crate) fn decode_record(found: &KvPair) -> Result<JobRecord> {
     let record: JobRecord = records::decode(&found.key, &found.value)?;
     if let JobRecord::Accepted(job) = &record
         && let Err(problem) = job.check()
@@ -158,15 +157,3 @@
     }
     Ok(record)
 }
-
-/// Decodes the record of a job that has not ended.
-pub(crate) fn decode_accepted(found: &KvPair) -> Option<Arc<AcceptedJob>> {
-    match decode_record(found) {
-        Ok(JobRecord::Accepted(job)) => Some(Arc::new(job)),
-        Ok(JobRecord::Ended { .. }) => None,
-        Err(report) => {
-            log::error!(target: "limpethook", error:% = report.current_context(); "record_unreadable");
-            None
-        }
-    }
-}
--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -12,11 +12,12 @@
 use errors::{Error, ErrorKind, Result};
 use graph::StepId;
 use indexmap::IndexSet;
-use model::{AcceptedJob, AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
+use model::{AcceptedJob, AgentId, Epoch, Instructions, JobEnd, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 use wire::Leader;
 
+use crate::admission::Admission;
 use crate::advisor::Approval;
 use crate::entry::Entry;
 use crate::leader::writer::{StoredJob, WriteKind};
@@ -43,7 +44,17 @@
         job: Arc<AcceptedJob>,
         /// Revision of the record.
         revision: Revision,
+        /// Room that is reserved for the job until its owner counts it.
+        admission: Option<Admission>,
     },
+    /// An entry asks whether a job is known, before it refuses it.
+    JobAsked {
+        id: JobId,
+        /// Receives the answer.
+        tx: oneshot::Sender<bool>,
+    },
+    /// The record of an ended job was stored, by this owner or for a job that was cancelled before it was submitted.
+    JobEnded(JobId, JobEnd),
     /// The record of a job was deleted from the store.
     JobDeleted(JobId),
     /// The store has records of these jobs only; earlier changes were missed.
@@ -86,6 +97,8 @@
         match self {
             Self::Report { .. } => "report",
             Self::JobStored { .. } => "job_stored",
+            Self::JobAsked { .. } => "job_asked",
+            Self::JobEnded(..) => "job_ended",
             Self::JobDeleted(_) => "job_forgotten",
             Self::JobsListed(_) => "jobs_listed",
             Self::JobCancelled(_) => "job_cancelled",
@@ -115,6 +128,13 @@
         self.tx.send(event).await.map_err(|_| not_owner_error())
     }
 
+    /// Returns whether the owner knows a job, after all events that were sent before.
+    pub(crate) async fn knows(&self, id: JobId) -> Result<bool> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Event::JobAsked { id, tx }).await?;
+        rx.await.map_err(|_| not_owner_error())
+    }
+
     /// Sends a report and returns the instructions, as soon as there are any or after a limited
     /// wait.
     pub(crate) async fn report(&self, report: WorkerReport) -> Result<Instructions> {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -4,6 +4,7 @@
 //! requests read snapshots without locking. Scheduling decisions are made by the `graph` crate, and
 //! durable state is kept in the key-value service.
 
+mod admission;
 mod advisor;
 pub mod agent;
 mod board;
--- a/components/cell/src/members.rs
+++ b/components/cell/src/members.rs
@@ -105,7 +105,7 @@
 
 fn apply_put(members: &mut Members, found: &KvPair) {
     if let Some(name) = found.key.strip_prefix(ENTRIES_PREFIX) {
-        match records::decode(&found.key, &found.value) {
+        match records::decode_entry(&found.key, &found.value) {
             Ok(record) => {
                 members.entries.insert(name.into(), record);
             }
@@ -173,6 +173,7 @@
     let value = records::encode(&EntryRecord {
         addr: entry.settings.addr,
         processor_share: entry.settings.processor_share,
+        job_bytes: u64::try_from(entry.clients.capacity().jobs).ok(),
     })?;
     let key = keys::entry(&entry.settings.entry);
     entry
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -46,6 +46,8 @@
     pub evacuated_workers: IntGauge,
     /// Guaranteed accelerators beyond those that evacuations leave; 0 if this entry is not the owner.
     pub missing_guarantees: IntGauge,
+    /// Memory that the jobs take by the account of the owner; 0 if this entry is not the owner.
+    pub job_bytes: IntGauge,
     /// Time from the start of an owner to the end of its recovery in seconds.
     pub recovery_seconds: Histogram,
     /// Time that starts wait for the records of their placements in seconds.
@@ -72,6 +74,10 @@
                 "Longest wait of a job that has waited for at least a second",
                 "reason",
             )?,
+            job_bytes: registrar.gauge(
+                "limpethook_job_bytes",
+                "Memory that the jobs of the owner take",
+            )?,
             configuration_version: registrar.gauge(
                 "limpethook_configuration_version",
                 "Version of the configuration in force",
--- a/components/cell/src/notify.rs
+++ b/components/cell/src/notify.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use errors::Result;
-use wire::{Call, Reply};
+use wire::{Call, Reply, StoredSubmission};
 
+use crate::admission::Admission;
 use crate::entry::Entry;
 
 /// Timeout of a notification: several times the latency between regions.
@@ -15,22 +16,37 @@
 
 /// Notifies the owner in a background task.
 pub(crate) fn notify_owner(entry: &Arc<Entry>, call: Call) {
+    let entry = Arc::clone(entry);
+    tokio::spawn(async move { notify(&entry, &call).await });
+}
+
+/// Notifies the owner of a stored job in a background task, which keeps the room for the job until then.
+pub(crate) fn notify_stored(
+    entry: &Arc<Entry>,
+    stored: StoredSubmission,
+    admission: Option<Admission>,
+) {
     let entry = Arc::clone(entry);
     tokio::spawn(async move {
-        for _ in 0..NOTIFY_ATTEMPTS {
-            if entry
-                .call_leader(call.clone(), NOTIFY_TIMEOUT)
-                .await
-                .is_ok()
-            {
-                return;
-            }
-            tokio::time::sleep(NOTIFY_TIMEOUT / 4).await;
+        match notify(&entry, &Call::JobStored(Box::new(stored))).await {
+            Some(reply) => entry.admissions.record_reply(&reply),
+            None => admission.into_iter().for_each(Admission::keep_unconfirmed),
         }
-        log::info!(target: "limpethook", attempts = NOTIFY_ATTEMPTS; "owner_notification_failed");
     });
 }
 
+/// Notifies the owner; returns its reply, or `None` if it could not be reached.
+async fn notify(entry: &Arc<Entry>, call: &Call) -> Option<Reply> {
+    for _ in 0..NOTIFY_ATTEMPTS {
+        if let Ok(reply) = entry.call_leader(call.clone(), NOTIFY_TIMEOUT).await {
+            return Some(reply);
+        }
+        tokio::time::sleep(NOTIFY_TIMEOUT / 4).await;
+    }
+    log::info!(target: "limpethook", attempts = NOTIFY_ATTEMPTS; "owner_notification_failed");
+    None
+}
+
 impl Entry {
     /// Calls the owner, or handles the call locally if this entry is the owner.
     pub(crate) async fn call_leader(
--- a/components/cell/src/records.rs
+++ b/components/cell/src/records.rs
@@ -9,13 +9,14 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::configuration::Configuration;
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum JobRecord {
     /// The job was accepted and has not ended.
-    Accepted(AcceptedJob),
+    Accepted(Arc<AcceptedJob>),
     /// The job ended. The record prevents late repeats of the submission from running the job
     /// again.
     Ended { queue: QueueId, end: JobEnd },
@@ -28,6 +29,8 @@
     pub(crate) addr: SocketAddr,
     /// Share of a core that its machine gives the entry.
     pub(crate) processor_share: f64,
+    /// Memory that the entry has for jobs as the owner. Records of earlier versions end before this field.
+    pub(crate) job_bytes: Option<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +88,16 @@
     Ok(Progress { units, crashes })
 }
 
+/// Decodes the record of an entry. Earlier versions end it after the share of a core.
+pub(crate) fn decode_entry(key: &str, value: &[u8]) -> Result<EntryRecord> {
+    let ((addr, processor_share), job_bytes) = decode_extended(key, value)?;
+    Ok(EntryRecord {
+        addr,
+        processor_share,
+        job_bytes,
+    })
+}
+
 /// Decodes the recent owners. Records of versions that kept no records of placements end after the owners.
 pub(crate) fn decode_recent_owners(key: &str, value: &[u8]) -> Result<RecentOwners> {
     let (owners, recording) = decode_extended(key, value)?;
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -5,6 +5,7 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result};
+use graph::job_bytes;
 use model::{Epoch, JobId, JobState, Revision};
 use wire::{Call, CellView, KnownState, Leader, Reply};
 
@@ -48,15 +49,18 @@
             let instructions = leader.report(*report).await?;
             Ok(Reply::Instructions(Box::new(instructions)))
         }
+        Call::AdmitJob(asked) => entry.admit_for_entry(leader, &asked).await,
         Call::JobStored(stored) => {
+            let bytes = job_bytes(&stored.job);
             leader
                 .send(Event::JobStored {
                     id: stored.id,
-                    job: Arc::new(stored.job),
+                    admission: entry.admissions.hold(&stored.job.account, bytes),
+                    job: stored.job,
                     revision: stored.revision,
                 })
                 .await?;
-            Ok(Reply::Done)
+            Ok(entry.job_room())
         }
         Call::JobCancelled(id) => {
             leader.send(Event::JobCancelled(id)).await?;
--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -5,15 +5,17 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result, Verdict};
+use graph::job_bytes;
 use model::{AcceptedJob, JobId};
 use store::{CommitOutcome, Transaction};
 use tokio::task::JoinSet;
 use wire::{Call, StoredSubmission, Submission};
 
+use crate::admission::Admission;
 use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::keys;
-use crate::notify::notify_owner;
+use crate::notify::notify_stored;
 use crate::records::{self, JobRecord};
 
 /// Timeout of one store call, after which the call is repeated on another connection.
@@ -51,16 +53,19 @@
         job: AcceptedJob,
         timeout: Duration,
     ) -> Result<()> {
+        // All steps share one copy, because a decoded job may take some megabytes.
+        let job = Arc::new(job);
         let now = boot_now();
         let deadline = now + timeout.min(OUTCOME_TIMEOUT);
         if self.is_outage_confirmed() {
             return Err(refusal(&store_unreachable()));
         }
+        let admission = self.admit(id, &job.account, job_bytes(&job)).await?;
         let _permit = self.begin_client_call().await?;
         if self.is_store_lost() {
-            return store_via_entries(self, id, &job, deadline).await;
+            return store_via_entries(self, id, &job, deadline, admission).await;
         }
-        let direct = store_with_retries(self, id, &job, deadline);
+        let direct = store_with_retries(self, id, &job, deadline, Some(admission));
         tokio::pin!(direct);
         let first = tokio::select! {
             result = &mut direct => Some(result),
@@ -139,8 +144,9 @@
 async fn store_via_entries(
     entry: &Arc<Entry>,
     id: JobId,
-    job: &AcceptedJob,
+    job: &Arc<AcceptedJob>,
     deadline: Duration,
+    admission: Admission,
 ) -> Result<()> {
     let relayed = relay_to_entries(entry, id, job, deadline);
     tokio::pin!(relayed);
@@ -155,7 +161,7 @@
             }
             None => Err(refusal(&store_unreachable())),
         },
-        () = entry.wait_for_store() => match store_with_retries(entry, id, job, deadline).await {
+        () = entry.wait_for_store() => match store_with_retries(entry, id, job, deadline, Some(admission)).await {
             Ok(()) => Ok(()),
             Err(report) => combine_results(&report, relayed.await),
         },
@@ -167,7 +173,7 @@
 async fn relay_to_entries(
     entry: &Arc<Entry>,
     id: JobId,
-    job: &AcceptedJob,
+    job: &Arc<AcceptedJob>,
     deadline: Duration,
 ) -> Option<Result<()>> {
     let addrs = entry.responsive_entries().into_iter();
@@ -183,7 +189,7 @@
             for addr in addrs.by_ref().take(RELAY_BATCH) {
                 let submission = Submission {
                     id,
-                    job: job.clone(),
+                    job: Arc::clone(job),
                 };
                 let call = Call::Submit(Box::new(submission));
                 let entry = Arc::clone(entry);
@@ -221,12 +227,18 @@
 }
 
 /// Stores a job that another entry relayed.
-pub(crate) async fn store_relayed(entry: &Arc<Entry>, id: JobId, job: AcceptedJob) -> Result<()> {
+pub(crate) async fn store_relayed(
+    entry: &Arc<Entry>,
+    id: JobId,
+    job: Arc<AcceptedJob>,
+) -> Result<()> {
     if entry.is_store_lost() {
         return Err(store_unreachable());
     }
+    let _held = entry.clients.hold(job_bytes(&job)).ok_or_else(no_memory)?;
     let _permit = entry.begin_client_call().await?;
-    store_with_retries(entry, id, &job, boot_now() + RELAYED_TIMEOUT).await
+    let deadline = boot_now() + RELAYED_TIMEOUT;
+    store_with_retries(entry, id, &job, deadline, None).await
 }
 
 /// Creates the record of a job unless it exists, and repeats the write while its outcome is
@@ -234,11 +246,12 @@
 async fn store_with_retries(
     entry: &Arc<Entry>,
     id: JobId,
-    job: &AcceptedJob,
+    job: &Arc<AcceptedJob>,
     deadline: Duration,
+    admission: Option<Admission>,
 ) -> Result<()> {
     let key = keys::job(id);
-    let record = records::encode(&JobRecord::Accepted(job.clone()))?;
+    let record = records::encode(&JobRecord::Accepted(Arc::clone(job)))?;
     let transaction = Transaction {
         preconditions: vec![(key.clone(), 0)],
         puts: vec![(key.clone(), record, None)],
@@ -249,7 +262,7 @@
         match write_with_timeout(entry.store.commit(&transaction)).await {
             Ok(CommitOutcome::Written { revision }) => {
                 entry.record_store_result(true, &"job stored");
-                notify_stored(entry, id, job.clone(), revision);
+                notify_new(entry, id, Arc::clone(job), revision, admission);
                 return Ok(());
             }
             Ok(CommitOutcome::Conflict { current }) => {
@@ -258,7 +271,7 @@
                 if let Some(found) = found
                     && let JobRecord::Accepted(job) = records::decode(&key, &found.value)?
                 {
-                    notify_stored(entry, id, job, found.revision);
+                    notify_new(entry, id, job, found.revision, admission);
                 }
                 return Ok(());
             }
@@ -278,9 +291,21 @@
     }
 }
 
-fn notify_stored(entry: &Arc<Entry>, id: JobId, job: AcceptedJob, revision: u64) {
-    let stored = StoredSubmission { id, job, revision };
-    notify_owner(entry, Call::JobStored(Box::new(stored)));
+fn notify_new(
+    entry: &Arc<Entry>,
+    id: JobId,
+    job: Arc<AcceptedJob>,
+    revision: u64,
+    admission: Option<Admission>,
+) {
+    notify_stored(entry, StoredSubmission { id, job, revision }, admission);
+}
+
+pub(crate) fn no_memory() -> Report<Error> {
+    let message = "requests in progress use up the memory for requests";
+    Error::not_run(ErrorKind::Overloaded, message)
+        .retry_after(CLIENT_RETRY_DELAY)
+        .report()
 }
 
 /// Limits the wait for a write, which may still take effect after the timeout.
--- a/components/graph/src/job.rs
+++ b/components/graph/src/job.rs
@@ -253,6 +253,12 @@
     fn create_occurrence(&mut self, occurrence: u32) {
         self.created_occurrences = self.created_occurrences.max(occurrence + 1);
         let spec = Arc::clone(&self.spec);
+        if spec.graph.recurrence.is_none() {
+            let units = spec.graph.steps.iter();
+            let units = units.map(|step| if step.gang { 1 } else { step.tasks as usize });
+            // A table that grows is copied to one of twice its size.
+            self.units.reserve_exact(units.sum());
+        }
         for (number, step) in (0..).zip(&spec.graph.steps) {
             let units = if step.gang { 1 } else { step.tasks };
             let tasks = if step.gang { step.tasks } else { 1 };
--- a/components/graph/src/scheduler.rs
+++ b/components/graph/src/scheduler.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::approvals::{Approvals, StepId};
+use crate::cost::{EndedJob, JobUsage, job_bytes};
 use crate::estimates::Estimates;
 use crate::fit::Assignment;
 use crate::headroom::UrgentDemand;
@@ -82,7 +83,9 @@
     /// Jobs that have not ended, or that still have runs or an unstored end.
     pub(crate) jobs: IndexMap<JobId, Job>,
     /// Jobs whose end is stored and that have no runs.
-    pub(crate) ended: IndexMap<JobId, JobEnd>,
+    pub(crate) ended: IndexMap<JobId, EndedJob>,
+    /// Memory that the jobs and the ended jobs take.
+    usage: JobUsage,
     pub(crate) queues: IndexMap<QueueId, QueuePolicy>,
     /// Guaranteed accelerators by client account.
     pub(crate) guarantees: IndexMap<AccountId, u32>,
@@ -153,6 +156,7 @@
             workers: IndexMap::new(),
             jobs: IndexMap::new(),
             ended: IndexMap::new(),
+            usage: JobUsage::default(),
             queues: IndexMap::new(),
             guarantees: IndexMap::new(),
             reservations: IndexMap::new(),
@@ -251,18 +255,39 @@
     /// Adds an ended job from the store.
     pub fn load_ended(&mut self, id: JobId, end: JobEnd) {
         self.status_version += 1;
-        self.ended.insert(id, end);
+        let ended = EndedJob { end, account: None };
+        self.usage.add_ended(&ended);
+        self.ended.insert(id, ended);
+    }
+
+    /// Adds an ended job that the store has, unless it is known.
+    pub fn record_ended(&mut self, id: JobId, end: JobEnd) {
+        if !self.jobs.contains_key(&id) && !self.ended.contains_key(&id) {
+            self.load_ended(id, end);
+        }
     }
 
     /// Removes the ended jobs whose records were deleted from the store, as selected by `deleted`.
     pub fn remove_deleted_jobs(&mut self, deleted: impl Fn(JobId) -> bool) {
         let before = self.ended.len();
-        self.ended.retain(|id, _| !deleted(*id));
+        let usage = &mut self.usage;
+        self.ended.retain(|id, ended| {
+            let is_deleted = deleted(*id);
+            if is_deleted {
+                usage.subtract_ended(ended);
+            }
+            !is_deleted
+        });
         if self.ended.len() < before {
             self.status_version += 1;
         }
     }
 
+    /// Returns the memory that the jobs take.
+    pub fn usage(&self) -> &JobUsage {
+        &self.usage
+    }
+
     /// Returns a number that increases when a job state or the number of queued jobs of a queue changes.
     pub fn status_version(&self) -> u64 {
         self.status_version
@@ -287,6 +312,7 @@
             job.end = Some(JobEnd::Completed);
             job.mark_changed();
         }
+        self.usage.add(&job.spec.account, job_bytes(&job.spec));
         self.jobs.insert(loaded.id, job);
         self.plan_needed = true;
         self.status_version += 1;
@@ -309,8 +335,8 @@
 
     /// Returns the state of a job as shown to clients: an end is shown only once it is stored.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        if let Some(end) = self.ended.get(&id) {
-            return Some(JobState::Ended(*end));
+        if let Some(ended) = self.ended.get(&id) {
+            return Some(JobState::Ended(ended.end));
         }
         let job = self.jobs.get(&id)?;
         Some(match job.end {
@@ -341,7 +367,7 @@
     /// Replaces each job whose end is stored and that has no runs left by its end, to free memory.
     pub fn compact_ended_jobs(&mut self) {
         self.drop_ended_approvals();
-        let ended = &mut self.ended;
+        let (ended, usage) = (&mut self.ended, &mut self.usage);
         let workers = &self.workers;
         self.jobs.retain(|id, job| {
             let Some(end) = job.end.filter(|_| job.stored_version >= job.version) else {
@@ -354,7 +380,14 @@
                     .any(|placement| placement.unit_key().0 == *id)
             });
             if !has_runs {
-                ended.insert(*id, end);
+                let account = &job.spec.account;
+                usage.subtract(account, job_bytes(&job.spec));
+                let job = EndedJob {
+                    end,
+                    account: Some(account.clone()),
+                };
+                usage.add_ended(&job);
+                ended.insert(*id, job);
             }
             has_runs
         });
--- a/components/ingress/src/decide.rs
+++ b/components/ingress/src/decide.rs
@@ -12,6 +12,13 @@
 /// Share of the memory of a machine that clients may make the process hold, as a divisor. Buffers that grow are copied, and
 /// freed memory returns late, so that the process may use up to three times as much.
 const MEMORY_DIVISOR: usize = 5;
+/// Share of the memory of a machine that accepted jobs may use at the owner, as a divisor.
+const JOBS_DIVISOR: usize = 4;
+/// Share of the room for jobs up to which any single job is accepted, as a divisor. The largest jobs take nearly a whole share of a
+/// small machine.
+const CALM_DIVISOR: usize = 4;
+/// Share of the room for jobs that each client account has even if a large job of another one takes all of it, as a divisor.
+const SMALL_DIVISOR: usize = 64;
 /// Calls to the store and to other processes that requests of clients make at the same time. At 4 ms each, they are enough for
 /// 16,000 requests a second.
 pub const MAX_CLIENT_CALLS: usize = 64;
@@ -26,6 +33,8 @@
 /// Time without a byte of an answer being read after which the connection may be closed for others. Several times what a slow
 /// link takes for a full window.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Share of the budget that requests have in any case, as a divisor.
+const LEAST_DIVISOR: usize = 4;
 /// Added to each time-out, because the process may be slow to read what has arrived.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 
@@ -36,6 +45,8 @@
     pub connections: usize,
     /// Bytes of the connections of clients, their heads and bodies, and of the requests that are handled.
     pub bytes: usize,
+    /// Bytes of accepted jobs, if this process is the owner.
+    pub jobs: usize,
 }
 
 impl Capacity {
@@ -46,6 +57,7 @@
         Self {
             connections: connections.max(MIN_CONNECTIONS),
             bytes,
+            jobs: memory_bytes / JOBS_DIVISOR,
         }
     }
 
@@ -54,6 +66,7 @@
         Self {
             connections,
             bytes: usize::MAX / 2,
+            jobs: usize::MAX / 2,
         }
     }
 }
@@ -155,6 +168,8 @@
     pub held: usize,
     /// Part of them that belongs to connections that are being closed.
     pub closing: usize,
+    /// Bytes of accepted jobs, if this process is the owner.
+    pub jobs: usize,
 }
 
 /// Whether more bytes may be held.
@@ -169,17 +184,55 @@
 }
 
 /// Decides whether more bytes may be held.
+///
+/// Half of what jobs take beyond half of their room is taken from the requests: a single large job may exceed that room.
 pub fn reserve(capacity: Capacity, usage: Usage, bytes: usize) -> Reservation {
+    let taken = usage.jobs.saturating_sub(capacity.jobs / 2) / 2;
+    let least = capacity.bytes / LEAST_DIVISOR;
+    let room = capacity.bytes.saturating_sub(taken).max(least);
     let total = usage.held.saturating_add(bytes);
-    if bytes > capacity.bytes || total > capacity.bytes + capacity.bytes / CLOSING_DIVISOR {
+    if bytes > room || total > room + room / CLOSING_DIVISOR {
         Reservation::Refused
-    } else if total.saturating_sub(usage.closing) > capacity.bytes {
+    } else if total.saturating_sub(usage.closing) > room {
         Reservation::NeedsRoom
     } else {
         Reservation::Granted
     }
 }
 
+/// What accepted jobs use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct JobLoad {
+    /// Bytes of all jobs.
+    pub total: usize,
+    /// Part of them that belongs to the client account of a new job.
+    pub of_account: usize,
+}
+
+/// Decides whether the owner accepts another job.
+///
+/// A client account may use as much as it leaves free for the others, so that the first job of another one finds room. A single job
+/// that is larger than that is accepted in calm; meanwhile, the others still have a small share each.
+pub fn admits_job(capacity: usize, load: JobLoad, bytes: usize) -> bool {
+    let free = capacity.saturating_sub(load.total);
+    let of_account = load.of_account.saturating_add(bytes);
+    let is_calm = load.total <= capacity / CALM_DIVISOR;
+    let is_small = of_account <= capacity / SMALL_DIVISOR
+        && load.total.saturating_add(bytes) <= capacity + capacity / 4 * 3;
+    is_calm || is_small || of_account <= free
+}
+
+/// Returns whether the owner has so little room that it has to be asked before each job is stored.
+pub fn is_scarce(capacity: usize, used: usize) -> bool {
+    used > capacity / 2
+}
+
+/// Returns how many bytes of jobs one of several entries may store before the owner has confirmed them. Entries that have not heard
+/// yet that room is scarce add a quarter of it at most.
+pub fn unasked_bytes(capacity: usize, entries: usize) -> usize {
+    capacity / 4 / entries.max(1)
+}
+
 /// Why a connection is closed or refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
--- a/components/ingress/src/ledger.rs
+++ b/components/ingress/src/ledger.rs
@@ -38,6 +38,8 @@
     connections: AtomicUsize,
     held: AtomicUsize,
     closing: AtomicUsize,
+    /// Bytes of accepted jobs, if this process is the owner.
+    jobs: AtomicUsize,
     released: Notify,
     events: [AtomicU64; Reason::ALL.len()],
     started_at: Instant,
@@ -104,6 +106,7 @@
             connections: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
             closing: AtomicUsize::new(0),
+            jobs: AtomicUsize::new(0),
             released: Notify::new(),
             events: Default::default(),
             started_at: Instant::now(),
@@ -131,6 +134,11 @@
         text
     }
 
+    /// Returns what clients may use.
+    pub fn capacity(&self) -> Capacity {
+        self.capacity
+    }
+
     /// Returns the number of open connections.
     pub fn connection_count(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
@@ -330,10 +338,37 @@
         self.add(index, bytes);
     }
 
+    /// Records what the accepted jobs take at the owner in this process.
+    pub fn record_jobs(&self, bytes: usize) {
+        self.jobs.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Lets work without a connection of a client hold bytes, for which connections are closed; `None` if it may not.
+    pub fn hold(self: &Arc<Self>, bytes: usize) -> Option<HeldBytes> {
+        loop {
+            match decide::reserve(self.capacity, self.usage(), bytes) {
+                Reservation::Granted => {
+                    self.held.fetch_add(bytes, Ordering::AcqRel);
+                    return Some(HeldBytes {
+                        clients: Arc::clone(self),
+                        bytes,
+                    });
+                }
+                // Each round closes a connection, and closed ones are not chosen again.
+                Reservation::NeedsRoom if self.close_one(Reason::Memory, None) => {}
+                Reservation::NeedsRoom | Reservation::Refused => {
+                    self.count(Reason::RefusedRequest);
+                    return None;
+                }
+            }
+        }
+    }
+
     fn usage(&self) -> Usage {
         Usage {
             held: self.held.load(Ordering::Acquire),
             closing: self.closing.load(Ordering::Acquire),
+            jobs: self.jobs.load(Ordering::Relaxed),
         }
     }
 
@@ -419,6 +454,19 @@
     }
 }
 
+/// Bytes that work without a connection holds, until this value is dropped.
+#[derive(Debug)]
+pub struct HeldBytes {
+    clients: Arc<ClientBoard>,
+    bytes: usize,
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.clients.held.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 /// Slot of a connection, which is given back with the last reference: a request may end after its connection.
 #[derive(Debug)]
 pub(crate) struct SlotRef {
--- a/components/ingress/src/lib.rs
+++ b/components/ingress/src/lib.rs
@@ -14,6 +14,6 @@
 pub use connection::{Connection, Exchange, Receiving, Serving};
 pub use controller::spawn as spawn_controller;
 pub use http::{limited_server, read_body, track_exchanges};
-pub use ledger::ClientBoard;
+pub use ledger::{ClientBoard, HeldBytes};
 pub use rlimit::soft_descriptor_limit;
 pub use short_reads::{ShortReadStream, ShortReads};
--- a/components/ingress/tests/account.rs
+++ b/components/ingress/tests/account.rs
@@ -15,6 +15,7 @@
     ClientBoard::new(Capacity {
         connections,
         bytes: 1 << 20,
+        jobs: 0,
     })
 }
 
@@ -96,3 +97,14 @@
     drop((peers, strangers));
     assert_eq!((clients.connection_count(), clients.held_bytes()), (0, 0));
 }
+
+/// Guards against relayed jobs that are handled without a bound, and against their account that is not settled.
+#[test]
+fn hold_bounds_work_without_connection() {
+    let clients = board(4);
+    let held = clients.hold(1 << 20).expect("there is room");
+    assert!(clients.hold(1 << 20).is_none());
+    drop(held);
+    assert_eq!(clients.held_bytes(), 0);
+    assert!(clients.hold(1 << 20).is_some());
+}
--- a/components/ingress/tests/decide.rs
+++ b/components/ingress/tests/decide.rs
@@ -10,6 +10,7 @@
 const CAPACITY: Capacity = Capacity {
     connections: 100,
     bytes: 1_000_000,
+    jobs: 0,
 };
 
 fn view(key: u64, phase: Phase, held: usize, in_phase_ms: u64) -> View {
@@ -47,7 +48,11 @@
 /// Guards against a budget that is exceeded by more than the closed connections still hold.
 #[test]
 fn reserve_bounds_memory_of_closed_connections() {
-    let usage = |held, closing| Usage { held, closing };
+    let usage = |held, closing| Usage {
+        held,
+        closing,
+        jobs: 0,
+    };
     let decide = |usage| reserve(CAPACITY, usage, 100_000);
     assert_eq!(decide(usage(900_000, 0)), Reservation::Granted);
     assert_eq!(decide(usage(900_001, 0)), Reservation::NeedsRoom);
@@ -184,3 +189,22 @@
     let victim = victim(std::iter::once(announcement).chain(crowd));
     assert!(victim.is_some_and(|key| key != 1), "{victim:?}");
 }
+
+/// Guards against requests and a job that is larger than the room for jobs, which together exceed the memory.
+#[test]
+fn reserve_leaves_room_to_large_jobs() {
+    let capacity = Capacity::of_machine(64 << 20, 450);
+    let usage = |held, jobs| Usage {
+        held,
+        closing: 0,
+        jobs,
+    };
+    let half = capacity.bytes / 2;
+    let decide = |usage| reserve(capacity, usage, half);
+    assert_eq!(decide(usage(half, capacity.jobs / 2)), Reservation::Granted);
+    assert_ne!(decide(usage(half, capacity.jobs)), Reservation::Granted);
+    let overdraft = capacity.jobs + 2 * capacity.bytes;
+    assert_eq!(decide(usage(0, overdraft)), Reservation::Refused);
+    let granted = reserve(capacity, usage(0, overdraft), capacity.bytes / 4);
+    assert_eq!(granted, Reservation::Granted);
+}
--- a/components/ingress/tests/server.rs
+++ b/components/ingress/tests/server.rs
@@ -68,6 +68,7 @@
     let capacity = Capacity {
         connections: 100,
         bytes: 32 << 20,
+        jobs: 0,
     };
     let (addr, _clients) = start(capacity, limits, Duration::from_secs(4)).await?;
     let mut stream = TcpStream::connect(addr).await?;
@@ -86,6 +87,7 @@
     let capacity = Capacity {
         connections: 390,
         bytes: 3_355_443,
+        jobs: 0,
     };
     let (addr, clients) = start(capacity, RequestLimits::default(), Duration::ZERO).await?;
     let head = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n";
@@ -112,6 +114,7 @@
     let capacity = Capacity {
         connections: 2,
         bytes: 64 << 20,
+        jobs: 0,
     };
     let (addr, _clients) = start(capacity, RequestLimits::default(), Duration::ZERO).await?;
     let mut reader = TcpStream::connect(addr).await?;
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -24,9 +24,9 @@
 pub use datagram::{DatagramCounters, DatagramSocket};
 pub use messages::{
     Ack, Announce, Answer, ArmGang, Attach, Call, Cancel, Cancellation, CellSummary, CellView,
-    Directory, Dispatch, EndpointEntry, GangEnded, Heartbeat, HeldGang, KnownState, Leader,
-    MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck, RecordedAttempt, Reply,
-    Reserve, Section, Sections, StartGang, StopGang, StoredSubmission, Submission,
+    Directory, Dispatch, EndpointEntry, GangEnded, Heartbeat, HeldGang, JobAdmission, KnownState,
+    Leader, MemberFailed, OwnerRecord, Packet, Place, Placed, Pulse, PulseAck, RecordedAttempt,
+    Reply, Reserve, Section, Sections, StartGang, StopGang, StoredSubmission, Submission,
 };
 pub use server::{CallContext, Server};
 pub use traffic::PeerBytes;
--- a/components/wire/src/messages/graphs.rs
+++ b/components/wire/src/messages/graphs.rs
@@ -1,6 +1,7 @@
 //! Messages about job graphs between entries, the owner of their cell and agents.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use model::{AcceptedJob, AccountId, EntryId, Epoch, JobId, JobState, QueueId, Revision};
 use serde::{Deserialize, Serialize};
@@ -31,7 +32,7 @@
     /// Id of the job.
     pub id: JobId,
     /// Job that was submitted.
-    pub job: AcceptedJob,
+    pub job: Arc<AcceptedJob>,
 }
 
 /// A job that has been stored.
@@ -40,11 +41,22 @@
     /// Id of the job.
     pub id: JobId,
     /// Job that was accepted.
-    pub job: AcceptedJob,
+    pub job: Arc<AcceptedJob>,
     /// Store revision of the job's record.
     pub revision: Revision,
 }
 
+/// A job for which the owner is asked for room before it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobAdmission {
+    /// Id of the job.
+    pub id: JobId,
+    /// Client account that submitted the job.
+    pub account: AccountId,
+    /// Memory that the job takes at the owner.
+    pub bytes: u64,
+}
+
 /// A cancellation that is forwarded to another entry because the sender cannot reach the store.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Cancellation {
--- a/components/wire/src/messages/mod.rs
+++ b/components/wire/src/messages/mod.rs
@@ -23,7 +23,9 @@
 pub use gangs::{
     ArmGang, GangEnded, HeldGang, MemberFailed, Pulse, PulseAck, Reserve, StartGang, StopGang,
 };
-pub use graphs::{Cancellation, CellView, KnownState, Leader, StoredSubmission, Submission};
+pub use graphs::{
+    Cancellation, CellView, JobAdmission, KnownState, Leader, StoredSubmission, Submission,
+};
 pub use requests::{Answer, Attach, Cancel, Dispatch, Place, Placed};
 pub use sections::{Section, Sections};
 
@@ -107,6 +109,8 @@
     ConfigurationState,
     /// Any entry to any other: return the configuration if it was stored after this revision.
     ConfigurationDocument(Revision),
+    /// Entry to owner: reserve room for a job that is about to be stored.
+    AdmitJob(JobAdmission),
 }
 
 /// The reply to a call.
@@ -156,4 +160,6 @@
     ConfigurationState(Option<(Revision, Option<Duration>)>),
     /// The encoded configuration with its revision, if it is newer than the requested one.
     ConfigurationDocument(Option<(Revision, Vec<u8>)>),
+    /// The call succeeded, but the owner has to be asked before the next job is stored.
+    JobRoomScarce,
 }
