Account for callers and peers of the native daemons

Both now keep the account of the platform's daemons: one for callers, shared by the threads of an entry, and one for connections between processes; one for both ports of an agent. The memory and the descriptors are the settings `memory_mb` (1,024 at an entry, since a body may have 64 MB, and 128 at an agent) and `descriptors` (the limit of the operating system). A body is counted as it arrives, with the copy for the agent, and the metrics show the account. `serve` moves from the platform's daemons to `ingress`.

--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the agent and shuts it down.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::thread::JoinHandle;
@@ -9,6 +10,8 @@
 use discovery::Locator;
 use errors::{Error, ErrorKind, Result};
 use indexmap::IndexMap;
+use ingress::ClientBoard;
+use ingress::decide::{Capacity, RequestLimits};
 use model::WorkerId;
 use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
@@ -69,14 +72,15 @@
     let (ack_tx, ack_rx) = mpsc::channel(ACK_QUEUE);
     tokio::spawn(serve::receive_datagrams(Arc::clone(&cx), ack_tx));
     tokio::spawn(owner_link::run(Arc::clone(&cx), ack_rx));
+    let machine = cx.settings.machine;
+    let descriptors = ingress::descriptors(machine.descriptors);
+    let clients = ClientBoard::new(Capacity::of_machine(machine.memory_bytes(), descriptors));
+    ingress::spawn_controller(&clients, &cx.timer, RequestLimits::default);
     if let Some(addr) = cx.settings.metrics_listen {
-        let metrics_cx = Arc::clone(&cx);
-        tokio::spawn(telemetry::serve_metrics(addr, move || {
-            metrics_cx.metrics.text(&metrics_cx)
-        }));
+        tokio::spawn(serve_metrics(addr, Arc::clone(&cx), Arc::clone(&clients)));
     }
     let stop_serving = CancellationToken::new();
-    let threads = serve_on_shards(&cx, &key, &stop_serving)?;
+    let threads = serve_on_shards(&cx, &key, &clients, &stop_serving)?;
     log::info!(
         target: "limpethook",
         agent:% = cx.settings.id, addr:% = cx.addr(), workers = cx.settings.workers.len(),
@@ -95,19 +99,36 @@
     Ok(all_ended)
 }
 
+/// Serves the metrics. An agent without them still serves calls.
+async fn serve_metrics(addr: SocketAddr, cx: Arc<Context>, clients: Arc<ClientBoard>) {
+    let counted = Arc::clone(&clients);
+    let router = telemetry::metrics_router(move || cx.metrics.text(&cx) + &counted.metrics_text());
+    if let Err(report) = ingress::serve(addr, router, &clients).await {
+        log::error!(target: "limpethook", addr:% = addr, error:% = report.current_context(); "metrics_not_served");
+    }
+}
+
 /// Serves calls on one thread per shard until `stop_serving` is cancelled.
 fn serve_on_shards(
     cx: &Arc<Context>,
     key: &Key,
+    clients: &Arc<ClientBoard>,
     stop_serving: &CancellationToken,
 ) -> Result<Vec<JoinHandle<()>>> {
     let (cx, key, stop_serving) = (Arc::clone(cx), key.clone(), stop_serving.clone());
+    let clients = Arc::clone(clients);
     shards::spawn(cx.settings.threads as usize, "agent", move |_| {
-        serve_shard(Arc::clone(&cx), key.clone(), stop_serving.clone())
+        let clients = Arc::clone(&clients);
+        serve_shard(Arc::clone(&cx), key.clone(), clients, stop_serving.clone())
     })
 }
 
-async fn serve_shard(cx: Arc<Context>, key: Key, stop_serving: CancellationToken) {
+async fn serve_shard(
+    cx: Arc<Context>,
+    key: Key,
+    clients: Arc<ClientBoard>,
+    stop_serving: CancellationToken,
+) {
     match shards::listen(cx.addr()) {
         Ok(listener) => {
             tokio::spawn(cancellation::receive_cancellations(
@@ -115,6 +136,7 @@
             ));
             let handler = move |call_cx, call| serve::handle_call(Arc::clone(&cx), call_cx, call);
             Server::new(listener, key)
+                .account(clients)
                 .serve(handler, stop_serving)
                 .await;
         }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -18,7 +18,7 @@
 };
 pub use sections::{ChangeKind, SectionChange, assemble_sections, diff_documents, split_sections};
 pub use settings::{
-    AgentSettings, Duty, EndpointSettings, EntrySettings, PeerKey, Settings, WorkerSettings,
-    load_settings, parse_settings,
+    AgentSettings, Duty, EndpointSettings, EntrySettings, MachineLimits, PeerKey, Settings,
+    WorkerSettings, load_settings, parse_settings,
 };
 pub use tokens::{hash_token, new_token_hash, verify_token};
--- a/components/config/src/parse.rs
+++ b/components/config/src/parse.rs
@@ -7,7 +7,7 @@
 use model::{CellId, Resources};
 
 use crate::settings::{AgentSettings, Duty, EndpointSettings, EntrySettings, PeerKey};
-use crate::settings::{Settings, WorkerSettings};
+use crate::settings::{MachineLimits, Settings, WorkerSettings};
 use crate::validator::{Node, Validator};
 
 /// The minimum key length; a shorter key could be guessed offline from one recorded datagram and its hash.
@@ -21,6 +21,12 @@
 /// An agent gets only a small share of the VM of its endpoint.
 const DEFAULT_AGENT_THREADS: u32 = 2;
 
+/// A fifth of it holds the largest body, of 64 MB, while it is copied.
+const DEFAULT_ENTRY_MEMORY_MB: u32 = 1024;
+
+/// The memory of an agent at the target size.
+const DEFAULT_AGENT_MEMORY_MB: u32 = 128;
+
 const LOG_LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
 fn parse_with<T>(file: &str, text: &str, parse: fn(&Node<'_>) -> T) -> Result<T> {
@@ -59,6 +65,8 @@
         "drain_timeout_ms",
         "connections",
         "threads",
+        "memory_mb",
+        "descriptors",
     ]);
     let region = node.field("region").id();
     EntrySettings {
@@ -79,6 +87,7 @@
             .if_present()
             .map_or(DEFAULT_CONNECTIONS, |f| f.u32(1..=65_536)),
         threads: parse_threads(node, DEFAULT_ENTRY_THREADS),
+        machine: parse_machine(node, DEFAULT_ENTRY_MEMORY_MB),
     }
 }
 
@@ -99,6 +108,8 @@
         "endpoint",
         "workers",
         "threads",
+        "memory_mb",
+        "descriptors",
     ]);
     let region = node.field("region").id();
     let rack = node.field("rack").id();
@@ -123,10 +134,20 @@
             .map(|f| parse_endpoint(&f)),
         workers: parse_workers(node, &rack),
         threads: parse_threads(node, DEFAULT_AGENT_THREADS),
+        machine: parse_machine(node, DEFAULT_AGENT_MEMORY_MB),
         rack,
     }
 }
 
+fn parse_machine(node: &Node<'_>, default_memory_mb: u32) -> MachineLimits {
+    let memory_mb = node.field("memory_mb").if_present();
+    let descriptors = node.field("descriptors").if_present();
+    MachineLimits {
+        memory_mb: memory_mb.map_or(default_memory_mb, |f| f.u32(32..=1_048_576)),
+        descriptors: descriptors.map(|f| f.u32(256..=1_048_576)),
+    }
+}
+
 fn parse_threads(node: &Node<'_>, default: u32) -> u32 {
     node.field("threads")
         .if_present()
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -73,6 +73,26 @@
     pub connections: u32,
     /// Number of threads that handle requests.
     pub threads: u32,
+    /// What the machine gives the process.
+    pub machine: MachineLimits,
+}
+
+/// What a machine gives a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory in megabytes, a share of which clients may use.
+    pub memory_mb: u32,
+    /// Number of descriptors that the process may open; that of the operating system by default.
+    pub descriptors: Option<u32>,
+}
+
+impl MachineLimits {
+    /// Returns the memory in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb)
+            .unwrap_or(usize::MAX)
+            .saturating_mul(1 << 20)
+    }
 }
 
 /// Settings of `limpethook agent`.
@@ -108,6 +128,8 @@
     pub workers: Vec<WorkerSettings>,
     /// Number of threads that handle requests.
     pub threads: u32,
+    /// What the machine gives the process.
+    pub machine: MachineLimits,
 }
 
 /// Settings of the endpoint on the VM of an agent.
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use config::verify_token;
 use errors::{Error, ErrorKind, Result};
+use ingress::{Exchange, Serving};
 use model::{Account, AccountId, Attempt, Request, RequestId, Service, ServiceId};
 use policy::limits::Admission;
 use wire::Answer;
@@ -43,6 +44,9 @@
     pub(crate) request: Request,
     pub(crate) body: Bytes,
     pub(crate) admission: Admission,
+    /// Account of the memory that the request holds; `None` if its connection is being closed.
+    #[expect(dead_code, reason = "the memory is held until the call is dropped")]
+    pub(crate) exchange: Option<Exchange<Serving>>,
     /// Digest of the content that must be equal under one idempotency key, if the request has a key.
     pub(crate) content_digest: Option<u128>,
     /// Whether an agent may have received the request.
@@ -96,6 +100,7 @@
         service: &Service,
         body: Bytes,
         admission: Admission,
+        exchange: Option<Exchange<Serving>>,
     ) -> Result<Call<Admitted>> {
         let received = &self.state;
         let id = match &received.idempotency_key {
@@ -128,6 +133,7 @@
                 request,
                 body,
                 admission,
+                exchange,
                 content_digest,
                 sent: SentFlag::default(),
             },
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -7,6 +7,7 @@
 use config::EntrySettings;
 use discovery::Locator;
 use indexmap::{IndexMap, IndexSet};
+use ingress::ClientBoard;
 use model::{CellId, RegionId, Resources, Revision};
 use owner::Owner;
 use store::HttpStore;
@@ -70,6 +71,8 @@
     pub(crate) abort: CancellationToken,
     pub(crate) in_flight: AtomicU32,
     pub(crate) metrics: Metrics,
+    /// Account of what callers make the process hold.
+    pub(crate) clients: Arc<ClientBoard>,
 }
 
 impl Context {
--- a/components/entry/src/http/admin.rs
+++ b/components/entry/src/http/admin.rs
@@ -62,7 +62,8 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        res.render(Text::Plain(self.cx.metrics.text(&self.cx)));
+        let text = self.cx.metrics.text(&self.cx) + &self.cx.clients.metrics_text();
+        res.render(Text::Plain(text));
     }
 }
 
--- a/components/entry/src/http/body.rs
+++ b/components/entry/src/http/body.rs
@@ -2,42 +2,57 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use errors::{Error, ErrorKind, Result};
 use futures::StreamExt;
+use ingress::{BodyParts, Exchange, Serving};
 use policy::limits::Admission;
 use salvo::http::ReqBody;
 use salvo::http::body::Frame;
 use salvo::http::header::CONTENT_LENGTH;
-use salvo::prelude::Request;
+use salvo::prelude::{Depot, Request};
 
 /// Time that every body has to arrive, in addition to the time allowed by the minimum rate.
 const GRACE_PERIOD: Duration = Duration::from_secs(5);
 /// Minimum transfer rate after the grace period: a sixtieth of the bandwidth between regions.
 const MIN_BYTES_PER_SECOND: u64 = 64 * 1024;
 
+/// Delay after which a caller should repeat a request for which there was no memory.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Reads a body of at most `limit` bytes, admitting each chunk before it is buffered.
 ///
 /// Slow bodies are rejected, so that they do not occupy connections and admitted bytes.
 pub(crate) async fn read_body(
     req: &mut Request,
+    depot: &mut Depot,
     limit: u64,
     admission: &mut Admission,
-) -> Result<Bytes> {
+) -> Result<(Bytes, Option<Exchange<Serving>>)> {
     if declared_length(req).is_some_and(|length| length > limit) {
         return Err(too_large(limit));
     }
     let started = timer::now();
     let mut body = req.take_body();
-    let mut buf = BytesMut::new();
-    while let Some(chunk) = next_chunk(&mut body, started, buf.len() as u64).await? {
-        if (buf.len() + chunk.len()) as u64 > limit {
+    let mut parts = BodyParts::new(depot);
+    while let Some(chunk) = next_chunk(&mut body, started, parts.length() as u64).await? {
+        if (parts.length() + chunk.len()) as u64 > limit {
             return Err(too_large(limit));
         }
         admission.extend(chunk.len() as u64)?;
-        buf.extend_from_slice(&chunk);
+        parts.append(&chunk, usize::try_from(limit).unwrap_or(usize::MAX))?;
+    }
+    let (body, mut exchange) = parts.join()?;
+    // The message to the agent is a copy of the body.
+    if exchange
+        .as_mut()
+        .is_some_and(|exchange| !exchange.reserve(body.len()))
+    {
+        let message = "requests in progress use up the memory for requests";
+        let error = Error::not_run(ErrorKind::Overloaded, message);
+        return Err(error.retry_after(RETRY_DELAY).report());
     }
-    Ok(buf.freeze())
+    Ok((body.into(), exchange))
 }
 
 fn declared_length(req: &Request) -> Option<u64> {
--- a/components/entry/src/http/jobs.rs
+++ b/components/entry/src/http/jobs.rs
@@ -59,10 +59,10 @@
         }
     }
 
-    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<()> {
+    async fn answer(&self, req: &mut Request, depot: &mut Depot, res: &mut Response) -> Result<()> {
         let cx = &*self.cx;
         if matches!(self.action, Action::Submit) {
-            let call = admit(cx, req).await?;
+            let call = admit(cx, req, depot).await?;
             render_accepted(res, &submit(cx, call).await?);
             return Ok(());
         }
@@ -82,12 +82,12 @@
     async fn handle(
         &self,
         req: &mut Request,
-        _depot: &mut Depot,
+        depot: &mut Depot,
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
         let _in_flight = self.cx.track_request();
-        if let Err(report) = self.answer(req, res).await {
+        if let Err(report) = self.answer(req, depot, res).await {
             let error = report.current_context();
             log::info!(
                 target: "limpethook",
--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -20,7 +20,9 @@
 
 /// Returns the HTTP service, which also renders an error body for unknown paths and methods.
 pub(crate) fn service(cx: &Arc<Context>) -> Service {
-    Service::new(router(cx)).catcher(Catcher::new(errors::ErrorCatcher))
+    Service::new(router(cx))
+        .hoop(ingress::track_exchanges(&cx.clients))
+        .catcher(Catcher::new(errors::ErrorCatcher))
 }
 
 fn router(cx: &Arc<Context>) -> Router {
--- a/components/entry/src/http/requests.rs
+++ b/components/entry/src/http/requests.rs
@@ -36,13 +36,13 @@
     async fn handle(
         &self,
         req: &mut Request,
-        _depot: &mut Depot,
+        depot: &mut Depot,
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
         let _in_flight = self.cx.track_request();
         let span = root_span(req);
-        let result = span.run(submit_or_abort(&self.cx, req)).await;
+        let result = span.run(submit_or_abort(&self.cx, req, depot)).await;
         self.cx.metrics.count_request(&result);
         match result {
             Ok(call) => render_answer(res, call.state.answer),
@@ -68,22 +68,35 @@
 }
 
 /// Runs the request, or fails it with a verdict when the entry aborts.
-async fn submit_or_abort(cx: &Context, req: &mut Request) -> Result<Call<Answered>> {
+async fn submit_or_abort(
+    cx: &Context,
+    req: &mut Request,
+    depot: &mut Depot,
+) -> Result<Call<Answered>> {
     let sent = SentFlag::default();
     tokio::select! {
-        result = submit(cx, req, &sent) => result,
+        result = submit(cx, req, depot, &sent) => result,
         () = cx.abort.cancelled() => Err(sent.abort_error()),
     }
 }
 
-async fn submit(cx: &Context, req: &mut Request, sent: &SentFlag) -> Result<Call<Answered>> {
-    let mut admitted = admit(cx, req).await?;
+async fn submit(
+    cx: &Context,
+    req: &mut Request,
+    depot: &mut Depot,
+    sent: &SentFlag,
+) -> Result<Call<Answered>> {
+    let mut admitted = admit(cx, req, depot).await?;
     admitted.state.sent = sent.clone();
     route::run(cx, &admitted).await
 }
 
 /// Authenticates the caller and checks its limits before the body is read, and returns the admitted call.
-pub(crate) async fn admit(cx: &Context, req: &mut Request) -> Result<Call<Admitted>> {
+pub(crate) async fn admit(
+    cx: &Context,
+    req: &mut Request,
+    depot: &mut Depot,
+) -> Result<Call<Admitted>> {
     if cx.is_draining() {
         return Err(Error::not_run(ErrorKind::Draining, "the entry is shutting down").report());
     }
@@ -93,8 +106,8 @@
     let service = call.service(&config)?;
     let limit = service.max_body_bytes.min(MAX_BODY_BYTES);
     let mut admission = admit_account(&cx.board.limits.load(), &account, 0, timer::now())?;
-    let body = read_body(req, limit, &mut admission).await?;
-    call.admit(account, service, body, admission)
+    let (body, exchange) = read_body(req, depot, limit, &mut admission).await?;
+    call.admit(account, service, body, admission, exchange)
 }
 
 fn received(req: &Request) -> Result<Received> {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -9,10 +9,10 @@
 use config::{Duty, EntrySettings};
 use discovery::Locator;
 use errors::{Error, ErrorKind, Result};
+use ingress::ClientBoard;
+use ingress::decide::{Capacity, RequestLimits};
 use owner::{Owner, OwnerDependencies, OwnerSettings};
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::FuseConfig;
-use salvo::prelude::Server as HttpServer;
 use store::{HttpStore, HttpStoreSettings, KvStore};
 use timer::Timer;
 use tokio::net::TcpListener;
@@ -23,9 +23,14 @@
 use crate::metrics::Metrics;
 use crate::{directory, drain, http, limits, recovery, relay, serve};
 
-/// Time limit for receiving the request headers; it also limits idle connections.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum connection limit per thread; a smaller total is served by fewer threads.
+/// Limits of a single request. The time for a body is that of the largest one at the minimum rate, which the handler checks.
+const REQUEST_LIMITS: RequestLimits = RequestLimits {
+    head_bytes: 32 * 1024,
+    head_timeout: Duration::from_secs(9),
+    idle_timeout: Duration::from_secs(30),
+    body_timeout: Duration::from_mins(20),
+};
+/// Minimum number of connections for each thread; fewer are served by fewer threads.
 const MIN_CONNECTIONS_PER_THREAD: u32 = 64;
 /// Time to send the last responses after the drain.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -49,8 +54,10 @@
         .await
         .map_err(|e| cannot_listen("peer_listen", &e))?;
     let (config_updates, config_rx) = distribution::update_channel();
+    let (callers, peers) = capacities(&settings);
     let cx = Arc::new(build_context(
         settings,
+        ClientBoard::new(callers),
         key.clone(),
         datagrams,
         config_updates,
@@ -68,7 +75,11 @@
     tokio::spawn(directory::run(Arc::clone(&cx)));
     let stop = CancellationToken::new();
     let handler_cx = Arc::clone(&cx);
-    let server = Server::new(listener, key).serve(
+    let peers = ClientBoard::new(peers);
+    for clients in [&cx.clients, &peers] {
+        ingress::spawn_controller(clients, &cx.timer, || REQUEST_LIMITS);
+    }
+    let server = Server::new(listener, key).account(peers).serve(
         move |call_cx, call| serve::serve_call(Arc::clone(&handler_cx), call_cx, call),
         stop.clone(),
     );
@@ -102,31 +113,32 @@
 /// Serves HTTP on several threads until `stop` is cancelled.
 fn serve_on_shards(cx: &Arc<Context>, stop: &CancellationToken) -> Result<Vec<JoinHandle<()>>> {
     let (cx, stop) = (Arc::clone(cx), stop.clone());
-    let (threads, connections) = split_connections(cx.settings.threads, cx.settings.connections);
-    shards::spawn(threads, "entry", move |_| {
-        serve_shard(Arc::clone(&cx), connections, stop.clone())
+    let threads = cx
+        .settings
+        .threads
+        .min(cx.settings.connections / MIN_CONNECTIONS_PER_THREAD);
+    shards::spawn(threads.max(1) as usize, "entry", move |_| {
+        serve_shard(Arc::clone(&cx), stop.clone())
     })
 }
 
-/// Returns the number of threads and the connection limit of each.
-///
-/// The kernel distributes connections over the threads at random, so a small limit is not split.
-fn split_connections(threads: u32, connections: u32) -> (usize, usize) {
-    let threads = threads.min(connections / MIN_CONNECTIONS_PER_THREAD).max(1);
-    (threads as usize, connections.div_ceil(threads) as usize)
+/// Returns what callers and what connections between processes may use.
+fn capacities(settings: &EntrySettings) -> (Capacity, Capacity) {
+    let machine = &settings.machine;
+    Capacity::of_native_entry(
+        machine.memory_bytes(),
+        ingress::descriptors(machine.descriptors),
+        settings.connections as usize,
+    )
 }
 
-async fn serve_shard(cx: Arc<Context>, connections: usize, stop: CancellationToken) {
+async fn serve_shard(cx: Arc<Context>, stop: CancellationToken) {
     let acceptor = match shards::listen(cx.settings.http_listen).map(TcpAcceptor::try_from) {
         Ok(Ok(acceptor)) => acceptor,
         Ok(Err(e)) => return log_shard_not_started(&e),
         Err(report) => return log_shard_not_started(report.current_context()),
     };
-    let mut fuse = FuseConfig::default();
-    fuse.http1_header_timeout = Some(HEADER_TIMEOUT);
-    let http = HttpServer::new(acceptor)
-        .fuse_config(fuse)
-        .max_connections(connections);
+    let http = ingress::limited_server(acceptor, &cx.clients);
     let handle = http.handle();
     let service = http::service(&cx);
     tokio::spawn(async move {
@@ -153,6 +165,7 @@
 
 fn build_context(
     settings: EntrySettings,
+    clients: Arc<ClientBoard>,
     key: Key,
     datagrams: DatagramSocket,
     config_updates: distribution::UpdateSender,
@@ -198,6 +211,7 @@
         abort,
         in_flight: AtomicU32::new(0),
         metrics,
+        clients,
         settings,
     })
 }
--- a/components/ingress/src/decide.rs
+++ b/components/ingress/src/decide.rs
@@ -22,6 +22,9 @@
 /// Calls to the store and to other processes that requests of clients make at the same time. At 4 ms each, they are enough for
 /// 16,000 requests a second.
 pub const MAX_CLIENT_CALLS: usize = 64;
+/// Share of the descriptors and the memory that connections between processes have if callers have an account of their own, as a
+/// divisor.
+const PEERS_DIVISOR: usize = 3;
 /// Descriptors that are left for listeners and for connections that the process opens itself.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Connections that are accepted under any settings.
@@ -61,6 +64,29 @@
         }
     }
 
+    /// Returns the capacities for callers and for connections between processes, of a process that serves both. Callers may have
+    /// `max_connections`, and leave a third of the descriptors to the others.
+    pub fn of_native_entry(
+        memory_bytes: usize,
+        descriptors: usize,
+        max_connections: usize,
+    ) -> (Self, Self) {
+        let of_machine = Self::of_machine(memory_bytes, descriptors);
+        let peers = of_machine.connections / PEERS_DIVISOR;
+        let callers = Self {
+            connections: max_connections.min(of_machine.connections - peers),
+            jobs: 0,
+            ..of_machine
+        };
+        let peers = Self {
+            connections: peers,
+            // Processes of the deployment are not counted once they have proved that they have the key.
+            bytes: of_machine.bytes / PEERS_DIVISOR,
+            jobs: 0,
+        };
+        (callers, peers)
+    }
+
     /// Returns a capacity without limits on memory.
     pub fn unlimited(connections: usize) -> Self {
         Self {
--- a/components/ingress/src/http.rs
+++ b/components/ingress/src/http.rs
@@ -1,16 +1,18 @@
 //! HTTP servers that keep an account of their connections.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use errors::{Error, ErrorKind, Result};
 use futures::StreamExt;
-use salvo::conn::{Acceptor, ConnCtrl};
+use salvo::conn::{Acceptor, ConnCtrl, Listener, TcpListener};
 use salvo::fuse::{ArcConnObserver, ConnObserver, FuseAction, FuseConfig, FuseInfo, FusePolicy};
 use salvo::http::Method;
 use salvo::http::body::{Body, ResBody};
-use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Server};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, Service};
+use salvo::server::ServerHandle;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::connection::{Connection, Exchange, MAX_READ_BUFFER_BYTES, Receiving, Serving};
@@ -21,6 +23,20 @@
 /// Delay after which a client should repeat a request that was refused for lack of memory.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Serves a router on an address, with the account that all servers of a process share.
+pub async fn serve(
+    addr: SocketAddr,
+    router: Router,
+    clients: &Arc<ClientBoard>,
+) -> Result<ServerHandle> {
+    let acceptor = shards::bind_with_retry(addr, || TcpListener::new(addr).try_bind()).await?;
+    let server = limited_server(acceptor, clients);
+    let handle = server.handle();
+    let service = Service::new(router).hoop(track_exchanges(clients));
+    tokio::spawn(server.serve(service));
+    Ok(handle)
+}
+
 /// Creates a server whose connections are accounted for. Its router needs the hoop of [`track_exchanges`].
 pub fn limited_server<A>(acceptor: A, clients: &Arc<ClientBoard>) -> Server<ShortReads<A>>
 where
@@ -140,11 +156,7 @@
     depot: &mut Depot,
     limit: usize,
 ) -> Result<(Vec<u8>, Option<Exchange<Serving>>)> {
-    let mut parts = Parts {
-        exchange: depot.remove_typed::<Exchange<Receiving>>().ok(),
-        buffers: Vec::new(),
-        length: 0,
-    };
+    let mut parts = BodyParts::new(depot);
     let mut body = req.take_body();
     if body.size_hint().lower() > limit as u64 {
         return Err(invalid_body(&format!("it exceeds {limit} bytes")));
@@ -159,15 +171,31 @@
     parts.join()
 }
 
-/// What has arrived of a body.
-struct Parts {
+/// What has arrived of a body, which is accounted for.
+#[derive(Debug)]
+pub struct BodyParts {
     exchange: Option<Exchange<Receiving>>,
     buffers: Vec<Vec<u8>>,
     length: usize,
 }
 
-impl Parts {
-    fn append(&mut self, mut chunk: &[u8], limit: usize) -> Result<()> {
+impl BodyParts {
+    /// Begins to read the body of a request.
+    pub fn new(depot: &mut Depot) -> Self {
+        Self {
+            exchange: depot.remove_typed::<Exchange<Receiving>>().ok(),
+            buffers: Vec::new(),
+            length: 0,
+        }
+    }
+
+    /// Returns the number of bytes that have arrived.
+    pub fn length(&self) -> usize {
+        self.length
+    }
+
+    /// Adds a chunk to a body of at most `limit` bytes.
+    pub fn append(&mut self, mut chunk: &[u8], limit: usize) -> Result<()> {
         if self.length + chunk.len() > limit {
             return Err(invalid_body(&format!("it exceeds {limit} bytes")));
         }
@@ -192,7 +220,8 @@
         Ok(())
     }
 
-    fn join(mut self) -> Result<(Vec<u8>, Option<Exchange<Serving>>)> {
+    /// Joins the parts of a complete body. The account of the request is held until the returned value is dropped.
+    pub fn join(mut self) -> Result<(Vec<u8>, Option<Exchange<Serving>>)> {
         let body = if self.buffers.len() > 1 {
             self.reserve(self.length)?;
             let mut body = Vec::with_capacity(self.length);
--- a/components/ingress/src/lib.rs
+++ b/components/ingress/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use connection::{Connection, Exchange, Receiving, Serving};
 pub use controller::spawn as spawn_controller;
-pub use http::{limited_server, read_body, track_exchanges};
+pub use http::{BodyParts, limited_server, read_body, serve, track_exchanges};
 pub use ledger::{ClientBoard, HeldBytes};
-pub use rlimit::soft_descriptor_limit;
+pub use rlimit::descriptors;
 pub use short_reads::{ShortReadStream, ShortReads};
--- a/components/ingress/tests/jobs.rs
+++ b/components/ingress/tests/jobs.rs
@@ -70,4 +70,9 @@
 fn of_machine_leaves_descriptors_for_client_calls() {
     let capacity = Capacity::of_machine(64 << 20, 450);
     assert!(capacity.connections + 2 * MAX_CLIENT_CALLS <= 450);
+    let (callers, peers) = Capacity::of_native_entry(64 << 20, 450, 1_024);
+    assert!(callers.connections + peers.connections <= 250);
+    assert!(callers.bytes + peers.bytes <= (64 << 20) / 3);
+    let (callers, _) = Capacity::of_native_entry(1 << 30, 4_100, 8);
+    assert_eq!(callers.connections, 8);
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,9 +1,6 @@
 //! Prometheus metrics and their HTTP endpoint.
 
-use std::net::SocketAddr;
-
 use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
-use salvo::conn::TcpListener;
 use salvo::prelude::*;
 
 use crate::traffic::traffic_text;
@@ -59,9 +56,9 @@
     }
 }
 
-/// Serves the text that `text` returns at `/metrics` until the process exits.
-pub async fn serve_metrics<F: Fn() -> String + Send + Sync + 'static>(addr: SocketAddr, text: F) {
-    serve(addr, Router::with_path("metrics").get(TextHandler(text))).await;
+/// Returns a router that serves the text that `text` returns at `/metrics`.
+pub fn metrics_router<F: Fn() -> String + Send + Sync + 'static>(text: F) -> Router {
+    Router::new().push(Router::with_path("metrics").get(TextHandler(text)))
 }
 
 /// Returns a router that serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`.
@@ -70,16 +67,5 @@
     F: Fn() -> String + Send + Sync + 'static,
     W: Fn() -> String + Send + Sync + 'static,
 {
-    Router::new()
-        .push(Router::with_path("metrics").get(TextHandler(text)))
-        .push(Router::with_path("waits").get(TextHandler(waits)))
-}
-
-async fn serve(addr: SocketAddr, router: Router) {
-    match TcpListener::new(addr).try_bind().await {
-        Ok(acceptor) => Server::new(acceptor).serve(router).await,
-        Err(e) => {
-            log::error!(target: "limpethook", addr:% = addr, error:% = e; "metrics_not_served");
-        }
-    }
+    metrics_router(text).push(Router::with_path("waits").get(TextHandler(waits)))
 }
