Refuse a job whose time limit has passed before it is stored

A submission may wait for the owner and for other requests. It is refused as not run when its time limit has passed meanwhile, and nothing of it is stored.

--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -62,6 +62,9 @@
         }
         let admission = self.admit(id, &job.account, job_bytes(&job)).await?;
         let _permit = self.begin_client_call().await?;
+        if boot_now() >= deadline {
+            return Err(refusal(&too_late()));
+        }
         if self.is_store_lost() {
             return store_via_entries(self, id, &job, deadline, admission).await;
         }
@@ -301,6 +304,11 @@
     notify_stored(entry, StoredSubmission { id, job, revision }, admission);
 }
 
+fn too_late() -> Report<Error> {
+    let message = "the entry could not store it within the time limit";
+    Error::not_run(ErrorKind::Overloaded, message).report()
+}
+
 pub(crate) fn no_memory() -> Report<Error> {
     let message = "requests in progress use up the memory for requests";
     Error::not_run(ErrorKind::Overloaded, message)
