Check the limits of processes in one place

The tests of stalling and of complete requests and those of the native daemons repeated the same three assertions. They are the same as before.

--- a/tests/client_limits/complete.rs
+++ b/tests/client_limits/complete.rs
@@ -15,8 +15,7 @@
 use crate::crowd::Kind;
 use crate::requests::{Manner, Request, send_row};
 use crate::{
-    ANSWER_TIMEOUT, ATTEMPT_TIMEOUT, FILE_DESCRIPTORS, MEMORY_MB, RETRY_DELAY, process,
-    start_entries, wait_until_answered,
+    ANSWER_TIMEOUT, ATTEMPT_TIMEOUT, RETRY_DELAY, process, start_entries, wait_until_answered,
 };
 
 /// Clients of a crowd, more than the descriptors in the settings leave for clients.
@@ -156,15 +155,7 @@
     println!("{name}: answered={answered} accepted={accepted} {statuses:?}");
     assert!(answered, "an ordinary request is answered beside the crowd");
     for (target, status) in statuses {
-        let status = status.ok_or_else(|| format!("{target:?} has ended"))?;
-        assert!(
-            status.peak_memory_kb <= MEMORY_MB * 1024,
-            "memory of {target:?} within {MEMORY_MB} MB: {status:?}"
-        );
-        assert!(
-            status.descriptors <= FILE_DESCRIPTORS,
-            "at most {FILE_DESCRIPTORS} open descriptors of {target:?}: {status:?}"
-        );
+        process::check_limits(&format!("{target:?}"), status)?;
     }
     assert!(accepted, "an ordinary job is accepted beside the crowd");
     Ok(())
--- a/tests/client_limits/main.rs
+++ b/tests/client_limits/main.rs
@@ -119,17 +119,8 @@
     let status = process::status(id);
     drop(open);
     println!("{name}: answered={answered} {status:?}");
-    let status = status.ok_or("the process has ended")?;
     assert!(answered, "an ordinary request is answered beside the crowd");
-    assert!(
-        status.peak_memory_kb <= MEMORY_MB * 1024,
-        "memory within {MEMORY_MB} MB: {status:?}"
-    );
-    assert!(
-        status.descriptors <= FILE_DESCRIPTORS,
-        "at most {FILE_DESCRIPTORS} open descriptors: {status:?}"
-    );
-    Ok(())
+    process::check_limits("the process", status)
 }
 
 /// Defines a test for a kind of client on a port.
--- a/tests/client_limits/native.rs
+++ b/tests/client_limits/native.rs
@@ -176,15 +176,7 @@
     println!("{name}: answered={answered} {statuses:?}");
     assert!(answered, "an ordinary request is answered beside the crowd");
     for (name, status) in statuses {
-        let status = status.ok_or_else(|| format!("{name} has ended"))?;
-        assert!(
-            status.peak_memory_kb <= MEMORY_MB * 1024,
-            "memory of {name} within {MEMORY_MB} MB: {status:?}"
-        );
-        assert!(
-            status.descriptors <= FILE_DESCRIPTORS,
-            "at most {FILE_DESCRIPTORS} open descriptors of {name}: {status:?}"
-        );
+        process::check_limits(&name, status)?;
     }
     Ok(())
 }
--- a/tests/client_limits/process.rs
+++ b/tests/client_limits/process.rs
@@ -2,6 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use platform_standin::Result;
+
+use crate::{FILE_DESCRIPTORS, MEMORY_MB};
+
 /// Interval between two looks at a process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of equal looks after which a process has read what it was sent.
@@ -30,6 +34,20 @@
     })
 }
 
+/// Checks that a process lives and has stayed within the limits of its settings.
+pub(crate) fn check_limits(name: &str, status: Option<ProcessStatus>) -> Result<()> {
+    let status = status.ok_or_else(|| format!("{name} has ended"))?;
+    assert!(
+        status.peak_memory_kb <= MEMORY_MB * 1024,
+        "memory of {name} within {MEMORY_MB} MB: {status:?}"
+    );
+    assert!(
+        status.descriptors <= FILE_DESCRIPTORS,
+        "at most {FILE_DESCRIPTORS} open descriptors of {name}: {status:?}"
+    );
+    Ok(())
+}
+
 /// Waits until a process uses no more than before, or has ended.
 pub(crate) async fn wait_until_settled(id: u32) {
     let deadline = Instant::now() + SETTLE_TIMEOUT;
