Release the buffers of large messages between processes

A connection between processes keeps the largest message that it ever carried in its buffers: an entry has one from each thread to each agent, so that whole requests with bodies of 4 MB, followed by other crowds, made the native entry use 68 MB of 64 (`native_entry_bounds_crowds_in_turn`). Buffers of messages above 64 KiB are released. A body also counts for the message to the agent and for the write buffer, both of which are copies. Ruled out: looking at the capacity of a buffer, which skips what was read or written and does not shrink.

--- a/components/entry/src/http/body.rs
+++ b/components/entry/src/http/body.rs
@@ -43,10 +43,10 @@
         parts.append(&chunk, usize::try_from(limit).unwrap_or(usize::MAX))?;
     }
     let (body, mut exchange) = parts.join()?;
-    // The message to the agent is a copy of the body.
+    // The message to the agent and the write buffer of the connection are copies of the body.
     if exchange
         .as_mut()
-        .is_some_and(|exchange| !exchange.reserve(body.len()))
+        .is_some_and(|exchange| !exchange.reserve(2 * body.len()))
     {
         let message = "requests in progress use up the memory for requests";
         let error = Error::not_run(ErrorKind::Overloaded, message);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -20,6 +20,10 @@
 /// Maximum size of a frame in bytes, larger than the largest body that an entry accepts.
 const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
 
+/// Size up to which the buffers of a connection are kept between messages. A connection would otherwise keep the memory of the largest
+/// message that it ever carried.
+const KEPT_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Size of the length prefix of a frame in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -39,6 +43,8 @@
     inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     key: Key,
     sequence: u64,
+    /// Bytes of the messages since the last flush.
+    unflushed: usize,
     traffic: Arc<TrafficCounters>,
 }
 
@@ -87,6 +93,7 @@
         inner: FramedWrite::new(write, codec()),
         key: write_key,
         sequence: 0,
+        unflushed: 0,
         traffic: Arc::clone(traffic),
     };
     Ok((reader, writer))
@@ -117,7 +124,11 @@
         }
         self.inner.get_mut().finish_frame();
         self.sequence += 1;
-        postcard::from_bytes(message).ok()
+        let message = postcard::from_bytes(message).ok();
+        if frame.len() > KEPT_BUFFER_BYTES {
+            release(self.inner.read_buffer_mut());
+        }
+        message
     }
 }
 
@@ -127,6 +138,7 @@
         let tag = self.key.tag(self.sequence, &message);
         self.sequence += 1;
         message.extend_from_slice(&tag);
+        self.unflushed += message.len();
         self.traffic.add_sent(LENGTH_BYTES + message.len());
         traffic::CALLS.count_sent(LENGTH_BYTES + message.len());
         self.inner.feed(Bytes::from(message)).await
@@ -134,6 +146,18 @@
 
     /// Sends all buffered messages.
     pub(crate) async fn flush(&mut self) -> std::io::Result<()> {
-        SinkExt::<Bytes>::flush(&mut self.inner).await
+        SinkExt::<Bytes>::flush(&mut self.inner).await?;
+        if std::mem::take(&mut self.unflushed) > KEPT_BUFFER_BYTES {
+            release(self.inner.write_buffer_mut());
+        }
+        Ok(())
+    }
+}
+
+/// Releases the memory of a buffer that holds nothing. Its capacity does not tell how large that is: what was read or written is only
+/// skipped.
+fn release(buf: &mut BytesMut) {
+    if buf.is_empty() {
+        *buf = BytesMut::new();
     }
 }
