Count relayed jobs by what storing them takes

A job that another entry relays was counted by what the owner unfolds it to, so that a legal one of many tasks was refused, and the refusal was taken for an outage of the store. It counts by its decoded and encoded forms now (`storing_bytes_ignore_tasks`), and a refusal for lack of room confirms no outage. Found by reading the change.

--- a/components/cell/src/agent/lists.rs
+++ b/components/cell/src/agent/lists.rs
@@ -8,7 +8,7 @@
 use crate::agent::worker_client::{ListedRun, PollReply};
 
 /// Maximum number of outcomes of orders that are kept; each is part of the reports. A repeated order whose outcome is not known is
-/// sent again, and the worker refuses it.
+/// sent again, and the worker refuses it if the run has ended.
 const MAX_OUTCOMES: usize = 2048;
 
 /// What came of the reply to a poll.
--- a/components/cell/src/submit.rs
+++ b/components/cell/src/submit.rs
@@ -5,7 +5,7 @@
 
 use error_stack::Report;
 use errors::{Error, ErrorKind, Result, Verdict};
-use graph::job_bytes;
+use graph::{job_bytes, storing_bytes};
 use model::{AcceptedJob, JobId};
 use store::{CommitOutcome, Transaction};
 use tokio::task::JoinSet;
@@ -157,7 +157,9 @@
         relayed = &mut relayed => match relayed {
             Some(Ok(())) => Ok(()),
             Some(Err(report)) => {
-                if report.current_context().verdict == Verdict::NotRun {
+                let error = report.current_context();
+                // An entry without room for the job may reach the store.
+                if error.verdict == Verdict::NotRun && error.kind != ErrorKind::Overloaded {
                     entry.confirm_outage();
                 }
                 Err(refusal(&report))
@@ -238,7 +240,8 @@
     if entry.is_store_lost() {
         return Err(store_unreachable());
     }
-    let _held = entry.clients.hold(job_bytes(&job)).ok_or_else(no_memory)?;
+    let held = entry.clients.hold(storing_bytes(&job));
+    let _held = held.ok_or_else(no_memory)?;
     let _permit = entry.begin_client_call().await?;
     let deadline = boot_now() + RELAYED_TIMEOUT;
     store_with_retries(entry, id, &job, deadline, None).await
@@ -309,7 +312,7 @@
     Error::not_run(ErrorKind::Overloaded, message).report()
 }
 
-pub(crate) fn no_memory() -> Report<Error> {
+fn no_memory() -> Report<Error> {
     let message = "requests in progress use up the memory for requests";
     Error::not_run(ErrorKind::Overloaded, message)
         .retry_after(CLIENT_RETRY_DELAY)
--- a/components/graph/src/cost.rs
+++ b/components/graph/src/cost.rs
@@ -13,9 +13,20 @@
 const OCCURRENCE_BYTES: usize = 16;
 /// A unit in the tables of its job, which may have room for twice as many.
 const UNIT_BYTES: usize = 400;
+/// Copies of a text while a job is stored.
+const STORED_FORMS: usize = 8;
 /// An ended job, whose state can still be queried.
 pub const ENDED_JOB_BYTES: usize = 256;
 
+/// Returns the memory that an entry takes to store a job: the decoded form, the record, its text form and the request that holds it.
+/// Tasks and occurrences are not unfolded for that.
+pub fn storing_bytes(job: &AcceptedJob) -> usize {
+    let graph = &job.graph;
+    let steps = graph.steps.iter();
+    let steps = steps.map(|step| STEP_BYTES + texts(step) + step.after.len() * DEPENDENCY_BYTES);
+    JOB_BYTES + STORED_FORMS * graph.body.len() + steps.sum::<usize>()
+}
+
 /// Returns the memory that a job takes at the owner at most, with all its occurrences.
 pub fn job_bytes(job: &AcceptedJob) -> usize {
     let graph = &job.graph;
@@ -31,12 +42,16 @@
     let units = units
         .saturating_mul(UNIT_BYTES)
         .saturating_add(OCCURRENCE_BYTES);
-    let texts = [&step.required_label, &step.data_rack];
-    let texts = texts.into_iter().flatten().map(|text| text.len());
-    let texts = texts.sum::<usize>() + step.image.len();
     units
         .saturating_mul(occurrences)
-        .saturating_add(STEP_BYTES + texts + step.after.len() * DEPENDENCY_BYTES)
+        .saturating_add(STEP_BYTES + texts(step) + step.after.len() * DEPENDENCY_BYTES)
+}
+
+/// Returns the length of the texts of a step.
+fn texts(step: &Step) -> usize {
+    let optional = [&step.required_label, &step.data_rack];
+    let optional = optional.into_iter().flatten().map(|text| text.len());
+    optional.sum::<usize>() + step.image.len()
 }
 
 /// Memory that the jobs of an owner take.
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -63,7 +63,7 @@
 
 pub use approvals::{ApprovalRequest, StepId};
 pub use changes::{Change, Content};
-pub use cost::{ENDED_JOB_BYTES, JobUsage, job_bytes};
+pub use cost::{ENDED_JOB_BYTES, JobUsage, job_bytes, storing_bytes};
 pub use crashes::{CrashEvidence, PROBATION, RunCrash};
 pub use evacuation::EvacuationState;
 pub use progress::{Progress, UnitCrashes, UnitProgress};
--- a/components/graph/tests/cost.rs
+++ b/components/graph/tests/cost.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{TestCell, job, step, task, worker};
-use graph::{ENDED_JOB_BYTES, job_bytes};
+use graph::{ENDED_JOB_BYTES, job_bytes, storing_bytes};
 use model::{Recurrence, RunEnd};
 
 /// Guards against jobs that cost far more than they are counted, by tasks, steps, occurrences or texts.
@@ -24,6 +24,14 @@
     assert!(job_bytes(&specified) >= small + 3_900);
 }
 
+/// Guards against a relayed job that is refused for tasks which only the owner unfolds, and against steps that are not counted.
+#[test]
+fn storing_bytes_ignore_tasks() {
+    let small = storing_bytes(&job(1, vec![step(1)]));
+    assert_eq!(storing_bytes(&job(1, vec![step(60_000)])), small);
+    assert!(storing_bytes(&job(1, vec![step(1); 1_000])) > small + 200_000);
+}
+
 /// Guards against an account of the jobs that is not settled when they end or their records are deleted.
 #[test]
 fn usage_follows_jobs() {
