--- a/components/cell/src/admission.rs
+++ b/components/cell/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission of jobs: whether the owner has room for a job, before anything of it is stored.
 //!
 //! The owner decides, because only it knows all jobs. While it has plenty of room, an entry stores a few jobs without asking, so
-//! that a submission does not wait for a call between regions. What all entries may store in this way fits into the rest.
+//! that a submission does not wait for a call between regions. Entries that have not heard yet that room is scarce may exceed it by a
+//! quarter in this way.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
