Publish what an owner knows on a board of its own

In the same moments the owner admitted jobs for which it had no room.

Cause: the sections of an owner (job states, memory of the jobs, waits, gauges) were on the board of the process, empty until the first cycle of the owner and emptied by it at its end. The handle by which requests reach the owner was published before the first cycle and withdrawn after the sections had been emptied. A cycle of an earlier owner that ended late could also empty the sections of the next one in the same process.

Each new owner had loaded 1,000 jobs, so incomplete loading is ruled out. The end of an ownership is shown by a test of its own, because the case kills the owner.

An owner now has a board of its own, which is created from the applied records and is reached only through the owner: Owner<Loading> has none, Owner<Leading> has one, and after the end the owner is not found. The task of an owner has ended before the process acquires the cell again. The gauges belong to the ownership as well and are served by the owner only.

Tests of cell ask for the owned epoch instead of the epoch of the states; owners are found later than before by the time that applying the records takes, so the conditions are as strict.

--- a/components/board/src/section.rs
+++ b/components/board/src/section.rs
@@ -16,14 +16,19 @@
 
 impl<T: Default> Default for Section<T> {
     fn default() -> Self {
+        Self::new(T::default())
+    }
+}
+
+impl<T> Section<T> {
+    /// Creates a section with its first snapshot.
+    pub fn new(value: T) -> Self {
         Self {
-            current: ArcSwap::from_pointee(T::default()),
+            current: ArcSwap::from_pointee(value),
             version: watch::Sender::new(0),
         }
     }
-}
 
-impl<T> Section<T> {
     /// Returns a guard of the current snapshot, for short reads.
     pub fn load(&self) -> Guard<Arc<T>> {
         self.current.load()
--- a/components/cell/src/admission.rs
+++ b/components/cell/src/admission.rs
@@ -19,7 +19,7 @@
 
 use crate::entry::Entry;
 use crate::keys;
-use crate::leader::LeaderHandle;
+use crate::leader::{Leading, Owner};
 use crate::submit::with_timeout;
 
 /// Timeout for asking the owner: several times the latency between regions.
@@ -139,8 +139,7 @@
         account: &AccountId,
         bytes: usize,
     ) -> Result<Admission> {
-        let is_owner = self.board.local_leader.load().is_some();
-        if !is_owner
+        if self.board.owner().is_err()
             && !self.admissions.scarce.load(Ordering::Relaxed)
             && let Some(admission) = self.hold_unasked(account, bytes)
         {
@@ -157,20 +156,12 @@
         account: &AccountId,
         bytes: usize,
     ) -> Result<Admission> {
-        let owner = self.board.local_leader.snapshot();
-        if let Some(owner) = owner.as_ref() {
-            return self.admit_as_owner(owner, id, account, bytes).await;
-        }
-        let call = Call::AdmitJob(JobAdmission {
-            id,
-            account: account.clone(),
-            bytes: bytes as u64,
-        });
-        let admission = match self.call_leader(call, ASK_TIMEOUT).await {
-            Ok(reply) => {
-                self.admissions.record_reply(&reply);
-                self.admissions.hold(account, bytes)
-            }
+        let asked = match self.board.owner() {
+            Ok(owner) => self.admit_as_owner(&owner, id, account, bytes).await,
+            Err(_) => self.ask_remote_owner(id, account, bytes).await,
+        };
+        let admission = match asked {
+            Ok(admission) => admission,
             Err(report) if report.current_context().kind == ErrorKind::Overloaded => None,
             // Without an owner, jobs are accepted as far as the next one has room for them.
             Err(_) => match self.hold_unasked(account, bytes) {
@@ -182,6 +173,23 @@
         admission.ok_or_else(|| self.refuse_job())
     }
 
+    /// Asks another entry, which owns the cell, to admit a job.
+    async fn ask_remote_owner(
+        self: &Arc<Self>,
+        id: JobId,
+        account: &AccountId,
+        bytes: usize,
+    ) -> Result<Option<Admission>> {
+        let call = Call::AdmitJob(JobAdmission {
+            id,
+            account: account.clone(),
+            bytes: bytes as u64,
+        });
+        let reply = self.call_leader(call, ASK_TIMEOUT).await?;
+        self.admissions.record_reply(&reply);
+        Ok(self.admissions.hold(account, bytes))
+    }
+
     /// Reserves room for a job without asking the owner, if this entry has stored little that the owner does not know.
     fn hold_unasked(&self, account: &AccountId, bytes: usize) -> Option<Admission> {
         let entries = self.board.members.load().entries.len();
@@ -192,40 +200,40 @@
         })
     }
 
-    /// Reserves room for a job at the owner itself.
+    /// Reserves room for a job at the owner itself; returns `None` if there is none.
     async fn admit_as_owner(
         &self,
-        owner: &LeaderHandle,
+        owner: &Owner<Leading>,
         id: JobId,
         account: &AccountId,
         bytes: usize,
-    ) -> Result<Admission> {
+    ) -> Result<Option<Admission>> {
+        let usage = &owner.published()?.usage;
         let has_room = |pending: &JobUsage| {
             // Read after what is pending: a job that becomes part of the usage meanwhile counts twice rather than not at all.
-            let used = self.board.job_usage.load();
+            let used = usage.load();
             let load = JobLoad {
                 total: used.total + pending.total,
                 of_account: used.of_account(account) + pending.of_account(account),
             };
             decide::admits_job(self.job_capacity(), load, bytes)
         };
-        let admission = match self.admissions.hold_if(account, bytes, has_room) {
+        Ok(match self.admissions.hold_if(account, bytes, has_room) {
             Some(admission) => Some(admission),
             None if owner.knows(id).await? => self.admissions.hold(account, 0),
             None => None,
-        };
-        admission.ok_or_else(|| self.refuse_job())
+        })
     }
 
     /// Answers another entry that asks whether a job may be stored, and keeps the room until it is.
     pub(crate) async fn admit_for_entry(
         self: &Arc<Self>,
-        owner: &LeaderHandle,
+        owner: &Owner<Leading>,
         asked: &JobAdmission,
     ) -> Result<Reply> {
         let bytes = usize::try_from(asked.bytes).unwrap_or(usize::MAX);
         let admission = self.admit_as_owner(owner, asked.id, &asked.account, bytes);
-        let admission = admission.await?;
+        let admission = admission.await?.ok_or_else(|| self.refuse_job())?;
         self.admissions.expect(asked.id, admission);
         let mut waited = self.timer.subscribe_after(STORE_WAIT);
         let (admissions, id) = (Arc::clone(&self.admissions), asked.id);
@@ -233,7 +241,7 @@
             waited.recv().await;
             admissions.settle(id);
         });
-        Ok(self.job_room())
+        self.job_room(owner)
     }
 
     /// Keeps the room for a record until the owner has learned of it from the store or from another entry.
@@ -246,13 +254,15 @@
     }
 
     /// Returns the answer to a call about a job, which tells whether there is plenty of room for further ones.
-    pub(crate) fn job_room(&self) -> Reply {
-        let used = self.board.job_usage.load().total + self.admissions.pending.load().total;
-        if decide::is_scarce(self.job_capacity(), used) {
+    pub(crate) fn job_room(&self, owner: &Owner<Leading>) -> Result<Reply> {
+        let usage = owner.published()?.usage.load();
+        let used = usage.total + self.admissions.pending.load().total;
+        let is_scarce = decide::is_scarce(self.job_capacity(), used);
+        Ok(if is_scarce {
             Reply::JobRoomScarce
         } else {
             Reply::Done
-        }
+        })
     }
 
     /// Returns the room for jobs of the owner. Any entry may be the next one, so that the smallest decides.
--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -3,27 +3,16 @@
 use std::sync::Arc;
 
 use board::Section;
-use graph::JobUsage;
-use indexmap::IndexMap;
-use model::{Epoch, JobId, JobState, QueueId};
+use errors::Result;
+use model::Epoch;
 use wire::Leader;
 
 use crate::configuration::Configuration;
 use crate::evacuations::Evacuations;
 use crate::in_force::InForce;
-use crate::leader::LeaderHandle;
+use crate::leader::{Leading, Owner};
 use crate::members::Members;
-
-/// Job states as last published by the owner.
-#[derive(Debug, Clone, Default)]
-pub struct JobStates {
-    /// Epoch of the owner, or 0 if this entry is not the owner.
-    pub epoch: Epoch,
-    /// State of each job.
-    pub jobs: IndexMap<JobId, JobState>,
-    /// Number of waiting jobs by queue.
-    pub waiting: IndexMap<QueueId, u32>,
-}
+use crate::serve::not_owner_error;
 
 /// Snapshots shared by the controllers. Each section has one writer, and requests read it without
 /// locking.
@@ -41,14 +30,9 @@
     pub(crate) members: Section<Members>,
     /// Newest owner announced by another entry; written by the handler of announcements.
     pub(crate) announced_leader: Section<Option<Leader>>,
-    /// Handle to the owner in this process; written by the ownership controller.
-    pub(crate) local_leader: Section<Option<LeaderHandle>>,
-    /// Job states of the owner in this process; written by the owner.
-    pub states: Section<JobStates>,
-    /// Memory that the jobs of the owner in this process take; written by the owner.
-    pub(crate) job_usage: Section<JobUsage>,
-    /// Jobs that wait at the owner in this process, one line each, for operators; written by the owner.
-    pub waits: Section<Box<str>>,
+    /// The owner in this process, once it has loaded its records, with the board that it writes; written by the ownership
+    /// controller.
+    pub(crate) owner: Section<Option<Arc<Owner<Leading>>>>,
 }
 
 impl CellBoard {
@@ -61,4 +45,20 @@
             .chain(announced)
             .max_by_key(|leader| leader.epoch)
     }
+
+    /// Ends the owner in this process if its epoch is lower than that of another owner.
+    pub(crate) fn end_owner_before(&self, epoch: Epoch) {
+        if let Ok(owner) = self.owner()
+            && owner.epoch < epoch
+        {
+            owner.end();
+        }
+    }
+
+    /// Returns the owner in this process, or an error if this process does not own the cell.
+    pub(crate) fn owner(&self) -> Result<Arc<Owner<Leading>>> {
+        let owner = self.owner.load();
+        let owner = owner.as_ref().as_ref().filter(|owner| !owner.has_ended());
+        owner.map(Arc::clone).ok_or_else(not_owner_error)
+    }
 }
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use ingress::ClientBoard;
 use ingress::decide::{Capacity, MAX_CLIENT_CALLS, Reason};
+use model::Epoch;
 use store::TransactionStore;
 use timer::Timer;
 use tokio::net::TcpListener;
@@ -24,7 +25,8 @@
 use crate::configuration::Configuration;
 use crate::confirmations::{Confirmations, Source};
 use crate::dependency::Dependency;
-use crate::metrics::Metrics;
+use crate::leader::JobStates;
+use crate::metrics::{Metrics, OwnerMetrics};
 use crate::settings::EntrySettings;
 use crate::{configure, members, ownership, serve, supervise};
 
@@ -170,6 +172,31 @@
             .report())
     }
 
+    /// Returns the epoch of the owner in this process, if there is one that has loaded its records.
+    pub fn owned_epoch(&self) -> Option<Epoch> {
+        self.board.owner().ok().map(|owner| owner.epoch)
+    }
+
+    /// Returns the job states that the owner in this process has published, or an error if this process does not own the cell.
+    pub fn job_states(&self) -> Result<Arc<JobStates>> {
+        Ok(self.board.owner()?.published()?.states.snapshot())
+    }
+
+    /// Returns the jobs that wait, one line each, or an error if this process does not own the cell or does not know them yet.
+    pub fn waits(&self) -> Result<Box<str>> {
+        let owner = self.board.owner()?;
+        let waits = owner.published()?.waits.snapshot();
+        Option::clone(&waits).ok_or_else(|| {
+            let message = "the owner has just started and does not know which jobs wait";
+            Error::not_run(ErrorKind::Unavailable, message).report()
+        })
+    }
+
+    /// Returns the gauges of the owner in this process, or an error if this process does not own the cell.
+    pub fn owner_metrics(&self) -> Result<OwnerMetrics> {
+        Ok(self.board.owner()?.published()?.metrics.clone())
+    }
+
     /// Updates the metrics that depend on the time.
     pub fn refresh_metrics(&self) {
         let version = self.board.configuration.load().version;
--- a/components/cell/src/evacuations.rs
+++ b/components/cell/src/evacuations.rs
@@ -29,7 +29,7 @@
 
 impl Evacuations {
     /// Returns the evacuated data centres.
-    pub(crate) fn data_centres(&self) -> IndexSet<DataCentreId> {
+    fn data_centres(&self) -> IndexSet<DataCentreId> {
         self.revisions.keys().cloned().collect()
     }
 
@@ -129,6 +129,15 @@
         self.board.evacuations.publish(after);
     }
 
+    /// Returns the evacuated data centres as far as they were confirmed after `since`; `None` if that has not happened yet, or if the
+    /// deployment has no evacuations.
+    pub(crate) fn evacuated_data_centres(&self, since: Duration) -> Option<IndexSet<DataCentreId>> {
+        self.settings.evacuations.as_ref()?;
+        let known = self.board.evacuations.load();
+        let is_confirmed = known.confirmed_at.is_some_and(|at| at >= since);
+        is_confirmed.then(|| known.data_centres())
+    }
+
     /// Returns whether an owner that was elected at `since` knows the evacuations well enough to start tasks.
     pub(crate) fn evacuations_allow_starts(&self, since: Duration, now: Duration) -> bool {
         let Some(settings) = &self.settings.evacuations else {
--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -2,15 +2,14 @@
 //! the writer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use graph::{JobUsage, PlacementChange, Scheduler, Wait, WaitReason};
+use board::Section;
+use graph::{MIN_WAIT, PlacementChange, Scheduler, WaitReason};
 use indexmap::{IndexMap, IndexSet};
 use model::{AcceptedJob, AgentId, Epoch, Instructions, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::board::JobStates;
 use crate::clock::{boot_now, wall_now};
 use crate::configuration::Configuration;
 use crate::entry::Entry;
@@ -18,7 +17,8 @@
 use crate::leader::writer::{
     ENDS_BATCH, JobRevisions, PLACEMENTS_BATCH, PROGRESS_BATCH, StoredJob, Write, WriteKind, Writer,
 };
-use crate::leader::{Event, LeaderHandle};
+use crate::leader::{Event, JobStates, LeaderHandle, OwnerBoard};
+use crate::metrics::OwnerMetrics;
 
 /// How long a report waits for instructions. Agents renew the leases of their workers with each
 /// reply.
@@ -51,6 +51,7 @@
 pub(crate) struct Actor {
     entry: Arc<Entry>,
     handle: LeaderHandle,
+    board: Arc<OwnerBoard>,
     scheduler: Scheduler,
     writer: Arc<Writer>,
     in_flight: InFlightWrites,
@@ -68,7 +69,7 @@
     /// When this owner started, on the boot clock.
     started_at: Duration,
     /// Version of the job states that were last published.
-    published_version: Option<u64>,
+    published_version: u64,
 }
 
 impl Actor {
@@ -79,6 +80,7 @@
         epoch: Epoch,
         relies_on_records: bool,
         loaded: StoredRecords,
+        metrics: OwnerMetrics,
     ) -> Self {
         let now = boot_now();
         let wall = wall_now();
@@ -108,6 +110,12 @@
         }
         scheduler.try_end_recovery(now);
         let recovery = scheduler.recovery_state();
+        let board = OwnerBoard {
+            states: Section::new(job_states(&scheduler)),
+            usage: Section::new(scheduler.usage().clone()),
+            waits: Section::new(None),
+            metrics,
+        };
         log::info!(
             target: "limpethook",
             epoch = epoch, jobs = jobs, ended = ended, agents = loaded.roster.len(), waiting_jobs = recovery.jobs,
@@ -118,10 +126,12 @@
         entry.check_requested.notify_one();
         let writer = Writer::new(Arc::clone(&entry), handle.clone());
         writer.delete_placements(&loaded.stale_placements);
-        Self {
+        let actor = Self {
             writer,
             entry,
             handle,
+            board: Arc::new(board),
+            published_version: scheduler.status_version(),
             scheduler,
             in_flight: InFlightWrites::default(),
             pending_reports: IndexMap::new(),
@@ -133,8 +143,15 @@
             awaiting_roster: Vec::new(),
             configuration: Arc::default(),
             started_at: now,
-            published_version: None,
-        }
+        };
+        actor.record_usage();
+        actor.record_recovery();
+        actor
+    }
+
+    /// Returns the board that this owner writes.
+    pub(crate) fn board(&self) -> Arc<OwnerBoard> {
+        Arc::clone(&self.board)
     }
 
     /// Runs until the owner ends.
@@ -155,15 +172,6 @@
                 self.handle_event(event);
             }
         }
-        self.entry.metrics.recovering_jobs.set(0);
-        self.entry.metrics.evacuated_workers.set(0);
-        self.entry.metrics.missing_guarantees.set(0);
-        self.entry.board.states.publish(JobStates::default());
-        self.entry.board.job_usage.publish(JobUsage::default());
-        self.entry.metrics.job_bytes.set(0);
-        self.entry.clients.record_jobs(0);
-        self.publish_waits(std::iter::empty(), &IndexMap::new(), Duration::ZERO);
-        self.entry.metrics.worker_speeds.reset();
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -263,15 +271,9 @@
         }
     }
 
-    /// Returns whether the lease of this owner can't have lapsed.
-    fn is_valid(&self, now: Duration) -> bool {
-        let until = self.handle.valid_until_ms.load(Ordering::Acquire);
-        now < Duration::from_millis(until)
-    }
-
     /// Returns whether this owner may start tasks: it is valid, and knows the evacuated data centres.
     fn may_start(&self, now: Duration) -> bool {
-        self.is_valid(now) && self.entry.evacuations_allow_starts(self.started_at, now)
+        self.handle.is_valid(now) && self.entry.evacuations_allow_starts(self.started_at, now)
     }
 
     fn send_instructions(&mut self, agent: &AgentId, pending: PendingReport, now: Duration) {
@@ -292,7 +294,7 @@
         if self.may_start(now) {
             self.scheduler.plan(now, wall_now());
             self.ask_advisor(now);
-        } else if self.is_valid(now) {
+        } else if self.handle.is_valid(now) {
             self.scheduler.stop_runs(now);
         }
         if !self.is_recorded && self.scheduler.are_records_complete() {
@@ -323,12 +325,12 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
-        if self.scheduler.take_waits_changed() {
-            let counts = self.scheduler.wait_counts(now);
-            self.publish_waits(self.scheduler.waits(), &counts, now);
+        // Before that, even jobs that wait have not waited for long enough to be recorded by this owner.
+        if self.scheduler.take_waits_changed() && now >= self.started_at + MIN_WAIT {
+            self.publish_waits(now);
         }
         if let Some(counts) = self.scheduler.take_speed_counts() {
-            let speeds = &self.entry.metrics.worker_speeds;
+            let speeds = &self.board.metrics.worker_speeds;
             for (class, count) in counts {
                 let workers = speeds.with_label_values(&[class]);
                 workers.set(i64::try_from(count).unwrap_or(i64::MAX));
@@ -340,12 +342,10 @@
         }
         self.scheduler.compact_ended_jobs();
         self.publish_usage();
-        let waiting = self.scheduler.recovery_state().jobs;
-        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
-        self.entry.metrics.recovering_jobs.set(waiting);
-        if self.published_version != Some(self.scheduler.status_version()) {
-            self.published_version = Some(self.scheduler.status_version());
-            self.publish_states();
+        self.record_recovery();
+        if self.published_version != self.scheduler.status_version() {
+            self.published_version = self.scheduler.status_version();
+            self.board.states.publish(job_states(&self.scheduler));
         }
     }
 
@@ -398,17 +398,18 @@
     }
 
     fn apply_evacuations(&mut self, now: Duration) {
-        if self.entry.settings.evacuations.is_none() {
+        let Some(data_centres) = self.entry.evacuated_data_centres(self.started_at) else {
             return;
-        }
-        let data_centres = self.entry.board.evacuations.load().data_centres();
+        };
         self.scheduler.set_evacuations(&data_centres, now);
         let state = self.scheduler.evacuation_state();
-        let metrics = &self.entry.metrics;
+        let metrics = &self.board.metrics;
         let workers = i64::try_from(state.workers).unwrap_or(i64::MAX);
-        metrics.evacuated_workers.set(workers);
-        let missing = i64::from(state.missing_accelerators);
-        metrics.missing_guarantees.set(missing);
+        let unlabelled: [&str; 0] = [];
+        let evacuated = metrics.evacuated_workers.with_label_values(&unlabelled);
+        evacuated.set(workers);
+        let missing = metrics.missing_guarantees.with_label_values(&unlabelled);
+        missing.set(i64::from(state.missing_accelerators));
     }
 
     /// Asks for a check of the configuration if another entry accepted a job by a policy that this one does not know.
@@ -517,13 +518,9 @@
     }
 
     /// Publishes the jobs that wait to the metrics and to operators.
-    fn publish_waits<'a>(
-        &self,
-        waits: impl Iterator<Item = &'a Wait>,
-        counts: &IndexMap<WaitReason, (u64, Duration)>,
-        now: Duration,
-    ) {
-        let metrics = &self.entry.metrics;
+    fn publish_waits(&self, now: Duration) {
+        let counts = self.scheduler.wait_counts(now);
+        let metrics = &self.board.metrics;
         for reason in WaitReason::ALL {
             let (count, longest) = counts.get(&reason).copied().unwrap_or_default();
             let jobs = metrics.waiting_jobs.with_label_values(&[reason.as_str()]);
@@ -532,30 +529,40 @@
             wait.set(longest.as_secs_f64());
         }
         let mut lines = String::new();
-        for wait in waits {
+        for wait in self.scheduler.waits() {
             lines.push_str(&wait.to_line(now));
             lines.push('\n');
         }
-        self.entry.board.waits.publish(lines.into());
+        self.board.waits.publish(Some(lines.into()));
     }
 
     fn publish_usage(&self) {
         let usage = self.scheduler.usage();
-        if **self.entry.board.job_usage.load() != *usage {
-            let total = i64::try_from(usage.total).unwrap_or(i64::MAX);
-            self.entry.metrics.job_bytes.set(total);
-            self.entry.clients.record_jobs(usage.total);
-            self.entry.board.job_usage.publish(usage.clone());
+        if **self.board.usage.load() != *usage {
+            self.record_usage();
+            self.board.usage.publish(usage.clone());
         }
     }
 
-    fn publish_states(&self) {
-        let states = self.scheduler.states();
-        let waiting = self.scheduler.queued_job_counts();
-        self.entry.board.states.publish(JobStates {
-            epoch: self.scheduler.epoch(),
-            jobs: states,
-            waiting,
-        });
+    /// Records the memory of the jobs in the metrics and in the account of the process.
+    fn record_usage(&self) {
+        let usage = self.scheduler.usage().total;
+        let total = i64::try_from(usage).unwrap_or(i64::MAX);
+        self.board.metrics.job_bytes.set(total);
+        self.entry.clients.record_jobs(usage);
+    }
+
+    /// Records the jobs that wait for recovery in the metrics.
+    fn record_recovery(&self) {
+        let waiting = self.scheduler.recovery_state().jobs;
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        self.board.metrics.recovering_jobs.set(waiting);
+    }
+}
+
+fn job_states(scheduler: &Scheduler) -> JobStates {
+    JobStates {
+        jobs: scheduler.states(),
+        waiting: scheduler.queued_job_counts(),
     }
 }
--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod job_watch;
 mod load;
+mod published;
 mod writer;
 
 use std::sync::Arc;
@@ -14,17 +15,22 @@
 use indexmap::IndexSet;
 use model::{AcceptedJob, AgentId, Epoch, Instructions, JobEnd, JobId, Revision, WorkerReport};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio_util::sync::CancellationToken;
+use tokio::task::JoinHandle;
+use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::Leader;
 
 use crate::admission::Admission;
 use crate::advisor::Approval;
 use crate::entry::Entry;
 use crate::leader::writer::{StoredJob, WriteKind};
+use crate::metrics::OwnerMetrics;
 use crate::serve::not_owner_error;
 use crate::supervise;
 
+pub use published::JobStates;
+
 pub(crate) use load::read_progress;
+pub(crate) use published::{Leading, Loading, Owner, OwnerBoard};
 
 /// Capacity of the event queue; senders wait while it is full.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
@@ -155,6 +161,11 @@
             .store(millis(valid_until), Ordering::Release);
     }
 
+    /// Returns whether the lease of the owner can't have lapsed.
+    pub(crate) fn is_valid(&self, now: Duration) -> bool {
+        now < Duration::from_millis(self.valid_until_ms.load(Ordering::Acquire))
+    }
+
     /// Records that the stored records name all agents on which jobs may have runs.
     pub(crate) fn mark_recorded(&self) {
         self.recorded.send_replace(true);
@@ -182,6 +193,15 @@
         self.end.cancel();
     }
 
+    /// Ends the owner when the returned value is dropped.
+    pub(crate) fn end_on_drop(&self) -> DropGuard {
+        self.end.clone().drop_guard()
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.end.is_cancelled()
+    }
+
     /// Waits until the owner has ended because another entry took over.
     pub(crate) async fn wait_until_ended(&self) {
         self.end.cancelled().await;
@@ -192,14 +212,22 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// An owner that was started, and the task that runs it.
+pub(crate) struct Started {
+    pub(crate) owner: Owner<Loading>,
+    pub(crate) scheduling: JoinHandle<()>,
+}
+
 /// Loads the records and starts the owner; `relies_on_records` tells whether all earlier owners kept records of placements.
 pub(crate) async fn start(
     entry: &Arc<Entry>,
     leader: &Leader,
     relies_on_records: bool,
     valid_until: Duration,
-) -> Result<LeaderHandle> {
+) -> Result<Started> {
     let loaded = load::load(entry).await?;
+    let metrics = OwnerMetrics::new()
+        .map_err(|e| Error::not_run(ErrorKind::Internal, format!("metrics: {e}")).report())?;
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let handle = LeaderHandle {
         tx,
@@ -210,19 +238,25 @@
     };
     let job_watch = job_watch::run(Arc::clone(entry), handle.clone(), loaded.revision);
     let (entry, epoch, running) = (Arc::clone(entry), leader.epoch, handle.clone());
+    let (loaded_tx, loaded_rx) = oneshot::channel();
     let scheduling = async move {
         // The construction applies the records, so it is supervised as well.
-        actor::Actor::new(entry, running, epoch, relies_on_records, loaded)
-            .run(rx)
-            .await;
+        let actor = actor::Actor::new(entry, running, epoch, relies_on_records, loaded, metrics);
+        // The ownership may have ended.
+        let _ = loaded_tx.send(actor.board());
+        actor.run(rx).await;
     };
-    tokio::spawn(end_with(handle.clone(), "owner", scheduling));
+    let scheduling = tokio::spawn(end_with(handle.clone(), "owner", scheduling));
     tokio::spawn(end_with(
         handle.clone(),
         "job_watch",
         handle.until_ended(job_watch),
     ));
-    Ok(handle)
+    let state = Loading { loaded: loaded_rx };
+    Ok(Started {
+        owner: Owner { handle, state },
+        scheduling,
+    })
 }
 
 /// Runs a part of the owner. The ownership ends with it, so that another entry takes over if it panics.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -32,7 +32,9 @@
 mod supervise;
 
 pub use advisor::{Advisor, Approval};
-pub use board::{CellBoard, JobStates};
+pub use board::CellBoard;
 pub use configuration::{AccountTokens, Configuration, Route};
 pub use entry::Entry;
+pub use leader::JobStates;
+pub use metrics::OwnerMetrics;
 pub use settings::{AgentSettings, EntrySettings, EvacuationSettings, ORDER_VALIDITY};
--- a/components/cell/src/members.rs
+++ b/components/cell/src/members.rs
@@ -101,6 +101,9 @@
         log::info!(target: "limpethook", owner = name, epoch = now.unwrap_or(0); "owner_changed");
     }
     entry.board.members.publish(members);
+    if let Some(epoch) = now {
+        entry.board.end_owner_before(epoch);
+    }
 }
 
 fn apply_put(members: &mut Members, found: &KvPair) {
--- a/components/cell/src/metrics.rs
+++ b/components/cell/src/metrics.rs
@@ -28,26 +28,12 @@
     pub worker_crashes: IntCounterVec,
     /// Runs that the owner took for ended without a report of their end, by what it took as proof.
     pub runs_removed: IntCounterVec,
-    /// Jobs that have waited for at least a second by reason; 0 if this entry is not the owner.
-    pub waiting_jobs: IntGaugeVec,
-    /// The longest of these waits in seconds by reason.
-    pub longest_wait: GaugeVec,
-    /// Workers by class of their learned speed; 0 if this entry is not the owner.
-    pub worker_speeds: IntGaugeVec,
     /// Version of the configuration by which this process handles requests.
     pub configuration_version: IntGauge,
     /// Seconds since a source was last asked for a newer configuration and answered, by source; -1 if it never did.
     pub configuration_confirmed: GaugeVec,
     /// Events of the configuration by name.
     pub configuration: IntCounterVec,
-    /// Number of jobs that the owner does not place before recovery has ended for them.
-    pub recovering_jobs: IntGauge,
-    /// Number of workers in evacuated data centres; 0 if this entry is not the owner.
-    pub evacuated_workers: IntGauge,
-    /// Guaranteed accelerators beyond those that evacuations leave; 0 if this entry is not the owner.
-    pub missing_guarantees: IntGauge,
-    /// Memory that the jobs take by the account of the owner; 0 if this entry is not the owner.
-    pub job_bytes: IntGauge,
     /// Time from the start of an owner to the end of its recovery in seconds.
     pub recovery_seconds: Histogram,
     /// Time that starts wait for the records of their placements in seconds.
@@ -59,25 +45,6 @@
     pub fn new() -> prometheus::Result<Self> {
         let registrar = Registrar(Registry::new());
         Ok(Self {
-            waiting_jobs: registrar.int_gauges(
-                "limpethook_waiting_jobs",
-                "Jobs that have waited for at least a second",
-                "reason",
-            )?,
-            worker_speeds: registrar.int_gauges(
-                "limpethook_worker_speeds",
-                "Workers by class of their learned speed",
-                "class",
-            )?,
-            longest_wait: registrar.gauges(
-                "limpethook_longest_wait_seconds",
-                "Longest wait of a job that has waited for at least a second",
-                "reason",
-            )?,
-            job_bytes: registrar.gauge(
-                "limpethook_job_bytes",
-                "Memory that the jobs of the owner take",
-            )?,
             configuration_version: registrar.gauge(
                 "limpethook_configuration_version",
                 "Version of the configuration in force",
@@ -92,18 +59,6 @@
                 "Events of the configuration",
                 &["event"],
             )?,
-            recovering_jobs: registrar.gauge(
-                "limpethook_recovering_jobs",
-                "Jobs that are not placed before recovery has ended for them",
-            )?,
-            evacuated_workers: registrar.gauge(
-                "limpethook_evacuated_workers",
-                "Workers in evacuated data centres",
-            )?,
-            missing_guarantees: registrar.gauge(
-                "limpethook_evacuated_guaranteed_accelerators",
-                "Guaranteed accelerators beyond those that evacuations leave",
-            )?,
             recovery_seconds: registrar.histogram(
                 "limpethook_recovery_seconds",
                 "Time from the start of an owner to the end of its recovery",
@@ -150,6 +105,71 @@
     }
 }
 
+/// Gauges of one ownership. They are served only while it lasts, and each only once its value is known, because a 0 would say
+/// that nothing waits or runs.
+#[derive(Debug, Clone)]
+pub struct OwnerMetrics {
+    /// Registry that holds the metrics.
+    pub registry: Registry,
+    /// Jobs that have waited for at least a second by reason.
+    pub waiting_jobs: IntGaugeVec,
+    /// The longest of these waits in seconds by reason.
+    pub longest_wait: GaugeVec,
+    /// Workers by class of their learned speed.
+    pub worker_speeds: IntGaugeVec,
+    /// Number of jobs that the owner does not place before recovery has ended for them.
+    pub recovering_jobs: IntGauge,
+    /// Number of workers in evacuated data centres, without labels.
+    pub evacuated_workers: IntGaugeVec,
+    /// Guaranteed accelerators beyond those that evacuations leave, without labels.
+    pub missing_guarantees: IntGaugeVec,
+    /// Memory that the jobs take by the account of the owner.
+    pub job_bytes: IntGauge,
+}
+
+impl OwnerMetrics {
+    /// Creates and registers all metrics.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registrar = Registrar(Registry::new());
+        Ok(Self {
+            waiting_jobs: registrar.int_gauges(
+                "limpethook_waiting_jobs",
+                "Jobs that have waited for at least a second",
+                &["reason"],
+            )?,
+            longest_wait: registrar.gauges(
+                "limpethook_longest_wait_seconds",
+                "Longest wait of a job that has waited for at least a second",
+                "reason",
+            )?,
+            worker_speeds: registrar.int_gauges(
+                "limpethook_worker_speeds",
+                "Workers by class of their learned speed",
+                &["class"],
+            )?,
+            recovering_jobs: registrar.gauge(
+                "limpethook_recovering_jobs",
+                "Jobs that are not placed before recovery has ended for them",
+            )?,
+            evacuated_workers: registrar.int_gauges(
+                "limpethook_evacuated_workers",
+                "Workers in evacuated data centres",
+                &[],
+            )?,
+            missing_guarantees: registrar.int_gauges(
+                "limpethook_evacuated_guaranteed_accelerators",
+                "Guaranteed accelerators beyond those that evacuations leave",
+                &[],
+            )?,
+            job_bytes: registrar.gauge(
+                "limpethook_job_bytes",
+                "Memory that the jobs of the owner take",
+            )?,
+            registry: registrar.0,
+        })
+    }
+}
+
 /// Creates metrics and registers them.
 struct Registrar(Registry);
 
@@ -184,8 +204,13 @@
         Ok(gauges)
     }
 
-    fn int_gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntGaugeVec> {
-        let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+    fn int_gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
         self.0.register(Box::new(gauges.clone()))?;
         Ok(gauges)
     }
--- a/components/cell/src/notify.rs
+++ b/components/cell/src/notify.rs
@@ -54,7 +54,7 @@
         call: Call,
         timeout: Duration,
     ) -> Result<Reply> {
-        if self.board.local_leader.load().is_some() {
+        if self.board.owner().is_ok() {
             return crate::serve::answer_as_leader(self, call).await;
         }
         let Some(leader) = self.board.leader() else {
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -4,6 +4,7 @@
 //! The life cycle is a typestate: a `Candidate` becomes a `Holder` by a conditional write, and a
 //! holder never becomes a candidate again with the same epoch.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::keys::{OWNER_KEY, RECENT_OWNERS_KEY};
-use crate::leader::{self, Event, LeaderHandle};
+use crate::leader::{self, Event, LeaderHandle, Loading, Owner, Started};
 use crate::members::Members;
 use crate::records::{self, OwnerRecord, RecentOwners};
 
@@ -225,16 +226,16 @@
             self.relies_on_records,
             self.valid_until,
         );
-        let handle = match started.await {
-            Ok(handle) => handle,
+        let Started { owner, scheduling } = match started.await {
+            Ok(started) => started,
             Err(report) => {
                 log::warn!(target: "limpethook", epoch = self.leader.epoch, error:% = report.current_context(); "ownership_failed");
                 self.release().await;
                 return;
             }
         };
-        entry.board.local_leader.publish(Some(handle.clone()));
-        tokio::spawn(announce(Arc::clone(entry), self.leader.clone()));
+        let handle = owner.handle.clone();
+        let _end = handle.end_on_drop();
         let confirmation = confirm_earlier_ended(
             Arc::clone(entry),
             self.leader.clone(),
@@ -243,6 +244,7 @@
             handle.clone(),
         );
         tokio::spawn(handle.until_ended(confirmation));
+        let lead = lead_once_loaded(entry, owner, self.leader.clone());
         // An entry that knows of a later owner has promised to let no agent renew a lease, maybe before it started as the owner.
         let reason = tokio::select! {
             biased;
@@ -250,11 +252,15 @@
             () = wait_until_leaving(entry) => "leaving",
             () = handle.wait_until_ended() => "fenced",
             reason = self.renew_until_lost(&handle) => reason,
+            never = lead => match never {},
         };
-        entry.board.local_leader.publish(None);
         handle.end();
+        entry.board.owner.publish(None);
         log::info!(target: "limpethook", epoch = self.leader.epoch, reason = reason; "ownership_ends");
         self.release().await;
+        // The next owner of this process must not run beside this one, which may be in the middle of a plan. The task catches panics.
+        let _ = scheduling.await;
+        entry.clients.record_jobs(0);
     }
 
     /// Renews the lease until it ends; returns the reason.
@@ -283,7 +289,9 @@
                     log::info!(target: "limpethook", epoch = self.leader.epoch, error:% = report.current_context(); "renewal_failed");
                     tokio::time::sleep(RENEWAL_RETRY_DELAY).await;
                 }
-                Err(_) => tokio::time::sleep(RENEWAL_RETRY_DELAY).await,
+                Err(_) => {
+                    tokio::time::sleep(RENEWAL_RETRY_DELAY).await;
+                }
             }
             if boot_now() > self.valid_until + outage_grace {
                 return "store unreachable";
@@ -298,6 +306,19 @@
     }
 }
 
+/// Waits until the owner has loaded its records; only then do requests and other entries get to know it.
+async fn lead_once_loaded(entry: &Arc<Entry>, owner: Owner<Loading>, leader: Leader) -> Infallible {
+    if let Some(owner) = owner.wait_until_loaded().await {
+        log::info!(target: "limpethook", epoch = leader.epoch; "ownership_published");
+        entry.board.owner.publish(Some(Arc::new(owner)));
+        if let Some(newest) = entry.board.leader() {
+            entry.board.end_owner_before(newest.epoch);
+        }
+        tokio::spawn(announce(Arc::clone(entry), leader));
+    }
+    std::future::pending().await
+}
+
 /// Returns whether this entry knows of a later owner than that of an epoch.
 fn is_replaced(entry: &Entry, epoch: Epoch) -> bool {
     let newest = entry.board.leader();
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::boot_now;
 use crate::entry::Entry;
-use crate::leader::Event;
+use crate::leader::{Event, Leading, Owner};
 use crate::{cancel, records, submit};
 
 pub(crate) async fn answer(entry: Arc<Entry>, call: Call) -> Result<Reply> {
@@ -40,19 +40,16 @@
 
 /// Handles a call that only the owner can answer.
 pub(crate) async fn answer_as_leader(entry: &Arc<Entry>, call: Call) -> Result<Reply> {
-    let local_leader = entry.board.local_leader.snapshot();
-    let Some(leader) = local_leader.as_ref() else {
-        return Err(not_owner_error());
-    };
+    let owner = entry.board.owner()?;
     match call {
         Call::Report(report) => {
-            let instructions = leader.report(*report).await?;
+            let instructions = owner.report(*report).await?;
             Ok(Reply::Instructions(Box::new(instructions)))
         }
-        Call::AdmitJob(asked) => entry.admit_for_entry(leader, &asked).await,
+        Call::AdmitJob(asked) => entry.admit_for_entry(&owner, &asked).await,
         Call::JobStored(stored) => {
             let bytes = job_bytes(&stored.job);
-            leader
+            owner
                 .send(Event::JobStored {
                     id: stored.id,
                     admission: entry.admissions.hold(&stored.job.account, bytes),
@@ -60,17 +57,17 @@
                     revision: stored.revision,
                 })
                 .await?;
-            Ok(entry.job_room())
+            entry.job_room(&owner)
         }
         Call::JobCancelled(id) => {
-            leader.send(Event::JobCancelled(id)).await?;
+            owner.send(Event::JobCancelled(id)).await?;
             Ok(Reply::Done)
         }
         Call::JobState(id) => Ok(Reply::JobState(KnownState(
-            state_awaiting_end(entry, id).await,
+            state_awaiting_end(&owner, id).await?,
         ))),
         Call::QueueWaiting(queue) => {
-            let states = entry.board.states.load();
+            let states = owner.published()?.states.load();
             Ok(Reply::Count(
                 states.waiting.get(&queue).copied().unwrap_or(0),
             ))
@@ -88,14 +85,16 @@
 const JOB_END_WAIT: Duration = Duration::from_millis(100);
 
 /// Returns the state of a job, including an end that is about to be stored.
-async fn state_awaiting_end(entry: &Entry, id: JobId) -> Option<JobState> {
-    let mut changes = entry.board.states.changes();
-    let state = || entry.board.states.load().jobs.get(&id).copied();
+async fn state_awaiting_end(owner: &Owner<Leading>, id: JobId) -> Result<Option<JobState>> {
+    let states = &owner.published()?.states;
+    let mut changes = states.changes();
+    let state = || states.load().jobs.get(&id).copied();
     let job_end =
         async { while state() == Some(JobState::Running) && changes.changed().await.is_ok() {} };
     // If the job does not end in time, its current state is returned.
-    let _ = tokio::time::timeout(JOB_END_WAIT, job_end).await;
-    state()
+    let _ = tokio::time::timeout(JOB_END_WAIT, owner.until_ended(job_end)).await;
+    let states = owner.published()?.states.load();
+    Ok(states.jobs.get(&id).copied())
 }
 
 /// Returns the error of a call that needs the owner when this entry is not the owner.
@@ -144,15 +143,13 @@
         .as_ref()
         .as_ref()
         .is_none_or(|known| known.epoch < leader.epoch);
-    if let Some(local_leader) = entry.board.local_leader.load().as_ref()
-        && local_leader.epoch < leader.epoch
-    {
-        // Answering this call promises that this entry lets no agent renew a lease any more.
-        local_leader.end();
-    }
+    let epoch = leader.epoch;
     if newer {
         entry.board.announced_leader.publish(Some(leader));
     }
+    // Answering this call promises that this entry lets no agent renew a lease any more. An owner that is published after this
+    // finds the announcement.
+    entry.board.end_owner_before(epoch);
 }
 
 /// Answers processes of earlier versions of the program, which compare configurations by their version.
--- a/components/cell/tests/admission.rs
+++ b/components/cell/tests/admission.rs
@@ -88,7 +88,7 @@
 }
 
 async fn wait_until_owner(entry: &Entry) {
-    wait_until(|| entry.board.states.load().epoch > 0).await;
+    wait_until(|| entry.owned_epoch().is_some()).await;
 }
 
 fn job_of(account: &str) -> AcceptedJob {
--- a/components/cell/tests/configuration/main.rs
+++ b/components/cell/tests/configuration/main.rs
@@ -428,7 +428,7 @@
     let (memory, started) = start_configured().await?;
     let queue = QueueId::from("batch");
     let deadline = Instant::now() + TIMEOUT;
-    while started.entry.board.states.load().epoch == 0 {
+    while started.entry.owned_epoch().is_none() {
         assert!(Instant::now() < deadline, "the entry owns the cell");
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -466,13 +466,13 @@
     let started = start_entry(FaultyStore::new(&memory), Vec::new()).await?;
     assert!(started.wait_for(1, TIMEOUT).await.is_some());
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(started.entry.board.states.load().epoch, 0);
+    assert_eq!(started.entry.owned_epoch(), None);
     started.store.misses_others.store(true, Ordering::Release);
     memory.delete(owner_key, Precondition::Any).await?;
     tokio::time::sleep(Duration::from_millis(500)).await;
     started.store.misses_others.store(false, Ordering::Release);
     let deadline = Instant::now() + TIMEOUT * 3 / 2;
-    while started.entry.board.states.load().epoch == 0 {
+    while started.entry.owned_epoch().is_none() {
         assert!(Instant::now() < deadline, "the entry owns the cell");
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/components/cell/tests/entry.rs
+++ b/components/cell/tests/entry.rs
@@ -130,9 +130,14 @@
         put(&store, &key, &common::accepted_record(job)).await?;
     }
     let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
-    wait_until(|| entry.board.states.load().epoch > 0).await;
+    wait_until(|| entry.owned_epoch().is_some()).await;
     entry.submit(7, job(), TIMEOUT).await?;
-    wait_until(|| entry.board.states.load().jobs.contains_key(&7)).await;
+    let knows = || {
+        entry
+            .job_states()
+            .is_ok_and(|states| states.jobs.contains_key(&7))
+    };
+    wait_until(knows).await;
     assert_eq!(entry.job_state(7).await?, Some(JobState::Queued));
     shutdown.cancel();
     Ok(())
@@ -183,11 +188,11 @@
     let store = Arc::new(MemoryStore::default());
     put(&store, CONFIGURATION_KEY, b"1").await?;
     let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
-    wait_until(|| entry.board.states.load().epoch > 0).await;
+    wait_until(|| entry.owned_epoch().is_some()).await;
     entry.submit(7, job(), TIMEOUT).await?;
     let peers = Peers::new(Key::from_secret(SECRET));
     let mut worker = idle_worker();
-    worker.confirmed_epoch = entry.board.states.load().epoch;
+    worker.confirmed_epoch = entry.owned_epoch().unwrap_or(0);
     let start = loop {
         let instructions = report(&peers, &entry, &worker).await?;
         if let Some(start) = instructions.starts.first() {
@@ -267,7 +272,7 @@
     let (other, submissions) = start_cut_off_entry(1, Duration::ZERO).await?;
     let started = start_entry(&store, vec![other]).await;
     let (entry, shutdown) = started.map_err(|report| report.to_string())?;
-    wait_until(|| entry.board.states.load().epoch > 0).await;
+    wait_until(|| entry.owned_epoch().is_some()).await;
     store.is_down.store(true, Ordering::Release);
     let refused = async |id| {
         let refused = entry.submit(id, job(), TIMEOUT).await;
@@ -292,7 +297,7 @@
 async fn ownership_goes_to_stronger_entry() -> Result<()> {
     let store = Arc::new(MemoryStore::default());
     put(&store, CONFIGURATION_KEY, b"1").await?;
-    let owns = |entry: &Entry| entry.board.states.load().epoch > 0;
+    let owns = |entry: &Entry| entry.owned_epoch().is_some();
     let (first, shutdown_first) = start_entry_with_share(&store, "first", 0.5, Vec::new()).await?;
     wait_until(|| owns(&first)).await;
     let (weak, shutdown_weak) = start_entry_with_share(&store, "weak", 0.12, Vec::new()).await?;
@@ -340,7 +345,7 @@
 async fn ownership_is_kept_until_successor_starts() -> Result<()> {
     let store = Arc::new(MemoryStore::default());
     put(&store, CONFIGURATION_KEY, b"1").await?;
-    let owns = |entry: &Entry| entry.board.states.load().epoch > 0;
+    let owns = |entry: &Entry| entry.owned_epoch().is_some();
     let (last, shutdown_last) = start_entry_with_share(&store, "last", 1.0, Vec::new()).await?;
     wait_until(|| owns(&last)).await;
     shutdown_last.cancel();
@@ -392,8 +397,9 @@
     put(&store, "limpethook/progress/0000000000000008", &current).await?;
     let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
     let is_completed = |id| {
-        let states = entry.board.states.snapshot();
-        states.jobs.get(&id) == Some(&JobState::Ended(JobEnd::Completed))
+        let states = entry.job_states();
+        let completed = JobState::Ended(JobEnd::Completed);
+        states.is_ok_and(|states| states.jobs.get(&id) == Some(&completed))
     };
     wait_until(|| is_completed(7) && is_completed(8)).await;
     shutdown.cancel();
@@ -437,8 +443,8 @@
     assert!(put(&store, key, &accepted_record(waiting)).await.is_ok());
     let started = start_entry(&store, Vec::new()).await;
     let (entry, shutdown) = started.map_err(|report| report.to_string())?;
-    wait_until(|| entry.board.states.load().epoch > 0).await;
-    let epoch = entry.board.states.load().epoch;
+    wait_until(|| entry.owned_epoch().is_some()).await;
+    let epoch = entry.owned_epoch().unwrap_or(0);
     let peers = Peers::new(Key::from_secret(SECRET));
     let send = async |report: WorkerReport, timeout| {
         let call = Call::Report(Box::new(report));
@@ -478,8 +484,8 @@
     let store = Arc::new(MemoryStore::default());
     put(&store, CONFIGURATION_KEY, b"1").await?;
     let (entry, shutdown) = start_entry(&store, Vec::new()).await?;
-    wait_until(|| entry.board.states.load().epoch > 0).await;
-    let epoch = entry.board.states.load().epoch;
+    wait_until(|| entry.owned_epoch().is_some()).await;
+    let epoch = entry.owned_epoch().unwrap_or(0);
     let peers = Peers::new(Key::from_secret(SECRET));
     // The entry acquires the cell again, with an epoch below this one.
     let announcement = Call::LeaderElected(Leader {
--- a/components/cell/tests/evacuation.rs
+++ b/components/cell/tests/evacuation.rs
@@ -93,7 +93,15 @@
     }
 
     fn epoch(&self) -> u64 {
-        self.entry.board.states.load().epoch
+        self.entry.owned_epoch().unwrap_or(0)
+    }
+
+    /// Returns the number of workers in evacuated data centres by the metrics of the owner.
+    fn evacuated_workers(&self) -> Option<i64> {
+        let metrics = self.entry.owner_metrics().ok()?;
+        let unlabelled: [&str; 0] = [];
+        let evacuated = metrics.evacuated_workers.with_label_values(&unlabelled);
+        Some(evacuated.get())
     }
 
     async fn wait_until(&self, condition: impl Fn() -> bool) {
@@ -162,8 +170,7 @@
     put_job(&store, 7).await?;
     let cell = Cell::start(store).await?;
     assert!(!cell.starts_within(3).await?);
-    let evacuated = cell.entry.metrics.evacuated_workers.get();
-    assert_eq!(evacuated, 1);
+    assert_eq!(cell.evacuated_workers(), Some(1));
     Ok(())
 }
 
@@ -174,9 +181,9 @@
     cell.entry.submit(7, job(), TIMEOUT).await?;
     assert!(cell.starts_within(5).await?);
     evacuate(&cell.store, "east").await?;
-    let evacuated = &cell.entry.metrics.evacuated_workers;
     cell.report().await?;
-    cell.wait_until(|| evacuated.get() == 1).await;
+    cell.wait_until(|| cell.evacuated_workers() == Some(1))
+        .await;
     cell.entry.submit(8, job(), TIMEOUT).await?;
     assert!(!cell.starts_within(3).await?);
     let key = format!("{PREFIX}east");
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/takeover.rs
@@ -73,7 +73,7 @@
     async fn starts(&self, limit: Duration) -> Vec<TaskRun> {
         let deadline = cell::clock::boot_now() + limit;
         while cell::clock::boot_now() < deadline {
-            let epoch = self.entry.board.states.load().epoch;
+            let epoch = self.entry.owned_epoch().unwrap_or(0);
             let call = Call::Report(Box::new(idle_report(epoch)));
             let reply = self.peers.call(self.entry.settings.addr, &call, TIMEOUT);
             if let Ok(Reply::Instructions(instructions)) = reply.await
--- a/components/graph/src/lib.rs
+++ b/components/graph/src/lib.rs
@@ -72,4 +72,4 @@
 pub use removals::RemovalReason;
 pub use scheduler::{LoadedJob, Scheduler, SchedulerSettings, lapse_after};
 pub use speeds::SpeedCounts;
-pub use waits::{Wait, WaitReason};
+pub use waits::{MIN_WAIT, Wait, WaitReason};
--- a/components/graph/src/waits.rs
+++ b/components/graph/src/waits.rs
@@ -17,7 +17,7 @@
 /// Interval at which the waits are determined.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Waits shorter than this are usual and are not recorded.
-const MIN_WAIT: Duration = Duration::from_secs(1);
+pub const MIN_WAIT: Duration = Duration::from_secs(1);
 /// A worker whose agent has not reported for this long counts as silent. Agents report about once a second.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Maximum number of units whose reason is determined by looking at all workers, at each check.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -7,12 +7,15 @@
 
 /// Returns the metrics of a registry and the traffic counters in the Prometheus text format.
 pub fn metrics_text(registry: &Registry) -> String {
+    registry_text(registry) + &traffic_text()
+}
+
+/// Returns the metrics of a registry in the Prometheus text format.
+pub fn registry_text(registry: &Registry) -> String {
     // Encoding fails only for unnamed metrics, which cannot be registered.
-    let mut text = TextEncoder::new()
+    TextEncoder::new()
         .encode_to_string(&registry.gather())
-        .unwrap_or_default();
-    text.push_str(&traffic_text());
-    text
+        .unwrap_or_default()
 }
 
 /// Gauges with one name and one label.
