Let a paused owner answer only once its lease is confirmed

An owner that was paused for longer than its lease went on to state what it had known before: callers read an old count of waiting jobs, and the state `queued` of a job whose end another owner had stored. After the pause, it learned of its successor only by the answer to its next renewal, by an announcement or by the watch of the members.

An owner beyond its lease now answers only if it has lately made an attempt to renew it that the store left unanswered. That tells an outage, in which it goes on as before, from a pause. Without it, a query for a job reads the store, and other callers get 503 with Retry-After.

--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::admission::Admission;
 use crate::advisor::Approval;
+use crate::clock::boot_now;
 use crate::entry::Entry;
 use crate::leader::writer::{StoredJob, WriteKind};
 use crate::metrics::OwnerMetrics;
@@ -34,6 +35,9 @@
 
 /// Capacity of the event queue; senders wait while it is full.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
+/// How long an attempt to renew the lease that the store left unanswered tells that this process was not paused. In an outage, two
+/// attempts end at most 1.5 s after each other.
+const ATTEMPT_VALIDITY: Duration = Duration::from_secs(2);
 
 /// An event to be handled by the owner.
 #[derive(Debug)]
@@ -123,6 +127,8 @@
     tx: mpsc::Sender<Event>,
     pub(crate) epoch: Epoch,
     valid_until_ms: Arc<AtomicU64>,
+    /// When the store last left an attempt to renew the lease unanswered, in milliseconds on the boot clock.
+    unanswered_at_ms: Arc<AtomicU64>,
     /// Whether the stored records name all agents on which jobs may have runs.
     recorded: Arc<watch::Sender<bool>>,
     end: CancellationToken,
@@ -166,6 +172,20 @@
         now < Duration::from_millis(self.valid_until_ms.load(Ordering::Acquire))
     }
 
+    /// Records that the store has just left an attempt to renew the lease unanswered.
+    pub(crate) fn record_unanswered(&self) {
+        self.unanswered_at_ms
+            .store(millis(boot_now()), Ordering::Release);
+    }
+
+    /// Returns whether this owner may state what it knows. Without an answer of the store it goes on beyond its lease, but a
+    /// process that was paused first has to learn whether another owner has replaced it.
+    pub(crate) fn is_current(&self, now: Duration) -> bool {
+        let unanswered_at = Duration::from_millis(self.unanswered_at_ms.load(Ordering::Acquire));
+        let is_in_outage = !unanswered_at.is_zero() && now < unanswered_at + ATTEMPT_VALIDITY;
+        !self.has_ended() && (self.is_valid(now) || is_in_outage)
+    }
+
     /// Records that the stored records name all agents on which jobs may have runs.
     pub(crate) fn mark_recorded(&self) {
         self.recorded.send_replace(true);
@@ -233,6 +253,7 @@
         tx,
         epoch: leader.epoch,
         valid_until_ms: Arc::new(AtomicU64::new(millis(valid_until))),
+        unanswered_at_ms: Arc::default(),
         recorded: Arc::new(watch::Sender::new(false)),
         end: CancellationToken::new(),
     };
--- a/components/cell/src/leader/published.rs
+++ b/components/cell/src/leader/published.rs
@@ -14,6 +14,7 @@
 use model::{JobId, JobState, QueueId};
 use tokio::sync::oneshot;
 
+use crate::clock::boot_now;
 use crate::leader::LeaderHandle;
 use crate::metrics::OwnerMetrics;
 use crate::serve::not_owner_error;
@@ -72,12 +73,13 @@
 }
 
 impl Owner<Leading> {
-    /// Returns what the owner has published, or an error if it has ended.
+    /// Returns what the owner has published, or an error if another owner may have replaced it: it has ended, or the process was
+    /// paused for longer than its lease and has not heard from the store since.
     pub(crate) fn published(&self) -> Result<&OwnerBoard> {
-        if self.handle.has_ended() {
-            Err(not_owner_error())
-        } else {
+        if self.handle.is_current(boot_now()) {
             Ok(&self.state.board)
+        } else {
+            Err(not_owner_error())
         }
     }
 }
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -287,9 +287,11 @@
                     // Only the store can tell that the lease has ended. Without an answer, the TTL
                     // decides.
                     log::info!(target: "limpethook", epoch = self.leader.epoch, error:% = report.current_context(); "renewal_failed");
+                    handle.record_unanswered();
                     tokio::time::sleep(RENEWAL_RETRY_DELAY).await;
                 }
                 Err(_) => {
+                    handle.record_unanswered();
                     tokio::time::sleep(RENEWAL_RETRY_DELAY).await;
                 }
             }
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -30,6 +30,10 @@
     pub(crate) is_down: AtomicBool,
     /// Whether transactions without changes, which only read, are refused.
     pub(crate) refuses_checks: AtomicBool,
+    /// Whether renewals find that their lease has lapsed.
+    pub(crate) leases_lapsed: AtomicBool,
+    /// Whether renewals are refused.
+    pub(crate) refuses_renewals: AtomicBool,
     /// Time that such transactions take, in milliseconds.
     pub(crate) check_ms: AtomicU64,
 }
@@ -215,7 +219,10 @@
     }
 
     async fn renew_lease(&self, _id: LeaseId) -> Result<bool> {
-        Ok(true)
+        if self.refuses_renewals.load(Ordering::Acquire) {
+            return Err(Error::not_run(ErrorKind::Unavailable, "the store is down").report());
+        }
+        Ok(!self.leases_lapsed.load(Ordering::Acquire))
     }
 
     async fn revoke_lease(&self, id: LeaseId) -> Result<()> {
--- a/components/cell/tests/published.rs
+++ b/components/cell/tests/published.rs
@@ -1,17 +1,19 @@
-//! What an entry states at the beginning and at the end of an ownership. It states what its owner knows, or that it is not
+//! What an entry states at the beginning, at the end and after a pause of an ownership. It states what its owner knows, or that it is not
 //! the owner; nothing reads as if no job waited or took room.
 
 mod common;
 
 use std::ops::ControlFlow;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use cell::{Configuration, Entry, EntrySettings};
 use common::{MemoryStore, SECRET, accepted_job, accepted_record, entry_settings, free_addr};
+use errors::ErrorKind;
 use ingress::ClientBoard;
 use ingress::decide::Capacity;
-use model::{AcceptedJob, JobId, ResourceVector};
+use model::{AcceptedJob, JobEnd, JobId, JobState, ResourceVector};
 use store::{KvStore, Precondition};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -26,6 +28,8 @@
 const CHANGES: usize = 8;
 /// Callers that ask at the same time.
 const CALLERS: usize = 4;
+/// Longer than the lease of an owner.
+const PAUSE: Duration = Duration::from_millis(2_500);
 /// How many times the jobs in the store take the room for jobs.
 const OVERLOAD: usize = 2;
 
@@ -142,6 +146,11 @@
     }
 }
 
+/// Returns the record of a completed job, which is the second variant of the stored form.
+fn completed_record() -> postcard::Result<Vec<u8>> {
+    postcard::to_stdvec(&(1_u8, "batch", JobEnd::Completed))
+}
+
 /// Stores the record of a job.
 async fn put(store: &MemoryStore, id: JobId, record: Vec<u8>) -> TestResult {
     let key = format!("limpethook/jobs/{id:016x}");
@@ -215,3 +224,48 @@
     };
     cell.call_across_changes(&req, check).await
 }
+
+/// Guards against callers that are told what a paused owner knew: the process goes on after another owner has taken over, and has not
+/// heard of it yet.
+///
+/// The runtime has one thread, so that the pause stops the whole entry.
+#[tokio::test]
+async fn waiting_after_pause_is_refused_until_renewal() -> TestResult {
+    let cell = Cell::start().await?;
+    cell.wait_until_owner().await?;
+    cell.store.leases_lapsed.store(true, Ordering::Release);
+    std::thread::sleep(PAUSE);
+    let waiting = cell.entry.waiting(&"batch".into()).await;
+    let report = waiting.expect_err("another owner may have taken over");
+    assert_eq!(report.current_context().kind, ErrorKind::StaleEpoch);
+    Ok(())
+}
+
+/// Guards against a completed job that a paused owner shows as waiting, after another one has stored its end.
+#[tokio::test]
+async fn state_after_pause_is_read_from_store() -> TestResult {
+    let cell = Cell::start().await?;
+    cell.wait_until_owner().await?;
+    cell.store.leases_lapsed.store(true, Ordering::Release);
+    std::thread::sleep(PAUSE);
+    put(&cell.store, 1, completed_record()?).await?;
+    let state = cell.entry.job_state(1).await;
+    let state = state.map_err(|report| report.to_string())?;
+    assert_eq!(state, Some(JobState::Ended(JobEnd::Completed)));
+    Ok(())
+}
+
+/// Guards against an owner that refuses to answer in an outage of the store, in which nobody else can own the cell.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_in_outage_is_answered() -> TestResult {
+    let cell = Cell::start().await?;
+    cell.wait_until_owner().await?;
+    cell.store.is_down.store(true, Ordering::Release);
+    cell.store.refuses_renewals.store(true, Ordering::Release);
+    let end = Instant::now() + PAUSE * 2;
+    while Instant::now() < end {
+        assert_eq!(cell.waiting().await, Some(u32::try_from(JOBS)?));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
