Refuse to list the jobs that wait where they are not known

Operators read an empty list of waiting jobs from `/waits` of each entry but the owner, and from a new owner during its first second, although jobs had waited for long; the gauges of these waits and of the memory of the jobs were 0 there. `curl OWNER:PORT/waits | grep JOB` then says that the job does not wait.

`/waits` now answers 503 with `Retry-After` and the reason where there is no list.

--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,10 +1,18 @@
 //! Prometheus metrics and their HTTP endpoint.
 
+use std::time::Duration;
+
+use errors::Result;
 use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
+use salvo::http::HeaderValue;
+use salvo::http::header::RETRY_AFTER;
 use salvo::prelude::*;
 
 use crate::traffic::traffic_text;
 
+/// Delay after which an operator should ask for the waits again. A new owner knows them after little more than a second.
+const WAITS_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Returns the metrics of a registry and the traffic counters in the Prometheus text format.
 pub fn metrics_text(registry: &Registry) -> String {
     registry_text(registry) + &traffic_text()
@@ -64,11 +72,36 @@
     Router::new().push(Router::with_path("metrics").get(TextHandler(text)))
 }
 
-/// Returns a router that serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`.
+struct WaitsHandler<F>(F);
+
+#[async_trait]
+impl<F: Fn() -> Result<Box<str>> + Send + Sync + 'static> Handler for WaitsHandler<F> {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match (self.0)() {
+            Ok(waits) => res.render(Text::Plain(String::from(waits))),
+            Err(report) => {
+                res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                let seconds = HeaderValue::from(WAITS_RETRY_DELAY.as_secs());
+                res.headers_mut().insert(RETRY_AFTER, seconds);
+                let message = report.current_context().message.to_string();
+                res.render(Text::Plain(message));
+            }
+        }
+    }
+}
+
+/// Returns a router that serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`. If the
+/// process does not know the jobs that wait, `/waits` answers with 503 and the reason.
 pub fn metrics_and_waits_router<F, W>(text: F, waits: W) -> Router
 where
     F: Fn() -> String + Send + Sync + 'static,
-    W: Fn() -> String + Send + Sync + 'static,
+    W: Fn() -> Result<Box<str>> + Send + Sync + 'static,
 {
-    metrics_router(text).push(Router::with_path("waits").get(TextHandler(waits)))
+    metrics_router(text).push(Router::with_path("waits").get(WaitsHandler(waits)))
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod job_lifecycle;
 mod other_senders;
+mod published;
 mod soak;
 mod takeover;
 mod worker_channels;
