Return a job that was accepted before although its cell is full

A caller that repeated a submission with an idempotency key while the cell had as many jobs as its policy allows was answered 503 with the verdict `not_run`, although the first submission had been accepted and the job ran.

Cause: the limit, and the check that the cell can hold the shape, were applied before the store was read for an existing job. They are now applied to new jobs only: before the read if the submission has no key, so that a refusal costs no call, and after it otherwise.

--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -49,10 +49,13 @@
     } else {
         cx.settings.cell.clone()
     };
-    check_feasible(cx, &cell, request.shape.as_ref())?;
-    check_queue(cx, &cell)?;
+    let shape = request.shape;
+    let admit = || {
+        check_feasible(cx, &cell, shape.as_ref())?;
+        check_queue(cx, &cell)
+    };
     let job = Job::<Accepted>::accept(request, body, has_key, SystemTime::now());
-    let job = jobs::submit(&*cx.store, &cell, job)
+    let job = jobs::submit(&*cx.store, &cell, job, admit)
         .await
         .map_err(with_retry_after)?;
     log::info!(target: "limpethook", job:% = public_id(&cell, id), state = job.state_name(); "job_submitted");
--- a/components/jobs/src/access.rs
+++ b/components/jobs/src/access.rs
@@ -43,16 +43,29 @@
     }
 }
 
-/// Stores a new job and returns it, or returns the existing job if the submission is a repeated one.
+/// Stores a new job and returns it, or returns the existing job if the submission is a repeated one. `admit` decides whether a new job may be
+/// stored; a job that exists needs no room, and a refusal would say that it does not run.
 ///
 /// Unless the write succeeded, the stored record determines the result, because a write whose response was lost cannot
 /// be told from a repeated submission.
-pub async fn submit(store: &dyn KvStore, cell: &str, job: Job<Accepted>) -> Result<JobRecord> {
+pub async fn submit(
+    store: &dyn KvStore,
+    cell: &str,
+    job: Job<Accepted>,
+    admit: impl Fn() -> Result<()>,
+) -> Result<JobRecord> {
     let (id, fingerprint) = (job.id(), job.header.fingerprint);
+    let may_exist = job.header.has_idempotency_key;
+    if !may_exist {
+        admit()?;
+    }
     // If the store is down, this read fails as "not run", whereas a failed write may have run.
     if let Some((existing, _)) = read_record(store, cell, id).await? {
         return match_submission(existing, fingerprint);
     }
+    if may_exist {
+        admit()?;
+    }
     let stored = JobRecord::from(job);
     let write_error = match put(store, cell, &stored, Precondition::Absent).await? {
         ConfirmedOutcome::Written { .. } => return Ok(stored),
--- a/components/jobs/tests/access.rs
+++ b/components/jobs/tests/access.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use common::{accepted, run};
-use errors::{ErrorKind, Verdict};
+use errors::{Error, ErrorKind, Verdict};
 use jobs::{JobRecord, ReplaceOutcome, read_record, replace_record, submit};
 use standin::{Outage, Selection, Server, StoreFaults, StoreSettings, start_store};
 use store::{HttpStore, HttpStoreSettings};
@@ -49,7 +49,7 @@
 async fn submit_accepts_after_lost_response() {
     let (server, store) = start().await;
     set_faults(&server, &lose_answers(1)).await;
-    let stored = submit(&store, "caribe", accepted(1, false, "b"))
+    let stored = submit(&store, "caribe", accepted(1, false, "b"), || Ok(()))
         .await
         .unwrap();
     assert_eq!(stored.state_name(), "accepted");
@@ -62,7 +62,7 @@
     let (server, store) = start().await;
     for kind in [Outage::Refuse, Outage::Hang] {
         set_faults(&server, &outage(kind)).await;
-        let report = submit(&store, "caribe", accepted(1, false, "b")).await;
+        let report = submit(&store, "caribe", accepted(1, false, "b"), || Ok(())).await;
         assert_eq!(
             report.unwrap_err().current_context().verdict,
             Verdict::NotRun
@@ -76,7 +76,7 @@
 #[tokio::test]
 async fn submit_returns_existing_job_only_for_same_submission() {
     let (_server, store) = start().await;
-    let first = submit(&store, "caribe", accepted(1, false, "b"))
+    let first = submit(&store, "caribe", accepted(1, false, "b"), || Ok(()))
         .await
         .unwrap();
     let JobRecord::Accepted(job) = first else {
@@ -88,21 +88,43 @@
         .await
         .unwrap();
     assert!(matches!(written, ReplaceOutcome::Written(_)));
-    let again = submit(&store, "caribe", accepted(1, false, "b"))
+    let again = submit(&store, "caribe", accepted(1, false, "b"), || Ok(()))
         .await
         .unwrap();
     assert_eq!(again, running);
     for other in [accepted(1, false, "c"), accepted(1, true, "b")] {
-        let report = submit(&store, "caribe", other).await.unwrap_err();
+        let report = submit(&store, "caribe", other, || Ok(()))
+            .await
+            .unwrap_err();
         assert_eq!(report.current_context().kind, ErrorKind::Conflict);
     }
 }
 
+/// Guards against a refusal, which says that a job does not run, for a job that was accepted before and runs.
+#[tokio::test]
+async fn submit_of_existing_job_needs_no_admission() {
+    let (_server, store) = start().await;
+    let keyed = |id| {
+        let mut job = accepted(id, false, "b");
+        job.header.has_idempotency_key = true;
+        job
+    };
+    let refuse = || Err(Error::not_run(ErrorKind::Overloaded, "the queue is full").report());
+    let first = submit(&store, "caribe", keyed(1), || Ok(())).await.unwrap();
+    let again = submit(&store, "caribe", keyed(1), refuse).await.unwrap();
+    assert_eq!(again, first);
+    for new in [keyed(2), accepted(2, false, "b")] {
+        let report = submit(&store, "caribe", new, refuse).await.unwrap_err();
+        assert_eq!(report.current_context().kind, ErrorKind::Overloaded);
+        assert_eq!(read_record(&store, "caribe", 2).await.unwrap(), None);
+    }
+}
+
 /// Guards against two outcomes of one job: only the first of two changes to one revision may take effect.
 #[tokio::test]
 async fn replace_rejects_stale_revision() {
     let (server, store) = start().await;
-    let JobRecord::Accepted(job) = submit(&store, "caribe", accepted(1, false, "b"))
+    let JobRecord::Accepted(job) = submit(&store, "caribe", accepted(1, false, "b"), || Ok(()))
         .await
         .unwrap()
     else {
