Keep what the native owner does not know out of directories

After a change of the owner of a native cell, the status of the entries said that the cell ran no gangs, had no free resources, no queue and no shortfalls, until the new owner had heard its agents; the gauges said the same. An entry that had just started accepted jobs beyond the limit of the cell.

The sections of the jobs and of the summary were empty at the beginning of an ownership and emptied at its end, directories passed them on as numbers, and entries took a missing number as 0. The epoch was also set before the controllers had dropped their earlier state, so the scheduler could decide on that of the ownership before.

An Ownership now has these sections, without a value until the jobs are listed and the gangs are known; directories leave out what is not known. Entries refuse jobs with 503 until an owner has told their number, keep the last number afterwards, and show a summary for 4 s at most. The scheduler decides only for the ownership that its state belongs to. An owner that was paused sends no directory until the store has answered it.

The decision on an earlier state and the pause of a native owner are from reading; no test shows them.

--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 use board::{Board, ConfigSnapshot, Section};
 use config::EntrySettings;
 use discovery::Locator;
 use indexmap::{IndexMap, IndexSet};
 use ingress::ClientBoard;
-use model::{CellId, RegionId, Resources, Revision};
+use model::{CellId, RegionId, Revision};
 use owner::Owner;
 use store::HttpStore;
 use timer::Timer;
@@ -23,8 +24,22 @@
 pub(crate) struct CellReport {
     pub(crate) region: RegionId,
     pub(crate) revision: Revision,
-    pub(crate) free: Resources,
-    pub(crate) summary: CellSummary,
+    /// State of the cell, if the owner knows it; read it with [`CellReport::summary`].
+    pub(crate) summary: Option<CellSummary>,
+    pub(crate) received: Instant,
+}
+
+/// How long the state of a cell is shown as the present one: the owner replies within 1 s, and a call to an owner that is lost ends
+/// after 2 s.
+const SUMMARY_VALIDITY: Duration = Duration::from_secs(4);
+
+impl CellReport {
+    /// Returns the state of the cell unless it is not known, or was reported too long ago because the owner is lost or this process
+    /// was paused.
+    pub(crate) fn summary(&self, now: Instant) -> Option<&CellSummary> {
+        let is_recent = now.saturating_duration_since(self.received) < SUMMARY_VALIDITY;
+        self.summary.as_ref().filter(|_| is_recent)
+    }
 }
 
 /// Board sections specific to the entry; each is written by a single controller.
@@ -32,7 +47,8 @@
 pub(crate) struct EntryBoard {
     /// The owner of each cell; written by the directory controller.
     pub(crate) owners: Section<IndexMap<CellId, OwnerRecord>>,
-    /// The number of asynchronous jobs without an outcome in each cell; written by the directory controller.
+    /// The number of asynchronous jobs without an outcome in each cell, as last told by an owner that knew it; written by the directory
+    /// controller.
     pub(crate) live_jobs: Section<IndexMap<CellId, u32>>,
     /// The names of all cells in the store, `None` until the first read; written by the directory controller.
     pub(crate) cells: Section<Option<Vec<CellId>>>,
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -155,9 +155,12 @@
         cx.entry_board.owners.update(|owners| {
             owners.insert(update.cell.clone(), update.owner.clone());
         });
-        cx.entry_board.live_jobs.update(|jobs| {
-            jobs.insert(update.cell.clone(), update.directory.live_jobs);
-        });
+        // While the owner has not listed the jobs, the last known number holds.
+        if let Some(live) = update.directory.live_jobs {
+            cx.entry_board.live_jobs.update(|jobs| {
+                jobs.insert(update.cell.clone(), live);
+            });
+        }
         report(&cx, &update);
         if !directories.apply(update) {
             continue;
@@ -223,8 +226,8 @@
         let report = CellReport {
             region: directory.region.clone(),
             revision: directory.revision,
-            free: directory.free,
             summary: directory.summary.clone(),
+            received: timer::now(),
         };
         reports.insert(update.cell.clone(), report);
     });
--- a/components/entry/src/http/status.rs
+++ b/components/entry/src/http/status.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use model::{AccountId, CellId, Epoch, Resources, Revision, WorkerId};
 use serde::Serialize;
-use wire::OwnerRecord;
+use wire::{CellSummary, OwnerRecord};
 
 use crate::context::{CellReport, Context};
 
@@ -31,11 +31,18 @@
     epoch: Epoch,
     region: Box<str>,
     config_revision: Revision,
-    free: Resources,
-    queued: u32,
-    gangs: u32,
-    guarantee_shortfalls: Vec<ShortfallStatus>,
-    quarantined_workers: Vec<WorkerId>,
+    /// Fields of the state of the cell, which are null while it is not known.
+    #[serde(flatten)]
+    state: CellState,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct CellState {
+    free: Option<Resources>,
+    queued: Option<u32>,
+    gangs: Option<u32>,
+    guarantee_shortfalls: Option<Vec<ShortfallStatus>>,
+    quarantined_workers: Option<Vec<WorkerId>>,
 }
 
 #[derive(Debug, Serialize)]
@@ -76,23 +83,29 @@
 }
 
 fn cell_status(cell: &CellId, owner: &OwnerRecord, report: &CellReport) -> CellStatus {
-    let summary = &report.summary;
-    let shortfalls = summary.shortfalls.iter();
-    let shortfalls = shortfalls.map(|(account, shape)| ShortfallStatus {
-        account: account.clone(),
-        shape: serde_json::from_str(shape).unwrap_or_default(),
-    });
+    let state = report.summary(timer::now()).map(cell_state);
     CellStatus {
         cell: cell.clone(),
         owner: owner.owner.clone(),
         epoch: owner.epoch,
         region: report.region.clone(),
         config_revision: report.revision,
-        free: report.free,
-        queued: summary.queued,
-        gangs: summary.gangs,
-        guarantee_shortfalls: shortfalls.collect(),
-        quarantined_workers: summary.quarantined.clone(),
+        state: state.unwrap_or_default(),
+    }
+}
+
+fn cell_state(summary: &CellSummary) -> CellState {
+    let shortfalls = summary.shortfalls.iter();
+    let shortfalls = shortfalls.map(|(account, shape)| ShortfallStatus {
+        account: account.clone(),
+        shape: serde_json::from_str(shape).unwrap_or_default(),
+    });
+    CellState {
+        free: Some(summary.free),
+        queued: Some(summary.queued),
+        gangs: Some(summary.gangs),
+        guarantee_shortfalls: Some(shortfalls.collect()),
+        quarantined_workers: Some(summary.quarantined.clone()),
     }
 }
 
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -18,6 +18,8 @@
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// `Retry-After` while the job queue of the cell is full; most jobs take hours.
 const QUEUE_RETRY_AFTER: Duration = Duration::from_mins(1);
+/// `Retry-After` while the number of jobs in the cell is not known; owners tell it at least once a second.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` for a result that is not available yet.
 const RESULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Attempts at the compare-and-swap of a cancellation; a job record changes only a few times in its lifetime.
@@ -78,8 +80,12 @@
 /// Rejects a job while the cell has as many as the policy allows; the known number may be up to a second old.
 fn check_queue(cx: &Context, cell: &str) -> Result<()> {
     let limit = cx.board.config.load().document.policy.queue_limit;
-    let live = cx.entry_board.live_jobs.load().get(cell).copied();
-    if live.unwrap_or_default() < limit {
+    let Some(live) = cx.entry_board.live_jobs.load().get(cell).copied() else {
+        let message = format!("no owner of cell {cell} has told the number of its jobs yet");
+        let error = Error::not_run(ErrorKind::Unavailable, message);
+        return Err(error.retry_after(UNKNOWN_RETRY_AFTER).report());
+    };
+    if live < limit {
         return Ok(());
     }
     let message = format!("cell {cell} has {limit} jobs without an outcome");
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -113,7 +113,16 @@
         self.datagrams.set(&cx.datagrams.counts().by_outcome());
         self.peer_bytes.set(&cx.peers.bytes().by_direction());
         for (cell, report) in cx.entry_board.reports.load().iter() {
-            let summary = &report.summary;
+            let Some(summary) = report.summary(timer::now()) else {
+                for gauge in [
+                    &self.cell_queued,
+                    &self.cell_shortfalls,
+                    &self.cell_quarantined,
+                ] {
+                    gauge.remove(cell);
+                }
+                continue;
+            };
             let shortfalls = summary.shortfalls.len() as u64;
             let quarantined = summary.quarantined.len() as u64;
             self.cell_queued.set(&[(cell, summary.queued.into())]);
--- a/components/membership/src/ownership.rs
+++ b/components/membership/src/ownership.rs
@@ -169,6 +169,11 @@
         self.state.lease
     }
 
+    /// Returns until when no other process can own the cell, as far as this one knows.
+    pub fn valid_until(&self) -> Instant {
+        self.state.recheck_at
+    }
+
     /// Returns whether reservations may be sent or the lease must be renewed first.
     pub fn send_decision(&self, now: Instant) -> SendDecision {
         if now < self.state.recheck_at {
--- a/components/owner/src/context.rs
+++ b/components/owner/src/context.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use board::{Board, Section};
 use model::{CellId, EntryId, Epoch, RegionId};
@@ -10,13 +9,13 @@
 use timer::Timer;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use wire::{CellSummary, DatagramSocket, EndpointEntry, Peers};
+use wire::{DatagramSocket, EndpointEntry, Peers};
 
 use crate::OwnerDependencies;
 use crate::claims::ClaimEvent;
-use crate::jobs::Jobs;
 use crate::members::MemberEvent;
 use crate::observations::ObservationEvent;
+use crate::published::Ownership;
 use crate::scheduler::SchedulerEvent;
 
 /// Settings of the owner.
@@ -52,13 +51,8 @@
     /// Higher epochs that agents report; they end the ownership.
     pub(crate) superseded_tx: mpsc::UnboundedSender<Epoch>,
     pub(crate) superseded_rx: tokio::sync::Mutex<mpsc::UnboundedReceiver<Epoch>>,
-    /// The asynchronous jobs of the cell; written by the jobs controller.
-    pub(crate) jobs: Section<Jobs>,
-    /// The state of the cell for operators; written by the summary controller.
-    pub(crate) summary: Section<CellSummary>,
-    epoch: AtomicU64,
-    recovering: AtomicBool,
-    epoch_changes: watch::Sender<Epoch>,
+    /// The ownership of this process, if it owns the cell; written by the ownership controller.
+    ownership: Section<Option<Arc<Ownership>>>,
 }
 
 type ContextWithReceivers = (
@@ -94,11 +88,7 @@
             resigning: CancellationToken::new(),
             superseded_tx,
             superseded_rx: tokio::sync::Mutex::new(superseded_rx),
-            jobs: Section::default(),
-            summary: Section::default(),
-            epoch: AtomicU64::new(0),
-            recovering: AtomicBool::new(false),
-            epoch_changes: watch::Sender::new(0),
+            ownership: Section::default(),
         };
         (
             Arc::new(cx),
@@ -109,29 +99,24 @@
         )
     }
 
-    /// Returns the epoch, or 0 while this process does not own the cell.
-    pub(crate) fn epoch(&self) -> Epoch {
-        self.epoch.load(Ordering::Acquire)
-    }
-
-    /// Sets the epoch; 0 ends the ownership.
-    pub(crate) fn set_epoch(&self, epoch: Epoch) {
-        self.epoch.store(epoch, Ordering::Release);
-        self.epoch_changes.send_replace(epoch);
+    /// Returns the ownership of this process, if it owns the cell.
+    pub(crate) fn ownership(&self) -> Option<Arc<Ownership>> {
+        Option::clone(&self.ownership.load())
     }
 
-    /// Returns a receiver that is notified when the ownership begins or ends.
-    pub(crate) fn epoch_changes(&self) -> watch::Receiver<Epoch> {
-        self.epoch_changes.subscribe()
+    /// Returns the epoch, or 0 while this process does not own the cell.
+    pub(crate) fn epoch(&self) -> Epoch {
+        let ownership = self.ownership.load();
+        ownership.as_ref().as_ref().map_or(0, |owned| owned.epoch)
     }
 
-    /// Returns whether the owner still waits for the announcements of agents after a takeover.
-    pub(crate) fn is_recovering(&self) -> bool {
-        self.recovering.load(Ordering::Acquire)
+    /// Begins an ownership, or ends it.
+    pub(crate) fn set_ownership(&self, ownership: Option<Arc<Ownership>>) {
+        self.ownership.publish(ownership);
     }
 
-    /// Begins or ends the wait for announcements.
-    pub(crate) fn set_recovering(&self, recovering: bool) {
-        self.recovering.store(recovering, Ordering::Release);
+    /// Returns a receiver that is notified when an ownership begins or ends.
+    pub(crate) fn ownership_changes(&self) -> watch::Receiver<u64> {
+        self.ownership.changes()
     }
 }
--- a/components/owner/src/jobs/attempt.rs
+++ b/components/owner/src/jobs/attempt.rs
@@ -9,6 +9,7 @@
 use wire::{Answer, Attach, Call, Dispatch, Reply};
 
 use crate::context::Context;
+use crate::jobs::OwnedContext;
 use crate::jobs::target::cancel_placement;
 
 /// Timeout for the dispatch of an attempt; allows for a body of 900 KB over a link of 30 Mbit/s.
@@ -48,7 +49,7 @@
 /// An agent that does not reply may have the outcome later. It is waited for unless its process has ended or nothing is gained:
 /// after `AGENT_LOSS_TIMEOUT` an idempotent job may run again, and a cancelled one ends with the same verdict anyway.
 pub(crate) async fn wait_for_outcome(
-    cx: &Context,
+    cx: &OwnedContext,
     id: JobId,
     run: &Run,
     idempotent: bool,
@@ -101,13 +102,12 @@
         .await
 }
 
-fn is_cancelling(cx: &Context, id: JobId) -> bool {
-    let jobs = cx.jobs.load();
-    jobs.live.get(&id).is_some_and(|live| live.cancelling)
+fn is_cancelling(cx: &OwnedContext, id: JobId) -> bool {
+    cx.jobs_satisfy(|jobs| jobs.live.get(&id).is_some_and(|live| live.cancelling))
 }
 
-async fn wait_for_cancel(cx: &Context, id: JobId) {
-    let mut changes = cx.jobs.changes();
+async fn wait_for_cancel(cx: &OwnedContext, id: JobId) {
+    let mut changes = cx.ownership.jobs.changes();
     while !is_cancelling(cx, id) {
         if changes.changed().await.is_err() {
             return;
@@ -116,9 +116,9 @@
 }
 
 /// Waits until another writer has recorded an outcome of the job, such as a cancellation while it was queued.
-pub(crate) async fn wait_for_end(cx: &Context, id: JobId) {
-    let mut changes = cx.jobs.changes();
-    while cx.jobs.load().live.contains_key(&id) {
+pub(crate) async fn wait_for_end(cx: &OwnedContext, id: JobId) {
+    let mut changes = cx.ownership.jobs.changes();
+    while cx.jobs_satisfy(|jobs| jobs.live.contains_key(&id)) {
         if changes.changed().await.is_err() {
             return;
         }
--- a/components/owner/src/jobs/controller.rs
+++ b/components/owner/src/jobs/controller.rs
@@ -10,8 +10,8 @@
 
 use crate::context::Context;
 use crate::jobs::runner::run_job;
-use crate::jobs::section::{JobUpdate, Jobs};
-use crate::jobs::{sweep, watch};
+use crate::jobs::section::JobUpdate;
+use crate::jobs::{OwnedContext, sweep, watch};
 
 /// Maximum number of jobs that one owner runs or queues for placement at the same time. A runner keeps at most 64 KB of a
 /// body while it waits.
@@ -21,39 +21,39 @@
 
 /// Runs the jobs of the cell during each ownership until the process ends.
 pub(crate) async fn run(cx: Arc<Context>) {
-    let mut epochs = cx.epoch_changes();
+    let mut changes = cx.ownership_changes();
     loop {
-        if *epochs.borrow_and_update() == 0 {
-            if epochs.changed().await.is_err() {
+        changes.mark_unchanged();
+        let Some(ownership) = cx.ownership() else {
+            if changes.changed().await.is_err() {
                 return;
             }
             continue;
-        }
-        cx.jobs.publish(Jobs {
-            owned_since: Some(timer::now()),
-            ..Jobs::default()
-        });
+        };
+        let owned = OwnedContext {
+            cx: Arc::clone(&cx),
+            ownership,
+        };
         // Dispatched attempts continue on their agents; the next owner attaches to them.
         tokio::select! {
-            () = run_jobs(&cx) => {}
-            _ = epochs.changed() => {}
+            () = run_jobs(&owned) => {}
+            _ = changes.changed() => {}
         }
-        cx.jobs.publish(Jobs::default());
     }
 }
 
-async fn run_jobs(cx: &Arc<Context>) {
+async fn run_jobs(cx: &OwnedContext) {
     let (tx, mut rx) = mpsc::channel(CHANNEL_CAPACITY);
     let mut background = JoinSet::new();
-    background.spawn(watch::run(Arc::clone(cx), tx.clone()));
-    background.spawn(sweep::run(Arc::clone(cx), tx));
+    background.spawn(watch::run(cx.clone(), tx.clone()));
+    background.spawn(sweep::run(cx.clone(), tx));
     let mut runners: JoinSet<JobUpdate> = JoinSet::new();
     let mut running: IndexSet<JobId> = IndexSet::new();
     let mut membership = cx.board.membership.changes();
     refresh_routes(&cx.board, &cx.settings.region);
     loop {
         tokio::select! {
-            Some(batch) = rx.recv() => cx.jobs.update(|jobs| batch.into_iter().for_each(|update| jobs.apply(update))),
+            Some(batch) = rx.recv() => cx.update_jobs(|jobs| batch.into_iter().for_each(|update| jobs.apply(update))),
             Some(joined) = runners.join_next() => finish_runner(cx, &mut running, joined),
             Ok(()) = membership.changed() => {
                 refresh_routes(&cx.board, &cx.settings.region);
@@ -65,7 +65,7 @@
 }
 
 fn finish_runner(
-    cx: &Context,
+    cx: &OwnedContext,
     running: &mut IndexSet<JobId>,
     joined: Result<JobUpdate, tokio::task::JoinError>,
 ) {
@@ -74,7 +74,7 @@
             let (JobUpdate::Live(id, _) | JobUpdate::Ended(id, _) | JobUpdate::Deleted(id)) =
                 &update;
             running.swap_remove(id);
-            cx.jobs.update(|jobs| jobs.apply(update));
+            cx.update_jobs(|jobs| jobs.apply(update));
         }
         Err(e) => log::error!(target: "limpethook", error:% = e; "job_runner_failed"),
     }
@@ -82,11 +82,14 @@
 
 /// Starts the oldest jobs that have no runner.
 fn start_runners(
-    cx: &Arc<Context>,
+    cx: &OwnedContext,
     runners: &mut JoinSet<JobUpdate>,
     running: &mut IndexSet<JobId>,
 ) {
-    let jobs = cx.jobs.load();
+    let jobs = cx.ownership.jobs.load();
+    let Some(jobs) = jobs.as_ref() else {
+        return;
+    };
     let mut waiting: Vec<_> = jobs
         .live
         .iter()
@@ -97,6 +100,6 @@
     let capacity = MAX_RUNNERS.saturating_sub(runners.len());
     for (_, id) in waiting.into_iter().take(capacity) {
         running.insert(id);
-        runners.spawn(run_job(Arc::clone(cx), id));
+        runners.spawn(run_job(cx.clone(), id));
     }
 }
--- a/components/owner/src/jobs/runner.rs
+++ b/components/owner/src/jobs/runner.rs
@@ -1,6 +1,5 @@
 //! The runner of one job: advances its record from state to state until the job has an outcome.
 
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
@@ -13,6 +12,7 @@
 use wire::Answer;
 
 use crate::context::Context;
+use crate::jobs::OwnedContext;
 use crate::jobs::attempt::{dispatch, wait_for_end, wait_for_outcome};
 use crate::jobs::persist::{put_chunk, read_record, replace_record};
 use crate::jobs::section::JobUpdate;
@@ -28,7 +28,7 @@
 type CurrentRecord = Option<(JobRecord, Revision)>;
 
 /// Runs a job until its record has an outcome or is deleted, and returns that state.
-pub(crate) async fn run_job(cx: Arc<Context>, id: JobId) -> JobUpdate {
+pub(crate) async fn run_job(cx: OwnedContext, id: JobId) -> JobUpdate {
     let mut current = None;
     // Dropped when the attempt ends, so that it no longer counts as in flight at its endpoint.
     let mut target = None;
@@ -67,7 +67,7 @@
 
 /// Waits for a target, records the attempt and only then dispatches it to the agent.
 async fn start_attempt(
-    cx: &Context,
+    cx: &OwnedContext,
     mut job: Job<Accepted>,
     revision: Revision,
     held_target: &mut Option<Target>,
@@ -130,10 +130,10 @@
     max.mul_f64(0.5 + 0.5 * fastrand::f64())
 }
 
-fn new_run(cx: &Context, job: &Job<Accepted>, target: &Target) -> Run {
+fn new_run(cx: &OwnedContext, job: &Job<Accepted>, target: &Target) -> Run {
     Run {
         attempt: job.state.attempts + 1,
-        epoch: cx.epoch(),
+        epoch: cx.ownership.epoch,
         agent: target.agent.clone(),
         agent_addr: target.addr,
         incarnation: target.incarnation,
@@ -150,7 +150,7 @@
 }
 
 /// Waits for the outcome of a recorded attempt and records the next state of the job.
-async fn await_attempt<S>(cx: &Context, job: &Job<S>, run: &Run) -> CurrentRecord {
+async fn await_attempt<S>(cx: &OwnedContext, job: &Job<S>, run: &Run) -> CurrentRecord {
     let id = job.id();
     let idempotent = job.header.request.idempotent;
     let deadline = timer::now() + job.remaining(SystemTime::now());
--- a/components/owner/src/jobs/section.rs
+++ b/components/owner/src/jobs/section.rs
@@ -1,6 +1,6 @@
 //! The section of asynchronous jobs, as last read from the store.
 
-use std::time::{Instant, SystemTime};
+use std::time::SystemTime;
 
 use indexmap::IndexMap;
 use jobs::JobRecord;
@@ -9,8 +9,6 @@
 /// The asynchronous jobs of the cell.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Jobs {
-    /// When this process began to own the cell; `None` while it does not.
-    pub(crate) owned_since: Option<Instant>,
     /// Jobs without an outcome.
     pub(crate) live: IndexMap<JobId, LiveJob>,
     /// Jobs with an outcome that the store still contains.
--- a/components/owner/src/jobs/sweep.rs
+++ b/components/owner/src/jobs/sweep.rs
@@ -1,6 +1,5 @@
 //! Deletes jobs whose outcome has passed its retention time.
 
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use errors::Result;
@@ -10,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::context::Context;
+use crate::jobs::OwnedContext;
 use crate::jobs::section::{EndedJob, JobUpdate};
 
 /// How long a caller can read the outcome of a job.
@@ -20,7 +20,7 @@
 const SWEEP_BATCH: usize = 64;
 
 /// Deletes expired jobs until the receiver is dropped.
-pub(crate) async fn run(cx: Arc<Context>, tx: mpsc::Sender<Vec<JobUpdate>>) {
+pub(crate) async fn run(cx: OwnedContext, tx: mpsc::Sender<Vec<JobUpdate>>) {
     let mut ticks = cx.timer.subscribe_every(SWEEP_INTERVAL);
     while ticks.recv().await.is_some() {
         for (id, ended) in expired_jobs(&cx, SystemTime::now()) {
@@ -36,8 +36,11 @@
     }
 }
 
-fn expired_jobs(cx: &Context, now: SystemTime) -> Vec<(JobId, EndedJob)> {
-    let jobs = cx.jobs.load();
+fn expired_jobs(cx: &OwnedContext, now: SystemTime) -> Vec<(JobId, EndedJob)> {
+    let jobs = cx.ownership.jobs.load();
+    let Some(jobs) = jobs.as_ref() else {
+        return Vec::new();
+    };
     let is_expired = |ended: &EndedJob| {
         now.duration_since(ended.at)
             .is_ok_and(|age| age >= OUTCOME_RETENTION)
--- a/components/owner/src/jobs/watch.rs
+++ b/components/owner/src/jobs/watch.rs
@@ -1,6 +1,5 @@
 //! Lists and watches the job records of the cell.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use errors::Result;
@@ -10,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::context::Context;
+use crate::jobs::OwnedContext;
 use crate::jobs::persist::wait_before_retry;
 use crate::jobs::section::JobUpdate;
 
@@ -17,7 +17,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// Sends all records, and then their changes, until the receiver is dropped.
-pub(crate) async fn run(cx: Arc<Context>, tx: mpsc::Sender<Vec<JobUpdate>>) {
+pub(crate) async fn run(cx: OwnedContext, tx: mpsc::Sender<Vec<JobUpdate>>) {
     let prefix = job_prefix(&cx.settings.cell);
     let mut after: Option<Revision> = None;
     loop {
@@ -27,8 +27,9 @@
         };
         match result {
             Ok(Some((updates, revision))) => {
-                after = Some(revision);
-                if !updates.is_empty() && tx.send(updates).await.is_err() {
+                // The first listing tells that the jobs are known, even if there are none.
+                let is_listing = after.replace(revision).is_none();
+                if (is_listing || !updates.is_empty()) && tx.send(updates).await.is_err() {
                     return;
                 }
             }
--- a/components/owner/src/lib.rs
+++ b/components/owner/src/lib.rs
@@ -7,6 +7,7 @@
 mod members;
 mod observations;
 mod ownership;
+mod published;
 mod recovery;
 mod scheduler;
 mod serve;
--- a/components/owner/src/ownership.rs
+++ b/components/owner/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Acquires, renews and gives up the ownership of the cell.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use discovery::cell_key;
@@ -15,12 +15,16 @@
 use crate::context::Context;
 use crate::members::MemberEvent;
 use crate::observations::ObservationEvent;
+use crate::published::Ownership;
 use crate::scheduler::SchedulerEvent;
 
 /// Prefix of the keys that exist while a cell has an owner.
 const HOLDERS_PREFIX: &str = "holders/";
 /// How long a candidate waits for the holder key to change before it reads it again.
 const HOLDER_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an attempt to renew the lease that the store left unanswered tells that this process was not paused. In an outage, two
+/// attempts end at most 3 s after each other: the interval of the renewals and the timeout of a call.
+const ATTEMPT_VALIDITY: Duration = Duration::from_secs(4);
 /// Range of the delay after a failed attempt, in milliseconds; random so that candidates do not collide again.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 100..400;
 
@@ -150,12 +154,12 @@
 /// Holds the cell and renews the lease until the ownership is lost or given up.
 async fn renew_until_lost(cx: &Arc<Context>, mut duty: Duty<Holder>) {
     let epoch = duty.state.epoch;
-    begin_ownership(cx, epoch);
+    let ownership = begin_ownership(cx, epoch, duty.valid_until());
     let mut renewals = cx.timer.subscribe_every(RENEW_INTERVAL);
     let mut higher_epochs = cx.superseded_rx.lock().await;
     loop {
         let next = tokio::select! {
-            _ = renewals.recv() => renew(cx, duty).await,
+            _ = renewals.recv() => renew(cx, duty, &ownership).await,
             Some(agent_epoch) = higher_epochs.recv() => duty.observe_epoch(agent_epoch),
             () = cx.resigning.cancelled() => {
                 let _ = cx.store.revoke_lease(duty.lease()).await;
@@ -189,37 +193,47 @@
 async fn renew(
     cx: &Context,
     duty: Duty<Holder>,
+    ownership: &Ownership,
 ) -> std::result::Result<Duty<Holder>, model::EntryId> {
     let requested_at = timer::now();
     let renewal = match cx.store.renew_lease(duty.lease()).await {
-        Ok(true) => RenewalOutcome::Renewed,
+        Ok(true) => {
+            ownership.extend(requested_at + OWNER_LEASE_TERM);
+            RenewalOutcome::Renewed
+        }
         Ok(false) => RenewalOutcome::Expired,
-        Err(_) => RenewalOutcome::NoAnswer,
+        Err(_) => {
+            ownership.extend(timer::now() + ATTEMPT_VALIDITY);
+            RenewalOutcome::NoAnswer
+        }
     };
     duty.apply_renewal(renewal, requested_at, timer::now())
 }
 
-fn begin_ownership(cx: &Context, epoch: u64) {
+fn begin_ownership(cx: &Context, epoch: u64, valid_until: Instant) -> Arc<Ownership> {
     log::info!(target: "limpethook", cell:% = cx.settings.cell, epoch = epoch; "cell_owned");
     // No gang can run before the first owner, so only later owners wait for announcements.
     let recover = epoch > 1;
-    cx.set_recovering(recover);
-    cx.set_epoch(epoch);
-    reset_controllers(cx, epoch, recover);
+    let ownership = Ownership::new(epoch, valid_until);
+    cx.set_ownership(Some(Arc::clone(&ownership)));
+    reset_controllers(cx, Some(Arc::clone(&ownership)), recover);
+    ownership
 }
 
-fn reset_controllers(cx: &Context, epoch: u64, recover: bool) {
+fn reset_controllers(cx: &Context, ownership: Option<Arc<Ownership>>, recover: bool) {
+    let epoch = ownership.as_ref().map_or(0, |owned| owned.epoch);
     // The scheduler must drop its earlier state before the membership controller reports gangs to it.
-    let _ = cx.scheduler_tx.send(SchedulerEvent::Reset { recover });
+    let _ = cx
+        .scheduler_tx
+        .send(SchedulerEvent::Reset { ownership, recover });
     let _ = cx.members_tx.send(MemberEvent::Reset { epoch });
     let _ = cx.observations_tx.send(ObservationEvent::Reset);
 }
 
 fn end_ownership(cx: &Context, epoch: u64) {
     log::info!(target: "limpethook", cell:% = cx.settings.cell, epoch = epoch; "cell_released");
-    cx.set_epoch(0);
-    cx.set_recovering(false);
-    reset_controllers(cx, 0, false);
+    cx.set_ownership(None);
+    reset_controllers(cx, None, false);
 }
 
 /// Gives up the ownership and waits until it has ended.
--- a/components/owner/src/scheduler.rs
+++ b/components/owner/src/scheduler.rs
@@ -13,6 +13,7 @@
 
 use crate::actions::{end_leaderless, execute};
 use crate::context::Context;
+use crate::published::Ownership;
 use crate::recovery::{GangReport, Recovery};
 
 /// How often time-dependent decisions are made.
@@ -26,8 +27,11 @@
 /// An event for the placement controller.
 #[derive(Debug)]
 pub(crate) enum SchedulerEvent {
-    /// The ownership began or ended; with `recover`, the owner first waits for the gangs of earlier owners.
-    Reset { recover: bool },
+    /// The ownership began, or ended if there is none; with `recover`, the owner first waits for the gangs of earlier owners.
+    Reset {
+        ownership: Option<Arc<Ownership>>,
+        recover: bool,
+    },
     /// An event for `placement::step`.
     Placement(Event),
     /// A caller submits a request, or waits again for one that was submitted before.
@@ -62,6 +66,8 @@
 /// The state of the controller besides the sections that it writes.
 #[derive(Default)]
 struct State {
+    /// The ownership to which the state belongs.
+    ownership: Option<Arc<Ownership>>,
     deliveries: Deliveries,
     recovery: Recovery,
 }
@@ -85,23 +91,24 @@
         for event in batch.drain(..) {
             apply_event(&cx, &mut state, event, &mut events);
         }
-        if cx.epoch() == 0 {
+        let owned = state.ownership.clone();
+        let Some(ownership) = owned.filter(|owned| owned.epoch == cx.epoch()) else {
             events.clear();
             continue;
-        }
+        };
         // Events stay queued until the gangs of earlier owners are known.
         if !state.recovery.is_waiting(timer::now()) {
             decide(&cx, &mut state, std::mem::take(&mut events));
+            if ownership.end_recovery() {
+                let gangs = cx.board.fleet.load().running.len();
+                log::info!(target: "limpethook", epoch = ownership.epoch, gangs = gangs; "cell_recovered");
+            }
         }
     }
 }
 
 fn decide(cx: &Arc<Context>, state: &mut State, mut events: Vec<Event>) {
     let now = timer::now();
-    if cx.is_recovering() {
-        cx.set_recovering(false);
-        log::info!(target: "limpethook", gangs = events.iter().filter(|e| is_recovered(e)).count(); "cell_recovered");
-    }
     let leaderless = state.recovery.take_leaderless(&cx.board.fleet.load(), now);
     for event in &leaderless {
         if let Event::Recovered { gang, .. } = event {
@@ -126,15 +133,14 @@
     error.kind == ErrorKind::Infeasible && state.recovery.is_settling(now)
 }
 
-fn is_recovered(event: &Event) -> bool {
-    matches!(event, Event::Recovered { .. })
-}
-
 fn apply_event(cx: &Context, state: &mut State, event: SchedulerEvent, events: &mut Vec<Event>) {
     let now = timer::now();
     match event {
-        SchedulerEvent::Reset { recover } => {
-            *state = State::default();
+        SchedulerEvent::Reset { ownership, recover } => {
+            *state = State {
+                ownership,
+                ..State::default()
+            };
             if recover {
                 state.recovery = Recovery::begin(now);
             }
--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -6,18 +6,17 @@
 use board::Membership;
 use errors::{Error, ErrorKind, Result};
 use membership::liveness::SILENCE_LIMIT;
-use model::{Endpoint, JobId, Resources};
+use model::{Endpoint, JobId};
 use placement::{Event, GangEnd};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use wire::{
-    Announce, Call, Cancel, CellSummary, Directory, EndpointEntry, GangEnded, Place, Placed, Reply,
-};
+use wire::{Announce, Call, Cancel, Directory, EndpointEntry, GangEnded, Place, Placed, Reply};
 
 use crate::claims;
 use crate::context::Context;
 use crate::members::MemberEvent;
 use crate::observations;
+use crate::published::Ownership;
 use crate::scheduler::SchedulerEvent;
 
 /// How long a directory call waits for a change before it is answered without one.
@@ -147,8 +146,9 @@
         Ok(Err(_)) | Err(_) => after,
     };
     let membership = cx.board.membership.load();
-    if membership.epoch != cx.epoch() || membership.epoch == 0 {
-        // The section is cleared when the ownership ends; an error makes the entry keep the endpoints that it knows.
+    // An error makes the entry keep the endpoints that it knows.
+    let ownership = current_ownership(cx)?;
+    if membership.epoch != ownership.epoch {
         return Err(ownership_moved());
     }
     let endpoints = if version == after {
@@ -156,24 +156,32 @@
     } else {
         Vec::clone(&cx.directory.load())
     };
-    let fleet = cx.board.fleet.load();
+    let live_jobs = ownership
+        .jobs
+        .load()
+        .as_ref()
+        .as_ref()
+        .map(|jobs| jobs.live.len());
     Ok(Reply::Directory(Directory {
         version,
-        epoch: cx.epoch(),
+        epoch: ownership.epoch,
         revision: cx.board.config.load().revision,
-        recovering: cx.is_recovering(),
-        live_jobs: u32::try_from(cx.jobs.load().live.len()).unwrap_or(u32::MAX),
+        recovering: ownership.is_recovering(),
+        live_jobs: live_jobs.map(|live| u32::try_from(live).unwrap_or(u32::MAX)),
         endpoints,
-        free: fleet
-            .free
-            .iter()
-            .fold(Resources::default(), |sum, free| sum.saturating_add(*free)),
         region: cx.settings.region.clone(),
-        summary: CellSummary::clone(&cx.summary.load()),
+        summary: Option::clone(&ownership.summary.load()),
         settled: is_settled(&membership, timer::now()),
     }))
 }
 
+/// Returns the ownership, or an error if this process does not own the cell, or was paused and may have been replaced.
+fn current_ownership(cx: &Context) -> Result<Arc<Ownership>> {
+    let ownership = cx.ownership();
+    let current = ownership.filter(|owned| owned.is_current(timer::now()));
+    current.ok_or_else(ownership_moved)
+}
+
 /// Returns whether every live agent has had time to announce itself to this owner.
 fn is_settled(membership: &Membership, now: Instant) -> bool {
     membership.epoch == 1
--- a/components/owner/src/summary.rs
+++ b/components/owner/src/summary.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use model::Resources;
 use placement::guarantee_shortfall;
 use wire::CellSummary;
 
@@ -15,12 +16,11 @@
 pub(crate) async fn run(cx: Arc<Context>) {
     let mut ticks = cx.timer.subscribe_every(SUMMARY_INTERVAL);
     while ticks.recv().await.is_some() {
-        let summary = if cx.epoch() == 0 {
-            CellSummary::default()
-        } else {
-            summarize(&cx)
-        };
-        cx.summary.publish(summary);
+        if let Some(ownership) = cx.ownership()
+            && !ownership.is_recovering()
+        {
+            ownership.summary.publish(Some(summarize(&cx)));
+        }
     }
 }
 
@@ -34,7 +34,9 @@
         let shape = serde_json::to_string(&shortfall.shape).unwrap_or_default();
         (shortfall.account, shape.into())
     });
+    let free = fleet.free.iter();
     CellSummary {
+        free: free.fold(Resources::default(), |sum, free| sum.saturating_add(*free)),
         queued: saturating_u32(queue.queued.len()),
         gangs: saturating_u32(fleet.running.len()),
         shortfalls: shortfalls.collect(),
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -50,6 +50,12 @@
             self.0.with_label_values(&[label]).set(value);
         }
     }
+
+    /// Removes the gauge of a label value, which is no longer known.
+    pub fn remove(&self, label: &str) {
+        // Fails only if there is no such gauge.
+        let _ = self.0.remove_label_values(&[label]);
+    }
 }
 
 struct TextHandler<F>(F);
--- a/components/wire/src/messages/cells.rs
+++ b/components/wire/src/messages/cells.rs
@@ -74,14 +74,12 @@
     pub recovering: bool,
     /// Endpoints; empty if the entry already has this version.
     pub endpoints: Vec<EndpointEntry>,
-    /// Free resources of the cell.
-    pub free: Resources,
-    /// Number of asynchronous jobs without an outcome.
-    pub live_jobs: u32,
+    /// Number of asynchronous jobs without an outcome, once the owner has listed them.
+    pub live_jobs: Option<u32>,
     /// Region of the owner.
     pub region: RegionId,
-    /// State of the cell for operators.
-    pub summary: CellSummary,
+    /// State of the cell for operators, once the owner knows it.
+    pub summary: Option<CellSummary>,
     /// Whether every live agent has had enough time to announce itself to this owner.
     pub settled: bool,
 }
@@ -89,6 +87,8 @@
 /// The state of a cell for operators.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct CellSummary {
+    /// Free resources of the cell.
+    pub free: Resources,
     /// Number of jobs that are waiting for capacity.
     pub queued: u32,
     /// Number of running gangs.
