Refuse to list the workers of a cell that its owner does not know

After a change of the owner of a native cell, `GET /v1/workers` answered with an empty list for some seconds. `limpethook config` compares guarantees with it, so guarantees seemed not to fit.

The owner answered from the fleet section, which is empty until the agents have announced themselves. It now refuses the call, with the time after which to come back, until it has recovered and every live agent has had time to announce itself.

--- a/components/owner/src/serve.rs
+++ b/components/owner/src/serve.rs
@@ -42,9 +42,7 @@
         }
         Call::Claim(claim) => claims::submit(cx, claim).await.map(Reply::Claimed),
         Call::GangEnded(ended) => handle_gang_ended(cx, ended).await,
-        Call::Workers => Ok(Reply::Workers(
-            cx.board.fleet.load().workers.values().cloned().collect(),
-        )),
+        Call::Workers => read_workers(cx),
         Call::Directory { after } => read_directory(cx, after).await,
         _ => Err(Error::not_run(
             ErrorKind::NotFound,
@@ -137,6 +135,23 @@
     Ok(Reply::Done)
 }
 
+/// Returns the workers of the cell, or an error while agents of an earlier owner may be missing: without them, guarantees would seem
+/// not to fit.
+fn read_workers(cx: &Context) -> Result<Reply> {
+    let ownership = current_ownership(cx)?;
+    let membership = cx.board.membership.load();
+    let is_known = membership.epoch == ownership.epoch
+        && !ownership.is_recovering()
+        && is_settled(&membership, timer::now());
+    if !is_known {
+        let message = "the owner of the cell has changed and does not know all workers yet";
+        let error = Error::not_run(ErrorKind::Unavailable, message);
+        return Err(error.retry_after(SETTLE_TIME).report());
+    }
+    let fleet = cx.board.fleet.load();
+    Ok(Reply::Workers(fleet.workers.values().cloned().collect()))
+}
+
 /// Returns the directory once it is newer than `after`, or without endpoints after `DIRECTORY_WAIT`.
 async fn read_directory(cx: &Context, after: u64) -> Result<Reply> {
     let mut changes = cx.directory.changes();
--- a/tests/published.rs
+++ b/tests/published.rs
@@ -47,6 +47,17 @@
         self.cluster.url(self.other)
     }
 
+    /// Returns the number of workers of the cell, or `None` if the entry doesn't state it.
+    async fn workers(&self) -> Result<Option<usize>> {
+        let url = format!("{}/v1/workers", self.url());
+        let res = self.cluster.caller.http().get(url).send().await?;
+        if !res.status().is_success() {
+            return Ok(None);
+        }
+        let cells: Value = res.json().await?;
+        Ok(Some(cells["caribe"].as_array().map_or(0, Vec::len)))
+    }
+
     /// Returns the cell as the status of the entry shows it.
     async fn cell(&self) -> Result<Value> {
         let status = self.cluster.deployment.status(self.url()).await?;
@@ -54,6 +65,30 @@
     }
 }
 
+/// Guards against a configuration whose guarantees are refused because a new owner states that its cell has no workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_across_takeover_are_complete_or_refused() -> Result<()> {
+    let mut fixture = Fixture::start().await?;
+    wait_until("the workers are known", WAIT_TIMEOUT, async || {
+        fixture
+            .workers()
+            .await
+            .is_ok_and(|workers| workers == Some(AGENTS))
+    })
+    .await?;
+    let owner = fixture.owner.clone();
+    fixture.cluster.deployment.kill(&owner)?;
+    let end = Instant::now() + TAKEOVER;
+    let mut last = None;
+    while Instant::now() < end {
+        last = fixture.workers().await?;
+        assert!(last.is_none_or(|workers| workers == AGENTS), "{last:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert_eq!(last, Some(AGENTS), "the new owner states its workers");
+    Ok(())
+}
+
 /// Guards against jobs beyond the limit of a cell, which are accepted because a new owner has not read the jobs of the cell and counts none.
 #[tokio::test(flavor = "multi_thread")]
 async fn queue_limit_holds_across_takeover() -> Result<()> {
