Count the seeds as entries until the members are known

An entry that started while it could not reach the store relayed as many jobs without asking the owner as all entries together may, so that a restart of several entries could exceed the room for jobs several times over.

Cause: the section of the members was an empty list until the store had been read, and the share of an entry was computed from its length. The section now has no value until then, which replaces the flag that its readers had to check, and the share is computed from the seeds.

--- a/components/cell/src/admission.rs
+++ b/components/cell/src/admission.rs
@@ -192,8 +192,7 @@
 
     /// Reserves room for a job without asking the owner, if this entry has stored little that the owner does not know.
     fn hold_unasked(&self, account: &AccountId, bytes: usize) -> Option<Admission> {
-        let entries = self.board.members.load().entries.len();
-        let unasked = decide::unasked_bytes(self.job_capacity(), entries);
+        let unasked = decide::unasked_bytes(self.job_capacity(), self.entry_count());
         self.admissions.hold_if(account, bytes, |pending| {
             let unknown = self.admissions.unknown_to_owner(pending);
             unknown.saturating_add(bytes) <= unasked
@@ -268,7 +267,7 @@
     /// Returns the room for jobs of the owner. Any entry may be the next one, so that the smallest decides.
     fn job_capacity(&self) -> usize {
         let members = self.board.members.load();
-        let entries = members.entries.values();
+        let entries = members.iter().flat_map(|members| members.entries.values());
         let stated = entries.filter_map(|entry| entry.job_bytes);
         let others = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
         others.fold(self.clients.capacity().jobs, usize::min)
--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -26,8 +26,8 @@
     pub(crate) in_force: Section<InForce>,
     /// Evacuated data centres; written by the check of the configuration.
     pub(crate) evacuations: Section<Evacuations>,
-    /// Entries and owner of the cell; written by the members controller.
-    pub(crate) members: Section<Members>,
+    /// Entries and owner of the cell, once the store has been read; written by the members controller.
+    pub(crate) members: Section<Option<Members>>,
     /// Newest owner announced by another entry; written by the handler of announcements.
     pub(crate) announced_leader: Section<Option<Leader>>,
     /// The owner in this process, once it has loaded its records, with the board that it writes; written by the ownership
@@ -38,7 +38,11 @@
 impl CellBoard {
     /// Returns the known owner with the highest epoch.
     pub(crate) fn leader(&self) -> Option<Leader> {
-        let stored = self.members.load().leader.clone();
+        let members = self.members.load();
+        let stored = members
+            .as_ref()
+            .as_ref()
+            .and_then(|known| known.leader.clone());
         let announced = self.announced_leader.load().as_ref().clone();
         stored
             .into_iter()
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -266,7 +266,8 @@
     /// Returns the addresses of the other entries, registered ones first and then seeds.
     pub(crate) fn other_entries(&self) -> Vec<SocketAddr> {
         let members = self.board.members.load();
-        let known = members.entries.values().map(|record| record.addr);
+        let known = members.iter().flat_map(|members| members.entries.values());
+        let known = known.map(|record| record.addr);
         let seeds = self.settings.seeds.iter().copied();
         let mut others: Vec<SocketAddr> = Vec::new();
         for addr in known.chain(seeds) {
@@ -277,6 +278,14 @@
         others
     }
 
+    /// Returns how many entries the cell has. Until the members are known, the seeds count, because all of them may start at once.
+    pub(crate) fn entry_count(&self) -> usize {
+        match self.board.members.load().as_ref() {
+            Some(members) => members.entries.len(),
+            None => self.other_entries().len() + 1,
+        }
+    }
+
     /// Returns whether the last store call went unanswered.
     pub(crate) fn is_store_lost(&self) -> bool {
         self.store_availability.is_lost()
--- a/components/cell/src/members.rs
+++ b/components/cell/src/members.rs
@@ -31,8 +31,6 @@
 pub(crate) struct Members {
     pub(crate) leader: Option<Leader>,
     pub(crate) entries: IndexMap<EntryId, EntryRecord>,
-    /// Whether the store has been read since the process started.
-    pub(crate) loaded: bool,
 }
 
 /// Follows the members for the lifetime of the process.
@@ -48,15 +46,12 @@
 async fn watch_store(entry: &Entry) -> Result<()> {
     let list_at = boot_now() + LIST_INTERVAL;
     let listing = entry.store.list(CELL_PREFIX).await?;
-    let mut members = Members {
-        loaded: true,
-        ..Members::default()
-    };
+    let mut members = Members::default();
     listing
         .pairs
         .iter()
         .for_each(|found| apply_put(&mut members, found));
-    publish(entry, members);
+    publish(entry, &members);
     entry.record_store_result(true, &"members listed");
     let mut after = listing.revision;
     while boot_now() < list_at {
@@ -75,32 +70,30 @@
         if changes.is_empty() {
             continue;
         }
-        let mut members = Members::clone(&entry.board.members.load());
         for change in changes {
             match change {
                 Change::Put(found) => apply_put(&mut members, &found),
                 Change::Deleted { key, .. } => apply_delete(&mut members, &key),
             }
         }
-        publish(entry, members);
+        publish(entry, &members);
     }
     Ok(())
 }
 
-fn publish(entry: &Entry, members: Members) {
-    let before = entry
-        .board
-        .members
-        .load()
-        .leader
+fn publish(entry: &Entry, members: &Members) {
+    let known = entry.board.members.load();
+    let before = known
         .as_ref()
-        .map(|leader| leader.epoch);
+        .as_ref()
+        .and_then(|known| known.leader.as_ref());
+    let before = before.map(|leader| leader.epoch);
     let now = members.leader.as_ref().map(|leader| leader.epoch);
     if before != now {
         let name = members.leader.as_ref().map_or("", |leader| &leader.entry);
         log::info!(target: "limpethook", owner = name, epoch = now.unwrap_or(0); "owner_changed");
     }
-    entry.board.members.publish(members);
+    entry.board.members.publish(Some(members.clone()));
     if let Some(epoch) = now {
         entry.board.end_owner_before(epoch);
     }
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -93,15 +93,20 @@
     /// is no lease to wait for.
     async fn wait_until_vacant(&self) -> Option<Revision> {
         let mut changes = self.entry.board.members.changes();
-        let members = self.entry.board.members.snapshot();
-        match &members.leader {
-            Some(leader) if leader.entry == self.entry.settings.entry => return Some(leader.epoch),
-            None if members.loaded => {
-                tokio::time::sleep(self.acquisition_delay(&members)).await;
-                let still_vacant = self.entry.board.members.load().leader.is_none();
-                return still_vacant.then_some(0);
+        if let Some(members) = self.entry.board.members.snapshot().as_ref() {
+            match &members.leader {
+                Some(leader) if leader.entry == self.entry.settings.entry => {
+                    return Some(leader.epoch);
+                }
+                Some(_) => {}
+                None => {
+                    tokio::time::sleep(self.acquisition_delay(members)).await;
+                    let members = self.entry.board.members.load();
+                    let members = members.as_ref().as_ref();
+                    let still_vacant = members.is_some_and(|known| known.leader.is_none());
+                    return still_vacant.then_some(0);
+                }
             }
-            _ => {}
         }
         tokio::select! {
             _ = changes.changed() => {}
@@ -348,7 +353,7 @@
     let mut changes = entry.board.members.changes();
     let has_successor = || {
         let members = entry.board.members.load();
-        let mut names = members.entries.keys();
+        let mut names = members.iter().flat_map(|members| members.entries.keys());
         names.any(|name| *name != entry.settings.entry)
     };
     let successor = async { while !has_successor() && changes.changed().await.is_ok() {} };
--- a/components/cell/tests/admission.rs
+++ b/components/cell/tests/admission.rs
@@ -2,17 +2,23 @@
 
 mod common;
 
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cell::{Configuration, Entry, EntrySettings};
 use common::{MemoryStore, SECRET, accepted_job, entry_settings};
-use errors::{ErrorKind, Result, Verdict};
+use errors::{Error, ErrorKind, Result, Verdict};
+use indexmap::IndexSet;
 use ingress::ClientBoard;
-use ingress::decide::Capacity;
+use ingress::decide::{self, Capacity};
 use model::{AcceptedJob, JobId, ResourceVector};
 use store::{KvStore, Precondition};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use wire::{Call, Key, Server};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -20,6 +26,10 @@
 const ROOM: usize = 300_000;
 /// More jobs than there is room for.
 const MANY: JobId = 100;
+/// Other entries that are asked to store jobs.
+const RELAYS: usize = 3;
+/// Time that each of them takes to answer.
+const RELAY_TIME: Duration = Duration::from_millis(500);
 
 struct Cell {
     store: Arc<MemoryStore>,
@@ -42,6 +52,16 @@
             seeds: seeds.collect(),
             ..entry_settings()
         };
+        let (entry, shutdown) = self.start_with(settings, room).await?;
+        self.entries.push((Arc::clone(&entry), shutdown));
+        Ok(entry)
+    }
+
+    async fn start_with(
+        &self,
+        settings: EntrySettings,
+        room: usize,
+    ) -> Result<(Arc<Entry>, CancellationToken)> {
         let capacity = Capacity {
             jobs: room,
             ..Capacity::unlimited(100)
@@ -58,8 +78,7 @@
             shutdown.clone(),
         )
         .await?;
-        self.entries.push((Arc::clone(&entry), shutdown));
-        Ok(entry)
+        Ok((entry, shutdown))
     }
 
     async fn is_stored(&self, id: JobId) -> Result<bool> {
@@ -185,6 +204,60 @@
     owner.submit(MANY, job_of("puerto"), TIMEOUT).await
 }
 
+/// Starts an entry that never stores a job, and records the jobs that it is asked to store.
+async fn start_relay(relayed: &Arc<Mutex<IndexSet<JobId>>>) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("loopback is available");
+    let addr = listener.local_addr().expect("the listener has an address");
+    let relayed = Arc::clone(relayed);
+    let answer = move |_, call| {
+        let relayed = Arc::clone(&relayed);
+        async move {
+            if let Call::Submit(submission) = call {
+                let mut relayed = relayed.lock().expect("lock is not poisoned");
+                relayed.insert(submission.id);
+            }
+            tokio::time::sleep(RELAY_TIME).await;
+            Err(Error::not_run(ErrorKind::Unavailable, "the store is down").report())
+        }
+    };
+    let server = Server::new(listener, Key::from_secret(SECRET));
+    tokio::spawn(server.serve(answer, CancellationToken::new()));
+    Ok(addr)
+}
+
+/// Guards against entries that start while they can't reach the store, and each take the share of all of them: the members of the
+/// cell are not known yet, and none were counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_before_members_are_known_takes_own_share() -> Result<()> {
+    let cell = Cell::new();
+    cell.store.is_down.store(true, Ordering::Release);
+    let relayed = Arc::default();
+    let mut seeds = Vec::new();
+    for _ in 0..RELAYS {
+        seeds.push(start_relay(&relayed).await?);
+    }
+    let settings = EntrySettings {
+        seeds,
+        ..entry_settings()
+    };
+    let (entry, shutdown) = cell.start_with(settings, ROOM).await?;
+    // The first call to the store tells that it is down.
+    tokio::time::sleep(RELAY_TIME).await;
+    let mut submissions = JoinSet::new();
+    for id in 1..MANY {
+        let entry = Arc::clone(&entry);
+        submissions.spawn(async move { entry.submit(id, job_of("faro"), TIMEOUT).await });
+    }
+    assert!(submissions.join_all().await.iter().all(Result::is_err));
+    let bytes = graph::job_bytes(&job_of("faro"));
+    let most = decide::unasked_bytes(ROOM, RELAYS + 1) / bytes;
+    let relayed = relayed.lock().expect("lock is not poisoned").len();
+    assert!((1..=most).contains(&relayed), "{relayed} beyond {most}");
+    shutdown.cancel();
+    Ok(())
+}
+
 /// Guards against records of cancelled jobs that were never submitted, which clients can make without number.
 #[tokio::test(flavor = "multi_thread")]
 async fn cancel_bounds_records_of_unknown_jobs() -> Result<()> {
