--- a/components/cell/src/admission.rs
+++ b/components/cell/src/admission.rs
@@ -219,7 +219,7 @@
         };
         Ok(match self.admissions.hold_if(account, bytes, has_room) {
             Some(admission) => Some(admission),
-            None if owner.knows(id).await? => self.admissions.hold(account, 0),
+            None if owner.handle.knows(id).await? => self.admissions.hold(account, 0),
             None => None,
         })
     }
--- a/components/cell/src/board.rs
+++ b/components/cell/src/board.rs
@@ -53,16 +53,19 @@
     /// Ends the owner in this process if its epoch is lower than that of another owner.
     pub(crate) fn end_owner_before(&self, epoch: Epoch) {
         if let Ok(owner) = self.owner()
-            && owner.epoch < epoch
+            && owner.handle.epoch < epoch
         {
-            owner.end();
+            owner.handle.end();
         }
     }
 
     /// Returns the owner in this process, or an error if this process does not own the cell.
     pub(crate) fn owner(&self) -> Result<Arc<Owner<Leading>>> {
         let owner = self.owner.load();
-        let owner = owner.as_ref().as_ref().filter(|owner| !owner.has_ended());
+        let owner = owner
+            .as_ref()
+            .as_ref()
+            .filter(|owner| !owner.handle.has_ended());
         owner.map(Arc::clone).ok_or_else(not_owner_error)
     }
 }
--- a/components/cell/src/entry.rs
+++ b/components/cell/src/entry.rs
@@ -174,7 +174,7 @@
 
     /// Returns the epoch of the owner in this process, if there is one that has loaded its records.
     pub fn owned_epoch(&self) -> Option<Epoch> {
-        self.board.owner().ok().map(|owner| owner.epoch)
+        self.board.owner().ok().map(|owner| owner.handle.epoch)
     }
 
     /// Returns the job states that the owner in this process has published, or an error if this process does not own the cell.
--- a/components/cell/src/leader/published.rs
+++ b/components/cell/src/leader/published.rs
@@ -4,7 +4,6 @@
 //! there is no state that reads as knowledge while nothing is known: before the records are loaded there is no board, and after
 //! the ownership the board is gone.
 
-use std::ops::Deref;
 use std::sync::Arc;
 
 use board::Section;
@@ -83,11 +82,3 @@
         }
     }
 }
-
-impl Deref for Owner<Leading> {
-    type Target = LeaderHandle;
-
-    fn deref(&self) -> &LeaderHandle {
-        &self.handle
-    }
-}
--- a/components/cell/src/serve.rs
+++ b/components/cell/src/serve.rs
@@ -43,13 +43,14 @@
     let owner = entry.board.owner()?;
     match call {
         Call::Report(report) => {
-            let instructions = owner.report(*report).await?;
+            let instructions = owner.handle.report(*report).await?;
             Ok(Reply::Instructions(Box::new(instructions)))
         }
         Call::AdmitJob(asked) => entry.admit_for_entry(&owner, &asked).await,
         Call::JobStored(stored) => {
             let bytes = job_bytes(&stored.job);
             owner
+                .handle
                 .send(Event::JobStored {
                     id: stored.id,
                     admission: entry.admissions.hold(&stored.job.account, bytes),
@@ -60,7 +61,7 @@
             entry.job_room(&owner)
         }
         Call::JobCancelled(id) => {
-            owner.send(Event::JobCancelled(id)).await?;
+            owner.handle.send(Event::JobCancelled(id)).await?;
             Ok(Reply::Done)
         }
         Call::JobState(id) => Ok(Reply::JobState(KnownState(
@@ -92,7 +93,7 @@
     let job_end =
         async { while state() == Some(JobState::Running) && changes.changed().await.is_ok() {} };
     // If the job does not end in time, its current state is returned.
-    let _ = tokio::time::timeout(JOB_END_WAIT, owner.until_ended(job_end)).await;
+    let _ = tokio::time::timeout(JOB_END_WAIT, owner.handle.until_ended(job_end)).await;
     let states = owner.published()?.states.load();
     Ok(states.jobs.get(&id).copied())
 }
