--- a/tests/published.rs
+++ b/tests/published.rs
@@ -5,7 +5,7 @@
 
 use harness::fixtures::{one_region, request, with_idempotency_key};
 use harness::jobs::{Cluster, gang, submission};
-use harness::{Caller, Deployment, Programs, Result, wait_until};
+use harness::{Caller, Deployment, Programs, Result, Submission, wait_until};
 use serde_json::{Value, json};
 
 const AGENTS: usize = 2;
@@ -43,6 +43,15 @@
         })
     }
 
+    /// Submits jobs that run for longer than a test; returns their submission.
+    async fn submit_long_jobs(&self, count: u32) -> Result<Submission> {
+        let long = submission(json!({"run_ms": 60_000}));
+        for _ in 0..count {
+            self.cluster.submit_accepted(self.other, &long).await?;
+        }
+        Ok(long)
+    }
+
     fn url(&self) -> &str {
         self.cluster.url(self.other)
     }
@@ -93,13 +102,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn queue_limit_holds_across_takeover() -> Result<()> {
     let mut fixture = Fixture::start().await?;
-    let long = submission(json!({"run_ms": 60_000}));
-    for _ in 0..QUEUE_LIMIT {
-        fixture
-            .cluster
-            .submit_accepted(fixture.other, &long)
-            .await?;
-    }
+    let long = fixture.submit_long_jobs(QUEUE_LIMIT).await?;
     // The entry learns the number of jobs within a second.
     tokio::time::sleep(Duration::from_secs(2)).await;
     // The new owner takes longer to list the jobs than the entries need to find it.
@@ -121,13 +124,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn queue_limit_holds_across_restart_of_entries() -> Result<()> {
     let mut fixture = Fixture::start().await?;
-    let long = submission(json!({"run_ms": 60_000}));
-    for _ in 0..QUEUE_LIMIT {
-        fixture
-            .cluster
-            .submit_accepted(fixture.other, &long)
-            .await?;
-    }
+    let long = fixture.submit_long_jobs(QUEUE_LIMIT).await?;
     let entries: Vec<Box<str>> = fixture.cluster.deployment.entries.keys().cloned().collect();
     for entry in &entries {
         fixture.cluster.deployment.kill(entry)?;
@@ -159,13 +156,7 @@
         .cluster
         .submit_accepted(fixture.other, &keyed)
         .await?;
-    let long = submission(json!({"run_ms": 60_000}));
-    for _ in 1..QUEUE_LIMIT {
-        fixture
-            .cluster
-            .submit_accepted(fixture.other, &long)
-            .await?;
-    }
+    let long = fixture.submit_long_jobs(QUEUE_LIMIT - 1).await?;
     wait_until("the cell is full", WAIT_TIMEOUT, async || {
         let res = fixture.cluster.submit(fixture.other, &long).await;
         res.is_ok_and(|res| res.status() == 503)
