Simplify how owners, members and gauges are read

A reading of the change found pieces that were written twice or more complicated than needed; behaviour is as before.

- The handle of an owner keeps until when it is current, which renewals and unanswered attempts extend, as the native owner does, instead of the time of the last attempt with a value for none.
- The publication of an owner uses is_replaced, and says why it looks again.
- The wait for a vacant cell matches the members at one level.
- /metrics and /waits share the handler of texts, and the gauges of a cell are set or removed in one place.

--- a/components/cell/src/leader/actor.rs
+++ b/components/cell/src/leader/actor.rs
@@ -325,7 +325,7 @@
             let removed = removed.with_label_values(&[reason.to_string()]);
             removed.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
         }
-        // Before that, even jobs that wait have not waited for long enough to be recorded by this owner.
+        // A younger owner has recorded no wait, even if jobs have waited for long.
         if self.scheduler.take_waits_changed() && now >= self.started_at + MIN_WAIT {
             self.publish_waits(now);
         }
--- a/components/cell/src/leader/mod.rs
+++ b/components/cell/src/leader/mod.rs
@@ -127,8 +127,8 @@
     tx: mpsc::Sender<Event>,
     pub(crate) epoch: Epoch,
     valid_until_ms: Arc<AtomicU64>,
-    /// When the store last left an attempt to renew the lease unanswered, in milliseconds on the boot clock.
-    unanswered_at_ms: Arc<AtomicU64>,
+    /// Until when this owner may state what it knows, in milliseconds on the boot clock.
+    current_until_ms: Arc<AtomicU64>,
     /// Whether the stored records name all agents on which jobs may have runs.
     recorded: Arc<watch::Sender<bool>>,
     end: CancellationToken,
@@ -165,6 +165,7 @@
     pub(crate) fn extend(&self, valid_until: Duration) {
         self.valid_until_ms
             .store(millis(valid_until), Ordering::Release);
+        self.remain_current(valid_until);
     }
 
     /// Returns whether the lease of the owner can't have lapsed.
@@ -174,16 +175,19 @@
 
     /// Records that the store has just left an attempt to renew the lease unanswered.
     pub(crate) fn record_unanswered(&self) {
-        self.unanswered_at_ms
-            .store(millis(boot_now()), Ordering::Release);
+        self.remain_current(boot_now() + ATTEMPT_VALIDITY);
+    }
+
+    fn remain_current(&self, until: Duration) {
+        self.current_until_ms
+            .fetch_max(millis(until), Ordering::AcqRel);
     }
 
     /// Returns whether this owner may state what it knows. Without an answer of the store it goes on beyond its lease, but a
     /// process that was paused first has to learn whether another owner has replaced it.
     pub(crate) fn is_current(&self, now: Duration) -> bool {
-        let unanswered_at = Duration::from_millis(self.unanswered_at_ms.load(Ordering::Acquire));
-        let is_in_outage = !unanswered_at.is_zero() && now < unanswered_at + ATTEMPT_VALIDITY;
-        !self.has_ended() && (self.is_valid(now) || is_in_outage)
+        let until = Duration::from_millis(self.current_until_ms.load(Ordering::Acquire));
+        !self.has_ended() && now < until
     }
 
     /// Records that the stored records name all agents on which jobs may have runs.
@@ -253,7 +257,7 @@
         tx,
         epoch: leader.epoch,
         valid_until_ms: Arc::new(AtomicU64::new(millis(valid_until))),
-        unanswered_at_ms: Arc::default(),
+        current_until_ms: Arc::new(AtomicU64::new(millis(valid_until))),
         recorded: Arc::new(watch::Sender::new(false)),
         end: CancellationToken::new(),
     };
--- a/components/cell/src/ownership.rs
+++ b/components/cell/src/ownership.rs
@@ -93,20 +93,23 @@
     /// is no lease to wait for.
     async fn wait_until_vacant(&self) -> Option<Revision> {
         let mut changes = self.entry.board.members.changes();
-        if let Some(members) = self.entry.board.members.snapshot().as_ref() {
-            match &members.leader {
-                Some(leader) if leader.entry == self.entry.settings.entry => {
-                    return Some(leader.epoch);
-                }
-                Some(_) => {}
-                None => {
-                    tokio::time::sleep(self.acquisition_delay(members)).await;
-                    let members = self.entry.board.members.load();
-                    let members = members.as_ref().as_ref();
-                    let still_vacant = members.is_some_and(|known| known.leader.is_none());
-                    return still_vacant.then_some(0);
-                }
+        let members = self.entry.board.members.snapshot();
+        match members.as_ref() {
+            Some(Members {
+                leader: Some(leader),
+                ..
+            }) if leader.entry == self.entry.settings.entry => return Some(leader.epoch),
+            Some(known @ Members { leader: None, .. }) => {
+                tokio::time::sleep(self.acquisition_delay(known)).await;
+                let members = self.entry.board.members.snapshot();
+                let is_vacant = |known: &Members| known.leader.is_none();
+                return members
+                    .as_ref()
+                    .as_ref()
+                    .is_some_and(is_vacant)
+                    .then_some(0);
             }
+            _ => {}
         }
         tokio::select! {
             _ = changes.changed() => {}
@@ -317,9 +320,11 @@
 async fn lead_once_loaded(entry: &Arc<Entry>, owner: Owner<Loading>, leader: Leader) -> Infallible {
     if let Some(owner) = owner.wait_until_loaded().await {
         log::info!(target: "limpethook", epoch = leader.epoch; "ownership_published");
+        let handle = owner.handle.clone();
         entry.board.owner.publish(Some(Arc::new(owner)));
-        if let Some(newest) = entry.board.leader() {
-            entry.board.end_owner_before(newest.epoch);
+        // A later owner that was announced before this one was published did not end it.
+        if is_replaced(entry, leader.epoch) {
+            handle.end();
         }
         tokio::spawn(announce(Arc::clone(entry), leader));
     }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -113,21 +113,13 @@
         self.datagrams.set(&cx.datagrams.counts().by_outcome());
         self.peer_bytes.set(&cx.peers.bytes().by_direction());
         for (cell, report) in cx.entry_board.reports.load().iter() {
-            let Some(summary) = report.summary(timer::now()) else {
-                for gauge in [
-                    &self.cell_queued,
-                    &self.cell_shortfalls,
-                    &self.cell_quarantined,
-                ] {
-                    gauge.remove(cell);
-                }
-                continue;
-            };
-            let shortfalls = summary.shortfalls.len() as u64;
-            let quarantined = summary.quarantined.len() as u64;
-            self.cell_queued.set(&[(cell, summary.queued.into())]);
-            self.cell_shortfalls.set(&[(cell, shortfalls)]);
-            self.cell_quarantined.set(&[(cell, quarantined)]);
+            let summary = report.summary(timer::now());
+            let queued = summary.map(|known| known.queued.into());
+            let shortfalls = summary.map(|known| known.shortfalls.len() as u64);
+            let quarantined = summary.map(|known| known.quarantined.len() as u64);
+            self.cell_queued.set_known(cell, queued);
+            self.cell_shortfalls.set_known(cell, shortfalls);
+            self.cell_quarantined.set_known(cell, quarantined);
         }
         telemetry::metrics_text(&self.registry)
     }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -10,8 +10,8 @@
 
 use crate::traffic::traffic_text;
 
-/// Delay after which an operator should ask for the waits again. A new owner knows them after little more than a second.
-const WAITS_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Delay after which an operator should ask again for what is not known. A new owner knows the waits after little more than a second.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Returns the metrics of a registry and the traffic counters in the Prometheus text format.
 pub fn metrics_text(registry: &Registry) -> String {
@@ -51,17 +51,21 @@
         }
     }
 
-    /// Removes the gauge of a label value, which is no longer known.
-    pub fn remove(&self, label: &str) {
-        // Fails only if there is no such gauge.
-        let _ = self.0.remove_label_values(&[label]);
+    /// Sets the gauge of a label value, or removes it if its value is not known.
+    pub fn set_known(&self, label: &str, value: Option<u64>) {
+        match value {
+            Some(value) => self.set(&[(label, value)]),
+            // Fails only if there is no such gauge.
+            None => drop(self.0.remove_label_values(&[label])),
+        }
     }
 }
 
+/// Serves a text, or 503 with the reason if it is not known.
 struct TextHandler<F>(F);
 
 #[async_trait]
-impl<F: Fn() -> String + Send + Sync + 'static> Handler for TextHandler<F> {
+impl<F: Fn() -> Result<String> + Send + Sync + 'static> Handler for TextHandler<F> {
     async fn handle(
         &self,
         _req: &mut Request,
@@ -69,37 +73,19 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        res.render(Text::Plain((self.0)()));
+        let text = (self.0)().unwrap_or_else(|report| {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = HeaderValue::from(RETRY_DELAY.as_secs());
+            res.headers_mut().insert(RETRY_AFTER, seconds);
+            report.current_context().message.to_string()
+        });
+        res.render(Text::Plain(text));
     }
 }
 
 /// Returns a router that serves the text that `text` returns at `/metrics`.
 pub fn metrics_router<F: Fn() -> String + Send + Sync + 'static>(text: F) -> Router {
-    Router::new().push(Router::with_path("metrics").get(TextHandler(text)))
-}
-
-struct WaitsHandler<F>(F);
-
-#[async_trait]
-impl<F: Fn() -> Result<Box<str>> + Send + Sync + 'static> Handler for WaitsHandler<F> {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        match (self.0)() {
-            Ok(waits) => res.render(Text::Plain(String::from(waits))),
-            Err(report) => {
-                res.status_code(StatusCode::SERVICE_UNAVAILABLE);
-                let seconds = HeaderValue::from(WAITS_RETRY_DELAY.as_secs());
-                res.headers_mut().insert(RETRY_AFTER, seconds);
-                let message = report.current_context().message.to_string();
-                res.render(Text::Plain(message));
-            }
-        }
-    }
+    Router::new().push(Router::with_path("metrics").get(TextHandler(move || Ok(text()))))
 }
 
 /// Returns a router that serves the text that `text` returns at `/metrics`, and a line for each job that waits at `/waits`. If the
@@ -107,7 +93,7 @@
 pub fn metrics_and_waits_router<F, W>(text: F, waits: W) -> Router
 where
     F: Fn() -> String + Send + Sync + 'static,
-    W: Fn() -> Result<Box<str>> + Send + Sync + 'static,
+    W: Fn() -> Result<String> + Send + Sync + 'static,
 {
-    metrics_router(text).push(Router::with_path("waits").get(WaitsHandler(waits)))
+    metrics_router(text).push(Router::with_path("waits").get(TextHandler(waits)))
 }
